--- /dev/null
+++ b/ring/ring_test.go
@@ -0,0 +1,39 @@
+package ring
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+// Guards against a full ring that blocks its producer or loses count.
+func TestPushRefusesWhenFull(t *testing.T) {
+	r := New[int](2)
+	require.True(t, r.Push(1))
+	require.True(t, r.Push(2))
+	require.False(t, r.Push(3))
+	require.EqualValues(t, 1, r.Refused())
+	require.Equal(t, 1, <-r.C())
+	require.Equal(t, 1, r.Len())
+}
+
+// Guards against a wrong order after the buffer has wrapped around.
+func TestLastKeepsTheNewest(t *testing.T) {
+	for _, c := range []struct {
+		add  int
+		want []int
+	}{
+		{0, nil},
+		{2, []int{0, 1}},
+		{3, []int{0, 1, 2}},
+		{5, []int{2, 3, 4}},
+	} {
+		l := NewLast[int](3)
+		for i := range c.add {
+			l.Add(i)
+		}
+		var got []int
+		l.Each(func(v int) bool { got = append(got, v); return true })
+		require.Equal(t, c.want, got)
+	}
+}
--- /dev/null
+++ b/timer/service.go
@@ -0,0 +1,103 @@
+package timer
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"golang.org/x/sys/unix"
+
+	"github.com/lagoonhead/lagoonhead"
+)
+
+// Timer is the clock and the ticks that a part needs.
+type Timer interface {
+	lagoonhead.Clock
+	// Subscribe returns a subscription that ticks every interval. It panics when
+	// interval is not positive.
+	Subscribe(interval time.Duration) *Subscription
+	// Sleep waits for d or until ctx ends, whichever is first, and returns the
+	// error of ctx in the second case.
+	Sleep(ctx context.Context, d time.Duration) error
+}
+
+// Subscription delivers ticks. A tick that is not taken before the next one is
+// replaced by it, so a slow part sees one late tick and not a backlog.
+type Subscription struct {
+	ticks chan time.Duration
+	stop  func()
+	once  sync.Once
+}
+
+// C returns the channel of ticks. Each tick is the time since boot.
+func (s *Subscription) C() <-chan time.Duration { return s.ticks }
+
+// Stop ends the subscription. It may be called more than once.
+func (s *Subscription) Stop() { s.once.Do(s.stop) }
+
+func newSubscription(stop func()) *Subscription {
+	return &Subscription{ticks: make(chan time.Duration, 1), stop: stop}
+}
+
+func (s *Subscription) deliver(now time.Duration) {
+	select {
+	case <-s.ticks:
+	default:
+	}
+	select {
+	case s.ticks <- now:
+	default:
+	}
+}
+
+// Service is the Timer over the clocks of the operating system. Its zero value is
+// ready to use.
+type Service struct{}
+
+var _ Timer = (*Service)(nil)
+
+// Now returns the time since boot. It panics if the operating system has no
+// CLOCK_BOOTTIME.
+func (s *Service) Now() time.Duration {
+	var ts unix.Timespec
+	if err := unix.ClockGettime(unix.CLOCK_BOOTTIME, &ts); err != nil {
+		panic("timer: CLOCK_BOOTTIME cannot be read: " + err.Error())
+	}
+	return time.Duration(ts.Nano())
+}
+
+// Wall returns the wall time in UTC.
+func (s *Service) Wall() time.Time { return time.Now().UTC() }
+
+// Subscribe returns a subscription that ticks every interval.
+func (s *Service) Subscribe(interval time.Duration) *Subscription {
+	t := time.NewTicker(interval)
+	done := make(chan struct{})
+	sub := newSubscription(func() { close(done) })
+	go s.run(t, done, sub)
+	return sub
+}
+
+func (s *Service) run(t *time.Ticker, done <-chan struct{}, sub *Subscription) {
+	defer t.Stop()
+	for {
+		select {
+		case <-done:
+			return
+		case <-t.C:
+			sub.deliver(s.Now())
+		}
+	}
+}
+
+// Sleep waits for d or until ctx ends.
+func (s *Service) Sleep(ctx context.Context, d time.Duration) error {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
--- /dev/null
+++ b/timer/timer_test.go
@@ -0,0 +1,53 @@
+package timer
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// Guards against a subscription that delivers a backlog of ticks after a pause.
+func TestManualDeliversOneTickAfterALongPause(t *testing.T) {
+	m := NewManual(0, time.Unix(0, 0))
+	s := m.Subscribe(time.Second)
+	defer s.Stop()
+	m.Advance(10 * time.Second)
+	require.Equal(t, 10*time.Second, <-s.C())
+	select {
+	case <-s.C():
+		t.Fatal("second tick for one advance")
+	default:
+	}
+	m.Advance(time.Second)
+	require.Equal(t, 11*time.Second, <-s.C())
+}
+
+// Guards against ticks after Stop.
+func TestManualStop(t *testing.T) {
+	m := NewManual(0, time.Unix(0, 0))
+	s := m.Subscribe(time.Second)
+	s.Stop()
+	s.Stop()
+	m.Advance(time.Minute)
+	require.Empty(t, s.C())
+}
+
+// Guards against a sleep that ignores its context.
+func TestSleepEndsWithContext(t *testing.T) {
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	for _, tm := range []Timer{&Service{}, NewManual(0, time.Unix(0, 0))} {
+		require.ErrorIs(t, tm.Sleep(ctx, time.Hour), context.Canceled)
+	}
+}
+
+// Guards against a clock that stands still or goes back.
+func TestServiceNowMoves(t *testing.T) {
+	s := &Service{}
+	a := s.Now()
+	require.Positive(t, a)
+	require.NoError(t, s.Sleep(context.Background(), time.Millisecond))
+	require.Greater(t, s.Now(), a)
+}
