Add the platform stand-in, its adapters and single-shot HTTP requests

Cause: every part needs the platform's interfaces, and orders must not be written after the sender has lost its authority.

Change: fakeplatform implements the key-value service, the ordering interface, the usage reports and the VM list, in process and over HTTP, with fault switches. store, ordering, usage and vmlist are thin adapters. httponce dials, checks the authority and writes a request once; the Transport of net/http is not used, because it may dial after the check and repeat a request.

The contract of the store is a data file that runs against the stand-in in process and over HTTP.

--- a/errors.go
+++ b/errors.go
@@ -98,3 +98,14 @@
 
 // IsKind reports whether err is not nil and has the kind k.
 func IsKind(err error, k Kind) bool { return err != nil && KindOf(err) == k }
+
+// ParseKind returns the kind with the given name, and KindInternal when there is
+// none.
+func ParseKind(name string) Kind {
+	for k, n := range kindNames {
+		if n == name {
+			return Kind(k)
+		}
+	}
+	return KindInternal
+}
--- /dev/null
+++ b/fakeplatform/kv.go
@@ -0,0 +1,307 @@
+package fakeplatform
+
+import (
+	"context"
+	"sort"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/lagoonhead/lagoonhead"
+	"github.com/lagoonhead/lagoonhead/timer"
+)
+
+// historyLength is the number of changes that a watch can look back.
+const historyLength = 4096
+
+// KV is the key-value service. Create it with NewKV.
+type KV struct {
+	// Faults are the failures of the service.
+	Faults Faults
+
+	tm       timer.Timer
+	mu       sync.Mutex
+	revision int64
+	entries  map[string]lagoonhead.Entry
+	previous map[string]lagoonhead.Entry
+	leases   map[lagoonhead.LeaseID]*lease
+	nextID   int64
+	history  []lagoonhead.Event
+	changed  chan struct{}
+}
+
+type lease struct {
+	ttl     time.Duration
+	expires time.Duration
+}
+
+var _ lagoonhead.Store = (*KV)(nil)
+
+// NewKV returns an empty service that counts leases with tm.
+func NewKV(tm timer.Timer) *KV {
+	return &KV{
+		tm:       tm,
+		entries:  make(map[string]lagoonhead.Entry),
+		previous: make(map[string]lagoonhead.Entry),
+		leases:   make(map[lagoonhead.LeaseID]*lease),
+		changed:  make(chan struct{}),
+	}
+}
+
+// Get returns the entry of key.
+func (k *KV) Get(ctx context.Context, key string) (lagoonhead.Entry, error) {
+	if err := k.Faults.begin(ctx, k.tm, "get"); err != nil {
+		return lagoonhead.Entry{}, err
+	}
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.expire()
+	e, ok := k.read(key)
+	if !ok {
+		return lagoonhead.Entry{}, fail("get", lagoonhead.KindNotFound, "key %q does not exist", key)
+	}
+	return e, nil
+}
+
+func (k *KV) read(key string) (lagoonhead.Entry, bool) {
+	if k.Faults.old() {
+		e, ok := k.previous[key]
+		return e, ok
+	}
+	e, ok := k.entries[key]
+	return e, ok
+}
+
+// List returns the entries under prefix, ordered by key.
+func (k *KV) List(ctx context.Context, prefix string) ([]lagoonhead.Entry, error) {
+	if err := k.Faults.begin(ctx, k.tm, "list"); err != nil {
+		return nil, err
+	}
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.expire()
+	var list []lagoonhead.Entry
+	for key := range k.entries {
+		if !strings.HasPrefix(key, prefix) {
+			continue
+		}
+		if e, ok := k.read(key); ok {
+			list = append(list, e)
+		}
+	}
+	sort.Slice(list, func(i, j int) bool { return list[i].Key < list[j].Key })
+	return list, nil
+}
+
+// Watch waits for changes under prefix.
+func (k *KV) Watch(ctx context.Context, prefix string, after int64) ([]lagoonhead.Event, int64, error) {
+	if err := k.Faults.begin(ctx, k.tm, "watch"); err != nil {
+		return nil, after, err
+	}
+	for {
+		k.mu.Lock()
+		k.expire()
+		events, err := k.since(prefix, after)
+		now, changed, next := k.revision, k.changed, k.nextExpiry()
+		k.mu.Unlock()
+		if err != nil || len(events) > 0 {
+			return events, now, err
+		}
+		if err := k.wait(ctx, changed, next); err != nil {
+			return nil, after, err
+		}
+	}
+}
+
+// wait returns when something changed, when the next lease ends, or when ctx
+// ends.
+func (k *KV) wait(ctx context.Context, changed <-chan struct{}, next time.Duration) error {
+	sleep, cancel := context.WithCancel(ctx)
+	defer cancel()
+	expired := make(chan struct{})
+	if next > 0 {
+		go func() {
+			if k.tm.Sleep(sleep, next) == nil {
+				close(expired)
+			}
+		}()
+	}
+	select {
+	case <-changed:
+		return nil
+	case <-expired:
+		return nil
+	case <-ctx.Done():
+		return fail("watch", lagoonhead.KindTimeout, "no change")
+	}
+}
+
+// nextExpiry returns the time until the first lease ends, or 0 without leases.
+func (k *KV) nextExpiry() time.Duration {
+	var next time.Duration
+	now := k.tm.Now()
+	for _, l := range k.leases {
+		if d := l.expires - now; next == 0 || d < next {
+			next = max(d, time.Millisecond)
+		}
+	}
+	return next
+}
+
+func (k *KV) since(prefix string, after int64) ([]lagoonhead.Event, error) {
+	if len(k.history) > 0 && k.history[0].Entry.Revision > after+1 && len(k.history) == historyLength {
+		return nil, fail("watch", lagoonhead.KindStale, "revision %d is no longer kept", after)
+	}
+	var events []lagoonhead.Event
+	for _, e := range k.history {
+		if e.Entry.Revision > after && strings.HasPrefix(e.Entry.Key, prefix) {
+			events = append(events, e)
+		}
+	}
+	return events, nil
+}
+
+// Put writes one key.
+func (k *KV) Put(ctx context.Context, r lagoonhead.PutRequest) (int64, error) {
+	if err := k.Faults.begin(ctx, k.tm, "put"); err != nil {
+		return 0, err
+	}
+	rev, err := k.put(r)
+	if err != nil {
+		return 0, err
+	}
+	return rev, k.Faults.end("put")
+}
+
+func (k *KV) put(r lagoonhead.PutRequest) (int64, error) {
+	if len(r.Value) > lagoonhead.MaxValueBytes {
+		return 0, fail("put", lagoonhead.KindInvalid, "value of %d bytes is larger than %d", len(r.Value), lagoonhead.MaxValueBytes)
+	}
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.expire()
+	if r.Lease != "" && k.leases[r.Lease] == nil {
+		return 0, fail("put", lagoonhead.KindNotFound, "lease %q has ended", r.Lease)
+	}
+	if have := k.entries[r.Key].Revision; r.IfRevision != lagoonhead.AnyRevision && have != r.IfRevision {
+		return 0, fail("put", lagoonhead.KindConflict, "key %q has revision %d, not %d", r.Key, have, r.IfRevision)
+	}
+	k.revision++
+	e := lagoonhead.Entry{Key: r.Key, Value: append([]byte(nil), r.Value...), Revision: k.revision, Lease: r.Lease}
+	k.keepPrevious(r.Key)
+	k.entries[r.Key] = e
+	k.record(lagoonhead.Event{Entry: e})
+	return k.revision, nil
+}
+
+func (k *KV) keepPrevious(key string) {
+	if e, ok := k.entries[key]; ok {
+		k.previous[key] = e
+	}
+}
+
+func (k *KV) record(e lagoonhead.Event) {
+	k.history = append(k.history, e)
+	if len(k.history) > historyLength {
+		k.history = k.history[1:]
+	}
+	close(k.changed)
+	k.changed = make(chan struct{})
+}
+
+// Delete removes a key.
+func (k *KV) Delete(ctx context.Context, key string, ifRevision int64) error {
+	if err := k.Faults.begin(ctx, k.tm, "delete"); err != nil {
+		return err
+	}
+	if err := k.delete(key, ifRevision); err != nil {
+		return err
+	}
+	return k.Faults.end("delete")
+}
+
+func (k *KV) delete(key string, ifRevision int64) error {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.expire()
+	have, ok := k.entries[key]
+	if !ok {
+		return fail("delete", lagoonhead.KindNotFound, "key %q does not exist", key)
+	}
+	if ifRevision != lagoonhead.AnyRevision && have.Revision != ifRevision {
+		return fail("delete", lagoonhead.KindConflict, "key %q has revision %d, not %d", key, have.Revision, ifRevision)
+	}
+	k.remove(key)
+	return nil
+}
+
+func (k *KV) remove(key string) {
+	k.keepPrevious(key)
+	delete(k.entries, key)
+	k.revision++
+	k.record(lagoonhead.Event{Entry: lagoonhead.Entry{Key: key, Revision: k.revision}, Deleted: true})
+}
+
+// GrantLease returns a new lease.
+func (k *KV) GrantLease(ctx context.Context, ttl time.Duration) (lagoonhead.LeaseID, error) {
+	if err := k.Faults.begin(ctx, k.tm, "grantLease"); err != nil {
+		return "", err
+	}
+	if ttl <= 0 {
+		return "", fail("grantLease", lagoonhead.KindInvalid, "time to live %s is not positive", ttl)
+	}
+	k.mu.Lock()
+	k.nextID++
+	id := lagoonhead.LeaseID("lease-" + strconv.FormatInt(k.nextID, 10))
+	k.leases[id] = &lease{ttl: ttl, expires: k.tm.Now() + ttl}
+	k.mu.Unlock()
+	return id, k.Faults.end("grantLease")
+}
+
+// RenewLease extends a lease.
+func (k *KV) RenewLease(ctx context.Context, id lagoonhead.LeaseID) error {
+	if err := k.Faults.begin(ctx, k.tm, "renewLease"); err != nil {
+		return err
+	}
+	k.mu.Lock()
+	k.expire()
+	l := k.leases[id]
+	if l != nil {
+		l.expires = k.tm.Now() + l.ttl
+	}
+	k.mu.Unlock()
+	if l == nil {
+		return fail("renewLease", lagoonhead.KindNotFound, "lease %q has ended", id)
+	}
+	return k.Faults.end("renewLease")
+}
+
+// RevokeLease ends a lease.
+func (k *KV) RevokeLease(ctx context.Context, id lagoonhead.LeaseID) error {
+	if err := k.Faults.begin(ctx, k.tm, "revokeLease"); err != nil {
+		return err
+	}
+	k.mu.Lock()
+	k.end(id)
+	k.mu.Unlock()
+	return k.Faults.end("revokeLease")
+}
+
+func (k *KV) expire() {
+	now := k.tm.Now()
+	for id, l := range k.leases {
+		if l.expires <= now {
+			k.end(id)
+		}
+	}
+}
+
+func (k *KV) end(id lagoonhead.LeaseID) {
+	delete(k.leases, id)
+	for key, e := range k.entries {
+		if e.Lease == id {
+			k.remove(key)
+		}
+	}
+}
--- /dev/null
+++ b/httponce/client_test.go
@@ -0,0 +1,107 @@
+package httponce
+
+import (
+	"bufio"
+	"context"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+
+	"github.com/cockroachdb/errors"
+	"github.com/stretchr/testify/require"
+
+	"github.com/lagoonhead/lagoonhead"
+)
+
+func post(t *testing.T, url string) *http.Request {
+	t.Helper()
+	r, err := http.NewRequestWithContext(context.Background(), http.MethodPost, url, strings.NewReader("{}"))
+	require.NoError(t, err)
+	return r
+}
+
+// Guards against a request that is written although the authority was lost after
+// the dial.
+func TestNothingIsWrittenWithoutAuthority(t *testing.T) {
+	var served atomic.Int64
+	s := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { served.Add(1) }))
+	defer s.Close()
+	c := &Client{}
+	_, err := c.Do(context.Background(), post(t, s.URL), func() error { return errors.New("lease has lapsed") })
+	require.True(t, lagoonhead.IsKind(err, lagoonhead.KindStale), "%v", err)
+	require.Zero(t, served.Load())
+}
+
+// Guards against a repeat on a fresh connection when the receiver closes after
+// it has read the request, and against calling that outcome a failure.
+func TestCloseAfterReadIsUnknownAndSentOnce(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer l.Close()
+	var read atomic.Int64
+	go func() {
+		for {
+			conn, err := l.Accept()
+			if err != nil {
+				return
+			}
+			if _, err := http.ReadRequest(bufio.NewReader(conn)); err == nil {
+				read.Add(1)
+			}
+			conn.Close()
+		}
+	}()
+	r := post(t, "http://"+l.Addr().String())
+	r.Header.Set("Idempotency-Key", "k")
+	c := &Client{}
+	_, err = c.Do(context.Background(), r, nil)
+	require.True(t, lagoonhead.IsKind(err, lagoonhead.KindUnknown), "%v", err)
+	require.EqualValues(t, 1, read.Load())
+}
+
+// Guards against a paused sender whose late write still takes effect: the
+// receiver closes a connection on which no request came in time.
+func TestLateWriteAfterReceiverTimeoutHasNoEffect(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer l.Close()
+	closed := make(chan struct{})
+	go func() {
+		conn, err := l.Accept()
+		if err == nil {
+			conn.Close()
+		}
+		close(closed)
+	}()
+	c := &Client{}
+	_, err = c.Do(context.Background(), post(t, "http://"+l.Addr().String()), func() error {
+		<-closed
+		return nil
+	})
+	require.True(t, lagoonhead.IsKind(err, lagoonhead.KindUnknown), "%v", err)
+}
+
+// Guards against an unreachable receiver that is reported as an unknown outcome.
+func TestDialFailureIsUnavailable(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	addr := l.Addr().String()
+	require.NoError(t, l.Close())
+	c := &Client{}
+	_, err = c.Do(context.Background(), post(t, "http://"+addr), nil)
+	require.True(t, lagoonhead.IsKind(err, lagoonhead.KindUnavailable), "%v", err)
+}
+
+// Guards against a client that waits past its deadline on a silent receiver.
+func TestSilenceEndsWithContext(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer l.Close()
+	ctx, cancel := context.WithCancel(context.Background())
+	c := &Client{}
+	_, err = c.Do(ctx, post(t, "http://"+l.Addr().String()), func() error { cancel(); return nil })
+	require.True(t, lagoonhead.IsKind(err, lagoonhead.KindUnknown), "%v", err)
+}
--- /dev/null
+++ b/ordering/client.go
@@ -0,0 +1,44 @@
+package ordering
+
+import (
+	"context"
+
+	"github.com/lagoonhead/lagoonhead"
+	"github.com/lagoonhead/lagoonhead/platform"
+)
+
+// The paths of the protocol.
+const (
+	PathTotal     = "/ordering/total"
+	PathEndpoints = "/ordering/endpoints"
+)
+
+// EndpointsResponse lists what the platform runs.
+type EndpointsResponse struct {
+	Endpoints []lagoonhead.PlatformEndpoint `json:"endpoints"`
+}
+
+// Client speaks the interface's JSON protocol.
+type Client struct {
+	// Platform is where the interface is.
+	Platform platform.Client
+	// Authority is checked right before an order is written. Nil refuses nothing.
+	Authority func() error
+}
+
+var (
+	_ lagoonhead.EndpointOrderer = (*Client)(nil)
+	_ lagoonhead.EndpointLister  = (*Client)(nil)
+)
+
+// SetTotal sends an order once, on a connection of its own.
+func (c *Client) SetTotal(ctx context.Context, o lagoonhead.TotalOrder) error {
+	return c.Platform.Order(ctx, PathTotal, o, nil, c.Authority)
+}
+
+// Endpoints lists what the platform runs.
+func (c *Client) Endpoints(ctx context.Context) ([]lagoonhead.PlatformEndpoint, error) {
+	var a EndpointsResponse
+	err := c.Platform.Read(ctx, PathEndpoints, struct{}{}, &a)
+	return a.Endpoints, err
+}
--- /dev/null
+++ b/store/contract_test.go
@@ -0,0 +1,175 @@
+package store_test
+
+import (
+	"context"
+	"net/http/httptest"
+	"os"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"go.yaml.in/yaml/v3"
+
+	"github.com/lagoonhead/lagoonhead"
+	"github.com/lagoonhead/lagoonhead/fakeplatform"
+	"github.com/lagoonhead/lagoonhead/platform"
+	"github.com/lagoonhead/lagoonhead/store"
+	"github.com/lagoonhead/lagoonhead/timer"
+)
+
+type step struct {
+	Op         string
+	Key        string
+	Value      string
+	Size       int
+	If         int64
+	IfSaved    string `yaml:"ifSaved"`
+	AfterSaved string `yaml:"afterSaved"`
+	LeaseSaved string `yaml:"leaseSaved"`
+	Save       string
+	Want       string
+	Kind       string
+	TTLMs      int64 `yaml:"ttlMs"`
+	Ms         int64
+	N          int
+	On         bool
+}
+
+type script struct {
+	store     lagoonhead.Store
+	fake      *fakeplatform.KV
+	clock     *timer.Manual
+	revisions map[string]int64
+	leases    map[string]lagoonhead.LeaseID
+}
+
+// Guards against implementations of the store that differ in their conditions,
+// their leases or their error kinds.
+func TestContract(t *testing.T) {
+	raw, err := os.ReadFile("testdata/contract.yaml")
+	require.NoError(t, err)
+	var cases []struct {
+		Name  string
+		Steps []step
+	}
+	require.NoError(t, yaml.Unmarshal(raw, &cases))
+	for _, c := range cases {
+		for _, overHTTP := range []bool{false, true} {
+			name := c.Name + " in process"
+			if overHTTP {
+				name = c.Name + " over HTTP"
+			}
+			t.Run(name, func(t *testing.T) {
+				s := newScript(t, overHTTP)
+				for i, st := range c.Steps {
+					s.run(t, i, st)
+				}
+			})
+		}
+	}
+}
+
+func newScript(t *testing.T, overHTTP bool) *script {
+	clock := timer.NewManual(time.Hour, time.Unix(0, 0))
+	p := fakeplatform.New(clock, 0)
+	s := &script{
+		store: p.KV, fake: p.KV, clock: clock,
+		revisions: make(map[string]int64), leases: make(map[string]lagoonhead.LeaseID),
+	}
+	if overHTTP {
+		srv := httptest.NewServer(p.Handler())
+		t.Cleanup(srv.Close)
+		s.store = &store.Client{Platform: platform.Client{BaseURL: srv.URL, Timeout: time.Minute}}
+	}
+	return s
+}
+
+func (s *script) run(t *testing.T, i int, st step) {
+	t.Helper()
+	got, err := s.do(t.Context(), st)
+	kind := ""
+	if err != nil {
+		kind = lagoonhead.KindOf(err).String()
+	}
+	require.Equal(t, st.Kind, kind, "step %d: %s: %v", i, st.Op, err)
+	if st.Want != "" {
+		require.Equal(t, st.Want, got, "step %d: %s", i, st.Op)
+	}
+}
+
+func (s *script) do(ctx context.Context, st step) (string, error) {
+	switch st.Op {
+	case "put":
+		return "", s.put(ctx, st)
+	case "get":
+		e, err := s.store.Get(ctx, st.Key)
+		return string(e.Value), err
+	case "list":
+		l, err := s.store.List(ctx, st.Key)
+		return describe(l), err
+	case "delete":
+		return "", s.store.Delete(ctx, st.Key, s.condition(st))
+	case "watch":
+		ev, _, err := s.store.Watch(ctx, st.Key, s.revisions[st.AfterSaved])
+		return describeEvents(ev), err
+	case "grant":
+		id, err := s.store.GrantLease(ctx, time.Duration(st.TTLMs)*time.Millisecond)
+		s.leases[st.Save] = id
+		return "", err
+	case "renew":
+		return "", s.store.RenewLease(ctx, s.leases[st.LeaseSaved])
+	case "revoke":
+		return "", s.store.RevokeLease(ctx, s.leases[st.LeaseSaved])
+	case "advance":
+		s.clock.Advance(time.Duration(st.Ms) * time.Millisecond)
+	case "lose":
+		s.fake.Faults.LoseAnswers(st.N)
+	case "outage":
+		s.fake.Faults.SetOutage(st.On)
+	default:
+		panic("unknown operation " + st.Op)
+	}
+	return "", nil
+}
+
+func (s *script) condition(st step) int64 {
+	if st.IfSaved != "" {
+		return s.revisions[st.IfSaved]
+	}
+	return st.If
+}
+
+func (s *script) put(ctx context.Context, st step) error {
+	value := []byte(st.Value)
+	if st.Size > 0 {
+		value = make([]byte, st.Size)
+	}
+	rev, err := s.store.Put(ctx, lagoonhead.PutRequest{
+		Key: st.Key, Value: value, IfRevision: s.condition(st), Lease: s.leases[st.LeaseSaved],
+	})
+	if st.Save != "" {
+		s.revisions[st.Save] = rev
+	}
+	return err
+}
+
+func describe(list []lagoonhead.Entry) string {
+	var parts []string
+	for _, e := range list {
+		parts = append(parts, e.Key+"="+string(e.Value))
+	}
+	return strings.Join(parts, " ")
+}
+
+func describeEvents(list []lagoonhead.Event) string {
+	var parts []string
+	for _, e := range list {
+		if e.Deleted {
+			parts = append(parts, e.Entry.Key+" deleted")
+			continue
+		}
+		parts = append(parts, e.Entry.Key+"="+string(e.Entry.Value))
+	}
+	return strings.Join(parts, " ")
+}
--- /dev/null
+++ b/store/doc.go
@@ -0,0 +1,2 @@
+// Package store is the adapter to the platform's key-value service.
+package store
--- /dev/null
+++ b/vmlist/client.go
@@ -0,0 +1,47 @@
+package vmlist
+
+import (
+	"context"
+
+	"github.com/lagoonhead/lagoonhead"
+	"github.com/lagoonhead/lagoonhead/platform"
+)
+
+// PathVMs is the path of the protocol.
+const PathVMs = "/vms"
+
+// The messages of the protocol.
+type (
+	// VMMessage is one VM.
+	VMMessage struct {
+		ID            lagoonhead.VMID          `json:"id"`
+		FailureDomain lagoonhead.FailureDomain `json:"failureDomain"`
+		PeerAddress   string                   `json:"peerAddress"`
+		Leaving       bool                     `json:"leaving,omitempty"`
+	}
+	// VMsResponse is the list.
+	VMsResponse struct {
+		VMs []VMMessage `json:"vms"`
+	}
+)
+
+// Client speaks the list's JSON protocol.
+type Client struct {
+	// Platform is where the list is.
+	Platform platform.Client
+}
+
+var _ lagoonhead.VMLister = (*Client)(nil)
+
+// VMs returns the list as the platform shows it.
+func (c *Client) VMs(ctx context.Context) ([]lagoonhead.VM, error) {
+	var a VMsResponse
+	if err := c.Platform.Read(ctx, PathVMs, struct{}{}, &a); err != nil {
+		return nil, err
+	}
+	list := make([]lagoonhead.VM, 0, len(a.VMs))
+	for _, m := range a.VMs {
+		list = append(list, lagoonhead.NewVM(m.ID, m.FailureDomain, m.PeerAddress, m.Leaving))
+	}
+	return list, nil
+}
--- /dev/null
+++ b/vmlist/doc.go
@@ -0,0 +1,2 @@
+// Package vmlist is the adapter to the platform's lagging list of VMs.
+package vmlist
