--- a/order/ledger.go
+++ b/order/ledger.go
@@ -238,3 +238,13 @@
 	}
 	return r, nil
 }
+
+// Differs reports whether the target has a record with other content that is not
+// refused. It tells whether a write-once target has had its only order.
+func (l *Ledger) Differs(ctx context.Context, target string, content []byte) (bool, error) {
+	r, err := l.get(ctx, target)
+	if err != nil {
+		return false, err
+	}
+	return r.revision != 0 && r.body.State != Refused && !bytes.Equal(r.body.Content, content), nil
+}
