--- /dev/null
+++ b/strict/open.go
@@ -0,0 +1,141 @@
+package strict
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"io"
+	"regexp"
+	"strconv"
+	"strings"
+
+	"go.yaml.in/yaml/v3"
+
+	"github.com/lagoonhead/lagoonhead"
+)
+
+// reader collects the problems of one document.
+type reader struct {
+	file     string
+	problems Problems
+}
+
+func (r *reader) add(line, column int, field, message, accepted string) {
+	r.problems = append(r.problems, Problem{
+		File: r.file, Line: line, Column: column, Field: field, Message: message, Accepted: accepted,
+	})
+}
+
+func (r *reader) err(op string) error {
+	if len(r.problems) == 0 {
+		return nil
+	}
+	r.problems.sort()
+	return &Error{lagoonhead.Fault{Op: op, Kind: lagoonhead.KindInvalid, Err: r.problems}}
+}
+
+const opOpen = "strict.open"
+
+// Open parses a document of at most limit bytes whose top level is a mapping. The
+// name of the file is used in messages only. An empty document is an empty
+// mapping. Faults of the syntax are returned here; those of the fields are
+// gathered and returned by Err.
+func Open(file string, data []byte, limit int) (*Map, error) {
+	r := &reader{file: file}
+	if len(data) > limit {
+		r.add(1, 1, "", fmt.Sprintf("the file has %d bytes", len(data)), fmt.Sprintf("at most %d bytes", limit))
+		return nil, r.err(opOpen)
+	}
+	root := r.parse(data)
+	if len(r.problems) > 0 {
+		return nil, r.err(opOpen)
+	}
+	if root == nil {
+		return newMap(r, "", &yaml.Node{Kind: yaml.MappingNode, Line: 1, Column: 1}), nil
+	}
+	r.checkTree(root, "")
+	if len(r.problems) > 0 {
+		return nil, r.err(opOpen)
+	}
+	if root.Kind != yaml.MappingNode {
+		r.add(root.Line, root.Column, "", "the document is not a mapping", "fields with values")
+		return nil, r.err(opOpen)
+	}
+	return newMap(r, "", root), nil
+}
+
+func (r *reader) parse(data []byte) *yaml.Node {
+	d := yaml.NewDecoder(bytes.NewReader(data))
+	var first yaml.Node
+	err := d.Decode(&first)
+	if errors.Is(err, io.EOF) {
+		return nil
+	}
+	if err != nil {
+		r.syntax(err)
+		return nil
+	}
+	var second yaml.Node
+	switch err := d.Decode(&second); {
+	case errors.Is(err, io.EOF):
+	case err != nil:
+		r.syntax(err)
+	default:
+		r.add(second.Line, second.Column, "", "a second document begins here", "one document per file")
+	}
+	if len(first.Content) == 0 {
+		return nil
+	}
+	n := first.Content[0]
+	if n.Kind == yaml.ScalarNode && n.Tag == tagNull {
+		return nil
+	}
+	return n
+}
+
+// yamlLine finds the line in the messages of the YAML library.
+var yamlLine = regexp.MustCompile(`^yaml: line ([0-9]+): `)
+
+func (r *reader) syntax(err error) {
+	text, line := err.Error(), 1
+	if m := yamlLine.FindStringSubmatch(text); m != nil {
+		line, _ = strconv.Atoi(m[1])
+		text = text[len(m[0]):]
+	}
+	r.add(line, 1, "", "not valid YAML: "+strings.TrimPrefix(text, "yaml: "), "")
+}
+
+// checkTree refuses aliases, anchors and explicit tags in the whole document. An
+// alias can make a short file stand for a very large one.
+func (r *reader) checkTree(n *yaml.Node, path string) {
+	switch {
+	case n.Kind == yaml.AliasNode:
+		r.add(n.Line, n.Column, path, "an alias is not accepted", "the value itself")
+		return
+	case n.Anchor != "":
+		r.add(n.Line, n.Column, path, "an anchor is not accepted", "the value itself")
+	case n.Style&yaml.TaggedStyle != 0:
+		r.add(n.Line, n.Column, path, "an explicit tag is not accepted", "the value without a tag")
+	}
+	for i, c := range n.Content {
+		r.checkTree(c, childPath(n, i, path))
+	}
+}
+
+func childPath(n *yaml.Node, i int, path string) string {
+	if n.Kind == yaml.SequenceNode {
+		return indexPath(path, i)
+	}
+	return joinPath(path, n.Content[i-i%2].Value)
+}
+
+func joinPath(path, name string) string {
+	if path == "" {
+		return name
+	}
+	return path + "." + name
+}
+
+func indexPath(path string, i int) string {
+	return path + "[" + strconv.Itoa(i) + "]"
+}
--- /dev/null
+++ b/strict/problem.go
@@ -0,0 +1,76 @@
+package strict
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+
+	"github.com/lagoonhead/lagoonhead"
+)
+
+// Error is the error type of the package. Its cause is a Problems value.
+type Error struct{ lagoonhead.Fault }
+
+// Problem is one fault of a document.
+type Problem struct {
+	// File is the name given to Open.
+	File string
+	// Line and Column count from 1.
+	Line, Column int
+	// Field is the path of the field, for example "engines[2].slots"; it is empty
+	// for the document itself.
+	Field string
+	// Message says what is wrong.
+	Message string
+	// Accepted says what is accepted instead; it may be empty.
+	Accepted string
+}
+
+// String returns the problem on one line.
+func (p Problem) String() string {
+	var b strings.Builder
+	fmt.Fprintf(&b, "%s:%d:%d: ", p.File, p.Line, p.Column)
+	if p.Field != "" {
+		b.WriteString(p.Field + ": ")
+	}
+	b.WriteString(p.Message)
+	if p.Accepted != "" {
+		b.WriteString("; accepted: " + p.Accepted)
+	}
+	return b.String()
+}
+
+// Problems are the faults of one document in line order.
+type Problems []Problem
+
+// Error returns one line per problem.
+func (p Problems) Error() string {
+	lines := make([]string, len(p))
+	for i := range p {
+		lines[i] = p[i].String()
+	}
+	return strings.Join(lines, "\n")
+}
+
+func (p Problems) sort() {
+	slices.SortStableFunc(p, func(a, b Problem) int {
+		if a.Line != b.Line {
+			return a.Line - b.Line
+		}
+		return a.Column - b.Column
+	})
+}
+
+// maxListed bounds how many accepted values one message names.
+const maxListed = 12
+
+// List joins the accepted values for a message and shortens long lists.
+func List(accepted []string) string {
+	if len(accepted) == 0 {
+		return "none is defined"
+	}
+	if len(accepted) <= maxListed {
+		return strings.Join(accepted, ", ")
+	}
+	return fmt.Sprintf("%s and %d more", strings.Join(accepted[:maxListed], ", "), len(accepted)-maxListed)
+}
