Add routing, prefix index and placement

Requests need an endpoint that answers in time, and daemons whose load reports lag must not all choose the same one.

--- a/entities.go
+++ b/entities.go
@@ -118,6 +118,7 @@
 	role          Role
 	supply        Supply
 	slots         int
+	price         float64
 	fenced        bool
 	leaving       bool
 }
@@ -141,6 +142,10 @@
 // WithSlots returns a copy that runs at most n requests at once.
 func (e Endpoint) WithSlots(n int) Endpoint { e.slots = n; return e }
 
+// WithPrice returns a copy that costs p units per hour. The default, 0, is below
+// every cost ceiling.
+func (e Endpoint) WithPrice(p float64) Endpoint { e.price = p; return e }
+
 // WithFenced returns a copy that refuses old fencing numbers, or not.
 func (e Endpoint) WithFenced(b bool) Endpoint { e.fenced = b; return e }
 
@@ -171,6 +176,9 @@
 // Slots returns how many requests the endpoint runs at once.
 func (e Endpoint) Slots() int { return e.slots }
 
+// Price returns the cost of the endpoint in units per hour.
+func (e Endpoint) Price() float64 { return e.price }
+
 // Fenced reports whether the endpoint refuses old fencing numbers.
 func (e Endpoint) Fenced() bool { return e.fenced }
 
--- /dev/null
+++ b/place/error.go
@@ -0,0 +1,10 @@
+package place
+
+import "github.com/lagoonhead/lagoonhead"
+
+// Error is the error of this package.
+type Error struct{ lagoonhead.Fault }
+
+func fault(k lagoonhead.Kind, cause error) error {
+	return &Error{lagoonhead.Fault{Op: "place.place", Kind: k, Err: cause}}
+}
--- /dev/null
+++ b/place/place_test.go
@@ -0,0 +1,248 @@
+package place
+
+import (
+	"context"
+	"strconv"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/lagoonhead/lagoonhead"
+	"github.com/lagoonhead/lagoonhead/timer"
+)
+
+// directory is a configuration with one model and one service.
+type directory struct {
+	revision int64
+	engines  []lagoonhead.Endpoint
+	services []lagoonhead.Endpoint
+	ceiling  float64
+}
+
+func (d *directory) Revision() int64                                     { return d.revision }
+func (d *directory) Authenticate(string) (lagoonhead.WorkspaceID, error) { return "", nil }
+func (d *directory) Models() []string                                    { return []string{"m"} }
+func (d *directory) Quota(lagoonhead.WorkspaceID) (lagoonhead.Quota, bool) {
+	return lagoonhead.Quota{}, false
+}
+func (d *directory) ServiceRoute(_, _, _ string) (lagoonhead.Route, bool) {
+	return lagoonhead.Route{}, false
+}
+func (d *directory) Rule(lagoonhead.WorkspaceID, string) lagoonhead.WorkRule {
+	return lagoonhead.WorkRule{CostCeiling: d.ceiling}
+}
+
+func (d *directory) Endpoints(k lagoonhead.EndpointKind, serves string) []lagoonhead.Endpoint {
+	switch {
+	case k == lagoonhead.KindEngine && serves == "m":
+		return d.engines
+	case k == lagoonhead.KindService && serves == "loans":
+		return d.services
+	}
+	return nil
+}
+
+type source struct {
+	mu sync.Mutex
+	d  *directory
+}
+
+func (s *source) Directory() lagoonhead.Directory {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.d == nil {
+		return nil
+	}
+	return s.d
+}
+
+func (s *source) set(engines ...lagoonhead.Endpoint) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	n := int64(1)
+	if s.d != nil {
+		n = s.d.revision + 1
+	}
+	loan := lagoonhead.NewEndpoint("loan", lagoonhead.KindService, "loans", "http://x", "a")
+	s.d = &directory{revision: n, engines: engines, services: []lagoonhead.Endpoint{loan}}
+}
+
+func engine(id string) lagoonhead.Endpoint {
+	return lagoonhead.NewEndpoint(lagoonhead.EndpointID(id), lagoonhead.KindEngine, "m", "http://"+id, "a")
+}
+
+func newPlacer(es ...lagoonhead.Endpoint) (*Placer, *source, *timer.Manual) {
+	s, m := &source{}, timer.NewManual(time.Hour, time.Unix(0, 0))
+	s.set(es...)
+	return &Placer{Source: s, Timer: m}, s, m
+}
+
+var requests int
+
+func request(serves string) *lagoonhead.Request {
+	requests++
+	r := lagoonhead.NewRequest(lagoonhead.RequestID(strconv.Itoa(requests)), "w", serves, 0)
+	r.SetTokens(4000, 100)
+	r.SetFingerprint(uint64(requests))
+	return r
+}
+
+func ended() context.Context {
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	return ctx
+}
+
+func place(t *testing.T, p *Placer, r *lagoonhead.Request, avoid ...lagoonhead.EndpointID) lagoonhead.Placement {
+	m, err := p.Place(ended(), r, avoid)
+	require.NoError(t, err)
+	return m
+}
+
+// Guards against wrong kinds of error, which decide what the caller is told.
+func TestPlaceErrors(t *testing.T) {
+	p, s, _ := newPlacer(engine("a"))
+	kind := func(r *lagoonhead.Request, avoid ...lagoonhead.EndpointID) lagoonhead.Kind {
+		_, err := p.Place(ended(), r, avoid)
+		require.Error(t, err)
+		return lagoonhead.KindOf(err)
+	}
+	require.Equal(t, lagoonhead.KindNotFound, kind(request("x")))
+	require.Equal(t, lagoonhead.KindUnavailable, kind(request("m"), "a"))
+	place(t, p, request("m"))
+	require.Equal(t, lagoonhead.KindTimeout, kind(request("m")))
+	require.Zero(t, p.Waiting())
+	s.set(engine("a").WithLeaving(true))
+	require.Equal(t, lagoonhead.KindUnavailable, kind(request("m")))
+	s.set(engine("a").WithPrice(5))
+	s.d.ceiling = 4
+	require.Equal(t, lagoonhead.KindUnavailable, kind(request("m")))
+	s.set()
+	require.Equal(t, lagoonhead.KindNotFound, kind(request("m")))
+	s.d = nil
+	require.Equal(t, lagoonhead.KindUnavailable, kind(request("m")))
+}
+
+// Guards against more requests on an endpoint than it has slots, and against
+// waiters that are never woken or woken out of order.
+func TestWaitersAreServedInOrderWithinSlots(t *testing.T) {
+	p, _, _ := newPlacer(engine("a").WithSlots(2), engine("b").WithSlots(1))
+	running := make([]lagoonhead.Placement, 0, 3)
+	for range 3 {
+		running = append(running, place(t, p, request("m")))
+	}
+	require.Equal(t, 2, p.InFlight("a"))
+	require.Equal(t, 1, p.InFlight("b"))
+	order := make(chan int, 2)
+	for i := range 2 {
+		r := request("m")
+		if i == 0 {
+			r.SetPriority(lagoonhead.PriorityDeferrable)
+		}
+		go func() {
+			m, err := p.Place(context.Background(), r, nil)
+			if err == nil {
+				order <- i
+				m.Done(lagoonhead.Outcome{})
+			}
+		}()
+		for p.Waiting() != i+1 {
+			time.Sleep(time.Millisecond)
+		}
+	}
+	running[0].Done(lagoonhead.Outcome{})
+	require.Equal(t, 1, <-order, "the more urgent class first")
+	running[1].Done(lagoonhead.Outcome{})
+	running[2].Done(lagoonhead.Outcome{})
+	require.Equal(t, 0, <-order)
+	running[0].Done(lagoonhead.Outcome{})
+	require.EqualValues(t, 1, p.metrics.doubleDone.Value())
+}
+
+// Guards against new work on a leaving endpoint, and against a lost count of what
+// still runs on one that has left the directory.
+func TestLeavingEndpointKeepsItsCount(t *testing.T) {
+	p, s, _ := newPlacer(engine("a").WithSlots(9))
+	m := place(t, p, request("m"))
+	s.set(engine("b").WithSlots(9))
+	require.Equal(t, lagoonhead.EndpointID("b"), place(t, p, request("m")).Endpoint().ID())
+	require.Equal(t, 1, p.InFlight("a"))
+	m.Done(lagoonhead.Outcome{})
+	require.Equal(t, 0, p.InFlight("a"))
+	require.Len(t, p.States(), 1)
+	s.set(engine("b").WithSlots(9), engine("c"))
+	place(t, p, request("m"))
+	require.Len(t, p.States(), 2)
+}
+
+// Guards against requests that wait on after a back-off has ended.
+func TestTickServesWaitersAfterBackOff(t *testing.T) {
+	p, _, c := newPlacer(engine("a"))
+	place(t, p, request("m")).Done(lagoonhead.Outcome{Failed: true, Kind: lagoonhead.KindCrashed})
+	placed := make(chan error)
+	go func() {
+		_, err := p.Place(context.Background(), request("m"), nil)
+		placed <- err
+	}()
+	for p.Waiting() != 1 {
+		time.Sleep(time.Millisecond)
+	}
+	p.tick(c.Now())
+	require.Equal(t, 1, p.Waiting())
+	c.Advance(time.Minute)
+	p.tick(c.Now())
+	require.NoError(t, <-placed)
+}
+
+// Guards against a part that does not end with its context or starts with a wrong
+// setting.
+func TestRunEnds(t *testing.T) {
+	p, _, _ := newPlacer(engine("a"))
+	require.NoError(t, p.Run(ended()))
+	p.Policy = "fastest"
+	require.Equal(t, lagoonhead.KindInvalid, lagoonhead.KindOf(p.Run(ended())))
+}
+
+// watch suspects the fingerprints in the map.
+type watch struct {
+	suspect           map[uint64]bool
+	crashed, finished []uint64
+}
+
+func (w *watch) Check(h uint64) (bool, error)              { return w.suspect[h], nil }
+func (w *watch) Crashed(h uint64, _ lagoonhead.EndpointID) { w.crashed = append(w.crashed, h) }
+func (w *watch) Finished(h uint64)                         { w.finished = append(w.finished, h) }
+
+// Guards against two suspects on one endpoint, where a crash accuses both.
+func TestSuspectsAreKeptApart(t *testing.T) {
+	p, _, _ := newPlacer(engine("a").WithSlots(9), engine("b").WithSlots(9))
+	one, two, three := request("m"), request("m"), request("m")
+	w := &watch{suspect: map[uint64]bool{one.Fingerprint(): true, two.Fingerprint(): true, three.Fingerprint(): true}}
+	p.Suspects = w
+	a, b := place(t, p, one), place(t, p, two)
+	require.NotEqual(t, a.Endpoint().ID(), b.Endpoint().ID())
+	_, err := p.Place(ended(), three, nil)
+	require.Equal(t, lagoonhead.KindTimeout, lagoonhead.KindOf(err))
+	a.Done(lagoonhead.Outcome{Failed: true, Kind: lagoonhead.KindCrashed})
+	b.Done(lagoonhead.Outcome{})
+	require.Equal(t, []uint64{one.Fingerprint()}, w.crashed)
+	require.Equal(t, []uint64{two.Fingerprint()}, w.finished)
+}
+
+// Guards against services that are not placed, and reasons that cannot be asked for.
+func TestServicesAndReasons(t *testing.T) {
+	p, _, _ := newPlacer(engine("a"))
+	r := request("loans")
+	m := place(t, p, r)
+	require.Equal(t, lagoonhead.EndpointID("loan"), m.Endpoint().ID())
+	m.FirstToken()
+	p.Report(lagoonhead.LoadReport{Endpoint: "a", Number: 1, Incarnation: "1", Running: 1})
+	p.CacheEvents("a", []lagoonhead.CacheEvent{{Number: 1, Block: 7, Stored: true}})
+	ds := p.Explain(r.ID(), 5)
+	require.Len(t, ds, 1)
+	require.Equal(t, "placed on loan", ds[0].Result)
+	require.Contains(t, ds[0].Reason, "fewest outstanding")
+	require.Equal(t, "1", p.Vars().Get("placed").String())
+}
--- /dev/null
+++ b/place/placement.go
@@ -0,0 +1,78 @@
+package place
+
+import (
+	"time"
+
+	"github.com/lagoonhead/lagoonhead"
+	"github.com/lagoonhead/lagoonhead/route"
+)
+
+// placement is one attempt in flight.
+type placement struct {
+	placer   *Placer
+	group    *group
+	request  *lagoonhead.Request
+	endpoint lagoonhead.Endpoint
+	base     time.Duration
+	ticket   route.Ticket
+	done     bool
+}
+
+var _ lagoonhead.Placement = (*placement)(nil)
+
+// Endpoint returns the chosen endpoint.
+func (m *placement) Endpoint() lagoonhead.Endpoint { return m.endpoint }
+
+// FirstToken tells that the answer has begun.
+func (m *placement) FirstToken() {
+	p := m.placer
+	now := p.Timer.Now()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if !m.done {
+		m.group.table.FirstToken(now, &m.ticket)
+	}
+}
+
+// Done frees the slot. A second call is counted and has no effect.
+func (m *placement) Done(o lagoonhead.Outcome) {
+	if !m.placer.finish(m, o) {
+		return
+	}
+	s, h := m.placer.Suspects, m.request.Fingerprint()
+	if s == nil || h == 0 {
+		return
+	}
+	if o.Failed && o.Kind == lagoonhead.KindCrashed {
+		s.Crashed(h, m.endpoint.ID())
+		return
+	}
+	s.Finished(h)
+}
+
+// finish counts the end of the placement and reports whether it was the first
+// call.
+func (p *Placer) finish(m *placement, o lagoonhead.Outcome) bool {
+	now := p.Timer.Now()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if m.done {
+		p.metrics.doubleDone.Add(1)
+		return false
+	}
+	m.done = true
+	g, i := m.group, m.ticket.Engine()
+	delete(g.running, m)
+	g.table.Done(now, &m.ticket, o)
+	if o.Failed && o.Kind == lagoonhead.KindCrashed {
+		p.metrics.crashed.Add(1)
+		if g.prefix != nil {
+			g.prefix.Reset(i)
+		}
+	}
+	if g.gone(i) {
+		g.drop(i)
+	}
+	p.serve(now, g)
+	return true
+}
--- /dev/null
+++ b/prefix/index_test.go
@@ -0,0 +1,88 @@
+package prefix
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/lagoonhead/lagoonhead"
+)
+
+func chain(from, n int) []uint64 {
+	bs := make([]uint64, 0, n)
+	for i := range n {
+		bs = append(bs, uint64(from+i)*mix+1)
+	}
+	return bs
+}
+
+// Guards against wrong depths and holders of learned prefixes.
+func TestLearnedPrefixesAreFound(t *testing.T) {
+	x := New(512, 4096)
+	blocks := chain(1, 100)
+	x.Learn(3, blocks[:60])
+	x.Learn(5, blocks[:80])
+	require.Equal(t, 60, x.Depth(3, blocks))
+	require.Equal(t, 80, x.Depth(5, blocks))
+	require.Zero(t, x.Depth(4, blocks))
+	require.Zero(t, x.Depth(99, blocks))
+	require.Zero(t, x.Depth(5, nil))
+	dst := make([]int, 4)
+	n := x.Holders(blocks, dst)
+	require.Equal(t, []int{5, 3}, dst[:n], "the deepest first")
+	x.Reset(5)
+	require.Zero(t, x.Depth(5, blocks))
+}
+
+// Guards against blocks that stay believed after they were dropped, or after the
+// events that dropped them were lost.
+func TestEventsAndGaps(t *testing.T) {
+	x := New(64, 64)
+	blocks := chain(1, 10)
+	for i, b := range blocks {
+		x.Event(0, lagoonhead.CacheEvent{Number: int64(i + 1), Block: b, Stored: true})
+	}
+	require.Equal(t, 10, x.Depth(0, blocks))
+	drop := lagoonhead.CacheEvent{Number: 11, Block: blocks[9]}
+	x.Event(0, drop)
+	require.Equal(t, 9, x.Depth(0, blocks))
+	x.Event(0, lagoonhead.CacheEvent{Number: 11, Block: blocks[9], Stored: true})
+	require.Equal(t, 9, x.Blocks(0), "an event that was seen counts once")
+	x.Event(0, lagoonhead.CacheEvent{Number: 18, Block: 99, Stored: true})
+	require.EqualValues(t, 6, x.LostEvents())
+	require.Equal(t, 9-3+1, x.Blocks(0))
+	x.Event(0, lagoonhead.CacheEvent{Number: 1 << 40, Block: 98, Stored: true})
+	require.Equal(t, 1, x.Blocks(0), "after a long gap only the newest is known")
+}
+
+// Guards against memory that grows with traffic, and against forgetting a prefix
+// from its beginning.
+func TestMemoryIsBounded(t *testing.T) {
+	x := New(64, 64)
+	for i := range 1000 {
+		x.Learn(0, chain(i*20, 20))
+	}
+	require.LessOrEqual(t, x.Blocks(0), 64)
+	require.Positive(t, x.Depth(0, chain(999*20, 20)))
+	last := chain(999*20, 20)
+	require.NotNil(t, x.caches[0].find(last[0]))
+	x.clock = ^uint32(0)
+	x.Learn(0, last)
+	require.Equal(t, 20, x.Depth(0, last), "the clock wraps around")
+}
+
+func BenchmarkMemory(b *testing.B) {
+	const engines, per = 500, 512
+	for b.Loop() {
+		x := New(per, 16384)
+		for i := range engines {
+			x.Learn(i, chain(i*per, per))
+		}
+		b.ReportMetric(float64(len(x.caches[0].sets)*ways*16), "B/engine")
+		held := 0
+		for i := range engines {
+			held += x.Blocks(i)
+		}
+		b.ReportMetric(float64(engines*len(x.caches[0].sets)*ways*16)/float64(held), "B/block")
+	}
+}
--- /dev/null
+++ b/route/supply.go
@@ -0,0 +1,61 @@
+package route
+
+import (
+	"time"
+
+	"github.com/lagoonhead/lagoonhead"
+)
+
+const (
+	// gapShare is the share of a firm engine's slots above which deferrable work
+	// waits.
+	gapShare = 0.6
+	// gapTokens is the queued prefill above which deferrable work waits.
+	gapTokens = 2 * BlockTokens
+	// reclaimableRisk is added for interactive work on an engine that may be
+	// reclaimed while it answers.
+	reclaimableRisk = 20 * time.Millisecond
+	// firmCost is added for deferrable work on a firm engine. It exceeds each
+	// prediction, so that reclaimable engines come first.
+	firmCost = time.Hour
+)
+
+// longPrompt is the prompt length from which strict roles send a request to
+// engines for prefill.
+const longPrompt = 2 * BlockTokens
+
+// hasGap reports whether deferrable work would delay nothing on the engine.
+func hasGap(now time.Duration, s *lagoonhead.EngineState) bool {
+	if s.Endpoint.Kind() == lagoonhead.KindService {
+		return true
+	}
+	if s.Endpoint.Supply() == lagoonhead.SupplyReclaimable {
+		return true
+	}
+	busy := float64(occupied(s)) / float64(max(s.Endpoint.Slots(), 1))
+	return busy < gapShare && queuedTokens(now, s) <= gapTokens
+}
+
+// supplyCost orders firm and reclaimable engines by the priority of the request.
+func supplyCost(r *lagoonhead.Request, s *lagoonhead.EngineState) time.Duration {
+	reclaimable := s.Endpoint.Supply() == lagoonhead.SupplyReclaimable
+	switch {
+	case r.Priority() == lagoonhead.PriorityDeferrable && !reclaimable:
+		return firmCost
+	case r.Priority() == lagoonhead.PriorityInteractive && reclaimable:
+		return reclaimableRisk
+	}
+	return 0
+}
+
+// roleFits reports whether an engine of the role takes the request under strict
+// roles.
+func roleFits(r *lagoonhead.Request, role lagoonhead.Role) bool {
+	switch role {
+	case lagoonhead.RolePrefill:
+		return r.PromptTokens() >= longPrompt
+	case lagoonhead.RoleDecode:
+		return r.PromptTokens() < longPrompt
+	}
+	return true
+}
