Add a stand-in model engine

Tests and the demo need an engine that speaks the engine protocol and can be made to fail in each way that the design page lists.

--- /dev/null
+++ b/fakeengine/completions.go
@@ -0,0 +1,324 @@
+package fakeengine
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+
+	"github.com/cockroachdb/errors"
+	"github.com/google/uuid"
+
+	"github.com/lagoonhead/lagoonhead"
+	"github.com/lagoonhead/lagoonhead/timer"
+)
+
+const (
+	headerRequestID    = "Lagoonhead-Request-Id"
+	headerResumeOffset = "Lagoonhead-Resume-Offset"
+	headerLoad         = "Lagoonhead-Load"
+	headerRun          = "Lagoonhead-Run"
+	headerPriority     = "Lagoonhead-Priority"
+	headerTrailer      = "Trailer"
+
+	// maxBodyBytes bounds the body of a completion.
+	maxBodyBytes = 32 << 20
+)
+
+func (e *Engine) serveCompletion(w http.ResponseWriter, r *http.Request) {
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBodyBytes))
+	if err != nil {
+		panic(http.ErrAbortHandler)
+	}
+	id := lagoonhead.RequestID(r.Header.Get(headerRequestID))
+	if id == "" {
+		id = lagoonhead.RequestID(uuid.NewString())
+	}
+	after, err := resumeOffset(r.Header)
+	if err != nil {
+		refuse(w, http.StatusBadRequest, err)
+		return
+	}
+	e.mu.Lock()
+	faults := e.faults.forConn()
+	e.records.Add(newRecord(id, r.Header, body, after))
+	e.mu.Unlock()
+	if faults.closeNow {
+		panic(http.ErrAbortHandler)
+	}
+	p, err := parsePrompt(body)
+	if err != nil {
+		refuse(w, http.StatusBadRequest, err)
+		return
+	}
+	run, status, err := e.admit(id, p, after, r.Header.Get(headerPriority))
+	if err != nil {
+		refuse(w, status, err)
+		return
+	}
+	e.answer(w, r, run, after, faults)
+}
+
+// resumeOffset returns the offset of the last event that the reader has, or -1.
+func resumeOffset(h http.Header) (int64, error) {
+	s := h.Get(headerResumeOffset)
+	if s == "" {
+		return -1, nil
+	}
+	n, err := strconv.ParseInt(s, 10, 64)
+	if err != nil || n < -1 {
+		return 0, errors.Newf("%s is not an offset: %q", headerResumeOffset, s)
+	}
+	return n, nil
+}
+
+// admit starts the request, or finds it when it is to be resumed.
+func (e *Engine) admit(id lagoonhead.RequestID, p prompt, after int64, priority string) (*run, int, error) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if after >= 0 {
+		if r := e.runs[id]; r != nil {
+			return r, 0, nil
+		}
+		return nil, http.StatusNotFound, errors.Newf("request %q is not known", id)
+	}
+	if name, _, _ := strings.Cut(e.model, "@"); name != "" && p.model != name {
+		return nil, http.StatusNotFound, errors.Newf("model %q is not loaded", p.model)
+	}
+	if e.changing > 0 {
+		return nil, http.StatusServiceUnavailable, errors.New("a change is running")
+	}
+	if e.QueueLimit > 0 && len(e.slots.waiting) >= e.QueueLimit {
+		return nil, http.StatusServiceUnavailable, errors.New("the queue is full")
+	}
+	class, _ := lagoonhead.ParsePriority(priority)
+	return e.start(id, p, class), 0, nil
+}
+
+// refuse answers that the request was not run.
+func refuse(w http.ResponseWriter, status int, cause error) {
+	w.Header().Set(headerRun, "no")
+	if status == http.StatusServiceUnavailable {
+		w.Header().Set("Retry-After", "1")
+	}
+	writeJSON(w, status, map[string]any{"error": map[string]any{
+		"message": cause.Error(), "type": "invalid_request_error", "code": status,
+	}})
+}
+
+func writeJSON(w http.ResponseWriter, status int, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(v) // the reader may be gone
+}
+
+func (e *Engine) answer(w http.ResponseWriter, r *http.Request, run *run, after int64, f connFaults) {
+	read := run
+	e.attach(read, 1)
+	defer e.attach(read, -1)
+	ctx, stop := context.WithCancelCause(r.Context())
+	defer stop(nil)
+	e.mu.Lock()
+	life := e.life
+	e.mu.Unlock()
+	defer context.AfterFunc(life, func() { stop(errCrash) })()
+	if f.exchange {
+		run = e.exchange(ctx, run)
+	}
+	if f.late > 0 && e.Timer.Sleep(ctx, f.late) != nil {
+		panic(http.ErrAbortHandler)
+	}
+	if f.headerless {
+		<-ctx.Done()
+		panic(http.ErrAbortHandler)
+	}
+	if run.prompt.stream {
+		e.stream(ctx, w, run, after, f)
+		return
+	}
+	e.whole(ctx, w, run)
+}
+
+func (e *Engine) attach(r *run, n int) {
+	now := e.Timer.Now()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.readers += n
+	r.quiet = now
+}
+
+// exchange waits for a second completion and returns its run, so that each of the
+// two gets the other's answer.
+func (e *Engine) exchange(ctx context.Context, r *run) *run {
+	e.mu.Lock()
+	if other := e.swap; other != nil {
+		e.swapped <- r
+		e.swap = nil
+		take(&e.faults.Exchange)
+		e.mu.Unlock()
+		return other
+	}
+	partner := make(chan *run, 1)
+	e.swap, e.swapped = r, partner
+	e.mu.Unlock()
+	select {
+	case other := <-partner:
+		return other
+	case <-ctx.Done():
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.swap == r {
+		e.swap = nil
+	}
+	return r
+}
+
+func (e *Engine) loadHeader() string {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	b, _ := json.Marshal(e.load()) // strings and numbers cannot fail
+	return string(b)
+}
+
+// stream writes the events after an offset as they become ready.
+func (e *Engine) stream(ctx context.Context, w http.ResponseWriter, r *run, after int64, f connFaults) {
+	h := w.Header()
+	h.Set("Content-Type", "text/event-stream")
+	h.Set(headerRequestID, string(r.id))
+	h.Set(headerLoad, e.loadHeader())
+	h.Set(headerTrailer, headerLoad)
+	w.WriteHeader(http.StatusOK)
+	s := &streamWriter{engine: e, w: w, run: r, next: int(after) + 1, faults: f}
+	s.flush = http.NewResponseController(w).Flush
+	interval := e.KeepAlive
+	if interval <= 0 {
+		interval = defaultKeepAlive
+	}
+	beats := e.Timer.Subscribe(interval)
+	defer beats.Stop()
+	if err := s.writeAll(ctx, beats); err != nil {
+		panic(http.ErrAbortHandler)
+	}
+	h.Set(headerLoad, e.loadHeader())
+}
+
+// streamWriter writes one run to one connection.
+type streamWriter struct {
+	engine *Engine
+	w      io.Writer
+	flush  func() error
+	run    *run
+	next   int
+	sent   int
+	faults connFaults
+}
+
+func (s *streamWriter) writeAll(ctx context.Context, beats *timer.Subscription) error {
+	for {
+		ready, whole, wake, failed := s.run.snapshot()
+		if err := s.writeReady(ctx, ready, whole); err != nil {
+			return err
+		}
+		if whole || errors.Is(failed, errCancelled) {
+			return nil
+		}
+		if failed != nil {
+			return failed
+		}
+		if err := s.flush(); err != nil {
+			return err
+		}
+		select {
+		case <-wake:
+		case <-beats.C():
+			if _, err := io.WriteString(s.w, ": keep-alive\n\n"); err != nil {
+				return err
+			}
+		case <-ctx.Done():
+			return context.Cause(ctx)
+		}
+	}
+}
+
+func (s *streamWriter) writeReady(ctx context.Context, ready int, whole bool) error {
+	last := ready
+	if whole {
+		last = s.run.eventCount()
+	}
+	for ; s.next < last; s.next++ {
+		if s.sent >= s.faults.breakAt {
+			_ = s.flush()
+			return errors.New("break")
+		}
+		if s.sent >= s.faults.silentAt {
+			_ = s.flush()
+			<-ctx.Done()
+			return context.Cause(ctx)
+		}
+		data := s.run.event(s.next, s.engine.cachedTokens(s.run))
+		if _, err := fmt.Fprintf(s.w, "id: %s/%d\ndata: %s\n\n", s.run.id, s.next, data); err != nil {
+			return err
+		}
+		s.sent++
+	}
+	return nil
+}
+
+func (e *Engine) cachedTokens(r *run) int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return r.cached
+}
+
+// whole answers a completion that is not streamed.
+func (e *Engine) whole(ctx context.Context, w http.ResponseWriter, r *run) {
+	for {
+		_, whole, wake, failed := r.snapshot()
+		if failed != nil {
+			panic(http.ErrAbortHandler)
+		}
+		if whole {
+			break
+		}
+		select {
+		case <-wake:
+		case <-ctx.Done():
+			panic(http.ErrAbortHandler)
+		}
+	}
+	w.Header().Set(headerRequestID, string(r.id))
+	w.Header().Set(headerLoad, e.loadHeader())
+	writeJSON(w, http.StatusOK, r.wholeJSON(e.cachedTokens(r)))
+}
+
+func (e *Engine) serveModels(w http.ResponseWriter, _ *http.Request) {
+	e.mu.Lock()
+	name, _, _ := strings.Cut(e.model, "@")
+	e.mu.Unlock()
+	writeJSON(w, http.StatusOK, map[string]any{"object": "list", "data": []any{
+		map[string]any{"id": name, "object": "model", "owned_by": "fakeengine"},
+	}})
+}
+
+func (e *Engine) serveCancel(w http.ResponseWriter, r *http.Request) {
+	var c struct {
+		RequestID lagoonhead.RequestID `json:"requestId"`
+	}
+	if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxBodyBytes)).Decode(&c); err != nil {
+		refuse(w, http.StatusBadRequest, err)
+		return
+	}
+	e.mu.Lock()
+	run := e.runs[c.RequestID]
+	e.mu.Unlock()
+	if run == nil {
+		refuse(w, http.StatusNotFound, errors.Newf("request %q is not known", c.RequestID))
+		return
+	}
+	run.cancel(errCancelled)
+	writeJSON(w, http.StatusOK, struct{}{})
+}
