Add the adapter to model engines

The daemon needs streams whose errors say exactly what may be done next, and orders that a paused process cannot send late. Commander writes each order once on a fresh connection after it has asked for its authority. A test showed that the answer can be read before Write returns, so bytes are counted before they are written.

--- /dev/null
+++ b/engine/commander_test.go
@@ -0,0 +1,113 @@
+package engine
+
+import (
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/stretchr/testify/require"
+
+	"github.com/lagoonhead/lagoonhead"
+	"github.com/lagoonhead/lagoonhead/fakeengine"
+	"github.com/lagoonhead/lagoonhead/timer"
+)
+
+func allow() error { return nil }
+
+func newCommander(authority func() error) *Commander {
+	return &Commander{Timer: &timer.Service{}, Authority: authority}
+}
+
+func roleOrder(i lagoonhead.Incarnation, sequence int64) lagoonhead.EngineOrder {
+	return lagoonhead.EngineOrder{
+		Endpoint: "e1", Incarnation: i, Sequence: sequence, Verb: lagoonhead.OrderRole, Value: "decode",
+	}
+}
+
+// Guards against an order that goes out after the authority was lost, and against
+// a check before the connection is open.
+func TestAuthorityIsCheckedOnTheOpenConnection(t *testing.T) {
+	f := &fakeengine.Engine{Timer: &timer.Service{}, ID: "e1"}
+	conns := make(chan struct{}, 10)
+	srv := httptest.NewUnstartedServer(f)
+	srv.Config.ConnState = func(_ net.Conn, s http.ConnState) {
+		if s == http.StateNew {
+			conns <- struct{}{}
+		}
+	}
+	srv.Start()
+	defer srv.Close()
+	lost := errors.New("the lease has lapsed")
+	c := newCommander(func() error {
+		<-conns
+		return lost
+	})
+	err := c.SendOrder(t.Context(), testEndpoint(srv.URL), roleOrder(f.Incarnation(), 1))
+	require.Equal(t, lagoonhead.KindStale, lagoonhead.KindOf(err))
+	require.ErrorIs(t, err, lost)
+	require.Empty(t, f.Orders())
+}
+
+// Guards against a lost answer that is reported as a failure, and against an
+// order that is sent twice by one call.
+func TestLostOrderAnswerIsUnknown(t *testing.T) {
+	f := &fakeengine.Engine{Timer: &timer.Service{}, ID: "e1", Fenced: true}
+	srv := httptest.NewServer(f)
+	defer srv.Close()
+	f.SetFaults(fakeengine.Faults{DropOrderAnswers: 1})
+	c, e := newCommander(allow), testEndpoint(srv.URL)
+	err := c.SendOrder(t.Context(), e, roleOrder(f.Incarnation(), 5))
+	require.Equal(t, lagoonhead.KindUnknown, lagoonhead.KindOf(err), err)
+	require.Len(t, f.Orders(), 1)
+	require.NoError(t, c.SendOrder(t.Context(), e, roleOrder(f.Incarnation(), 5)), "the same order again")
+	err = c.SendOrder(t.Context(), e, roleOrder(f.Incarnation(), 4))
+	require.Equal(t, lagoonhead.KindStale, lagoonhead.KindOf(err), err)
+	err = c.SendOrder(t.Context(), e, roleOrder("former", 6))
+	require.Equal(t, lagoonhead.KindStale, lagoonhead.KindOf(err), err)
+}
+
+// Guards against an engine that reads an order and stays silent for ever, and
+// against a refused connection that counts as unknown.
+func TestOrderLimitsAndRefusedConnection(t *testing.T) {
+	m := timer.NewManual(0, time.Unix(0, 0))
+	c := &Commander{Timer: m, Authority: allow}
+	url, _ := rawEngine(t, "", true)
+	e := testEndpoint(url)
+	done := make(chan error, 1)
+	go func() { done <- c.SendOrder(t.Context(), e, roleOrder("i", 1)) }()
+	require.Eventually(t, func() bool {
+		m.Advance(defaultCallTimeout)
+		return len(done) == 1
+	}, 10*time.Second, time.Millisecond)
+	err := <-done
+	require.Contains(t, []lagoonhead.Kind{lagoonhead.KindUnknown, lagoonhead.KindUnavailable}, lagoonhead.KindOf(err))
+
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	l.Close()
+	err = c.SendOrder(t.Context(), testEndpoint("http://"+l.Addr().String()), roleOrder("i", 1))
+	require.Equal(t, lagoonhead.KindUnavailable, lagoonhead.KindOf(err), err)
+}
+
+// Guards against queries that cannot read what an engine reports.
+func TestQuerier(t *testing.T) {
+	f := &fakeengine.Engine{Timer: &timer.Service{}, ID: "other", Model: "m@1", CacheBlocks: 4}
+	srv := httptest.NewServer(f)
+	defer srv.Close()
+	q := &Querier{Timer: &timer.Service{}}
+	l, err := q.Load(t.Context(), testEndpoint(srv.URL))
+	require.NoError(t, err)
+	require.Equal(t, lagoonhead.LoadReport{
+		Endpoint: "e1", Incarnation: f.Incarnation(), Role: lagoonhead.RoleMixed, Model: "m@1",
+		FreeCacheBlocks: 4, Number: 1,
+	}, l)
+	v, err := q.CacheEvents(t.Context(), testEndpoint(srv.URL), 0)
+	require.NoError(t, err)
+	require.Empty(t, v)
+	f.Crash()
+	_, err = q.Load(t.Context(), testEndpoint(srv.URL))
+	require.Equal(t, lagoonhead.KindCrashed, lagoonhead.KindOf(err), err)
+}
--- /dev/null
+++ b/engine/parser_test.go
@@ -0,0 +1,88 @@
+package engine
+
+import (
+	"bytes"
+	"encoding/json"
+	"io"
+	"testing"
+	"testing/iotest"
+
+	"github.com/stretchr/testify/require"
+)
+
+// parseAll returns the events of a text, as id and data, and the error that
+// ended it.
+func parseAll(r io.Reader, most int) (events []string, err error) {
+	p := newParser(r, most)
+	for {
+		if err := p.next(); err != nil {
+			return events, err
+		}
+		events = append(events, string(p.id)+"\x00"+string(p.data))
+	}
+}
+
+// Guards against events that depend on how the bytes are cut into reads, against
+// events beyond the bound, and against panics on any input.
+func FuzzParser(f *testing.F) {
+	for _, s := range []string{
+		"id: r/0\ndata: a\n\n", ": c\n\nid: r/1\r\ndata: a\r\ndata: b\r\n\r\n", "data\n\n", "id: x\n\n", "data: a",
+		"event: e\ndata:a\n\n\n\n", "id: r/99999999999999999999\ndata: [DONE]\n\n",
+	} {
+		f.Add([]byte(s))
+	}
+	const most = 64
+	f.Fuzz(func(t *testing.T, b []byte) {
+		whole, wholeErr := parseAll(bytes.NewReader(b), most)
+		cut, cutErr := parseAll(iotest.OneByteReader(bytes.NewReader(b)), most)
+		require.Equal(t, whole, cut)
+		require.Equal(t, wholeErr, cutErr)
+		for _, v := range whole {
+			require.Less(t, len(v), 2*most)
+		}
+		_, _ = eventOffset(b, "r")
+	})
+}
+
+// Guards against a body that loses a field, that sets one twice, or that is no
+// longer JSON.
+func FuzzStreamingBody(f *testing.F) {
+	for _, s := range []string{
+		testBody, `{}`, ` { "stream" : false , "a":[1,{"stream":2}] } `, `{"stream":true,"stream_options":{"include_usage":true}}`,
+		`{"stream_options":null,"stream":null}`, `{"\u0073tream":false,"b":"\"}"}`, `{"a":1,}`, `[]`, `{"stream":tru`, `{"a"}`,
+	} {
+		f.Add([]byte(s))
+	}
+	f.Fuzz(func(t *testing.T, b []byte) {
+		out, err := streamingBody(b)
+		var in map[string]json.RawMessage
+		if json.Unmarshal(b, &in) != nil || in == nil {
+			return
+		}
+		require.NoError(t, err)
+		var got map[string]json.RawMessage
+		require.NoError(t, json.Unmarshal(out, &got), string(out))
+		require.Equal(t, "true", string(got["stream"]))
+		require.True(t, asksUsage(got["stream_options"]))
+		delete(got, "stream")
+		delete(got, "stream_options")
+		delete(in, "stream")
+		delete(in, "stream_options")
+		require.Equal(t, in, got)
+	})
+}
+
+// Guards against an allocation per event in the parser.
+func TestParserDoesNotAllocate(t *testing.T) {
+	text := bytes.Repeat([]byte("id: r/1\ndata: {\"choices\":[]}\n\n"), 100)
+	p := newParser(nil, 0)
+	r := bytes.NewReader(nil)
+	p.source = r
+	n := testing.AllocsPerRun(100, func() {
+		r.Reset(text)
+		p.failed = nil
+		for p.next() == nil {
+		}
+	})
+	require.Zero(t, n)
+}
--- /dev/null
+++ b/engine/querier.go
@@ -0,0 +1,84 @@
+package engine
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/lagoonhead/lagoonhead"
+	"github.com/lagoonhead/lagoonhead/timer"
+)
+
+// Querier reads the state of engines. The exported fields are set before the
+// first use.
+type Querier struct {
+	// Timer must be set.
+	Timer timer.Timer
+	// Timeout bounds one query; 0 means 2 s.
+	Timeout time.Duration
+	// DialTimeout bounds the opening of a connection; 0 means 1 s.
+	DialTimeout time.Duration
+
+	once  sync.Once
+	pools pools
+}
+
+var _ lagoonhead.EngineQuerier = (*Querier)(nil)
+
+// Load returns the newest load report.
+func (q *Querier) Load(ctx context.Context, e lagoonhead.Endpoint) (lagoonhead.LoadReport, error) {
+	var l lagoonhead.LoadReport
+	if err := q.get(ctx, "engine.load", e, pathLoad, &l); err != nil {
+		return lagoonhead.LoadReport{}, err
+	}
+	l.Endpoint = e.ID()
+	return l, nil
+}
+
+// CacheEvents returns events with numbers after the given one.
+func (q *Querier) CacheEvents(ctx context.Context, e lagoonhead.Endpoint, after int64) ([]lagoonhead.CacheEvent, error) {
+	var v []lagoonhead.CacheEvent
+	path := pathCacheEvents + "?after=" + strconv.FormatInt(after, 10)
+	if err := q.get(ctx, "engine.cacheEvents", e, path, &v); err != nil {
+		return nil, err
+	}
+	return v, nil
+}
+
+func (q *Querier) get(ctx context.Context, op string, e lagoonhead.Endpoint, path string, v any) error {
+	q.once.Do(func() { q.pools.dialer = dialer(q.DialTimeout, 0) })
+	limit := q.Timeout
+	if limit <= 0 {
+		limit = defaultCallTimeout
+	}
+	ctx, stop := withLimit(ctx, q.Timer, limit)
+	defer stop()
+	var x exchange
+	r, err := http.NewRequestWithContext(x.trace(ctx), http.MethodGet, e.Address()+path, nil)
+	if err != nil {
+		return fail(op, lagoonhead.KindInvalid, err)
+	}
+	t := q.pools.get(e.Address())
+	res, err := t.RoundTrip(r)
+	if err != nil {
+		q.pools.drop(e.Address(), t)
+		return fail(op, kindOfFailure(ctx, err, x.written()), err)
+	}
+	defer res.Body.Close()
+	if res.StatusCode != http.StatusOK {
+		return statusError(op, res)
+	}
+	b, err := io.ReadAll(io.LimitReader(res.Body, maxAnswerBytes))
+	if err != nil {
+		q.pools.drop(e.Address(), t)
+		return fail(op, kindOfFailure(ctx, err, true), err)
+	}
+	if err := json.Unmarshal(b, v); err != nil {
+		return fail(op, lagoonhead.KindUnknown, err)
+	}
+	return nil
+}
--- /dev/null
+++ b/engine/streamer.go
@@ -0,0 +1,238 @@
+package engine
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"expvar"
+	"io"
+	"mime"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/lagoonhead/lagoonhead"
+	"github.com/lagoonhead/lagoonhead/timer"
+)
+
+const (
+	// defaultIdleLimit is two keep-alives of 2 s and a margin for a slow network.
+	defaultIdleLimit = 5 * time.Second
+	// sweepsPerLimit is how often a stream is looked at within the idle limit; the
+	// limit is kept to one part in that many.
+	sweepsPerLimit = 5
+	// defaultCallTimeout bounds calls that are not streams.
+	defaultCallTimeout = 2 * time.Second
+)
+
+// Streamer runs completions on engines. The exported fields are set before Run.
+type Streamer struct {
+	// Timer must be set.
+	Timer timer.Timer
+	// IdleLimit is the longest silence of a connection that is being read; 0 means
+	// 5 s. It is counted in sweeps that Run makes, so it holds only while Run runs.
+	IdleLimit time.Duration
+	// DialTimeout bounds the opening of a connection; 0 means 1 s.
+	DialTimeout time.Duration
+	// UserTimeout is TCP_USER_TIMEOUT; 0 means 5 s.
+	UserTimeout time.Duration
+	// MaxEventBytes bounds one event; 0 means 1 MiB.
+	MaxEventBytes int
+	// OnLoad takes the load reports that come with answers. It may be nil, is called
+	// from several goroutines and must not block.
+	OnLoad func(lagoonhead.LoadReport)
+
+	once  sync.Once
+	pools pools
+	mu    sync.Mutex
+	open  map[*stream]struct{}
+
+	counters counters
+}
+
+// counters are the figures of a Streamer.
+type counters struct {
+	all                                       expvar.Map
+	started, whole, unavailable, refused      expvar.Int
+	idle, broken, wrongRequest, wrongOffset   expvar.Int
+	oversized, malformed, incomplete, dropped expvar.Int
+}
+
+var _ lagoonhead.EngineStreamer = (*Streamer)(nil)
+
+func (s *Streamer) init() {
+	s.once.Do(func() {
+		s.pools.dialer = dialer(s.DialTimeout, s.UserTimeout)
+		s.open = make(map[*stream]struct{})
+		c := &s.counters
+		for _, v := range []struct {
+			name string
+			v    *expvar.Int
+		}{
+			{"streamsStarted", &c.started}, {"streamsWhole", &c.whole},
+			{"notRun", &c.unavailable}, {"refused", &c.refused},
+			{"idleTimeouts", &c.idle}, {"connectionsBroken", &c.broken},
+			{"wrongRequest", &c.wrongRequest}, {"wrongOffset", &c.wrongOffset},
+			{"oversizedEvents", &c.oversized}, {"malformedEvents", &c.malformed},
+			{"incompleteAnswers", &c.incomplete}, {"poolsDropped", &c.dropped},
+		} {
+			c.all.Set(v.name, v.v)
+		}
+	})
+}
+
+// Vars returns the counters.
+func (s *Streamer) Vars() *expvar.Map {
+	s.init()
+	return &s.counters.all
+}
+
+// Run ends streams whose connection is silent, until ctx ends.
+func (s *Streamer) Run(ctx context.Context) error {
+	s.init()
+	limit := s.IdleLimit
+	if limit <= 0 {
+		limit = defaultIdleLimit
+	}
+	ticks := s.Timer.Subscribe(limit / sweepsPerLimit)
+	defer ticks.Stop()
+	for {
+		select {
+		case <-ticks.C():
+			s.sweep()
+		case <-ctx.Done():
+			return nil
+		}
+	}
+}
+
+func (s *Streamer) sweep() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for v := range s.open {
+		v.sweep()
+	}
+}
+
+func (s *Streamer) add(v *stream) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.open[v] = struct{}{}
+}
+
+func (s *Streamer) remove(v *stream) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.open, v)
+}
+
+// Stream starts the completion, or resumes it when ResumeOffset is not negative.
+// It returns once the engine has answered with headers.
+func (s *Streamer) Stream(ctx context.Context, e lagoonhead.Endpoint, c lagoonhead.Completion) (lagoonhead.EventStream, error) {
+	const op = "engine.stream"
+	s.init()
+	body, err := streamingBody(c.Body)
+	if err != nil {
+		return nil, fail(op, lagoonhead.KindInvalid, err)
+	}
+	ctx, cancel := context.WithCancelCause(ctx)
+	v := &stream{
+		streamer: s, endpoint: e, request: string(c.Request.ID()),
+		expect: c.ResumeOffset + 1, ctx: ctx, cancel: cancel,
+	}
+	r, err := http.NewRequestWithContext(v.exchange.trace(ctx), http.MethodPost, e.Address()+pathCompletions, bytes.NewReader(body))
+	if err != nil {
+		cancel(nil)
+		return nil, fail(op, lagoonhead.KindInvalid, err)
+	}
+	r.Header = engineHeader(c)
+	if c.ResumeOffset >= 0 {
+		r.Header.Set(HeaderResumeOffset, strconv.FormatInt(c.ResumeOffset, 10))
+	}
+	s.counters.started.Add(1)
+	s.add(v)
+	if err := v.start(r); err != nil {
+		s.remove(v)
+		cancel(nil)
+		return nil, err
+	}
+	return v, nil
+}
+
+func (s *Streamer) takeLoad(e lagoonhead.Endpoint, h http.Header) {
+	if s.OnLoad == nil {
+		return
+	}
+	if l, ok := readLoad(e.ID(), h); ok {
+		s.OnLoad(l)
+	}
+}
+
+// drop ends the use of the connections that a failed exchange used.
+func (s *Streamer) drop(e lagoonhead.Endpoint, t *http.Transport) {
+	s.counters.dropped.Add(1)
+	s.pools.drop(e.Address(), t)
+}
+
+// Cancel tells the engine to stop the request. KindNotFound means that the engine
+// does not know it.
+func (s *Streamer) Cancel(ctx context.Context, e lagoonhead.Endpoint, id lagoonhead.RequestID) error {
+	const op = "engine.cancel"
+	s.init()
+	ctx, stop := withLimit(ctx, s.Timer, defaultCallTimeout)
+	defer stop()
+	b, err := json.Marshal(struct {
+		RequestID lagoonhead.RequestID `json:"requestId"`
+	}{id})
+	if err != nil {
+		return fail(op, lagoonhead.KindInternal, err)
+	}
+	var x exchange
+	r, err := http.NewRequestWithContext(x.trace(ctx), http.MethodPost, e.Address()+pathCancel, bytes.NewReader(b))
+	if err != nil {
+		return fail(op, lagoonhead.KindInvalid, err)
+	}
+	r.Header.Set("Content-Type", contentJSON)
+	t := s.pools.get(e.Address())
+	res, err := t.RoundTrip(r)
+	if err != nil {
+		s.drop(e, t)
+		return fail(op, kindOfFailure(ctx, err, x.written()), err)
+	}
+	defer res.Body.Close()
+	if res.StatusCode != http.StatusOK {
+		return statusError(op, res)
+	}
+	_, _ = io.Copy(io.Discard, io.LimitReader(res.Body, maxAnswerBytes))
+	return nil
+}
+
+func isEvents(h http.Header) bool {
+	t, _, err := mime.ParseMediaType(h.Get("Content-Type"))
+	return err == nil && t == contentEvents
+}
+
+// count counts the cause of a failed stream.
+func (c *counters) count(k lagoonhead.Kind, err error) {
+	switch {
+	case k == lagoonhead.KindUnavailable:
+		c.unavailable.Add(1)
+	case k == lagoonhead.KindTimeout:
+		c.idle.Add(1)
+	case k == lagoonhead.KindCrashed:
+		c.broken.Add(1)
+	case errors.Is(err, ErrWrongRequest):
+		c.wrongRequest.Add(1)
+	case errors.Is(err, ErrOffset):
+		c.wrongOffset.Add(1)
+	case errors.Is(err, ErrOversized):
+		c.oversized.Add(1)
+	case errors.Is(err, ErrMalformed):
+		c.malformed.Add(1)
+	case errors.Is(err, ErrIncomplete):
+		c.incomplete.Add(1)
+	}
+}
