--- /dev/null
+++ b/daemon/vms.go
@@ -0,0 +1,68 @@
+package daemon
+
+import (
+	"context"
+	"expvar"
+	"sync/atomic"
+	"time"
+
+	"github.com/lagoonhead/lagoonhead"
+	"github.com/lagoonhead/lagoonhead/timer"
+)
+
+const (
+	// vmListInterval is the time between two reads of the platform's VM list.
+	vmListInterval = time.Second
+	// vmListTimeout bounds one read.
+	vmListTimeout = 2 * time.Second
+)
+
+// vmPoller keeps the newest VM list. The last good list stays in force while the
+// platform does not answer.
+type vmPoller struct {
+	lister lagoonhead.VMLister
+	timer  timer.Timer
+	// changed is called with each list that was read and the time at which it was
+	// asked for.
+	changed func(list []lagoonhead.VM, asked time.Duration)
+
+	list atomic.Pointer[[]lagoonhead.VM]
+	vars expvar.Map
+}
+
+// VMs returns the newest list.
+func (p *vmPoller) VMs() []lagoonhead.VM {
+	if l := p.list.Load(); l != nil {
+		return *l
+	}
+	return nil
+}
+
+// Run reads the list until ctx ends.
+func (p *vmPoller) Run(ctx context.Context) error {
+	ticks := p.timer.Subscribe(vmListInterval)
+	defer ticks.Stop()
+	p.step(ctx)
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticks.C():
+			p.step(ctx)
+		}
+	}
+}
+
+func (p *vmPoller) step(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, vmListTimeout)
+	defer cancel()
+	asked := p.timer.Now()
+	list, err := p.lister.VMs(ctx)
+	if err != nil {
+		p.vars.Add("failed", 1)
+		return
+	}
+	p.vars.Add("read", 1)
+	p.list.Store(&list)
+	p.changed(list, asked)
+}
--- /dev/null
+++ b/lease/lease_test.go
@@ -0,0 +1,127 @@
+package lease
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/lagoonhead/lagoonhead"
+	"github.com/lagoonhead/lagoonhead/fakeplatform"
+	"github.com/lagoonhead/lagoonhead/timer"
+)
+
+// slowStore takes time to answer, as a store under load does.
+type slowStore struct {
+	lagoonhead.Store
+	clock *timer.Manual
+	delay time.Duration
+}
+
+func (s *slowStore) GrantLease(ctx context.Context, ttl time.Duration) (lagoonhead.LeaseID, error) {
+	id, err := s.Store.GrantLease(ctx, ttl)
+	s.clock.Advance(s.delay)
+	return id, err
+}
+
+func (s *slowStore) RenewLease(ctx context.Context, id lagoonhead.LeaseID) error {
+	err := s.Store.RenewLease(ctx, id)
+	s.clock.Advance(s.delay)
+	return err
+}
+
+func newSession(clock *timer.Manual, s lagoonhead.StoreWriter) *Session {
+	return &Session{Store: s, Timer: clock}
+}
+
+// Guards against a holder that counts its lease from the answer and so believes in
+// it longer than the store does.
+func TestLeaseCountsFromBeforeTheRequest(t *testing.T) {
+	clock := timer.NewManual(time.Hour, time.Unix(0, 0))
+	s := newSession(clock, &slowStore{Store: fakeplatform.NewKV(clock), clock: clock, delay: 4 * time.Second})
+	s.Step(context.Background())
+	clock.Advance(DefaultTTL - DefaultMargin - 4*time.Second - time.Millisecond)
+	_, valid := s.Lease()
+	require.True(t, valid)
+	clock.Advance(time.Millisecond)
+	_, valid = s.Lease()
+	require.False(t, valid)
+}
+
+// Guards against a duty that two daemons hold, one that goes on after its lease has
+// lapsed, and an epoch that does not grow.
+func TestDutyPassesToTheNextHolder(t *testing.T) {
+	ctx := context.Background()
+	clock := timer.NewManual(time.Hour, time.Unix(0, 0))
+	kv := fakeplatform.NewKV(clock)
+	d := Duty{Kind: "usage"}
+	keeper := func(vm lagoonhead.VMID) *Keeper {
+		s := newSession(clock, kv)
+		s.Step(ctx)
+		return &Keeper{Store: kv, Session: s, Timer: clock, VM: vm, Incarnation: lagoonhead.Incarnation(vm), Duties: []Duty{d}}
+	}
+	a, b := keeper("a"), keeper("b")
+	a.Step(ctx)
+	b.Step(ctx)
+	require.NotNil(t, a.Tenure(d))
+	require.Nil(t, b.Tenure(d))
+	former := a.Tenure(d)
+	require.True(t, lagoonhead.IsKind(former.Check(), lagoonhead.KindUnavailable), "orders of a former holder may be in flight")
+	clock.Advance(DefaultOrderFlight)
+	require.NoError(t, former.Check())
+
+	clock.Advance(DefaultTTL)
+	b.Session.Step(ctx)
+	b.Step(ctx)
+	require.True(t, former.Lapsed())
+	require.Nil(t, a.Tenure(d))
+	require.NotNil(t, b.Tenure(d))
+	require.Greater(t, b.Tenure(d).Epoch(), former.Epoch())
+}
+
+// Guards against a duty that stays blocked after the answer to taking it was lost.
+func TestLostAnswerIsRecognised(t *testing.T) {
+	ctx := context.Background()
+	clock := timer.NewManual(time.Hour, time.Unix(0, 0))
+	kv := fakeplatform.NewKV(clock)
+	s := newSession(clock, kv)
+	s.Step(ctx)
+	d := Duty{Kind: "usage"}
+	k := &Keeper{Store: kv, Session: s, Timer: clock, VM: "a", Incarnation: "a1", Duties: []Duty{d}}
+	kv.Faults.LoseAnswers(1)
+	k.Step(ctx)
+	require.Nil(t, k.Tenure(d))
+	k.Step(ctx)
+	require.NotNil(t, k.Tenure(d))
+}
+
+// Guards against daemons that disagree on the candidates, and against a change of
+// one VM that moves the others.
+func TestCandidatesAreStable(t *testing.T) {
+	vm := func(id lagoonhead.VMID, leaving bool) lagoonhead.VM {
+		return lagoonhead.NewVM(id, "a", "", leaving)
+	}
+	ids := func(list []lagoonhead.VM) (out []lagoonhead.VMID) {
+		for _, v := range list {
+			out = append(out, v.ID())
+		}
+		return out
+	}
+	all := []lagoonhead.VM{vm("a", false), vm("b", false), vm("c", false), vm("d", false)}
+	first := ids(Candidates(all, "x", 4))
+	turned := []lagoonhead.VM{all[3], all[2], all[1], all[0]}
+	require.Equal(t, first, ids(Candidates(turned, "x", 4)))
+	var without []lagoonhead.VM
+	for _, v := range all {
+		if v.ID() != first[0] {
+			without = append(without, v)
+		}
+	}
+	require.Equal(t, first[1:], ids(Candidates(without, "x", 4)))
+	for i, v := range all {
+		all[i] = vm(v.ID(), v.ID() == first[0])
+	}
+	require.Equal(t, first[0], ids(Candidates(all, "x", 4))[3])
+	require.Empty(t, Candidates(nil, "x", 3))
+}
