--- /dev/null
+++ b/caller/completion.go
@@ -0,0 +1,369 @@
+package caller
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"strconv"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/cockroachdb/errors"
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/codes"
+	"go.opentelemetry.io/otel/propagation"
+	"go.opentelemetry.io/otel/trace"
+	"go.uber.org/zap"
+
+	"github.com/lagoonhead/lagoonhead"
+)
+
+// completion serves POST /v1/chat/completions.
+func (x *exchange) completion() error {
+	s := x.server
+	s.vars.completions.Add(1)
+	if err := x.beginWithKey(); err != nil {
+		return err
+	}
+	raw, err := x.readBody()
+	if err != nil {
+		return err
+	}
+	body, err := parseCompletion(raw, s.Limits.DefaultMaxTokens, s.Limits.MostMaxTokens)
+	if err != nil {
+		return err
+	}
+	if err := x.knownModel(body.model); err != nil {
+		return err
+	}
+	if body.stream {
+		s.vars.streams.Add(1)
+	}
+	if sealed := x.r.Header.Values(headerLastEvent); len(sealed) > 0 {
+		return x.resume(body, sealed)
+	}
+	req, err := x.newRequest(body.model)
+	if err != nil {
+		return err
+	}
+	req.SetTokens(estimateTokens(len(raw)), body.maxTokens)
+	req.SetFingerprint(xxhash.Sum64(raw))
+	req.SetBlocks(PromptBlocks(body.model, body.rendered))
+	c := newCompletionRun(x, req, body)
+	defer c.deadline.close()
+	s.Budget.Earn()
+	return c.all()
+}
+
+// completionRun is one completion over its attempts.
+type completionRun struct {
+	x        *exchange
+	request  *lagoonhead.Request
+	body     []byte
+	stream   bool
+	usage    bool
+	ctx      context.Context
+	deadline *deadline
+	avoid    []lagoonhead.EndpointID
+	// reservation is nil when the next attempt needs a new one.
+	reservation lagoonhead.Reservation
+	// mayHaveRun is true once an attempt may have reached an engine.
+	mayHaveRun bool
+	attempts   int
+}
+
+func newCompletionRun(x *exchange, req *lagoonhead.Request, body *completionBody) *completionRun {
+	c := &completionRun{x: x, request: req, body: body.forEngine(), stream: body.stream, usage: body.showUsage}
+	c.ctx, c.deadline = x.within(x.r.Context(), req)
+	return c
+}
+
+// within returns a context that ends at the deadline of the request.
+func (x *exchange) within(ctx context.Context, r *lagoonhead.Request) (context.Context, *deadline) {
+	t := x.server.Timer
+	return newDeadline(ctx, t, r.Deadline()-t.Now())
+}
+
+// all makes attempts until one has begun to answer or may not be repeated.
+func (c *completionRun) all() error {
+	var last error
+	for {
+		p, err := c.place()
+		if err != nil {
+			c.settle(0)
+			// The failure of an attempt says more than the lack of another endpoint.
+			// A refusal for the request itself counts all the same.
+			if last != nil && !lagoonhead.IsKind(err, lagoonhead.KindForbidden) {
+				return last
+			}
+			return err
+		}
+		events, err := c.start(p)
+		if err == nil {
+			return c.deliver(p, events)
+		}
+		last = deadlineError(c.ctx, err)
+		c.attemptFailed(p, last)
+		if !c.mayRetry(last) {
+			c.settle(0)
+			return last
+		}
+		c.avoid = append(c.avoid, p.Endpoint().ID())
+	}
+}
+
+// place checks for suspicion, reserves the tokens and chooses an endpoint.
+func (c *completionRun) place() (lagoonhead.Placement, error) {
+	s := c.x.server
+	if _, err := s.Suspects.Check(c.request.Fingerprint()); err != nil {
+		s.vars.suspectsRefused.Add(1)
+		return nil, fault("caller.suspect", lagoonhead.KindOf(err), err)
+	}
+	if c.reservation == nil {
+		r, err := s.Admitter.Admit(c.ctx, c.request)
+		if err != nil {
+			return nil, fault("caller.admit", lagoonhead.KindOf(deadlineError(c.ctx, err)), err)
+		}
+		c.reservation = r
+		c.x.note("admitted after %s", s.Timer.Now()-c.request.Arrived())
+	}
+	return guardedPlacer{c.x}.Place(c.ctx, c.request, c.avoid)
+}
+
+// settle ends the reservation if there is one.
+func (c *completionRun) settle(used int64) {
+	if c.reservation != nil {
+		c.reservation.Settle(used)
+		c.reservation = nil
+	}
+}
+
+// start opens the answer of an engine and waits for its first event.
+func (c *completionRun) start(p lagoonhead.Placement) (lagoonhead.EventStream, error) {
+	c.attempts++
+	ctx, span := c.x.server.Tracer.Start(c.ctx, "caller.attempt", trace.WithSpanKind(trace.SpanKindClient))
+	span.SetAttributes(attribute.String("lagoonhead.endpoint", string(p.Endpoint().ID())))
+	defer span.End()
+	events, err := c.firstEvent(ctx, p.Endpoint())
+	if err == nil && !c.deadline.disarm() {
+		events.Close()
+		err = fault("caller.start", lagoonhead.KindTimeout, errDeadline)
+	}
+	if err != nil {
+		span.SetStatus(codes.Error, lagoonhead.KindOf(err).String())
+		return nil, err
+	}
+	return events, nil
+}
+
+func (c *completionRun) firstEvent(ctx context.Context, e lagoonhead.Endpoint) (lagoonhead.EventStream, error) {
+	events, err := c.open(ctx, e, -1)
+	if err != nil {
+		return nil, fault("caller.stream", lagoonhead.KindOf(err), err)
+	}
+	first, err := events.Next()
+	if err == nil {
+		return &peeked{EventStream: events, first: first, pending: true}, nil
+	}
+	events.Close()
+	k := lagoonhead.KindOf(err)
+	if k == lagoonhead.KindUnavailable || errors.Is(err, io.EOF) {
+		// The engine has taken the request, so nobody can say that it did not run.
+		k = lagoonhead.KindUnknown
+	}
+	return nil, fault("caller.firstEvent", k, err)
+}
+
+// open asks the engine for the answer behind an offset. The stream lives as long
+// as the request, past the end of ctx's span.
+func (c *completionRun) open(ctx context.Context, e lagoonhead.Endpoint, after int64) (lagoonhead.EventStream, error) {
+	h := make(http.Header)
+	propagator.Inject(ctx, propagation.HeaderCarrier(h))
+	h.Set(headerPriority, c.request.Priority().String())
+	return c.x.server.Engines.Stream(ctx, e, lagoonhead.Completion{
+		Request: c.request, Body: c.body, Header: h, ResumeOffset: after,
+	})
+}
+
+// attemptFailed ends an attempt that has given the caller nothing.
+func (c *completionRun) attemptFailed(p lagoonhead.Placement, err error) {
+	k := lagoonhead.KindOf(err)
+	c.x.note("attempt %d on %s: %s", c.attempts, p.Endpoint().ID(), k)
+	c.crashed(p, k)
+	p.Done(lagoonhead.Outcome{Failed: true, Kind: k})
+	if k == lagoonhead.KindUnavailable {
+		if !c.mayHaveRun {
+			c.x.run = runNo
+		}
+		return
+	}
+	c.mayHaveRun = true
+	// How far the engine got is not known, so the whole charge counts as used.
+	c.settle(c.request.Charge())
+	if k != lagoonhead.KindCrashed {
+		c.cancel(p.Endpoint())
+	}
+}
+
+func (c *completionRun) crashed(p lagoonhead.Placement, k lagoonhead.Kind) {
+	if k == lagoonhead.KindCrashed {
+		c.x.server.vars.crashes.Add(1)
+		c.x.server.Suspects.Crashed(c.request.Fingerprint(), p.Endpoint().ID())
+	}
+}
+
+// mayRetry reports whether another attempt is safe and paid for.
+func (c *completionRun) mayRetry(err error) bool {
+	switch lagoonhead.KindOf(err) {
+	case lagoonhead.KindUnavailable, lagoonhead.KindUnknown, lagoonhead.KindTimeout,
+		lagoonhead.KindCrashed, lagoonhead.KindExhausted:
+	default:
+		return false
+	}
+	if c.ctx.Err() != nil {
+		return false
+	}
+	s := c.x.server
+	if !s.Budget.Take() {
+		s.vars.budgetEmpty.Add(1)
+		c.x.note("retry budget is empty")
+		return false
+	}
+	s.vars.retries.Add(1)
+	return true
+}
+
+// cancel tells the engine to stop, without making the caller wait.
+func (c *completionRun) cancel(e lagoonhead.Endpoint) {
+	s := c.x.server
+	ctx, d := newDeadline(c.x.detached(), s.Timer, s.Limits.CancelTimeout)
+	go func() {
+		defer d.close()
+		if err := s.Engines.Cancel(ctx, e, c.request.ID()); err != nil {
+			s.Log.Debug("engine did not confirm a cancel", zap.String("endpoint", string(e.ID())), zap.Error(err))
+		}
+	}()
+}
+
+// deliver carries the answer to the caller and accounts for it. Usage is recorded
+// before the last byte of the answer goes out.
+func (c *completionRun) deliver(p lagoonhead.Placement, events lagoonhead.EventStream) error {
+	defer events.Close()
+	p.FirstToken()
+	x := c.x
+	x.run = runYes
+	x.note("first token after %s", x.server.Timer.Now()-c.request.Arrived())
+	x.w.Header().Set(headerRun, string(runYes))
+	a := c.answer(p.Endpoint(), events, -1)
+	var joined []byte
+	var res Result
+	var err error
+	if c.stream {
+		res, err = x.server.Relay.Stream(c.ctx, x.w, a)
+	} else {
+		joined, res, err = x.server.Relay.Collect(c.ctx, a)
+	}
+	c.account(p, res, err)
+	if err != nil {
+		return fault("caller.deliver", deliveryKind(err), err)
+	}
+	if !c.stream {
+		writeJoined(x.w, joined)
+	}
+	x.decide("completed", "attempts %d, output %d tokens", c.attempts, res.output())
+	return nil
+}
+
+// deliveryKind returns the kind of a failure behind the first token. Nothing that
+// says "not run" or "try again" is right there.
+func deliveryKind(err error) lagoonhead.Kind {
+	if k := lagoonhead.KindOf(err); k == lagoonhead.KindCrashed {
+		return k
+	}
+	return lagoonhead.KindUnknown
+}
+
+func writeJoined(w http.ResponseWriter, b []byte) {
+	w.Header().Set(contentType, mediaJSON)
+	w.Header().Set("Content-Length", strconv.Itoa(len(b)))
+	w.WriteHeader(http.StatusOK)
+	_, _ = w.Write(b) // a caller that has left needs no answer
+}
+
+func (c *completionRun) answer(e lagoonhead.Endpoint, events lagoonhead.EventStream, after int64) Answer {
+	return Answer{
+		Request: c.request, Endpoint: e, Events: events, After: after, ShowUsage: c.usage,
+		Reopen: func(ctx context.Context, after int64) (lagoonhead.EventStream, error) {
+			return c.open(ctx, e, after)
+		},
+	}
+}
+
+// account settles the reservation, records the usage and ends the placement.
+func (c *completionRun) account(p lagoonhead.Placement, res Result, err error) {
+	s := c.x.server
+	prompt := int64(c.request.PromptTokens())
+	if res.Counted {
+		prompt = res.PromptTokens
+	} else {
+		s.vars.usageEstimated.Add(1)
+	}
+	if err == nil {
+		c.settle(prompt + res.output())
+		s.Suspects.Finished(c.request.Fingerprint())
+		p.Done(lagoonhead.Outcome{OutputTokens: int(res.output())})
+	} else {
+		c.broken(p, err)
+	}
+	if err == nil || c.stream {
+		c.record(lagoonhead.WorkspaceUsage{PromptTokens: prompt, OutputTokens: res.output(), Requests: 1})
+	}
+}
+
+// broken ends an answer that broke off. A stream may be resumed with a token
+// through any VM, so only other answers are cancelled. The engine may run on in
+// both cases, so the whole charge counts as used.
+func (c *completionRun) broken(p lagoonhead.Placement, err error) {
+	c.settle(c.request.Charge())
+	k := lagoonhead.KindOf(err)
+	c.crashed(p, k)
+	if c.x.r.Context().Err() != nil {
+		p.Done(lagoonhead.Outcome{}) // the caller left; the endpoint has no fault
+	} else {
+		p.Done(lagoonhead.Outcome{Failed: true, Kind: k})
+	}
+	if !c.stream && k != lagoonhead.KindCrashed {
+		c.cancel(p.Endpoint())
+	}
+}
+
+func (c *completionRun) record(u lagoonhead.WorkspaceUsage) {
+	s := c.x.server
+	s.vars.promptTokens.Add(u.PromptTokens)
+	s.vars.outputTokens.Add(u.OutputTokens)
+	u.Workspace = c.request.Workspace()
+	s.Usage.Record(c.x.detached(), u)
+}
+
+// output returns the engine's count of output tokens, or the number of events.
+func (r Result) output() int64 {
+	if r.Counted {
+		return r.OutputTokens
+	}
+	return r.Events
+}
+
+// peeked is a stream whose first event was read ahead.
+type peeked struct {
+	lagoonhead.EventStream
+	first   lagoonhead.StreamEvent
+	pending bool
+}
+
+// Next returns the first event again, then the others.
+func (p *peeked) Next() (lagoonhead.StreamEvent, error) {
+	if p.pending {
+		p.pending = false
+		return p.first, nil
+	}
+	return p.EventStream.Next()
+}
--- /dev/null
+++ b/caller/openai_test.go
@@ -0,0 +1,114 @@
+package caller
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+
+	"github.com/openai/openai-go/v3"
+	"github.com/openai/openai-go/v3/option"
+	"github.com/stretchr/testify/require"
+
+	"github.com/lagoonhead/lagoonhead"
+)
+
+func newClient(url, key string, more ...option.RequestOption) openai.Client {
+	more = append(more, option.WithBaseURL(url+"/v1"), option.WithAPIKey(key), option.WithMaxRetries(0))
+	return openai.NewClient(more...)
+}
+
+func question() openai.ChatCompletionNewParams {
+	return openai.ChatCompletionNewParams{
+		Model:    "m",
+		Messages: []openai.ChatCompletionMessageParamUnion{openai.UserMessage("count")},
+	}
+}
+
+// Guards against answers that the published client cannot read, and against
+// accounts that differ from what the engine counted.
+func TestOpenAIClientWhole(t *testing.T) {
+	s, st, srv, _ := newFront(t)
+	c := newClient(srv.URL, "kA")
+	got, err := c.Chat.Completions.New(context.Background(), question())
+	require.NoError(t, err)
+	require.Equal(t, "one two three", got.Choices[0].Message.Content)
+	require.Equal(t, "stop", got.Choices[0].FinishReason)
+	require.EqualValues(t, 8, got.Usage.TotalTokens)
+	srv.Close() // waits for the handlers
+	require.Equal(t, []int64{8}, st.settled)
+	require.Equal(t, []lagoonhead.WorkspaceUsage{{Workspace: "A", PromptTokens: 5, OutputTokens: 3, Requests: 1}}, st.usage)
+	require.Zero(t, s.InFlight("e1"))
+	require.Equal(t, "completed", st.decisions[0].Result)
+}
+
+// Guards against lost, repeated or surplus events of a stream, over a break of the
+// connection to the engine too.
+func TestOpenAIClientStream(t *testing.T) {
+	for _, breakAt := range []int{-1, 1, 2, 3} {
+		_, st, srv, _ := newFront(t)
+		st.engine = func(_ context.Context, _ lagoonhead.Endpoint, c lagoonhead.Completion) (lagoonhead.EventStream, error) {
+			sc := newScript(c.ResumeOffset)
+			if c.ResumeOffset < 0 {
+				sc.breakAt, sc.err = breakAt, fault("stub", lagoonhead.KindUnknown, nil)
+			}
+			return sc, nil
+		}
+		c := newClient(srv.URL, "kA")
+		stream := c.Chat.Completions.NewStreaming(context.Background(), question())
+		var text strings.Builder
+		events := 0
+		for stream.Next() {
+			events++
+			text.WriteString(stream.Current().Choices[0].Delta.Content)
+		}
+		require.NoError(t, stream.Err(), "break at %d", breakAt)
+		require.Equal(t, "one two three", text.String())
+		require.Equal(t, 3, events, "the usage event was not asked for")
+		srv.Close() // waits for the handlers
+		require.EqualValues(t, 3, st.usage[0].OutputTokens)
+	}
+}
+
+// Guards against models that the published client cannot list.
+func TestOpenAIClientModels(t *testing.T) {
+	_, _, srv, _ := newFront(t)
+	c := newClient(srv.URL, "kA")
+	page, err := c.Models.List(context.Background())
+	require.NoError(t, err)
+	require.Len(t, page.Data, 2)
+	m, err := c.Models.Get(context.Background(), "m")
+	require.NoError(t, err)
+	require.Equal(t, "m", m.ID)
+	_, err = c.Models.Get(context.Background(), "nope")
+	var apiErr *openai.Error
+	require.ErrorAs(t, err, &apiErr)
+	require.Equal(t, "model_not_found", apiErr.Code)
+}
+
+// Guards against a key that goes on working on a connection that was opened before
+// its withdrawal.
+func TestWithdrawnKeyOnAnOpenConnection(t *testing.T) {
+	_, st, srv, _ := newFront(t)
+	var dials atomic.Int32
+	tr := &http.Transport{DialContext: func(ctx context.Context, network, addr string) (net.Conn, error) {
+		dials.Add(1)
+		return new(net.Dialer).DialContext(ctx, network, addr)
+	}}
+	defer tr.CloseIdleConnections()
+	c := newClient(srv.URL, "kA", option.WithHTTPClient(&http.Client{Transport: tr}))
+	for range 3 {
+		_, err := c.Chat.Completions.New(context.Background(), question())
+		require.NoError(t, err)
+	}
+	st.setKey("kA", "")
+	_, err := c.Chat.Completions.New(context.Background(), question())
+	var apiErr *openai.Error
+	require.ErrorAs(t, err, &apiErr)
+	require.Equal(t, http.StatusUnauthorized, apiErr.StatusCode)
+	require.Equal(t, "no", apiErr.Response.Header.Get(headerRun))
+	require.Len(t, st.attempts(), 3)
+	require.EqualValues(t, 1, dials.Load(), "the connection was not kept open")
+}
--- /dev/null
+++ b/caller/respond.go
@@ -0,0 +1,91 @@
+package caller
+
+import (
+	"encoding/json"
+	"math"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/lagoonhead/lagoonhead"
+)
+
+// Headers of requests and answers.
+const (
+	headerRun         = "Lagoonhead-Run"
+	headerRequestID   = "Lagoonhead-Request-Id"
+	headerDeadline    = "Lagoonhead-Deadline-Ms"
+	headerPriority    = "Lagoonhead-Priority"
+	headerIdempotency = "Idempotency-Key"
+	headerLastEvent   = "Last-Event-Id"
+	headerRetryAfter  = "Retry-After"
+	headerAuth        = "Authorization"
+	contentType       = "Content-Type"
+	mediaJSON         = "application/json"
+	mediaEvents       = "text/event-stream"
+)
+
+// runState tells whether an endpoint can have run a request.
+type runState string
+
+const (
+	runNo      runState = "no"
+	runYes     runState = "yes"
+	runUnknown runState = "unknown"
+)
+
+// minRetryAfter is told when the cause of a refusal knows no time.
+const minRetryAfter = time.Second
+
+type errorObject struct {
+	Error errorBody `json:"error"`
+}
+
+type errorBody struct {
+	Message string  `json:"message"`
+	Type    string  `json:"type"`
+	Param   *string `json:"param"`
+	Code    string  `json:"code"`
+}
+
+func newErrorObject(c answerClass) errorObject {
+	return errorObject{Error: errorBody{Message: c.message, Type: c.kind, Code: c.code}}
+}
+
+// writeError answers with an error object. It must come before any other write.
+func writeError(w http.ResponseWriter, err error, run runState) {
+	c := classOf(err)
+	h := w.Header()
+	h.Set(headerRun, string(run))
+	h.Set("Cache-Control", "no-store")
+	if c.status == http.StatusTooManyRequests || c.status == http.StatusServiceUnavailable {
+		h.Set(headerRetryAfter, retryAfter(err))
+	}
+	if c.status == http.StatusUnauthorized {
+		h.Set("WWW-Authenticate", "Bearer")
+	}
+	writeJSON(w, c.status, newErrorObject(c))
+}
+
+func writeJSON(w http.ResponseWriter, status int, v any) {
+	b, err := json.Marshal(v)
+	if err != nil {
+		panic("caller: answer cannot be encoded: " + err.Error())
+	}
+	w.Header().Set(contentType, mediaJSON)
+	w.Header().Set("Content-Length", strconv.Itoa(len(b)))
+	w.WriteHeader(status)
+	_, _ = w.Write(b)
+}
+
+// retryAfter returns the time to wait in whole seconds, rounded up.
+func retryAfter(err error) string {
+	d := minRetryAfter
+	var r lagoonhead.RetryAfterer
+	if errors.As(err, &r) {
+		d = max(d, r.RetryAfter())
+	}
+	return strconv.Itoa(int(math.Ceil(d.Seconds())))
+}
--- /dev/null
+++ b/caller/resume.go
@@ -0,0 +1,83 @@
+package caller
+
+import (
+	"net/http"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/lagoonhead/lagoonhead"
+)
+
+// resume continues a stream behind the event that the caller names by its sealed
+// token. The tokens were charged when the request was dispatched, so it is neither
+// admitted nor placed again.
+func (x *exchange) resume(body *completionBody, sealed []string) error {
+	x.server.vars.resumes.Add(1)
+	token, err := x.openToken(body, sealed)
+	if err != nil {
+		return err
+	}
+	e, ok := x.findEngine(body.model, token.Endpoint)
+	x.id = token.Request
+	x.w.Header().Set(headerRequestID, string(x.id))
+	x.run = runYes
+	if !ok {
+		return refusal(http.StatusGone, lagoonhead.KindNotFound, "resume_gone", "the endpoint that ran the request is gone")
+	}
+	req, err := x.newRequest(body.model)
+	if err != nil {
+		return err
+	}
+	c := newCompletionRun(x, req, body)
+	defer c.deadline.close()
+	return c.resumeOn(e, token.Offset)
+}
+
+func (x *exchange) openToken(body *completionBody, sealed []string) (Token, error) {
+	if len(sealed) != 1 || !body.stream {
+		return Token{}, invalid("invalid_resume_token", "a resume needs one Last-Event-ID and stream true")
+	}
+	t, err := x.server.Sealer.Open(sealed[0])
+	if err != nil {
+		return t, invalid("invalid_resume_token", "Last-Event-ID is not an event identifier of this service")
+	}
+	if t.Workspace != x.workspace {
+		return t, refusal(http.StatusForbidden, lagoonhead.KindForbidden, "foreign_resume_token", "the stream belongs to another workspace")
+	}
+	return t, nil
+}
+
+func (x *exchange) findEngine(model string, id lagoonhead.EndpointID) (lagoonhead.Endpoint, bool) {
+	for _, e := range x.directory.Endpoints(lagoonhead.KindEngine, model) {
+		if e.ID() == id {
+			return e, true
+		}
+	}
+	return lagoonhead.Endpoint{}, false
+}
+
+func (c *completionRun) resumeOn(e lagoonhead.Endpoint, after int64) error {
+	x := c.x
+	s := x.server
+	s.running.add(e.ID(), 1)
+	defer s.running.add(e.ID(), -1)
+	events, err := c.open(c.ctx, e, after)
+	if err == nil && !c.deadline.disarm() {
+		events.Close()
+		err = errDeadline
+	}
+	if err != nil {
+		return fault("caller.resume", deliveryKind(err), deadlineError(c.ctx, err))
+	}
+	defer events.Close()
+	x.w.Header().Set(headerRun, string(runYes))
+	res, err := s.Relay.Stream(c.ctx, x.w, c.answer(e, events, after))
+	// The daemon that began the stream has recorded the prompt and the events up to
+	// the break; the rest is recorded here.
+	c.record(lagoonhead.WorkspaceUsage{OutputTokens: res.Events})
+	if err != nil {
+		return fault("caller.resume", deliveryKind(err), errors.Wrap(err, "resumed stream"))
+	}
+	x.decide("completed", "resumed on %s after offset %d, %d events", e.ID(), after, res.Events)
+	return nil
+}
--- /dev/null
+++ b/caller/stub_test.go
@@ -0,0 +1,259 @@
+package caller
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/lagoonhead/lagoonhead"
+	"github.com/lagoonhead/lagoonhead/timer"
+)
+
+// stub is every collaborator of a Server in one, with switches for faults.
+type stub struct {
+	mu        sync.Mutex
+	keys      map[string]lagoonhead.WorkspaceID
+	endpoints []lagoonhead.Endpoint
+	routes    map[string]lagoonhead.Route
+	stale     error
+	admitErr  error
+	suspects  map[uint64][]lagoonhead.EndpointID
+	// engine runs one attempt; nil is an engine that answers "one two three".
+	engine func(ctx context.Context, e lagoonhead.Endpoint, c lagoonhead.Completion) (lagoonhead.EventStream, error)
+
+	seen      []seenAttempt
+	cancelled []lagoonhead.RequestID
+	settled   []int64
+	usage     []lagoonhead.WorkspaceUsage
+	outcomes  []lagoonhead.Outcome
+	decisions []lagoonhead.Decision
+}
+
+// seenAttempt is what an endpoint saw of an attempt.
+type seenAttempt struct {
+	endpoint lagoonhead.EndpointID
+	id       lagoonhead.RequestID
+	header   http.Header
+	body     string
+	offset   int64
+}
+
+var chunks = []string{
+	`{"id":"c1","object":"chat.completion.chunk","created":7,"model":"m","choices":[{"index":0,"delta":{"role":"assistant","content":"one "}}]}`,
+	`{"id":"c1","object":"chat.completion.chunk","created":7,"model":"m","choices":[{"index":0,"delta":{"content":"two "}}]}`,
+	`{"id":"c1","object":"chat.completion.chunk","created":7,"model":"m","choices":[{"index":0,"delta":{"content":"three"},"finish_reason":"stop"}]}`,
+	`{"id":"c1","object":"chat.completion.chunk","created":7,"model":"m","choices":[],"usage":{"prompt_tokens":5,"completion_tokens":3,"total_tokens":8}}`,
+}
+
+// script is an EventStream over fixed events. breakAt ends it early with err.
+type script struct {
+	events  []string
+	next    int
+	breakAt int
+	err     error
+}
+
+func newScript(after int64) *script {
+	return &script{events: chunks, next: int(after) + 1, breakAt: -1}
+}
+
+func (s *script) Next() (lagoonhead.StreamEvent, error) {
+	if s.next == s.breakAt {
+		return lagoonhead.StreamEvent{}, s.err
+	}
+	if s.next >= len(s.events) {
+		return lagoonhead.StreamEvent{}, io.EOF
+	}
+	e := lagoonhead.StreamEvent{Offset: int64(s.next), Data: []byte(s.events[s.next])}
+	s.next++
+	return e, nil
+}
+
+func (s *script) Close() error { return nil }
+
+func (s *stub) Directory() lagoonhead.Directory { return s }
+func (s *stub) Revision() int64                 { return 1 }
+func (s *stub) Models() []string                { return []string{"m", "other"} }
+
+func (s *stub) Authenticate(key string) (lagoonhead.WorkspaceID, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	w, ok := s.keys[key]
+	if !ok {
+		return "", fault("stub", lagoonhead.KindUnauthenticated, nil)
+	}
+	return w, nil
+}
+
+func (s *stub) setKey(key string, w lagoonhead.WorkspaceID) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.keys, key)
+	if w != "" {
+		s.keys[key] = w
+	}
+}
+
+func (s *stub) Endpoints(k lagoonhead.EndpointKind, serves string) []lagoonhead.Endpoint {
+	var out []lagoonhead.Endpoint
+	for _, e := range s.endpoints {
+		if e.Kind() == k && e.Serves() == serves {
+			out = append(out, e)
+		}
+	}
+	return out
+}
+
+func (s *stub) ServiceRoute(name, method, path string) (lagoonhead.Route, bool) {
+	r, ok := s.routes[name+" "+method+" "+path]
+	return r, ok
+}
+
+func (s *stub) Rule(lagoonhead.WorkspaceID, string) lagoonhead.WorkRule {
+	return lagoonhead.WorkRule{Name: "default", Priority: lagoonhead.PriorityNormal}
+}
+
+func (s *stub) Quota(lagoonhead.WorkspaceID) (lagoonhead.Quota, bool) {
+	return lagoonhead.Quota{}, true
+}
+
+func (s *stub) Fresh() error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.stale
+}
+
+func (s *stub) Admit(context.Context, *lagoonhead.Request) (lagoonhead.Reservation, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.admitErr != nil {
+		return nil, s.admitErr
+	}
+	return s, nil
+}
+
+func (s *stub) Settle(used int64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.settled = append(s.settled, used)
+}
+
+func (s *stub) Place(_ context.Context, r *lagoonhead.Request, avoid []lagoonhead.EndpointID) (lagoonhead.Placement, error) {
+	for _, e := range s.endpoints {
+		if e.Serves() == r.Serves() && !slices.Contains(avoid, e.ID()) {
+			return &stubPlacement{s, e}, nil
+		}
+	}
+	return nil, fault("stub.place", lagoonhead.KindUnavailable, nil)
+}
+
+type stubPlacement struct {
+	s *stub
+	e lagoonhead.Endpoint
+}
+
+func (p *stubPlacement) Endpoint() lagoonhead.Endpoint { return p.e }
+func (p *stubPlacement) FirstToken()                   {}
+
+func (p *stubPlacement) Done(o lagoonhead.Outcome) {
+	p.s.mu.Lock()
+	defer p.s.mu.Unlock()
+	p.s.outcomes = append(p.s.outcomes, o)
+}
+
+func (s *stub) Stream(ctx context.Context, e lagoonhead.Endpoint, c lagoonhead.Completion) (lagoonhead.EventStream, error) {
+	s.mu.Lock()
+	engine := s.engine
+	s.mu.Unlock()
+	if engine == nil {
+		engine = func(context.Context, lagoonhead.Endpoint, lagoonhead.Completion) (lagoonhead.EventStream, error) {
+			return newScript(c.ResumeOffset), nil
+		}
+	}
+	events, err := engine(ctx, e, c)
+	if !lagoonhead.IsKind(err, lagoonhead.KindUnavailable) {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.seen = append(s.seen, seenAttempt{e.ID(), c.Request.ID(), c.Header, string(c.Body), c.ResumeOffset})
+	}
+	return events, err
+}
+
+func (s *stub) Cancel(_ context.Context, _ lagoonhead.Endpoint, id lagoonhead.RequestID) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.cancelled = append(s.cancelled, id)
+	return nil
+}
+
+func (s *stub) Check(f uint64) (bool, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if len(s.suspects[f]) > 1 {
+		return true, fault("stub.suspect", lagoonhead.KindForbidden, fmt.Errorf("the request has crashed two endpoints"))
+	}
+	return len(s.suspects[f]) == 1, nil
+}
+
+func (s *stub) Crashed(f uint64, e lagoonhead.EndpointID) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.suspects[f] = append(s.suspects[f], e)
+}
+
+func (s *stub) Finished(f uint64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.suspects, f)
+}
+
+func (s *stub) Record(_ context.Context, u lagoonhead.WorkspaceUsage) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.usage = append(s.usage, u)
+}
+
+func (s *stub) RecordDecision(d lagoonhead.Decision) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.decisions = append(s.decisions, d)
+}
+
+func (s *stub) attempts() []seenAttempt {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.Clone(s.seen)
+}
+
+// newFront returns a server over stubs, its HTTP address and its clock. Keys kA
+// and kB belong to workspaces A and B; engines e1 and e2 serve model m.
+func newFront(t *testing.T) (*Server, *stub, *httptest.Server, *timer.Manual) {
+	t.Helper()
+	st := &stub{
+		keys:     map[string]lagoonhead.WorkspaceID{"kA": "A", "kB": "B"},
+		suspects: map[uint64][]lagoonhead.EndpointID{},
+		routes:   map[string]lagoonhead.Route{},
+		endpoints: []lagoonhead.Endpoint{
+			lagoonhead.NewEndpoint("e1", lagoonhead.KindEngine, "m", "", "d1"),
+			lagoonhead.NewEndpoint("e2", lagoonhead.KindEngine, "m", "", "d2"),
+		},
+	}
+	seal, err := NewSealer(make([]byte, 32))
+	require.NoError(t, err)
+	tm := timer.NewManual(time.Hour, time.Unix(1, 0))
+	s := &Server{
+		Directories: st, Gate: st, Admitter: st, Placer: st, Engines: st, Suspects: st,
+		Usage: st, Decisions: st, Relay: &PlainRelay{Sealer: seal}, Sealer: seal, Timer: tm,
+	}
+	srv := httptest.NewServer(s.Handler())
+	t.Cleanup(srv.Close)
+	return s, st, srv, tm
+}
