Let the relay report failures of a stream itself

A relay that has begun a stream is the one that can write an error event in its place, so the front no longer writes there. The result counts the part of the output that one relay carried, which a resumed stream needs for its usage.

--- a/caller/completion.go
+++ b/caller/completion.go
@@ -258,6 +258,7 @@
 	var res Result
 	var err error
 	if c.stream {
+		x.streaming = true
 		res, err = x.server.Relay.Stream(c.ctx, x.w, a)
 	} else {
 		joined, res, err = x.server.Relay.Collect(c.ctx, a)
@@ -269,7 +270,7 @@
 	if !c.stream {
 		writeJoined(x.w, joined)
 	}
-	x.decide("completed", "attempts %d, output %d tokens", c.attempts, res.output())
+	x.decide("completed", "attempts %d, output %d tokens", c.attempts, res.OutputTokens)
 	return nil
 }
 
@@ -302,20 +303,20 @@
 func (c *completionRun) account(p lagoonhead.Placement, res Result, err error) {
 	s := c.x.server
 	prompt := int64(c.request.PromptTokens())
-	if res.Counted {
+	if res.UsageKnown {
 		prompt = res.PromptTokens
 	} else {
 		s.vars.usageEstimated.Add(1)
 	}
 	if err == nil {
-		c.settle(prompt + res.output())
+		c.settle(prompt + res.OutputTokens)
 		s.Suspects.Finished(c.request.Fingerprint())
-		p.Done(lagoonhead.Outcome{OutputTokens: int(res.output())})
+		p.Done(lagoonhead.Outcome{OutputTokens: int(res.OutputTokens)})
 	} else {
 		c.broken(p, err)
 	}
 	if err == nil || c.stream {
-		c.record(lagoonhead.WorkspaceUsage{PromptTokens: prompt, OutputTokens: res.output(), Requests: 1})
+		c.record(lagoonhead.WorkspaceUsage{PromptTokens: prompt, OutputTokens: res.OutputTokens, Requests: 1})
 	}
 }
 
@@ -344,14 +345,6 @@
 	s.Usage.Record(c.x.detached(), u)
 }
 
-// output returns the engine's count of output tokens, or the number of events.
-func (r Result) output() int64 {
-	if r.Counted {
-		return r.OutputTokens
-	}
-	return r.Events
-}
-
 // peeked is a stream whose first event was read ahead.
 type peeked struct {
 	lagoonhead.EventStream
@@ -367,3 +360,10 @@
 	}
 	return p.EventStream.Next()
 }
+
+// Ready reports whether the next event is there without waiting, if the stream can
+// tell. A relay then flushes several events at once.
+func (p *peeked) Ready() bool {
+	r, ok := p.EventStream.(interface{ Ready() bool })
+	return ok && !p.pending && r.Ready()
+}
--- a/caller/exchange.go
+++ b/caller/exchange.go
@@ -35,6 +35,8 @@
 	// run tells whether an endpoint can have run the request. It is set to unknown
 	// before a byte of it may be sent.
 	run runState
+	// streaming is true once the relay has the answer of a stream.
+	streaming bool
 	// notes are the figures for the record of the decision.
 	notes []string
 }
@@ -185,7 +187,11 @@
 	k := lagoonhead.KindOf(err)
 	s.vars.failed(k)
 	x.span.SetStatus(codes.Error, k.String())
-	x.decide("refused", "%s run=%s: %v", k, x.run, err)
+	result := "failed"
+	if x.run == runNo {
+		result = "refused"
+	}
+	x.decide(result, "%s run=%s: %v", k, x.run, err)
 	if x.r.Context().Err() != nil {
 		s.vars.callersGone.Add(1)
 	}
@@ -193,9 +199,8 @@
 		writeError(x.w, err, x.run)
 		return
 	}
-	if x.w.Header().Get(contentType) == mediaEvents {
-		writeEventError(x.w, err)
-		return
+	if x.streaming {
+		return // the relay has told the caller by an event
 	}
 	// The caller must not take a part for the whole.
 	panic(http.ErrAbortHandler)
--- a/caller/relay.go
+++ b/caller/relay.go
@@ -25,25 +25,27 @@
 	ShowUsage bool
 }
 
-// Result is what a relay saw of an answer.
+// Result is what a relay saw of an answer. It holds with and without an error.
 type Result struct {
-	// Events is the number of events with output, each about one token.
-	Events int64
-	// PromptTokens and OutputTokens are the engine's own count, for the whole answer.
-	// They hold if Counted is true.
-	PromptTokens, OutputTokens int64
-	Counted                    bool
-	// LastOffset is the offset of the last event, or that of Answer.After.
-	LastOffset int64
+	// Last is the offset of the last event, or Answer.After when there was none.
+	Last int64
+	// UsageKnown is true when the engine has told its own count.
+	UsageKnown bool
+	// PromptTokens is the engine's count, or 0 when that is not known.
+	PromptTokens int64
+	// OutputTokens is the part of the output that this relay carried: by the engine's
+	// count, or else the number of events.
+	OutputTokens int64
 }
 
 // Relay carries answers of engines to callers. It resumes a broken stream on a new
 // connection and closes the streams that it reopened, not Answer.Events.
 type Relay interface {
 	// Stream writes the answer as server-sent events whose identifiers are sealed
-	// tokens. An error may come after a part of the answer.
+	// tokens. When it fails behind the first event, it tells the caller of it by an
+	// event with an error object.
 	Stream(ctx context.Context, w http.ResponseWriter, a Answer) (Result, error)
-	// Collect joins the events into one chat.completion object.
+	// Collect joins the events into one chat.completion object and writes nothing.
 	Collect(ctx context.Context, a Answer) ([]byte, Result, error)
 }
 
@@ -74,6 +76,7 @@
 		return writeEvent(w, c, p.Sealer.Seal(token), e.Data)
 	})
 	if err != nil {
+		writeEventError(w, err)
 		return res, err
 	}
 	return res, writeEvent(w, c, "", doneMark)
@@ -92,17 +95,17 @@
 
 // each calls f for each event of the answer, over resumes.
 func each(ctx context.Context, a Answer, f func(lagoonhead.StreamEvent, usageChunk) error) (Result, error) {
-	res := Result{LastOffset: a.After}
+	res := Result{Last: a.After}
 	events := a.Events
 	for resumes := 0; ; resumes++ {
-		err := readAll(events, &res, f)
+		err := readAll(events, a.After, &res, f)
 		if events != a.Events {
 			events.Close()
 		}
 		if err == nil || !isBreak(err) || resumes == maxResumes || ctx.Err() != nil {
 			return res, err
 		}
-		next, reopenErr := a.Reopen(ctx, res.LastOffset)
+		next, reopenErr := a.Reopen(ctx, res.Last)
 		if reopenErr != nil {
 			return res, errors.WithSecondaryError(err, reopenErr)
 		}
@@ -122,7 +125,7 @@
 	return errors.As(err, &b)
 }
 
-func readAll(events lagoonhead.EventStream, res *Result, f func(lagoonhead.StreamEvent, usageChunk) error) error {
+func readAll(events lagoonhead.EventStream, after int64, res *Result, f func(lagoonhead.StreamEvent, usageChunk) error) error {
 	for {
 		e, err := events.Next()
 		if errors.Is(err, io.EOF) {
@@ -134,7 +137,7 @@
 		if bytes.Equal(e.Data, doneMark) {
 			return nil
 		}
-		u := res.count(e)
+		u := res.count(e, after)
 		if err := f(e, u); err != nil {
 			return err
 		}
@@ -153,18 +156,17 @@
 // only reports whether the event holds the usage and no output.
 func (u usageChunk) only() bool { return u.Usage != nil && len(u.Choices) == 0 }
 
-func (r *Result) count(e lagoonhead.StreamEvent) usageChunk {
-	r.LastOffset = e.Offset
+// count counts an event of the answer behind the offset after.
+func (r *Result) count(e lagoonhead.StreamEvent, after int64) usageChunk {
+	r.Last = e.Offset
 	var u usageChunk
-	if !bytes.Contains(e.Data, []byte(`"usage"`)) || json.Unmarshal(e.Data, &u) != nil {
-		r.Events++
-		return u
+	if bytes.Contains(e.Data, []byte(`"usage"`)) && json.Unmarshal(e.Data, &u) == nil && u.Usage != nil {
+		r.UsageKnown, r.PromptTokens = true, u.Usage.PromptTokens
+		// The events up to after were carried, and counted, by another relay.
+		r.OutputTokens = max(0, u.Usage.CompletionTokens-after-1)
 	}
-	if u.Usage != nil {
-		r.PromptTokens, r.OutputTokens, r.Counted = u.Usage.PromptTokens, u.Usage.CompletionTokens, true
-	}
-	if !u.only() {
-		r.Events++
+	if !r.UsageKnown {
+		r.OutputTokens++
 	}
 	return u
 }
--- a/caller/resume.go
+++ b/caller/resume.go
@@ -71,13 +71,14 @@
 	}
 	defer events.Close()
 	x.w.Header().Set(headerRun, string(runYes))
+	x.streaming = true
 	res, err := s.Relay.Stream(c.ctx, x.w, c.answer(e, events, after))
 	// The daemon that began the stream has recorded the prompt and the events up to
 	// the break; the rest is recorded here.
-	c.record(lagoonhead.WorkspaceUsage{OutputTokens: res.Events})
+	c.record(lagoonhead.WorkspaceUsage{OutputTokens: res.OutputTokens})
 	if err != nil {
 		return fault("caller.resume", deliveryKind(err), errors.Wrap(err, "resumed stream"))
 	}
-	x.decide("completed", "resumed on %s after offset %d, %d events", e.ID(), after, res.Events)
+	x.decide("completed", "resumed on %s after offset %d, %d tokens", e.ID(), after, res.OutputTokens)
 	return nil
 }
