Add the relay of streams to callers

A caller must get the whole answer to its own request through breaks, and must be able to resume through another VM. Relay copies or collects the events, resumes from the last offset a bounded number of times, and gives each event a sealed id.

--- a/engine/parser.go
+++ b/engine/parser.go
@@ -168,3 +168,22 @@
 	}
 	return n, nil
 }
+
+// buffered reports whether the buffer holds a whole event with data, so that next
+// will not wait. Comments do not count: keep-alives may be all that is there.
+func (p *parser) buffered() bool {
+	b := p.buf[p.start:p.end]
+	hasData := false
+	for {
+		i := bytes.IndexByte(b, '\n')
+		if i < 0 {
+			return false
+		}
+		line := bytes.TrimSuffix(b[:i], []byte{'\r'})
+		if len(line) == 0 && hasData {
+			return true
+		}
+		hasData = hasData || bytes.HasPrefix(line, fieldData)
+		b = b[i+1:]
+	}
+}
--- a/engine/stream.go
+++ b/engine/stream.go
@@ -207,3 +207,7 @@
 		s.ended = fail(opNext, lagoonhead.KindInvalid, errClosed)
 	}
 }
+
+// Ready reports whether the next event has been read already, so that a relay
+// need not flush before it.
+func (s *stream) Ready() bool { return s.ended == nil && s.parser.buffered() }
--- /dev/null
+++ b/relay/relay_test.go
@@ -0,0 +1,331 @@
+package relay
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"strings"
+	"testing"
+
+	"github.com/cockroachdb/errors"
+	"github.com/stretchr/testify/require"
+	"go.yaml.in/yaml/v3"
+
+	"github.com/lagoonhead/lagoonhead"
+	"github.com/lagoonhead/lagoonhead/engine"
+	"github.com/lagoonhead/lagoonhead/fakeengine"
+	"github.com/lagoonhead/lagoonhead/timer"
+)
+
+type attempt struct {
+	Offsets []int64
+	Error   bool
+	End     string
+	Open    string
+}
+
+type answerCase struct {
+	Name     string
+	After    *int64
+	Attempts []attempt
+	Got      []int64
+	Asked    []int64
+	Kind     string
+}
+
+var kinds = map[string]lagoonhead.Kind{
+	"crashed": lagoonhead.KindCrashed, "timeout": lagoonhead.KindTimeout, "unavailable": lagoonhead.KindUnavailable,
+	"notFound": lagoonhead.KindNotFound, "invalid": lagoonhead.KindInvalid, "unknown": lagoonhead.KindUnknown,
+}
+
+func word(offset int64) string { return fmt.Sprintf("w%d ", offset) }
+
+func wordEvent(offset int64) []byte {
+	return fmt.Appendf(nil, `{"id":"c","choices":[{"index":0,"delta":{"content":%q},"finish_reason":null}]}`, word(offset))
+}
+
+// script is an EventStream that follows an attempt.
+type script struct {
+	attempt
+	next   int
+	closed *int
+}
+
+func (s *script) Next() (lagoonhead.StreamEvent, error) {
+	if s.next < len(s.Offsets) {
+		n := s.Offsets[s.next]
+		s.next++
+		return lagoonhead.StreamEvent{Offset: n, Data: wordEvent(n)}, nil
+	}
+	if s.Error {
+		n := s.Offsets[len(s.Offsets)-1] + 1
+		return lagoonhead.StreamEvent{Offset: n, Data: []byte(`{"error":{"message":"out of memory"}}`)}, nil
+	}
+	if s.End == "whole" {
+		return lagoonhead.StreamEvent{}, io.EOF
+	}
+	return lagoonhead.StreamEvent{}, fail("test.next", kinds[s.End], errors.New("scripted"))
+}
+
+func (s *script) Close() error {
+	*s.closed++
+	return nil
+}
+
+func newRelay(t testing.TB) *Relay {
+	s, err := NewSealer(bytes.Repeat([]byte{1}, KeyBytes))
+	require.NoError(t, err)
+	return &Relay{Timer: &timer.Service{}, Sealer: s}
+}
+
+// play returns a job that follows the case, and what it was asked for and closed.
+func play(c answerCase) (j Job, asked *[]int64, closed *int) {
+	asked, closed = new([]int64), new(int)
+	j = Job{
+		Request: lagoonhead.NewRequest("r1", "w1", "m", 0), Endpoint: "e0", After: -1,
+		Stream: &script{attempt: c.Attempts[0], closed: closed},
+	}
+	if c.After != nil {
+		j.After = *c.After
+	}
+	j.Resume = func(_ context.Context, after int64) (lagoonhead.EventStream, lagoonhead.EndpointID, error) {
+		*asked = append(*asked, after)
+		a := c.Attempts[len(*asked)]
+		if a.Open != "" {
+			return nil, "", fail("test.open", kinds[a.Open], errors.New("scripted"))
+		}
+		return &script{attempt: a, closed: closed}, "e1", nil
+	}
+	return j, asked, closed
+}
+
+type sseEvent struct{ id, data string }
+
+func readSSE(r io.Reader) (events []sseEvent) {
+	var v sseEvent
+	for s := bufio.NewScanner(r); s.Scan(); {
+		if id, ok := strings.CutPrefix(s.Text(), "id: "); ok {
+			v.id = id
+		}
+		if data, ok := strings.CutPrefix(s.Text(), "data: "); ok {
+			v.data += data
+		}
+		if s.Text() == "" {
+			events = append(events, v)
+			v = sseEvent{}
+		}
+	}
+	return events
+}
+
+// Guards against answers that lose, repeat or reorder an event at a break, that
+// are resumed when they must not be, and against an end mark after a failure.
+func TestAnswers(t *testing.T) {
+	text, err := os.ReadFile("testdata/answers.yaml")
+	require.NoError(t, err)
+	var cases []answerCase
+	require.NoError(t, yaml.Unmarshal(text, &cases))
+	for _, c := range cases {
+		t.Run("stream/"+c.Name, func(t *testing.T) { checkStream(t, c) })
+		t.Run("collect/"+c.Name, func(t *testing.T) { checkCollect(t, c) })
+	}
+}
+
+func checkStream(t *testing.T, c answerCase) {
+	r := newRelay(t)
+	j, asked, closed := play(c)
+	w := httptest.NewRecorder()
+	res, err := r.Stream(t.Context(), w, j)
+	events := readSSE(w.Body)
+	for i, n := range c.Got {
+		require.Equal(t, string(wordEvent(n)), events[i].data)
+		p, err := r.Sealer.Open(events[i].id, "w1")
+		require.NoError(t, err)
+		require.Equal(t, n, p.Offset())
+		require.Equal(t, lagoonhead.RequestID("r1"), p.Request())
+	}
+	rest := events[len(c.Got):]
+	require.Equal(t, c.Asked, *asked)
+	if c.Kind != "" {
+		require.Equal(t, c.Kind, lagoonhead.KindOf(err).String(), err)
+		require.Equal(t, len(c.Got) > 0, res.Started)
+		if res.Started {
+			require.Len(t, rest, 1)
+			require.Contains(t, rest[0].data, `"code":"`+c.Kind+`"`)
+		} else {
+			require.Empty(t, events)
+		}
+		return
+	}
+	require.NoError(t, err)
+	require.Equal(t, []sseEvent{{data: "[DONE]"}}, rest)
+	require.Equal(t, len(c.Got), res.OutputTokens)
+	opened := 1
+	for _, a := range c.Attempts[1:] {
+		if a.Open == "" {
+			opened++
+		}
+	}
+	require.Equal(t, opened, *closed, "every stream is closed once")
+}
+
+func checkCollect(t *testing.T, c answerCase) {
+	j, asked, _ := play(c)
+	b, _, err := newRelay(t).Collect(t.Context(), j)
+	require.Equal(t, c.Asked, *asked)
+	if c.Kind != "" {
+		require.Equal(t, c.Kind, lagoonhead.KindOf(err).String(), err)
+		require.Empty(t, b)
+		return
+	}
+	require.NoError(t, err)
+	var want strings.Builder
+	for _, n := range c.Got {
+		want.WriteString(word(n))
+	}
+	var a answer
+	require.NoError(t, json.Unmarshal(b, &a))
+	if len(c.Got) > 0 {
+		require.Equal(t, want.String(), *a.Choices[0].Message.Content)
+	}
+}
+
+// Guards against pieces of an answer that are lost or mixed when it is collected.
+func TestCollectMergesChoicesAndToolCalls(t *testing.T) {
+	var a answer
+	for _, s := range []string{
+		`{"id":"c","created":5,"model":"m","choices":[{"index":1,"delta":{"role":"assistant","content":"x"}}]}`,
+		`{"id":"c","choices":[{"index":0,"delta":{"tool_calls":[{"index":1,"id":"t1","type":"function","function":{"name":"g","arguments":"{\"a\""}}]}}]}`,
+		`{"id":"c","choices":[{"index":0,"delta":{"tool_calls":[{"index":0,"id":"t0","type":"function","function":{"name":"f","arguments":""}}]}}]}`,
+		`{"id":"c","choices":[{"index":0,"delta":{"tool_calls":[{"index":1,"function":{"arguments":":1}"}}]}},{"index":1,"delta":{"content":"y"}}]}`,
+		`{"id":"c","choices":[{"index":0,"delta":{},"finish_reason":"tool_calls"},{"index":1,"delta":{},"finish_reason":"stop"}]}`,
+		`{"id":"c","choices":[],"usage":{"prompt_tokens":2}}`,
+	} {
+		require.NoError(t, a.add([]byte(s)))
+	}
+	b, err := json.Marshal(a)
+	require.NoError(t, err)
+	require.JSONEq(t, `{"id":"c","object":"","created":5,"model":"m","usage":{"prompt_tokens":2},"choices":[
+		{"index":0,"finish_reason":"tool_calls","message":{"role":"assistant","content":null,"tool_calls":[
+			{"id":"t0","type":"function","function":{"name":"f","arguments":""}},
+			{"id":"t1","type":"function","function":{"name":"g","arguments":"{\"a\":1}"}}]}},
+		{"index":1,"finish_reason":"stop","message":{"role":"assistant","content":"xy"}}]}`, string(b))
+}
+
+// Guards against usage that is read from the text of an answer.
+func TestUsage(t *testing.T) {
+	var u usage
+	require.False(t, u.take([]byte(`{"choices":[{"delta":{"content":"\"usage\":{\"prompt_tokens\":9}"}}],"usage":null}`)))
+	require.Equal(t, usage{}, u)
+	require.True(t, u.take([]byte(`{"choices":[],"usage": {"prompt_tokens":3,"completion_tokens":4}}`)))
+	require.Equal(t, usage{known: true, prompt: 3, output: 4}, u)
+}
+
+// Guards against a token that still opens after one bit of it was altered, under
+// another key or for another workspace.
+func TestTokens(t *testing.T) {
+	old, fresh := bytes.Repeat([]byte{1}, KeyBytes), bytes.Repeat([]byte{2}, KeyBytes)
+	a, err := NewSealer(old)
+	require.NoError(t, err)
+	both, err := NewSealer(fresh, old)
+	require.NoError(t, err)
+	only, err := NewSealer(fresh)
+	require.NoError(t, err)
+	p := NewPoint("e1", "r1", "w1", 1<<40)
+	token, err := a.Seal(p)
+	require.NoError(t, err)
+	got, err := both.Open(token, "w1")
+	require.NoError(t, err)
+	require.Equal(t, p, got)
+	_, err = only.Open(token, "w1")
+	require.ErrorIs(t, err, ErrToken)
+	_, err = a.Open(token, "w2")
+	require.ErrorIs(t, err, ErrToken)
+	for i := range len(token) * 8 {
+		b := []byte(token)
+		b[i/8] ^= 1 << (i % 8)
+		_, err := a.Open(string(b), "w1")
+		require.ErrorIs(t, err, ErrToken, "bit %d", i)
+	}
+	for i := range token {
+		_, err := a.Open(token[:i], "w1")
+		require.ErrorIs(t, err, ErrToken)
+	}
+	_, err = NewSealer(old[1:])
+	require.Equal(t, lagoonhead.KindInvalid, lagoonhead.KindOf(err))
+}
+
+// Guards against faults between the parts: the caller must see the engine's whole
+// answer through breaks and an exchange of two answers.
+func TestWholeAnswerThroughFaults(t *testing.T) {
+	f := &fakeengine.Engine{Timer: &timer.Service{}, Model: "m", Slots: 4}
+	srv := httptest.NewServer(f)
+	defer srv.Close()
+	e := lagoonhead.NewEndpoint("e1", lagoonhead.KindEngine, "m", srv.URL, "d1")
+	s := &engine.Streamer{Timer: &timer.Service{}}
+	body := []byte(`{"model":"m","messages":[{"role":"user","content":"hi"}],"max_tokens":50}`)
+	job := func(id lagoonhead.RequestID) (Job, error) {
+		c := lagoonhead.Completion{Request: lagoonhead.NewRequest(id, "w1", "m", 0), Body: body, ResumeOffset: -1}
+		v, err := s.Stream(t.Context(), e, c)
+		return Job{Request: c.Request, Endpoint: "e1", Stream: v, After: -1,
+			Resume: func(ctx context.Context, after int64) (lagoonhead.EventStream, lagoonhead.EndpointID, error) {
+				c.ResumeOffset = after
+				v, err := s.Stream(ctx, e, c)
+				return v, "e1", err
+			}}, err
+	}
+	words, err := fakeengine.Answer(body)
+	require.NoError(t, err)
+	r := newRelay(t)
+
+	f.SetFaults(fakeengine.Faults{Break: 3, BreakAfter: 7})
+	j, err := job("r1")
+	require.NoError(t, err)
+	w := httptest.NewRecorder()
+	res, err := r.Stream(t.Context(), w, j)
+	require.NoError(t, err)
+	require.Equal(t, 3, res.Resumes)
+	require.Equal(t, len(words), res.OutputTokens)
+	var a answer
+	for _, v := range readSSE(w.Body) {
+		if v.data != "[DONE]" {
+			require.NoError(t, a.add([]byte(v.data)))
+		}
+	}
+	require.Equal(t, strings.Join(words, ""), string(a.Choices[0].Message.content))
+
+	f.SetFaults(fakeengine.Faults{Exchange: 1})
+	errs := make(chan error, 2)
+	for _, id := range []lagoonhead.RequestID{"r2", "r3"} {
+		go func() {
+			j, err := job(id)
+			if err == nil {
+				_, _, err = r.Collect(t.Context(), j)
+			}
+			errs <- err
+		}()
+	}
+	for range 2 {
+		require.ErrorIs(t, <-errs, engine.ErrWrongRequest)
+	}
+}
+
+// Guards against a caller that is gone being reported as a failure of the engine.
+func TestCallerGone(t *testing.T) {
+	j, _, _ := play(answerCase{Attempts: []attempt{{Offsets: []int64{0}, End: "whole"}}})
+	res, err := newRelay(t).Stream(t.Context(), goneWriter{}, j)
+	require.ErrorIs(t, err, ErrCallerGone)
+	require.True(t, res.Started)
+}
+
+type goneWriter struct{}
+
+func (goneWriter) Header() http.Header       { return http.Header{} }
+func (goneWriter) WriteHeader(int)           {}
+func (goneWriter) Write([]byte) (int, error) { return 0, io.ErrClosedPipe }
