--- /dev/null
+++ b/cmd/lagoonbench/rounds.go
@@ -0,0 +1,48 @@
+package main
+
+import (
+	"time"
+
+	"github.com/lagoonhead/lagoonhead/route"
+)
+
+// rounds lists the sections of the page.
+func rounds() []round {
+	routing := []figure{{"goodput", goodput}, {"p95 first token (s)", firstTokenP95}}
+	return []round{
+		{"a", "routing", []part{
+			{"Steady mix", "12 engines, 6 daemons, load reports 150 ms old, 5% of the cache events lost.",
+				steadyScenario, policies(), routing},
+			{"Lagging reports", "The same load with 12 daemons and load reports 2 s old.",
+				laggingScenario, policies(), routing},
+		}},
+	}
+}
+
+// policies are the routing policies with the default first. staticRoles differs only
+// where engines have roles, which round c measures.
+func policies() []variant {
+	names := []string{route.Predicted, route.RoundRobin, route.LeastOutstanding, route.NoAffinity}
+	vs := make([]variant, 0, len(names))
+	for _, n := range names {
+		vs = append(vs, variant{n, func(c *scenario) { c.policy = n }})
+	}
+	return vs
+}
+
+// steadyScenario is twelve engines under an even mix near their capacity.
+func steadyScenario() scenario {
+	return scenario{
+		length: 120 * time.Second, warmUp: 20 * time.Second, classes: mix(4, 10, 2),
+		daemons: 6, engines: fleet(12), lag: 150 * time.Millisecond,
+		eventLag: time.Second, eventLoss: 0.05, policy: route.Predicted,
+	}
+}
+
+// laggingScenario has reports that are two seconds old.
+func laggingScenario() scenario {
+	c := steadyScenario()
+	c.lag = 2 * time.Second
+	c.daemons = 12
+	return c
+}
--- /dev/null
+++ b/cmd/lagoonbench/sim_test.go
@@ -0,0 +1,72 @@
+package main
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/lagoonhead/lagoonhead"
+	"github.com/lagoonhead/lagoonhead/route"
+)
+
+func short() scenario {
+	c := steadyScenario()
+	c.length, c.warmUp = 20*time.Second, 5*time.Second
+	return c
+}
+
+// Guards against runs that differ although their seed is the same, which would
+// make the page's figures impossible to reproduce.
+func TestRunIsReproducible(t *testing.T) {
+	fs := []figure{{"goodput", goodput}, {"p95", firstTokenP95}}
+	vs := policies()[:1]
+	require.Equal(t, measure(short, vs, fs, 2).values, measure(short, vs, fs, 2).values)
+}
+
+// Guards against requests that are lost or counted on an engine after their end.
+func TestNoRequestIsLost(t *testing.T) {
+	c := short()
+	c.prepare = func(s *sim) {
+		s.after(7*time.Second, func() { s.crash(s.engines[0], 3*time.Second) })
+	}
+	s := newSim(c, 1)
+	s.run()
+	require.Positive(t, s.crashed)
+	for _, c := range s.calls {
+		require.True(t, c.ended > 0 || c.refused, "call %s of class %s", c.request.ID(), c.class.name)
+	}
+	for _, d := range s.daemons {
+		for _, v := range d.table.States() {
+			require.Zero(t, v.InFlight)
+		}
+	}
+}
+
+// Guards against a cache that grows, and against depths behind a missing block.
+func TestCacheIsBounded(t *testing.T) {
+	c := newCache()
+	c.add(documentBlocks(0, 1, cacheBlocks))
+	c.add(documentBlocks(0, 2, 10))
+	require.Equal(t, cacheBlocks, c.order.Len())
+	require.Equal(t, 10, c.depth(documentBlocks(0, 2, 20)))
+	require.Equal(t, cacheBlocks-10, c.depth(documentBlocks(0, 1, cacheBlocks)))
+	require.Len(t, c.take(), cacheBlocks+20)
+}
+
+// Guards against urgent prefill that waits behind deferrable work.
+func TestEngineHonoursPriorities(t *testing.T) {
+	e := newEngine(fleet(1)[0])
+	add := func(p lagoonhead.Priority) *job {
+		r := lagoonhead.NewRequest("r", "w", "m", 0)
+		r.SetTokens(route.DefaultPrefillRate, 10)
+		r.SetPriority(p)
+		j := &job{call: &call{request: r, left: 10}}
+		e.enqueue(j)
+		return j
+	}
+	add(lagoonhead.PriorityDeferrable)
+	urgent := add(lagoonhead.PriorityInteractive)
+	done, _ := e.step(1)
+	require.Equal(t, []*job{urgent}, done)
+}
