Estimate what other daemons sent since the load reports

Daemons with the same old reports chose the same short queues.

The policy estimates the inflow of the other daemons from its own rate and its share of the running requests, and raises the shortest queues to the level that it fills. The table is told how old reports are (place.Placer.ReportLag).

--- a/cmd/lagoonbench/rounds.go
+++ b/cmd/lagoonbench/rounds.go
@@ -33,7 +33,7 @@
 // steadyScenario is twelve engines under an even mix near their capacity.
 func steadyScenario() scenario {
 	return scenario{
-		length: 120 * time.Second, warmUp: 20 * time.Second, classes: mix(4, 10, 2),
+		length: 240 * time.Second, warmUp: 20 * time.Second, classes: mix(4, 10, 2),
 		daemons: 6, engines: fleet(12), lag: 150 * time.Millisecond,
 		eventLag: time.Second, eventLoss: 0.05, policy: route.Predicted,
 	}
--- a/cmd/lagoonbench/sim.go
+++ b/cmd/lagoonbench/sim.go
@@ -78,7 +78,7 @@
 		if err != nil {
 			panic(err)
 		}
-		d := &daemon{sim: s, table: route.NewTable(), index: prefix.New(128, 8192), policy: p,
+		d := &daemon{sim: s, table: route.NewTable(c.lag), index: prefix.New(128, 8192), policy: p,
 			waiting: make(map[*lagoonhead.Request]*call), running: make(map[*call]*job)}
 		d.queue = place.NewFirstCome()
 		if c.newQueue != nil {
--- a/place/placer.go
+++ b/place/placer.go
@@ -35,6 +35,9 @@
 	Policy string
 	// Seed makes the random choices of this daemon differ from those of others.
 	Seed uint64
+	// ReportLag is how old the state in a load report is when it arrives; 0 means
+	// route.ReportLag.
+	ReportLag time.Duration
 	// NewQueue makes the queue of one model; nil means NewFirstCome.
 	NewQueue func() Queue
 	// MaxWaiting bounds the queue of one model; 0 means 10,000.
@@ -143,7 +146,7 @@
 		policy, _ = route.New(route.Predicted, p.Seed)
 	}
 	g := &group{
-		key: k, table: route.NewTable(), policy: policy, queue: p.newQueue(),
+		key: k, table: route.NewTable(p.reportLag()), policy: policy, queue: p.newQueue(),
 		waiting: make(map[*lagoonhead.Request]*waiter), running: make(map[*placement]struct{}),
 	}
 	if k.kind == lagoonhead.KindEngine {
@@ -165,6 +168,13 @@
 	return route.New(name, p.Seed)
 }
 
+func (p *Placer) reportLag() time.Duration {
+	if p.ReportLag == 0 {
+		return route.ReportLag
+	}
+	return p.ReportLag
+}
+
 func (p *Placer) newQueue() Queue {
 	if p.NewQueue == nil {
 		return NewFirstCome()
--- a/route/baseline.go
+++ b/route/baseline.go
@@ -11,7 +11,7 @@
 // plainChoice is the choice of a policy that predicts nothing.
 func plainChoice(now time.Duration, r *lagoonhead.RouteRequest, es []lagoonhead.EngineState, i int) lagoonhead.Choice {
 	tokens := r.Request.PromptTokens()
-	base := baseTime(now, &es[i], tokens)
+	base := baseTime(now, &es[i], queuedTokens(now, &es[i]), tokens)
 	return lagoonhead.Choice{
 		Engine: i, Decode: i, Uncached: tokens, Base: base, Predicted: base, Usable: true,
 	}
--- /dev/null
+++ b/route/inflow.go
@@ -0,0 +1,68 @@
+package route
+
+import (
+	"math"
+	"slices"
+	"time"
+
+	"github.com/lagoonhead/lagoonhead"
+)
+
+// inflowWindow is the time constant of the mean of the own dispatches.
+const inflowWindow = 10 * time.Second
+
+// inflow is the running mean of the prompt tokens that this daemon sends.
+type inflow struct {
+	rate float64
+	at   time.Duration
+}
+
+// sent counts tokens dispatched now.
+func (f *inflow) sent(now time.Duration, tokens int) {
+	f.rate = f.perSecond(now) + float64(tokens)/inflowWindow.Seconds()
+	f.at = now
+}
+
+// perSecond returns the tokens sent per second.
+func (f *inflow) perSecond(now time.Duration) float64 {
+	age := float64(now-f.at) / float64(inflowWindow)
+	return f.rate * math.Exp(-max(age, 0))
+}
+
+// level returns the queue, in tokens, up to which the other daemons are expected
+// to have filled the candidates since the reports were made. All daemons see the
+// same short queues, so without it they choose the same engines.
+func (p *predicted) level(now time.Duration, es []lagoonhead.EngineState, n int) float64 {
+	own, all, ages := 0, 0, 0.0
+	for i, c := range p.near[:n] {
+		s := &es[c.engine]
+		own += s.InFlight
+		all += max(s.Report.Running, s.InFlight)
+		ages += (now - s.ReportAt).Seconds()
+		p.levels[i] = reportedTokens(now, s)
+	}
+	if own == 0 {
+		return 0
+	}
+	others := float64(all-own) / float64(own)
+	age := min(ages/float64(n), staleAfter.Seconds())
+	tokens := p.inflow.perSecond(now) * others * age * float64(n) / float64(len(es))
+	return fill(p.levels[:n], tokens)
+}
+
+// fill returns the level that the queues reach when tokens are poured into the
+// shortest ones. It sorts the queues.
+func fill(queues []float64, tokens float64) float64 {
+	slices.Sort(queues)
+	for i, q := range queues {
+		if i+1 == len(queues) {
+			return q + tokens/float64(i+1)
+		}
+		room := (queues[i+1] - q) * float64(i+1)
+		if tokens <= room {
+			return q + tokens/float64(i+1)
+		}
+		tokens -= room
+	}
+	return 0
+}
--- a/route/policy.go
+++ b/route/policy.go
@@ -73,6 +73,9 @@
 	// near holds the candidates of one Pick; it is a field to save allocations.
 	near [scanLimit + holders]candidate
 	held [holders]int
+	// levels holds the sorted queues of the candidates.
+	levels [scanLimit + holders]float64
+	inflow inflow
 }
 
 type candidate struct {
@@ -94,7 +97,9 @@
 	if n == 0 {
 		return lagoonhead.Choice{Engine: -1, Decode: -1, Usable: usable}
 	}
+	p.weighAll(now, r, es, n)
 	best := p.choose(n)
+	p.inflow.sent(now, best.tokens)
 	return lagoonhead.Choice{
 		Engine: best.engine, Decode: best.engine, Cached: best.depth, Uncached: best.tokens,
 		Base: best.base, Predicted: best.time, Usable: true,
@@ -110,7 +115,7 @@
 		if p.strictRoles && !roleFits(r.Request, es[i].Endpoint.Role()) {
 			return
 		}
-		p.near[n] = p.weigh(now, r, es, i)
+		p.near[n] = candidate{engine: i}
 		n++
 	}
 	if len(es) <= scanLimit {
@@ -135,19 +140,20 @@
 	return n, usable
 }
 
-// weigh predicts for one engine.
-func (p *predicted) weigh(now time.Duration, r *lagoonhead.RouteRequest, es []lagoonhead.EngineState, i int) candidate {
-	s := &es[i]
-	depth := 0
-	if p.affinity && r.Prefix != nil {
-		depth = r.Prefix.Depth(i, r.Request.Blocks())
-	}
-	tokens := uncached(r.Request, depth)
-	base := baseTime(now, s, tokens)
-	t := time.Duration(float64(base) * slowdown(now, s))
-	return candidate{
-		engine: i, depth: depth, tokens: tokens, base: base, time: t,
-		score: t + supplyCost(r.Request, s),
+// weighAll predicts for the candidates.
+func (p *predicted) weighAll(now time.Duration, r *lagoonhead.RouteRequest, es []lagoonhead.EngineState, n int) {
+	level := p.level(now, es, n)
+	for i := range p.near[:n] {
+		c := &p.near[i]
+		s := &es[c.engine]
+		if p.affinity && r.Prefix != nil {
+			c.depth = r.Prefix.Depth(c.engine, r.Request.Blocks())
+		}
+		c.tokens = uncached(r.Request, c.depth)
+		queued := max(reportedTokens(now, s), level) + float64(s.SentTokens)
+		c.base = baseTime(now, s, queued, c.tokens)
+		c.time = time.Duration(float64(c.base) * slowdown(now, s))
+		c.score = c.time + supplyCost(r.Request, s)
 	}
 }
 
--- a/route/predict.go
+++ b/route/predict.go
@@ -31,12 +31,16 @@
 // hasRoom reports whether the endpoint may get one request more.
 func hasRoom(s *lagoonhead.EngineState) bool { return occupied(s) < s.Endpoint.Slots() }
 
-// queuedTokens returns the prompt tokens that wait at the engine.
-func queuedTokens(now time.Duration, s *lagoonhead.EngineState) float64 {
+// reportedTokens returns what is left of the reported queue if the engine has
+// computed since then and got nothing more.
+func reportedTokens(now time.Duration, s *lagoonhead.EngineState) float64 {
 	age := now - s.ReportAt
-	reported := float64(s.Report.QueuedPrefillTokens)
-	reported -= drainShare * s.PrefillRate * age.Seconds()
-	return max(reported, 0) + float64(s.SentTokens)
+	return max(float64(s.Report.QueuedPrefillTokens)-drainShare*s.PrefillRate*age.Seconds(), 0)
+}
+
+// queuedTokens returns the prompt tokens that wait at the engine, as far as known.
+func queuedTokens(now time.Duration, s *lagoonhead.EngineState) float64 {
+	return reportedTokens(now, s) + float64(s.SentTokens)
 }
 
 // uncached returns the prompt tokens to prefill when the engine holds depth
@@ -45,9 +49,10 @@
 	return max(r.PromptTokens()-depth*BlockTokens, min(r.PromptTokens(), 1))
 }
 
-// baseTime predicts the time to first token of a healthy engine.
-func baseTime(now time.Duration, s *lagoonhead.EngineState, tokens int) time.Duration {
-	work := queuedTokens(now, s) + float64(tokens)
+// baseTime predicts the time to first token of a healthy engine that has queued
+// prompt tokens waiting and computes tokens more.
+func baseTime(now time.Duration, s *lagoonhead.EngineState, queued float64, tokens int) time.Duration {
+	work := queued + float64(tokens)
 	d := time.Duration(work / s.PrefillRate * float64(time.Second))
 	n := occupied(s)
 	slots := max(s.Endpoint.Slots(), 1)
--- a/route/route_test.go
+++ b/route/route_test.go
@@ -19,7 +19,7 @@
 }
 
 func table(n int) *Table {
-	t := NewTable()
+	t := NewTable(ReportLag)
 	for i := range n {
 		t.Put(engine(i))
 	}
@@ -207,6 +207,26 @@
 	require.Equal(t, now, b.States()[0].RetryAt)
 }
 
+// Guards against daemons that all choose the engine whose queue was the shortest
+// in reports that are old by now.
+func TestLevelCountsWhatOtherDaemonsSend(t *testing.T) {
+	for _, c := range []struct{ tokens, want float64 }{{0, 0}, {900, 900}, {1000, 1000}, {3000, 2000}, {9000, 4000}} {
+		require.InDelta(t, c.want, fill([]float64{5000, 1000, 0, 3000, 3000}, c.tokens), 1e-6)
+	}
+	b := table(4)
+	for i := range 4 {
+		b.Report(now, report(i, 1, i*4000, 6))
+	}
+	p, r := policy(t, Predicted).(*predicted), request(4000)
+	b.Dispatch(now, r, p.Pick(now, r, b.States()))
+	p.inflow.sent(now, 100000)
+	seen := map[int]bool{}
+	for range 50 {
+		seen[p.Pick(now+2*time.Second, r, b.States()).Engine] = true
+	}
+	require.Len(t, seen, 4, "six others send as much as this daemon")
+}
+
 // bench fills a fleet with prompts of 100 blocks that share prefixes.
 func bench(b *testing.B, n int, name string) {
 	t, x := table(n), prefix.New(512, 16384)
--- a/route/table.go
+++ b/route/table.go
@@ -10,8 +10,8 @@
 // its slowdown is known. At 2,000 tokens a block it prefills four blocks a second.
 const DefaultPrefillRate = 8000
 
-// ReportLag is how old the state in a load report may be when it arrives.
-// Dispatches of the last ReportLag are therefore not taken as reported.
+// ReportLag is how old the state in a load report is when it arrives, unless the
+// table is told otherwise. Dispatches of that time are not taken as reported.
 const ReportLag = 250 * time.Millisecond
 
 // recentDispatches is how many dispatches per endpoint are kept apart by time.
@@ -43,6 +43,7 @@
 // keeps its place for as long as it is in the table. It is not safe for concurrent
 // use.
 type Table struct {
+	lag    time.Duration
 	states []lagoonhead.EngineState
 	recent []dispatches
 	places map[lagoonhead.EndpointID]int
@@ -69,9 +70,9 @@
 	return &d.entries[sequence%recentDispatches]
 }
 
-// NewTable returns an empty table.
-func NewTable() *Table {
-	return &Table{places: make(map[lagoonhead.EndpointID]int)}
+// NewTable returns an empty table whose load reports are lag old when they arrive.
+func NewTable(lag time.Duration) *Table {
+	return &Table{lag: lag, places: make(map[lagoonhead.EndpointID]int)}
 }
 
 // States returns the states by place. The caller must not change or keep them. A
@@ -211,7 +212,7 @@
 		s.Slowdown = 1
 	}
 	s.Report = r
-	s.ReportAt = now
+	s.ReportAt = now - t.lag
 	t.recount(now, i)
 	return true
 }
@@ -223,7 +224,7 @@
 	d.reported = d.sequence
 	for j := range d.entries {
 		e := &d.entries[j]
-		if e.sequence == 0 || e.at <= now-ReportLag {
+		if e.sequence == 0 || e.at <= now-t.lag {
 			continue
 		}
 		s.SentTokens += e.tokens
--- a/routing.go
+++ b/routing.go
@@ -8,7 +8,7 @@
 	Endpoint Endpoint
 	// Report is the newest load report. Its Number is 0 when there was none.
 	Report LoadReport
-	// ReportAt is the arrival of the report, since boot.
+	// ReportAt is the estimated time, since boot, of the state that it describes.
 	ReportAt time.Duration
 	// SentTokens is the uncached prompt tokens of this daemon's own dispatches that
 	// the report cannot contain and that have no first token yet.
