--- a/inventory/parse.go
+++ b/inventory/parse.go
@@ -6,7 +6,6 @@
 	"fmt"
 	"net/netip"
 	"net/url"
-	"slices"
 	"strconv"
 	"time"
 
@@ -324,13 +323,15 @@
 // references reads a list of identifiers that must all be defined.
 func (p *parser) references(m *strict.Map, field string, defined *names) []string {
 	var out []string
+	seen := make(map[string]bool)
 	for _, item := range m.Items(field) {
 		switch {
 		case !defined.has(item.Text):
 			item.Fail(strconv.Quote(item.Text)+" is not defined", strict.List(defined.list))
-		case slices.Contains(out, item.Text):
+		case seen[item.Text]:
 			item.Fail("duplicate "+strconv.Quote(item.Text), "each value once")
 		default:
+			seen[item.Text] = true
 			out = append(out, item.Text)
 		}
 	}
--- a/strict/map.go
+++ b/strict/map.go
@@ -30,9 +30,15 @@
 	line   int
 	column int
 	fields []field
-	known  []string
+	// index finds the fields by name. Only large mappings have one, so that a long
+	// list of small mappings stays cheap.
+	index map[string]int
+	known []string
 }
 
+// indexFrom is the number of fields from which on a mapping has an index.
+const indexFrom = 16
+
 type field struct {
 	name  string
 	value *yaml.Node
@@ -42,6 +48,9 @@
 
 func newMap(r *reader, path string, n *yaml.Node) *Map {
 	m := &Map{r: r, path: path, line: n.Line, column: n.Column}
+	if len(n.Content)/2 >= indexFrom {
+		m.index = make(map[string]int, len(n.Content)/2)
+	}
 	for i := 0; i+1 < len(n.Content); i += 2 {
 		m.addField(n.Content[i], n.Content[i+1])
 	}
@@ -58,10 +67,19 @@
 			fmt.Sprintf("duplicate field; the first is in line %d", f.line), "each field once")
 		return
 	}
+	if m.index != nil {
+		m.index[k.Value] = len(m.fields)
+	}
 	m.fields = append(m.fields, field{name: k.Value, value: v, line: k.Line, col: k.Column})
 }
 
 func (m *Map) find(name string) *field {
+	if m.index != nil {
+		if i, ok := m.index[name]; ok {
+			return &m.fields[i]
+		}
+		return nil
+	}
 	for i := range m.fields {
 		if m.fields[i].name == name {
 			return &m.fields[i]
--- a/strict/open.go
+++ b/strict/open.go
@@ -53,7 +53,9 @@
 	if root == nil {
 		return newMap(r, "", &yaml.Node{Kind: yaml.MappingNode, Line: 1, Column: 1}), nil
 	}
-	r.checkTree(root, "")
+	if !plain(root) {
+		r.checkTree(root, "")
+	}
 	if len(r.problems) > 0 {
 		return nil, r.err(opOpen)
 	}
@@ -105,8 +107,21 @@
 	r.add(line, 1, "", "not valid YAML: "+strings.TrimPrefix(text, "yaml: "), "")
 }
 
-// checkTree refuses aliases, anchors and explicit tags in the whole document. An
-// alias can make a short file stand for a very large one.
+// plain reports whether the tree has no aliases, anchors and explicit tags.
+func plain(n *yaml.Node) bool {
+	if n.Kind == yaml.AliasNode || n.Anchor != "" || n.Style&yaml.TaggedStyle != 0 {
+		return false
+	}
+	for _, c := range n.Content {
+		if !plain(c) {
+			return false
+		}
+	}
+	return true
+}
+
+// checkTree reports aliases, anchors and explicit tags. An alias can make a short
+// file stand for a very large one.
 func (r *reader) checkTree(n *yaml.Node, path string) {
 	switch {
 	case n.Kind == yaml.AliasNode:
