Run the first complete path through separate processes

Cause: a request must pass from a caller with the published client through a daemon process to an engine process before anything is widened.

Change: daemon joins the front, the placement and the engine adapter; cmd/lagoonheadd runs it. The test starts a platform, engines and three daemons by running its own binary again. The configuration is still read by a simple poll, and limits and usage are not joined yet.

--- /dev/null
+++ b/cmd/lagoonheadd/main.go
@@ -0,0 +1,102 @@
+// Command lagoonheadd runs the daemon of one entry VM.
+package main
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"io"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+
+	"github.com/lagoonhead/lagoonhead/daemon"
+	"github.com/lagoonhead/lagoonhead/settings"
+	"github.com/lagoonhead/lagoonhead/timer"
+)
+
+// The exit codes.
+const (
+	exitDone  = 0
+	exitFault = 1
+	exitUsage = 2
+)
+
+const usageText = `lagoonheadd runs the daemon of one entry VM.
+
+Usage: lagoonheadd -settings FILE [-check]
+
+SIGTERM drains the daemon: it turns unready, keeps accepting until the balancer has
+noticed, finishes all requests and exits. docs/settings.md lists the settings.
+
+Exit codes: 0 done, 1 the daemon failed, 2 wrong arguments or settings.
+
+Flags:
+`
+
+func main() {
+	os.Exit(run(os.Args[1:], os.Stdout, os.Stderr))
+}
+
+func run(args []string, out, errOut io.Writer) int {
+	f := flag.NewFlagSet("lagoonheadd", flag.ContinueOnError)
+	f.SetOutput(errOut)
+	f.Usage = func() {
+		fmt.Fprint(errOut, usageText)
+		f.PrintDefaults()
+	}
+	file := f.String("settings", "", "settings file (YAML)")
+	check := f.Bool("check", false, "check the settings and exit")
+	switch err := f.Parse(args); {
+	case err == flag.ErrHelp: //nolint:errorlint // Parse returns it as it is.
+		return exitDone
+	case err != nil:
+		return exitUsage
+	}
+	if *file == "" || f.NArg() > 0 {
+		f.Usage()
+		return exitUsage
+	}
+	s, err := settings.Load(*file)
+	if err != nil {
+		fmt.Fprintln(errOut, err)
+		return exitUsage
+	}
+	if *check {
+		fmt.Fprintln(out, "the settings are valid")
+		return exitDone
+	}
+	return serve(s, out, errOut)
+}
+
+func serve(s settings.Settings, out, errOut io.Writer) int {
+	log, err := newLogger(s.Log.Level, errOut)
+	if err != nil {
+		fmt.Fprintln(errOut, err)
+		return exitUsage
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	defer stop()
+	d := &daemon.Daemon{
+		Settings: s, Timer: &timer.Service{}, Log: log,
+		Started: func(address string) { fmt.Fprintln(out, "listening on", address) },
+	}
+	if err := d.Run(ctx); err != nil {
+		fmt.Fprintln(errOut, err)
+		return exitFault
+	}
+	return exitDone
+}
+
+func newLogger(level string, out io.Writer) (*zap.Logger, error) {
+	l, err := zapcore.ParseLevel(level)
+	if err != nil {
+		return nil, err
+	}
+	c := zap.NewProductionEncoderConfig()
+	c.EncodeTime = zapcore.ISO8601TimeEncoder
+	return zap.New(zapcore.NewCore(zapcore.NewJSONEncoder(c), zapcore.Lock(zapcore.AddSync(out)), l)), nil
+}
--- /dev/null
+++ b/cmd/lagoonheadd/process_test.go
@@ -0,0 +1,176 @@
+package main
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/lagoonhead/lagoonhead"
+	"github.com/lagoonhead/lagoonhead/fakeengine"
+	"github.com/lagoonhead/lagoonhead/fakeplatform"
+	"github.com/lagoonhead/lagoonhead/timer"
+)
+
+// modeVariable makes the test binary run as one of the processes of a fleet.
+const modeVariable = "LAGOONHEAD_TEST_PROCESS"
+
+func TestMain(m *testing.M) {
+	switch os.Getenv(modeVariable) {
+	case "":
+		os.Exit(m.Run())
+	case "daemon":
+		os.Exit(run(os.Args[1:], os.Stdout, os.Stderr))
+	case "platform":
+		serveFake(fakeplatform.New(&timer.Service{}, 0).Handler())
+	case "engine":
+		serveFake(newFakeEngine())
+	}
+}
+
+func newFakeEngine() http.Handler {
+	e := &fakeengine.Engine{
+		ID: lagoonhead.EndpointID(os.Args[1]), Timer: &timer.Service{}, Slots: 64, Fenced: os.Args[1] != "e3",
+		PrefillRate: 1e6, DecodeRate: 400, CacheBlocks: 100, LoadLag: 100 * time.Millisecond, RoleTime: 300 * time.Millisecond,
+	}
+	e.OnCrash = func() { os.Exit(1) }
+	return e
+}
+
+func serveFake(h http.Handler) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		panic(err)
+	}
+	fmt.Println("listening on", l.Addr())
+	s := &http.Server{Handler: h, ReadHeaderTimeout: fakeplatform.HeaderTimeout}
+	panic(s.Serve(l))
+}
+
+// process is a child of the test.
+type process struct {
+	name    string
+	cmd     *exec.Cmd
+	address string
+	output  *lockedBuffer
+}
+
+type lockedBuffer struct {
+	mu sync.Mutex
+	b  bytes.Buffer
+}
+
+func (b *lockedBuffer) Write(p []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.b.Write(p)
+}
+
+func (b *lockedBuffer) String() string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.b.String()
+}
+
+// startTimeout bounds the start of a process on a busy machine.
+const startTimeout = time.Minute
+
+// start runs the test binary in the given mode and waits until it listens.
+func start(t *testing.T, mode, name string, args ...string) *process {
+	t.Helper()
+	p := &process{name: name, cmd: exec.Command(os.Args[0], args...), output: &lockedBuffer{}}
+	p.cmd.Env = append(os.Environ(), modeVariable+"="+mode)
+	p.cmd.Stderr = p.output
+	out, err := p.cmd.StdoutPipe()
+	require.NoError(t, err)
+	require.NoError(t, p.cmd.Start())
+	t.Cleanup(func() { p.stop(t) })
+	address := make(chan string, 1)
+	go func() {
+		s := bufio.NewScanner(out)
+		for s.Scan() {
+			if a, ok := strings.CutPrefix(s.Text(), "listening on "); ok {
+				address <- a
+			}
+		}
+	}()
+	select {
+	case p.address = <-address:
+	case <-time.After(startTimeout):
+		require.FailNow(t, "process did not start", "%s: %s", name, p.output)
+	}
+	return p
+}
+
+func (p *process) signal(t *testing.T, s os.Signal) {
+	t.Helper()
+	require.NoError(t, p.cmd.Process.Signal(s))
+}
+
+func (p *process) stop(t *testing.T) {
+	if p.cmd.ProcessState == nil {
+		_ = p.cmd.Process.Signal(syscall.SIGCONT)
+		_ = p.cmd.Process.Kill()
+		_ = p.cmd.Wait()
+	}
+	if t.Failed() {
+		t.Logf("%s:\n%s", p.name, p.output)
+	}
+}
+
+func (p *process) url() string { return "http://" + p.address }
+
+// post sends JSON and decodes the answer into out when it is not nil.
+func post(t *testing.T, url string, in, out any) {
+	t.Helper()
+	body, err := json.Marshal(in)
+	require.NoError(t, err)
+	r, err := http.NewRequestWithContext(context.Background(), http.MethodPost, url, bytes.NewReader(body))
+	require.NoError(t, err)
+	resp, err := http.DefaultClient.Do(r)
+	require.NoError(t, err)
+	defer resp.Body.Close()
+	require.Equal(t, http.StatusOK, resp.StatusCode)
+	if out != nil {
+		require.NoError(t, json.NewDecoder(resp.Body).Decode(out))
+	}
+}
+
+// freePorts returns n loopback addresses that were free a moment ago.
+func freePorts(t *testing.T, n int) []string {
+	t.Helper()
+	var list []string
+	for range n {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		require.NoError(t, err)
+		defer l.Close()
+		list = append(list, l.Addr().String())
+	}
+	return list
+}
+
+func writeFile(t *testing.T, name, text string) string {
+	t.Helper()
+	path := filepath.Join(t.TempDir(), name)
+	require.NoError(t, os.WriteFile(path, []byte(text), 0o600))
+	return path
+}
+
+// eventually waits until f returns true. The bound only ends a test that hangs.
+func eventually(t *testing.T, what string, f func() bool) {
+	t.Helper()
+	require.Eventually(t, f, startTimeout, 20*time.Millisecond, what)
+}
--- a/control/engines.go
+++ b/control/engines.go
@@ -26,9 +26,6 @@
 	SetChanging(ctx context.Context, id lagoonhead.EndpointID, on bool) error
 }
 
-// Commander sends one order and checks authority right before the write.
-type Commander func(ctx context.Context, e lagoonhead.Endpoint, o lagoonhead.EngineOrder, authority func() error) error
-
 // DefaultInterval is the time between two looks at the engines.
 const DefaultInterval = time.Second
 
@@ -36,8 +33,9 @@
 type Engines struct {
 	Fleet  Fleet
 	Ledger *order.Ledger
-	Send   Commander
-	Timer  timer.Timer
+	// Engines sends orders. It checks the authority of Ledger right before it writes.
+	Engines lagoonhead.EngineCommander
+	Timer   timer.Timer
 	// Decisions gets the reason of each step. Nil keeps none.
 	Decisions lagoonhead.DecisionRecorder
 	// Interval defaults to DefaultInterval.
@@ -197,7 +195,7 @@
 		return fail("send", lagoonhead.KindInternal, err)
 	}
 	o.Sequence = r.Sequence()
-	return g.Send(ctx, e, o, g.Ledger.Authority.Check)
+	return g.Engines.SendOrder(ctx, e, o)
 }
 
 // explain records a step when it differs from the last one of the engine.
