--- a/control/engines.go
+++ b/control/engines.go
@@ -54,22 +54,7 @@
 	if g.Interval == 0 {
 		g.Interval = DefaultInterval
 	}
-	ticks := g.Timer.Subscribe(g.Interval)
-	defer ticks.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-ticks.C():
-			err := g.Ledger.Authority.Check()
-			if lagoonhead.IsKind(err, lagoonhead.KindStale) {
-				return fail("run", lagoonhead.KindStale, err)
-			}
-			if err == nil {
-				g.Step(ctx)
-			}
-		}
-	}
+	return runWithAuthority(ctx, g.Timer, g.Interval, g.Ledger, g.Step)
 }
 
 // Step looks at each engine once.
--- /dev/null
+++ b/control/ordering_test.go
@@ -0,0 +1,76 @@
+package control
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/lagoonhead/lagoonhead"
+	"github.com/lagoonhead/lagoonhead/fakeplatform"
+	"github.com/lagoonhead/lagoonhead/order"
+	"github.com/lagoonhead/lagoonhead/timer"
+)
+
+type fixedPlan struct {
+	total     int
+	exhausted int
+}
+
+func (p *fixedPlan) Totals() []PlannedTotal {
+	return []PlannedTotal{{Order: lagoonhead.TotalOrder{
+		FailureDomain: "a", Serves: "m", Supply: lagoonhead.SupplyReclaimable, Total: p.total,
+	}}}
+}
+
+func (p *fixedPlan) Exhausted(lagoonhead.TotalOrder) { p.exhausted++ }
+
+type epoch int64
+
+func (e epoch) Epoch() int64 { return int64(e) }
+func (epoch) Check() error   { return nil }
+
+func newOrdering(f *fakeplatform.Platform, clock timer.Timer, e epoch, p *fixedPlan) *Ordering {
+	return &Ordering{
+		Planner: p, Orderer: f.Ordering, Timer: clock,
+		Ledger: &order.Ledger{Store: f.KV, Authority: e, Writer: "test"},
+	}
+}
+
+// Guards against an order that is doubled or lost when it took effect, its answer
+// was lost, its sender died and another daemon took over.
+func TestOrderingAfterALostAnswerAndANewHolder(t *testing.T) {
+	ctx := context.Background()
+	clock := timer.NewManual(time.Hour, time.Unix(0, 0))
+	f := fakeplatform.New(clock, 0)
+	f.Ordering.Faults.LoseAnswers(1)
+	newOrdering(f, clock, 1, &fixedPlan{total: 3}).Step(ctx)
+	require.Equal(t, 3, f.Ordering.Total("a", "m", lagoonhead.SupplyReclaimable))
+
+	next := newOrdering(f, clock, 2, &fixedPlan{total: 5})
+	next.Step(ctx)
+	orders := f.Ordering.Orders()
+	require.Len(t, orders, 3)
+	require.Equal(t, orders[0], orders[1], "the new holder sends the open order again, unchanged")
+	require.Equal(t, 5, orders[2].Total)
+	require.Greater(t, orders[2].Sequence, orders[1].Sequence)
+	next.Step(ctx)
+	require.Len(t, f.Ordering.Orders(), 3, "an order in force is not sent again")
+}
+
+// Guards against an order that is sent again and again to a failure domain that has
+// none to give.
+func TestOrderingTellsThePlannerOfExhaustion(t *testing.T) {
+	ctx := context.Background()
+	clock := timer.NewManual(time.Hour, time.Unix(0, 0))
+	f := fakeplatform.New(clock, 0)
+	f.Ordering.SetCapacity("a", "m", lagoonhead.SupplyReclaimable, 1)
+	p := &fixedPlan{total: 3}
+	g := newOrdering(f, clock, 1, p)
+	g.Step(ctx)
+	require.Equal(t, 1, p.exhausted)
+	p.total = 1
+	g.Step(ctx)
+	require.Equal(t, 1, f.Ordering.Total("a", "m", lagoonhead.SupplyReclaimable))
+}
