--- /dev/null
+++ b/config/view_test.go
@@ -0,0 +1,287 @@
+package config
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/lagoonhead/lagoonhead"
+)
+
+// TestMain fixes the seed of the property tests unless the command line names
+// one, so that CI gives the same verdict each time.
+func TestMain(m *testing.M) {
+	flag.Parse()
+	if f := flag.Lookup("rapid.seed"); f.Value.String() == "0" {
+		_ = f.Value.Set("20261204")
+	}
+	os.Exit(m.Run())
+}
+
+// process is one daemon of the model.
+type process struct {
+	id     lagoonhead.VMID
+	number int
+	view   *View
+	paused bool
+	before int64
+}
+
+func (p *process) incarnation() lagoonhead.Incarnation {
+	return lagoonhead.Incarnation(fmt.Sprintf("%s-%d", p.id, p.number))
+}
+
+// message is a request on its way. sample takes the answer at the far end; deliver
+// brings it back.
+type message struct {
+	from        *process
+	incarnation lagoonhead.Incarnation
+	since       time.Duration
+	sample      func() (deliver func(), ok bool)
+	deliver     func()
+}
+
+// commit is a revision that an operator waits for.
+type commit struct {
+	revision int64
+	by       *process
+	inc      lagoonhead.Incarnation
+	state    *Acceptance
+	accepted time.Duration
+	done     bool
+}
+
+// fleet is the model: the store is a number, messages can be lost, delayed,
+// delivered in any order and more than once.
+type fleet struct {
+	now      time.Duration
+	store    int64
+	storeUp  bool
+	vms      []*process
+	listed   []lagoonhead.VMID
+	messages []*message
+	commits  []*commit
+	replaced int
+}
+
+func newFleet(n int) *fleet {
+	f := &fleet{now: time.Minute, storeUp: true}
+	for i := range n {
+		id := lagoonhead.VMID(fmt.Sprintf("vm%d", i))
+		f.listed = append(f.listed, id)
+		f.vms = append(f.vms, &process{id: id})
+	}
+	for _, p := range f.vms {
+		f.restart(p)
+	}
+	return f
+}
+
+func (f *fleet) restart(p *process) {
+	p.number++
+	p.before = 0
+	p.view = NewView(p.id, f.now)
+	p.view.SetListed(f.listed)
+	p.paused = false
+}
+
+func (f *fleet) send(from *process, sample func() (func(), bool)) *message {
+	m := &message{from: from, incarnation: from.incarnation(), since: f.now, sample: sample}
+	f.messages = append(f.messages, m)
+	return m
+}
+
+// readStore asks the store for its manifest and fetches the parts.
+func (f *fleet) readStore(p *process) *message {
+	since := f.now
+	return f.send(p, func() (func(), bool) {
+		r := f.store
+		return func() {
+			p.view.StoreAnswered(f.now, since, r)
+			p.view.Hold(r)
+			p.view.Adopt(f.now)
+		}, f.storeUp
+	})
+}
+
+// exchange sends a heartbeat and pulls what the answer has.
+func (f *fleet) exchange(p, q *process) *message {
+	since := f.now
+	return f.send(p, func() (func(), bool) {
+		r := q.view.Report(f.now, q.incarnation())
+		return func() {
+			p.view.Heard(f.now, since, r)
+			p.view.Hold(r.Revision)
+			p.view.Adopt(f.now)
+		}, !q.paused
+	})
+}
+
+// poll asks a VM what it has in force, for an operator who waits.
+func (f *fleet) poll(c *commit, q *process) *message {
+	since := f.now
+	return f.send(c.by, func() (func(), bool) {
+		id, in, r := q.id, q.incarnation(), q.view.InForce()
+		return func() {
+			if c.done {
+				return
+			}
+			c.state.Answer(id, in, r, since, f.now)
+			if c.state.Accepted(f.listed) {
+				c.done, c.accepted = true, f.now
+			}
+		}, !q.paused
+	})
+}
+
+// step moves a message on: first it is answered, then the answer arrives.
+func (f *fleet) step(m *message) {
+	if m.deliver == nil {
+		if d, ok := m.sample(); ok {
+			m.deliver = d
+		}
+		return
+	}
+	if m.from.incarnation() == m.incarnation && !m.from.paused {
+		m.deliver()
+	}
+}
+
+func (f *fleet) through(m *message) {
+	f.step(m)
+	if m.deliver != nil {
+		f.step(m)
+	}
+}
+
+func (f *fleet) commit(p *process) {
+	if !f.storeUp || p.paused {
+		return
+	}
+	f.store++
+	p.view.Told(f.now, f.store)
+	p.view.Hold(f.store)
+	p.view.Adopt(f.now)
+	f.commits = append(f.commits, &commit{
+		revision: f.store, by: p, inc: p.incarnation(), state: NewAcceptance(f.store),
+	})
+}
+
+// replace exchanges a VM for a new one under another name, as the platform's list
+// shows it to all at once.
+func (f *fleet) replace(i int) {
+	f.replaced++
+	p := &process{id: lagoonhead.VMID(fmt.Sprintf("new%d", f.replaced))}
+	f.vms[i] = p
+	f.listed[i] = p.id
+	f.restart(p)
+	for _, q := range f.vms {
+		q.view.SetListed(f.listed)
+	}
+}
+
+// check holds the model to the guarantees.
+func (f *fleet) check(t require.TestingT) {
+	for _, p := range f.vms {
+		in := p.view.InForce()
+		require.GreaterOrEqual(t, in, p.before, "%s goes back", p.id)
+		require.LessOrEqual(t, in, f.store, "%s has a revision that does not exist", p.id)
+		p.before = in
+		if !p.view.Fresh(f.now) {
+			continue
+		}
+		for _, c := range f.commits {
+			if c.done && f.now-c.accepted > 4*time.Second {
+				require.GreaterOrEqual(t, in, c.revision, "%s is fresh %v after the acceptance", p.id, f.now-c.accepted)
+			}
+		}
+	}
+}
+
+// Guards against a fresh daemon with a revision older than one accepted 4 s ago,
+// and against a revision in force that goes back, under lost, delayed and repeated
+// messages, outages of the store, restarts, pauses, old answers and new VMs.
+func TestViewKeepsAcceptedRevisions(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		f := newFleet(rapid.SampledFrom([]int{3, 5, 6}).Draw(t, "vms"))
+		vm := func(label string) *process { return rapid.SampledFrom(f.vms).Draw(t, label) }
+		group := func() []*process {
+			return rapid.SliceOfNDistinct(rapid.SampledFrom(f.vms), 1, len(f.vms),
+				func(p *process) lagoonhead.VMID { return p.id }).Draw(t, "group")
+		}
+		t.Repeat(map[string]func(*rapid.T){
+			"": func(t *rapid.T) { f.check(t) },
+			"advance": func(t *rapid.T) {
+				f.now += time.Duration(rapid.SampledFrom([]int{10, 250, 900, 1500, 4100}).Draw(t, "ms")) * time.Millisecond
+			},
+			"readStore":    func(*rapid.T) { f.readStore(vm("vm")) },
+			"readStoreNow": func(*rapid.T) { f.through(f.readStore(vm("vm"))) },
+			"exchange":     func(*rapid.T) { f.exchange(vm("from"), vm("to")) },
+			"exchangeMany": func(*rapid.T) {
+				p := vm("from")
+				for _, q := range group() {
+					f.through(f.exchange(p, q))
+				}
+			},
+			"deliver": func(t *rapid.T) {
+				if len(f.messages) == 0 {
+					t.Skip("nothing on its way")
+				}
+				m := rapid.SampledFrom(f.messages).Draw(t, "message")
+				f.step(m)
+			},
+			"forget": func(*rapid.T) { f.messages = nil },
+			"commit": func(*rapid.T) { f.commit(vm("vm")) },
+			"pollMany": func(t *rapid.T) {
+				if len(f.commits) == 0 {
+					t.Skip("nothing committed")
+				}
+				c := f.commits[len(f.commits)-1]
+				if rapid.Bool().Draw(t, "older") {
+					c = rapid.SampledFrom(f.commits).Draw(t, "commit")
+				}
+				for _, q := range group() {
+					f.through(f.poll(c, q))
+				}
+			},
+			"poll": func(t *rapid.T) {
+				if len(f.commits) > 0 {
+					f.poll(rapid.SampledFrom(f.commits).Draw(t, "commit"), vm("vm"))
+				}
+			},
+			"restart":  func(*rapid.T) { f.restart(vm("vm")) },
+			"pause":    func(*rapid.T) { p := vm("vm"); p.paused = !p.paused },
+			"outage":   func(*rapid.T) { f.storeUp = !f.storeUp },
+			"replace":  func(t *rapid.T) { f.maybeReplace(rapid.IntRange(0, 4*len(f.vms)).Draw(t, "which")) },
+			"oldStore": func(t *rapid.T) { f.oldAnswer(t, vm("vm")) },
+		})
+	})
+}
+
+// maybeReplace replaces a VM when all others have a configuration, so that the
+// list does not lose half of its members within one outage.
+func (f *fleet) maybeReplace(i int) {
+	if i >= len(f.vms) {
+		return
+	}
+	for j, p := range f.vms {
+		if j != i && p.view.InForce() < f.store {
+			return
+		}
+	}
+	f.replace(i)
+}
+
+// oldAnswer lets the store answer with a revision below one that the daemon knows.
+func (f *fleet) oldAnswer(t *rapid.T, p *process) {
+	if known := p.view.Known(); known > 1 {
+		old := rapid.Int64Range(0, known-1).Draw(t, "old")
+		require.False(t, p.view.StoreAnswered(f.now, f.now, old))
+		p.view.Hold(old)
+	}
+}
--- a/inventory/directory.go
+++ b/inventory/directory.go
@@ -39,11 +39,11 @@
 	planner    Planner
 }
 
-// facts are what the inventory knows of an endpoint beyond lagoonhead.Endpoint.
+// facts are what the inventory knows of an engine beyond lagoonhead.Endpoint.
 type facts struct {
-	price       float64
 	prefillRate float32
 	decodeRate  float32
+	changing    bool
 }
 
 type compiledWorkspace struct {
@@ -110,11 +110,10 @@
 		}
 		p := lagoonhead.NewEndpoint(e.ID, lagoonhead.KindEngine, e.Model, e.Address, e.FailureDomain).
 			WithRole(role).WithSupply(e.Supply).WithSlots(e.Slots).WithFenced(e.Fenced).
-			WithLeaving(states[e.ID].Leaving)
+			WithPrice(float64(e.Price)).WithLeaving(states[e.ID].outOfService())
 		d.engines[e.Model] = append(d.engines[e.Model], p)
 		d.facts[e.ID] = facts{
-			price: float64(e.Price), prefillRate: float32(e.PrefillRate),
-			decodeRate: float32(e.DecodeRate),
+			prefillRate: float32(e.PrefillRate), decodeRate: float32(e.DecodeRate), changing: states[e.ID].Changing,
 		}
 	}
 	for _, l := range d.engines {
@@ -122,6 +121,9 @@
 	}
 }
 
+// outOfService reports whether the endpoint gets no new work.
+func (s EndpointState) outOfService() bool { return s.Leaving || s.Changing }
+
 func sortEndpoints(l []lagoonhead.Endpoint) {
 	slices.SortFunc(l, func(a, b lagoonhead.Endpoint) int { return strings.Compare(string(a.ID()), string(b.ID())) })
 }
@@ -132,8 +134,8 @@
 		e := &s.Endpoints[i]
 		c.endpoints = append(c.endpoints,
 			lagoonhead.NewEndpoint(e.ID, lagoonhead.KindService, s.ID, e.Address, e.FailureDomain).
-				WithSupply(e.Supply).WithSlots(e.Slots).WithLeaving(states[e.ID].Leaving))
-		d.facts[e.ID] = facts{price: float64(e.Price)}
+				WithSupply(e.Supply).WithSlots(e.Slots).WithPrice(float64(e.Price)).
+				WithLeaving(states[e.ID].outOfService()))
 	}
 	sortEndpoints(c.endpoints)
 	for _, r := range s.Routes {
@@ -314,12 +316,9 @@
 // Region returns the region of a failure domain, or an empty one.
 func (d *Directory) Region(f lagoonhead.FailureDomain) lagoonhead.Region { return d.regions[f] }
 
-// Price returns the price of an endpoint in units per hour. ok is false when the
-// endpoint is unknown.
-func (d *Directory) Price(e lagoonhead.EndpointID) (price float64, ok bool) {
-	f, ok := d.facts[e]
-	return f.price, ok
-}
+// Changing reports whether the planner has marked an engine because it changes the
+// role. Endpoints reports such an engine as leaving.
+func (d *Directory) Changing(e lagoonhead.EndpointID) bool { return d.facts[e].changing }
 
 // TokenRates returns what an engine prefills and decodes in tokens per second; 0
 // means that it is not known.
--- a/inventory/edit.go
+++ b/inventory/edit.go
@@ -61,6 +61,12 @@
 	return inv.setState("inventory.setLeaving", e, func(s *EndpointState) { s.Leaving = leaving })
 }
 
+// SetChanging marks an endpoint while its role is changed, or ends that. It returns
+// an error of KindNotFound when there is no such endpoint.
+func (inv *Inventory) SetChanging(e lagoonhead.EndpointID, changing bool) error {
+	return inv.setState("inventory.setChanging", e, func(s *EndpointState) { s.Changing = changing })
+}
+
 // SetWantedRole sets the role wanted of an engine; an empty role means that of the
 // inventory. It returns an error of KindNotFound when there is no such engine.
 func (inv *Inventory) SetWantedRole(e lagoonhead.EndpointID, r lagoonhead.Role) error {
--- a/inventory/inventory.go
+++ b/inventory/inventory.go
@@ -108,7 +108,11 @@
 // EndpointState is what operators and the planner want of one endpoint.
 type EndpointState struct {
 	Endpoint lagoonhead.EndpointID `yaml:"endpoint" json:"endpoint"`
-	Leaving  bool                  `yaml:"leaving" json:"leaving"`
+	// Leaving is set by operators: the endpoint gets no new work.
+	Leaving bool `yaml:"leaving,omitempty" json:"leaving,omitempty"`
+	// Changing is set by the planner while it changes the role: the endpoint gets no
+	// new work.
+	Changing bool `yaml:"changing,omitempty" json:"changing,omitempty"`
 	// Role is the role wanted of an engine; empty means the role of the inventory.
 	Role lagoonhead.Role `yaml:"role,omitempty" json:"role,omitempty"`
 }
--- a/inventory/parse.go
+++ b/inventory/parse.go
@@ -345,6 +345,7 @@
 	s := EndpointState{
 		Endpoint: lagoonhead.EndpointID(m.Name("endpoint")),
 		Leaving:  m.Bool("leaving", false),
+		Changing: m.Bool("changing", false),
 		Role:     role(m, ""),
 	}
 	m.Require("endpoint")
