--- a/inventory/edit.go
+++ b/inventory/edit.go
@@ -117,3 +117,15 @@
 	slices.SortFunc(c, func(a, b T) int { return strings.Compare(id(a), id(b)) })
 	return c
 }
+
+// RemoveEngine removes an engine and its state. It returns an error of KindNotFound
+// when there is no such engine.
+func (inv *Inventory) RemoveEngine(e lagoonhead.EndpointID) error {
+	i := slices.IndexFunc(inv.Engines, func(n Engine) bool { return n.ID == e })
+	if i < 0 {
+		return notFound("inventory.removeEngine", "engine", string(e))
+	}
+	inv.Engines = slices.Delete(inv.Engines, i, i+1)
+	inv.EndpointStates = slices.DeleteFunc(inv.EndpointStates, func(s EndpointState) bool { return s.Endpoint == e })
+	return nil
+}
--- a/inventory/inventory.go
+++ b/inventory/inventory.go
@@ -44,6 +44,9 @@
 	// not known.
 	PrefillRate Rate `yaml:"prefillRate,omitempty" json:"prefillRate,omitempty"`
 	DecodeRate  Rate `yaml:"decodeRate,omitempty" json:"decodeRate,omitempty"`
+	// Ordered is true for an engine that the planner has ordered. It leaves the
+	// inventory by itself when the platform takes it away.
+	Ordered bool `yaml:"ordered,omitempty" json:"ordered,omitempty"`
 }
 
 // Service is a plain back end with its routes and processes.
--- a/inventory/parse.go
+++ b/inventory/parse.go
@@ -174,6 +174,7 @@
 		Supply:        supply(m),
 		Slots:         int(m.Int("slots", 1, 1, maxSlots)),
 		Fenced:        m.Bool("fenced", false),
+		Ordered:       m.Bool("ordered", false),
 	}
 	m.Value("price", &e.Price)
 	m.Value("prefillRate", &e.PrefillRate)
