--- /dev/null
+++ b/service/client_test.go
@@ -0,0 +1,256 @@
+package service
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"slices"
+	"sync"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/lagoonhead/lagoonhead"
+	"github.com/lagoonhead/lagoonhead/fakeservice"
+)
+
+// placer gives endpoints in order and records how their placements ended.
+type placer struct {
+	mu        sync.Mutex
+	endpoints []lagoonhead.Endpoint
+	outcomes  []lagoonhead.Outcome
+}
+
+func (p *placer) Place(_ context.Context, _ *lagoonhead.Request, avoid []lagoonhead.EndpointID) (lagoonhead.Placement, error) {
+	for _, e := range p.endpoints {
+		if !slices.Contains(avoid, e.ID()) {
+			return &placement{p, e}, nil
+		}
+	}
+	return nil, fault("placer", lagoonhead.KindUnavailable, nil)
+}
+
+type placement struct {
+	p *placer
+	e lagoonhead.Endpoint
+}
+
+func (p *placement) Endpoint() lagoonhead.Endpoint { return p.e }
+func (p *placement) FirstToken()                   {}
+func (p *placement) Done(o lagoonhead.Outcome) {
+	p.p.mu.Lock()
+	defer p.p.mu.Unlock()
+	p.p.outcomes = append(p.p.outcomes, o)
+}
+
+// newServices starts n services behind a placer.
+func newServices(t *testing.T, n int) ([]*fakeservice.Service, *placer) {
+	t.Helper()
+	all := make([]*fakeservice.Service, 0, n)
+	p := &placer{}
+	for i := range n {
+		s := &fakeservice.Service{}
+		srv := httptest.NewServer(s.Handler())
+		t.Cleanup(srv.Close)
+		all = append(all, s)
+		p.endpoints = append(p.endpoints, fakeservice.Endpoint(lagoonhead.EndpointID(rune('a'+i)), "bookings", srv.URL))
+	}
+	return all, p
+}
+
+func newCall(method, path string, idempotent bool) lagoonhead.ServiceCall {
+	return lagoonhead.ServiceCall{
+		Request: lagoonhead.NewRequest("r1", "w", "bookings", 0),
+		Method:  method, Path: path, Header: http.Header{}, Idempotent: idempotent,
+	}
+}
+
+// Guards against a call that net/http repeats on its own when the service closes a
+// kept-alive connection behind the request. The control shows that the service
+// provokes it: through a pooled connection the GET arrives twice.
+func TestNoHiddenReplay(t *testing.T) {
+	for _, method := range []string{http.MethodPost, http.MethodGet} {
+		for _, key := range []string{"", "key-1"} {
+			t.Run(method+" "+key, func(t *testing.T) {
+				all, p := newServices(t, 2)
+				c := &Client{}
+				t.Cleanup(c.Close)
+				call := newCall(method, map[string]string{http.MethodPost: "/bookings", http.MethodGet: "/availability"}[method], false)
+				call.IdempotencyKey = key
+				call.Header.Set("Idempotency-Key", key)
+				call.Header.Set("X-Idempotency-Key", key)
+				if method == http.MethodPost {
+					call.Body = []byte(`{"crates":3}`)
+				}
+				ans, err := c.Call(context.Background(), p, call)
+				require.NoError(t, err)
+				_, _ = io.Copy(io.Discard, ans.Body)
+				ans.Body.Close()
+				all[0].SetPlan(fakeservice.Plan{Fault: fakeservice.FaultCloseAfterRead})
+				_, err = c.Call(context.Background(), p, call)
+				require.Error(t, err)
+				require.NotEqual(t, lagoonhead.KindUnavailable, lagoonhead.KindOf(err), "the service read the call")
+				require.Len(t, all[0].Calls(), 2)
+				require.Empty(t, all[1].Calls())
+			})
+		}
+	}
+	t.Run("control", func(t *testing.T) {
+		all, p := newServices(t, 1)
+		tr := newTransport(defaultDialTimeout, defaultHeaderTimeout, true)
+		get := func() (*http.Response, error) {
+			r, err := http.NewRequest(http.MethodGet, p.endpoints[0].Address()+"/availability", nil)
+			require.NoError(t, err)
+			return tr.RoundTrip(r)
+		}
+		res, err := get()
+		require.NoError(t, err)
+		_, _ = io.Copy(io.Discard, res.Body)
+		res.Body.Close()
+		all[0].SetPlan(fakeservice.Plan{Fault: fakeservice.FaultCloseAfterRead})
+		_, err = get()
+		require.Error(t, err)
+		require.Len(t, all[0].Calls(), 3)
+	})
+}
+
+// Guards against a wrong statement on what a failed call left open, and against
+// retries of calls that may not be repeated.
+func TestFaults(t *testing.T) {
+	for _, c := range []struct {
+		name       string
+		fault      fakeservice.Fault
+		idempotent bool
+		kind       lagoonhead.Kind // of the error; only if the call fails
+		fails      bool
+		endpoints  int // that the call reached
+	}{
+		{"booking runs", fakeservice.FaultNone, false, 0, false, 1},
+		{"booking refused", fakeservice.FaultNotRun, false, lagoonhead.KindUnavailable, true, 1},
+		{"booking acted, answer dropped", fakeservice.FaultDropAnswer, false, lagoonhead.KindCrashed, true, 1},
+		{"booking closed", fakeservice.FaultCloseAfterRead, false, lagoonhead.KindCrashed, true, 1},
+		{"lookup refused", fakeservice.FaultNotRun, true, 0, false, 2},
+		{"lookup answer dropped", fakeservice.FaultDropAnswer, true, 0, false, 2},
+		{"lookup closed", fakeservice.FaultCloseAfterRead, true, 0, false, 2},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			all, p := newServices(t, 2)
+			all[0].SetPlan(fakeservice.Plan{Fault: c.fault})
+			cl := &Client{}
+			t.Cleanup(cl.Close)
+			call := newCall(http.MethodPost, "/bookings", false)
+			if c.idempotent {
+				call = newCall(http.MethodGet, "/availability", true)
+			}
+			ans, err := cl.Call(context.Background(), p, call)
+			require.Equal(t, c.fails, err != nil, "%v", err)
+			if err != nil {
+				require.Equal(t, c.kind, lagoonhead.KindOf(err), "%v", err)
+			} else {
+				require.Equal(t, c.endpoints, ans.Attempts)
+				ans.Body.Close()
+			}
+			reached := 0
+			for _, s := range all {
+				reached += min(1, len(s.Calls()))
+			}
+			require.Equal(t, c.endpoints, reached)
+			require.Len(t, p.outcomes, c.endpoints, "each placement ends once")
+		})
+	}
+}
+
+// Guards against "not run" after an earlier attempt that may have run.
+func TestRefusalAfterALostAnswerIsNotUnavailable(t *testing.T) {
+	all, p := newServices(t, 2)
+	all[0].SetPlan(fakeservice.Plan{Fault: fakeservice.FaultDropAnswer})
+	all[1].SetPlan(fakeservice.Plan{Fault: fakeservice.FaultNotRun})
+	c := &Client{}
+	t.Cleanup(c.Close)
+	_, err := c.Call(context.Background(), p, newCall(http.MethodGet, "/availability", true))
+	require.Error(t, err)
+	require.NotEqual(t, lagoonhead.KindUnavailable, lagoonhead.KindOf(err), "%v", err)
+}
+
+// Guards against an endpoint that nothing listens on being taken for one that may
+// have run the call.
+func TestRefusedConnectionIsUnavailable(t *testing.T) {
+	srv := httptest.NewServer(http.NotFoundHandler())
+	srv.Close()
+	p := &placer{endpoints: []lagoonhead.Endpoint{fakeservice.Endpoint("a", "bookings", srv.URL)}}
+	c := &Client{}
+	_, err := c.Call(context.Background(), p, newCall(http.MethodPost, "/bookings", false))
+	require.True(t, lagoonhead.IsKind(err, lagoonhead.KindUnavailable), "%v", err)
+}
+
+// Guards against a key, a cookie or an unlisted header that reaches a service, and
+// against unlisted headers that come back.
+func TestHeaders(t *testing.T) {
+	all, p := newServices(t, 1)
+	c := &Client{}
+	t.Cleanup(c.Close)
+	call := newCall(http.MethodPost, "/bookings", false)
+	call.IdempotencyKey = "k"
+	for _, h := range []string{"Authorization", "Proxy-Authorization", "Cookie", "X-Api-Key", "Idempotency-Key", "Forwarded", "Te", "Accept-Language", "Content-Type", "Traceparent"} {
+		call.Header.Set(h, "v")
+	}
+	ans, err := c.Call(context.Background(), p, call)
+	require.NoError(t, err)
+	defer ans.Body.Close()
+	require.Equal(t, http.Header{"Content-Type": {"application/json"}}, ans.Header)
+	got := all[0].Calls()[0].Header
+	for _, h := range []string{"User-Agent", "Content-Length", "Connection", HeaderRequestID, HeaderIdempotencyKey} {
+		require.NotEmpty(t, got.Get(h), h)
+		got.Del(h)
+	}
+	require.Equal(t, http.Header{"Accept-Language": {"v"}, "Content-Type": {"v"}, "Traceparent": {"v"}}, got)
+}
+
+// Guards against bodies and answers without a bound, and against a cut answer that
+// is taken for a whole one.
+func TestSizes(t *testing.T) {
+	long := http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		for range 3 {
+			_, _ = w.Write(make([]byte, 8))
+			_ = http.NewResponseController(w).Flush()
+		}
+	})
+	srv := httptest.NewServer(long)
+	t.Cleanup(srv.Close)
+	p := &placer{endpoints: []lagoonhead.Endpoint{fakeservice.Endpoint("a", "bookings", srv.URL)}}
+	for limit, whole := range map[int64]bool{23: false, 24: true, 25: true} {
+		c := &Client{Limits: Limits{AnswerBytes: limit, BodyBytes: 4}}
+		ans, err := c.Call(context.Background(), p, newCall(http.MethodGet, "/catalogue", true))
+		require.NoError(t, err)
+		b, err := io.ReadAll(ans.Body)
+		require.Equal(t, whole, err == nil, "limit %d: %v", limit, err)
+		require.LessOrEqual(t, int64(len(b)), limit)
+		ans.Body.Close()
+		call := newCall(http.MethodPost, "/bookings", false)
+		call.Body = []byte("12345")
+		_, err = c.Call(context.Background(), p, call)
+		require.True(t, lagoonhead.IsKind(err, lagoonhead.KindInvalid), "%v", err)
+		c.Close()
+	}
+}
+
+// Guards against retries beyond 10% of the requests and a burst of 10.
+func TestBudget(t *testing.T) {
+	var b Budget
+	take := func() (n int) {
+		for b.Take() {
+			n++
+		}
+		return n
+	}
+	require.Equal(t, 10, take())
+	for range 25 {
+		b.Earn()
+	}
+	require.Equal(t, 2, take())
+	for range 1000 {
+		b.Earn()
+	}
+	require.Equal(t, 10, take(), "the budget has a capacity")
+}
