--- a/engine/body.go
+++ b/engine/body.go
@@ -3,6 +3,8 @@
 import (
 	"bytes"
 	"encoding/json"
+	"io"
+	"net/http"
 
 	"github.com/cockroachdb/errors"
 )
@@ -13,6 +15,40 @@
 	usageTrue    = []byte(`{"include_usage":true}`)
 )
 
+// sentBody is a request body that lets go of its bytes once they are read. A
+// prompt of 100,000 tokens would otherwise be held twice while its answer runs.
+type sentBody struct{ left []byte }
+
+// Read reads the next bytes.
+func (b *sentBody) Read(p []byte) (int, error) {
+	if len(b.left) == 0 {
+		return 0, io.EOF
+	}
+	n := copy(p, b.left)
+	if b.left = b.left[n:]; len(b.left) == 0 {
+		b.left = nil
+	}
+	return n, nil
+}
+
+// Close does nothing: net/http may call it while another goroutine still reads.
+func (b *sentBody) Close() error { return nil }
+
+// setStreamingBody sets the body of a completion. net/http asks for the body
+// again only when it found a kept connection closed before a byte was written.
+func setStreamingBody(r *http.Request, body []byte) error {
+	b, err := streamingBody(body)
+	if err != nil {
+		return err
+	}
+	r.Body, r.ContentLength = &sentBody{left: b}, int64(len(b))
+	r.GetBody = func() (io.ReadCloser, error) {
+		b, err := streamingBody(body)
+		return &sentBody{left: b}, err
+	}
+	return nil
+}
+
 // span is a part of a body.
 type span struct{ from, to int }
 
--- a/engine/commander.go
+++ b/engine/commander.go
@@ -6,6 +6,7 @@
 	"context"
 	"encoding/json"
 	"expvar"
+	"io"
 	"net"
 	"net/http"
 	"sync"
@@ -129,7 +130,7 @@
 }
 
 func (c *Commander) answer(conn net.Conn, r *http.Request) error {
-	res, err := http.ReadResponse(bufio.NewReader(conn), r)
+	res, err := http.ReadResponse(bufio.NewReader(io.LimitReader(conn, maxAnswerBytes)), r)
 	if err != nil {
 		c.unknown.Add(1)
 		return fail(opOrder, lagoonhead.KindUnknown, err)
--- a/engine/commander_test.go
+++ b/engine/commander_test.go
@@ -92,6 +92,24 @@
 	require.Equal(t, lagoonhead.KindUnavailable, lagoonhead.KindOf(err), err)
 }
 
+// Guards against a cancel that does not reach the request, and against a stopped
+// answer that passes for a whole one.
+func TestCancel(t *testing.T) {
+	m := timer.NewManual(0, time.Unix(0, 0))
+	f := &fakeengine.Engine{Timer: m, DecodeRate: 1}
+	srv := httptest.NewServer(f)
+	defer srv.Close()
+	s, e := newStreamer(), testEndpoint(srv.URL)
+	v, err := s.Stream(t.Context(), e, testCompletion("r1", -1))
+	require.NoError(t, err)
+	defer v.Close()
+	require.NoError(t, s.Cancel(t.Context(), e, "r1"))
+	_, err = v.Next()
+	require.ErrorIs(t, err, ErrIncomplete)
+	require.Equal(t, lagoonhead.KindUnknown, lagoonhead.KindOf(err))
+	require.Equal(t, lagoonhead.KindNotFound, lagoonhead.KindOf(s.Cancel(t.Context(), e, "r2")))
+}
+
 // Guards against queries that cannot read what an engine reports.
 func TestQuerier(t *testing.T) {
 	f := &fakeengine.Engine{Timer: &timer.Service{}, ID: "other", Model: "m@1", CacheBlocks: 4}
--- a/engine/conn.go
+++ b/engine/conn.go
@@ -24,6 +24,8 @@
 	idleConnTimeout = 10 * time.Second
 	// idleConnsPerEngine is the number of connections kept for the next requests.
 	idleConnsPerEngine = 64
+	// maxHeaderBytes bounds the headers of an answer.
+	maxHeaderBytes = 64 << 10
 )
 
 // dialer opens connections with TCP_USER_TIMEOUT set.
@@ -74,9 +76,10 @@
 			}
 			return &countedConn{Conn: c}, nil
 		},
-		MaxIdleConnsPerHost: idleConnsPerEngine,
-		IdleConnTimeout:     idleConnTimeout,
-		DisableCompression:  true,
+		MaxIdleConnsPerHost:    idleConnsPerEngine,
+		IdleConnTimeout:        idleConnTimeout,
+		DisableCompression:     true,
+		MaxResponseHeaderBytes: maxHeaderBytes,
 	}
 }
 
--- a/engine/stream_test.go
+++ b/engine/stream_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"net/http/httptest"
 	"os"
+	"runtime"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -197,41 +198,111 @@
 	require.Equal(t, lagoonhead.KindUnavailable, lagoonhead.KindOf(err), err)
 }
 
-// Guards against a hidden repeat of a completion by net/http when a kept
-// connection breaks, and against a second use of the connections of that pool.
-func TestBrokenKeptConnectionIsNotRepeated(t *testing.T) {
-	var requests, conns atomic.Int32
-	srv := httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		_, _ = io.Copy(io.Discard, r.Body)
-		if requests.Add(1) == 2 {
-			panic(http.ErrAbortHandler)
-		}
-		w.Header().Set("Content-Type", contentEvents)
-		fmt.Fprint(w, "id: "+r.Header.Get(HeaderRequestID)+"/0\ndata: [DONE]\n\n")
-	}))
+// countConns starts a server and counts its connections.
+func countConns(t *testing.T, h http.HandlerFunc) (url string, conns *atomic.Int32) {
+	conns = new(atomic.Int32)
+	srv := httptest.NewUnstartedServer(h)
 	srv.Config.ConnState = func(_ net.Conn, s http.ConnState) {
 		if s == http.StateNew {
 			conns.Add(1)
 		}
 	}
 	srv.Start()
-	defer srv.Close()
-	s := newStreamer()
-	run := func(id lagoonhead.RequestID) error {
-		v, err := s.Stream(t.Context(), testEndpoint(srv.URL), testCompletion(id, -1))
-		if err != nil {
-			return err
+	t.Cleanup(srv.Close)
+	return srv.URL, conns
+}
+
+// Guards against a hidden repeat of a completion by net/http when a kept
+// connection breaks or goes silent, and against a second use of the connections
+// of that pool.
+func TestFaultOnKeptConnectionIsNotRepeated(t *testing.T) {
+	for _, fault := range []string{"break", "silence"} {
+		t.Run(fault, func(t *testing.T) {
+			var requests atomic.Int32
+			url, conns := countConns(t, func(w http.ResponseWriter, r *http.Request) {
+				_, _ = io.Copy(io.Discard, r.Body)
+				if requests.Add(1) == 2 {
+					if fault == "silence" {
+						<-r.Context().Done()
+					}
+					panic(http.ErrAbortHandler)
+				}
+				w.Header().Set("Content-Type", contentEvents)
+				fmt.Fprint(w, "id: "+r.Header.Get(HeaderRequestID)+"/0\ndata: [DONE]\n\n")
+			})
+			s := newStreamer()
+			run := func(id lagoonhead.RequestID) error {
+				v, err := s.Stream(t.Context(), testEndpoint(url), testCompletion(id, -1))
+				if err != nil {
+					return err
+				}
+				_, err = v.Next()
+				v.(*stream).finish()
+				return err
+			}
+			require.ErrorIs(t, run("r1"), io.EOF)
+			want := lagoonhead.KindCrashed
+			if fault == "silence" {
+				want = lagoonhead.KindTimeout
+				go func() {
+					for requests.Load() < 2 {
+						runtime.Gosched()
+					}
+					sweepOften(t, s)
+				}()
+			}
+			require.Equal(t, want, lagoonhead.KindOf(run("r2")))
+			require.Equal(t, int32(2), requests.Load(), "the second request was not repeated")
+			require.Equal(t, int32(1), conns.Load(), "the second request used the kept connection")
+			if fault == "silence" {
+				return // the sweep goes on and could end the third request
+			}
+			require.ErrorIs(t, run("r3"), io.EOF)
+			require.Equal(t, int32(2), conns.Load())
+		})
+	}
+}
+
+// Guards against a request on a kept connection of an engine of which another
+// connection went silent.
+func TestSilenceDropsTheWholePool(t *testing.T) {
+	both := make(chan struct{}, 2)
+	url, conns := countConns(t, func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body)
+		w.Header().Set("Content-Type", contentEvents)
+		_ = http.NewResponseController(w).Flush()
+		if r.Header.Get(HeaderRequestID) == "silent" {
+			<-r.Context().Done()
+			panic(http.ErrAbortHandler)
 		}
-		_, err = v.Next()
-		v.(*stream).finish()
-		return err
+		both <- struct{}{}
+		fmt.Fprint(w, "id: "+r.Header.Get(HeaderRequestID)+"/0\ndata: [DONE]\n\n")
+	})
+	s := newStreamer()
+	open := func(id lagoonhead.RequestID) *stream {
+		v, err := s.Stream(t.Context(), testEndpoint(url), testCompletion(id, -1))
+		require.NoError(t, err)
+		return v.(*stream)
+	}
+	a, silent := open("a"), open("silent")
+	<-both
+	_, err := a.Next()
+	require.ErrorIs(t, err, io.EOF)
+	a.finish()
+	go sweepUntil(s, silent)
+	_, err = silent.Next()
+	require.ErrorIs(t, err, ErrIdle)
+	_, err = open("b").Next()
+	require.ErrorIs(t, err, io.EOF)
+	require.Equal(t, int32(3), conns.Load())
+}
+
+// sweepUntil finds the silence of one stream.
+func sweepUntil(s *Streamer, v *stream) {
+	for v.ctx.Err() == nil {
+		s.sweep()
+		runtime.Gosched()
 	}
-	require.ErrorIs(t, run("r1"), io.EOF)
-	require.Equal(t, lagoonhead.KindCrashed, lagoonhead.KindOf(run("r2")))
-	require.Equal(t, int32(2), requests.Load(), "the second request was not repeated")
-	require.Equal(t, int32(1), conns.Load(), "the second request used the kept connection")
-	require.ErrorIs(t, run("r3"), io.EOF)
-	require.Equal(t, int32(2), conns.Load())
 }
 
 // Guards against a caller who reads slowly being taken for a silent engine.
--- a/engine/streamer.go
+++ b/engine/streamer.go
@@ -134,16 +134,15 @@
 func (s *Streamer) Stream(ctx context.Context, e lagoonhead.Endpoint, c lagoonhead.Completion) (lagoonhead.EventStream, error) {
 	const op = "engine.stream"
 	s.init()
-	body, err := streamingBody(c.Body)
-	if err != nil {
-		return nil, fail(op, lagoonhead.KindInvalid, err)
-	}
 	ctx, cancel := context.WithCancelCause(ctx)
 	v := &stream{
 		streamer: s, endpoint: e, request: string(c.Request.ID()),
 		expect: c.ResumeOffset + 1, ctx: ctx, cancel: cancel,
 	}
-	r, err := http.NewRequestWithContext(v.exchange.trace(ctx), http.MethodPost, e.Address()+pathCompletions, bytes.NewReader(body))
+	r, err := http.NewRequestWithContext(v.exchange.trace(ctx), http.MethodPost, e.Address()+pathCompletions, nil)
+	if err == nil {
+		err = setStreamingBody(r, c.Body)
+	}
 	if err != nil {
 		cancel(nil)
 		return nil, fail(op, lagoonhead.KindInvalid, err)
--- a/fakeengine/completions.go
+++ b/fakeengine/completions.go
@@ -13,7 +13,6 @@
 	"github.com/google/uuid"
 
 	"github.com/lagoonhead/lagoonhead"
-	"github.com/lagoonhead/lagoonhead/timer"
 )
 
 const (
@@ -194,16 +193,28 @@
 	w.WriteHeader(http.StatusOK)
 	s := &streamWriter{engine: e, w: w, run: r, next: int(after) + 1, faults: f}
 	s.flush = http.NewResponseController(w).Flush
+	if err := s.writeAll(ctx, e.beats(ctx)); err != nil {
+		panic(http.ErrAbortHandler)
+	}
+	h.Set(headerLoad, e.loadHeader())
+}
+
+// beats tells when a keep-alive is due, until ctx ends.
+func (e *Engine) beats(ctx context.Context) <-chan struct{} {
 	interval := e.KeepAlive
 	if interval <= 0 {
 		interval = defaultKeepAlive
 	}
-	beats := e.Timer.Subscribe(interval)
-	defer beats.Stop()
-	if err := s.writeAll(ctx, beats); err != nil {
-		panic(http.ErrAbortHandler)
-	}
-	h.Set(headerLoad, e.loadHeader())
+	c := make(chan struct{}, 1)
+	go func() {
+		for e.Timer.Sleep(ctx, interval) == nil {
+			select {
+			case c <- struct{}{}:
+			default:
+			}
+		}
+	}()
+	return c
 }
 
 // streamWriter writes one run to one connection.
@@ -217,7 +228,7 @@
 	faults connFaults
 }
 
-func (s *streamWriter) writeAll(ctx context.Context, beats *timer.Subscription) error {
+func (s *streamWriter) writeAll(ctx context.Context, beats <-chan struct{}) error {
 	for {
 		ready, whole, wake, failed := s.run.snapshot()
 		if err := s.writeReady(ctx, ready, whole); err != nil {
@@ -234,7 +245,7 @@
 		}
 		select {
 		case <-wake:
-		case <-beats.C():
+		case <-beats:
 			if _, err := io.WriteString(s.w, ": keep-alive\n\n"); err != nil {
 				return err
 			}
--- a/fakeengine/server.go
+++ b/fakeengine/server.go
@@ -32,7 +32,12 @@
 	address := s.Listener.Addr().String()
 	l := s.Listener
 	crash := make(chan struct{}, 1)
-	s.Engine.OnCrash = func() { crash <- struct{}{} }
+	s.Engine.OnCrash = func() {
+		select {
+		case crash <- struct{}{}:
+		default:
+		}
+	}
 	for {
 		crashed, err := s.serve(ctx, l, crash)
 		if err != nil || !crashed || s.RestartAfter == 0 {
