Join claims, services and suspects; prove bookings with separate processes

Cause: a booking must run at most once through any daemons and failures.

Change: the daemon joins claim, service and suspect.

--- a/cmd/lagoonheadd/fleet_test.go
+++ b/cmd/lagoonheadd/fleet_test.go
@@ -12,6 +12,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/lagoonhead/lagoonhead"
+	"github.com/lagoonhead/lagoonhead/fakeplatform"
 	"github.com/lagoonhead/lagoonhead/inventory"
 	"github.com/lagoonhead/lagoonhead/platform"
 	"github.com/lagoonhead/lagoonhead/store"
@@ -27,14 +28,20 @@
 // fleet is a platform, engines and daemons, each a process of its own.
 type fleet struct {
 	platform *process
+	service  *process
 	engines  []*process
 	daemons  []*process
+	// resumeKey is the file of the key that all daemons share.
+	resumeKey string
 }
 
 // newFleet starts a fleet and waits until every daemon is ready.
 func newFleet(t *testing.T, engines, daemons int) *fleet {
 	t.Helper()
-	f := &fleet{platform: start(t, "platform", "platform")}
+	f := &fleet{
+		platform: start(t, "platform", "platform"), service: start(t, "service", "bookings"),
+		resumeKey: writeFile(t, "resume.key", strings.Repeat("ab", 32)),
+	}
 	for i := range engines {
 		id := fmt.Sprintf("e%d", i+1)
 		f.engines = append(f.engines, start(t, "engine", id, id))
@@ -70,8 +77,9 @@
 vm: {id: %s, failureDomain: %s, region: r}
 listen: {caller: "127.0.0.1:0", peer: %q, operator: %q}
 platform: {store: %[5]q, ordering: %[5]q, usage: %[5]q, vms: %[5]q}
+resume: {keyFile: %q}
 drain: {lag: 200ms, max: 1m}
-`, vmName(i), domain(i), peer, operator, f.platform.url()))
+`, vmName(i), domain(i), peer, operator, f.platform.url(), f.resumeKey))
 	return start(t, "daemon", vmName(i), "-settings", file)
 }
 
@@ -87,6 +95,14 @@
 		fmt.Fprintf(&b, "  - {id: %s, model: reader, address: %q, failureDomain: %s, slots: 64, price: 1/h, fenced: %v}\n",
 			e.name, e.url(), domain(i), e.name != "e3")
 	}
+	fmt.Fprintf(&b, `services:
+  - id: crates
+    routes:
+      - {method: POST, path: /bookings, idempotent: false, keyRequired: true}
+      - {method: GET, path: /availability, idempotent: true}
+      - {method: GET, path: /catalogue, idempotent: true, open: true}
+    endpoints: [{id: b1, address: %q, failureDomain: a, slots: 64, price: 1/h}]
+`, f.service.url())
 	b.WriteString("workspaces:\n")
 	for _, w := range []struct{ id, key string }{{"crates", frontDeskKey}, {"toys", branchKey}} {
 		fmt.Fprintf(&b, "  - {id: %s, rate: 100ktok/s, burst: 1000ktok, keys: [{id: %s-key, sha256: %x}]}\n",
@@ -134,3 +150,9 @@
 	defer resp.Body.Close()
 	return resp.StatusCode
 }
+
+// outage begins or ends an outage of one interface of the platform.
+func (f *fleet) outage(t *testing.T, name string, on bool) {
+	t.Helper()
+	post(t, f.platform.url()+fakeplatform.PathFaults, fakeplatform.FaultRequest{Interface: name, Outage: on}, nil)
+}
--- a/cmd/lagoonheadd/process_test.go
+++ b/cmd/lagoonheadd/process_test.go
@@ -22,6 +22,7 @@
 	"github.com/lagoonhead/lagoonhead"
 	"github.com/lagoonhead/lagoonhead/fakeengine"
 	"github.com/lagoonhead/lagoonhead/fakeplatform"
+	"github.com/lagoonhead/lagoonhead/fakeservice"
 	"github.com/lagoonhead/lagoonhead/timer"
 )
 
@@ -38,6 +39,8 @@
 		serveFake(fakeplatform.New(&timer.Service{}, 0).Handler())
 	case "engine":
 		serveFake(newFakeEngine())
+	case "service":
+		serveFake((&fakeservice.Service{Timer: &timer.Service{}}).Handler())
 	}
 }
 
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -9,11 +9,13 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"github.com/google/uuid"
 	"go.uber.org/zap"
 	"golang.org/x/sync/errgroup"
 
 	"github.com/lagoonhead/lagoonhead"
 	"github.com/lagoonhead/lagoonhead/caller"
+	"github.com/lagoonhead/lagoonhead/claim"
 	"github.com/lagoonhead/lagoonhead/engine"
 	"github.com/lagoonhead/lagoonhead/explain"
 	"github.com/lagoonhead/lagoonhead/place"
@@ -21,6 +23,7 @@
 	"github.com/lagoonhead/lagoonhead/service"
 	"github.com/lagoonhead/lagoonhead/settings"
 	"github.com/lagoonhead/lagoonhead/store"
+	"github.com/lagoonhead/lagoonhead/suspect"
 	"github.com/lagoonhead/lagoonhead/timer"
 	"github.com/lagoonhead/lagoonhead/vmlist"
 )
@@ -39,13 +42,15 @@
 	// may be nil.
 	Started func(callerAddress string)
 
-	caller *caller.Server
-	vms    *vmPoller
+	incarnation lagoonhead.Incarnation
+	caller      *caller.Server
+	vms         *vmPoller
 }
 
 // Run builds the parts and runs them until ctx ends, then drains: the daemon turns
 // unready, keeps accepting for the drain lag, and finishes all requests.
 func (d *Daemon) Run(ctx context.Context) error {
+	d.incarnation = lagoonhead.Incarnation(string(d.Settings.VM.ID) + "/" + uuid.NewString())
 	tracing, err := newTracing(ctx, d.Settings, os.Stderr)
 	if err != nil {
 		return err
@@ -119,18 +124,22 @@
 		self: s.VM.ID, vms: d.vms.VMs,
 	}
 	streamer := &engine.Streamer{Timer: d.Timer, IdleLimit: s.Limits.IdleTimeout, OnLoad: placer.Report}
+	suspects := &suspect.Table{Timer: d.Timer}
+	placer.Suspects = suspects
+	budget := new(service.Budget)
+	claims := &claim.Keeper{Store: kv, Holder: d.incarnation, Timer: d.Timer, Log: d.Log}
 	sealer, err := d.sealer()
 	if err != nil {
 		return nil, err
 	}
 	d.caller = &caller.Server{
 		Listener: l, Directories: config, Gate: config, Admitter: openAdmitter{}, Placer: placer,
-		Engines: streamer, Suspects: noSuspects{}, Usage: noUsage{}, Decisions: explain.New(explain.DefaultSize),
-		Services: &service.Client{Budget: new(service.Budget)}, Relay: &caller.PlainRelay{Sealer: sealer},
+		Engines: streamer, Suspects: suspects, Usage: noUsage{}, Decisions: explain.New(explain.DefaultSize),
+		Services: &service.Client{Budget: budget, Suspects: suspects}, Claims: claims, Budget: budget, Relay: &caller.PlainRelay{Sealer: sealer},
 		Sealer: sealer, Timer: d.Timer, Log: d.Log, Tracer: tracing.provider.Tracer("lagoonhead/caller"),
 		Limits: caller.Limits{BodyBytes: s.Limits.MaxBodyBytes, DrainDelay: s.Drain.Lag},
 	}
-	return []part{d.vms.Run, config.Run, placer.Run, poller.Run, streamer.Run, d.caller.Run}, nil
+	return []part{d.vms.Run, config.Run, placer.Run, poller.Run, streamer.Run, claims.Run, d.caller.Run}, nil
 }
 
 func (d *Daemon) sealer() (caller.Sealer, error) {
--- a/daemon/provisional.go
+++ b/daemon/provisional.go
@@ -70,9 +70,3 @@
 type noUsage struct{}
 
 func (noUsage) Record(context.Context, lagoonhead.WorkspaceUsage) {}
-
-type noSuspects struct{}
-
-func (noSuspects) Check(uint64) (bool, error)            { return false, nil }
-func (noSuspects) Crashed(uint64, lagoonhead.EndpointID) {}
-func (noSuspects) Finished(uint64)                       {}
