--- a/cmd/lagoonheadd/fleet_test.go
+++ b/cmd/lagoonheadd/fleet_test.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/openai/openai-go/v3"
 	"github.com/openai/openai-go/v3/option"
@@ -25,6 +26,10 @@
 	branchKey    = "lh-branch-00000000000000000000"
 )
 
+// idleLimit is the idle timeout of streams in the tests; the stand-in engines send a
+// keep-alive every second.
+const idleLimit = 3 * time.Second
+
 // fleet is a platform, engines and daemons, each a process of its own.
 type fleet struct {
 	platform *process
@@ -79,7 +84,8 @@
 platform: {store: %[5]q, ordering: %[5]q, usage: %[5]q, vms: %[5]q}
 resume: {keyFile: %q}
 drain: {lag: 200ms, max: 1m}
-`, vmName(i), domain(i), peer, operator, f.platform.url(), f.resumeKey))
+limits: {idleTimeout: %s}
+`, vmName(i), domain(i), peer, operator, f.platform.url(), f.resumeKey, idleLimit))
 	return start(t, "daemon", vmName(i), "-settings", file)
 }
 
