--- /dev/null
+++ b/admit/book.go
@@ -0,0 +1,195 @@
+package admit
+
+import (
+	"math"
+	"time"
+
+	"github.com/lagoonhead/lagoonhead"
+	"github.com/lagoonhead/lagoonhead/limit"
+)
+
+// meterSpan is the time over which the recent use of a workspace is averaged.
+const meterSpan = 10 * time.Second
+
+// meter is an exponentially decaying sum of tokens.
+type meter struct {
+	sum float64
+	at  time.Duration
+}
+
+func (m *meter) add(now time.Duration, tokens float64) {
+	m.decay(now)
+	m.sum = max(0, m.sum+tokens)
+}
+
+func (m *meter) decay(now time.Duration) {
+	if now > m.at {
+		m.sum *= math.Exp(-float64(now-m.at) / float64(meterSpan))
+		m.at = now
+	}
+}
+
+// rate returns the recent tokens per second.
+func (m *meter) rate(now time.Duration) float64 {
+	m.decay(now)
+	return m.sum / meterSpan.Seconds()
+}
+
+// lenderView is what is known of a lender for one workspace.
+type lenderView struct {
+	tokens int64         // lent at the last ask
+	rate   float64       // recent use there
+	at     time.Duration // of the last answer
+}
+
+// book is the state of one workspace at this daemon.
+type book struct {
+	workspace lagoonhead.WorkspaceID
+	quota     lagoonhead.Quota
+	revision  int64 // of the directory that the quota is from
+	homes     []int
+	share     limit.Share
+	bucket    limit.Bucket
+
+	open     int    // reservations that were not settled
+	waiting  int64  // tokens that requests wait for
+	heldBack uint64 // round in which a request was short of tokens
+	spent    meter  // tokens really used, as far as known
+	prompt   meter  // the same without deferrable work
+
+	wanting bool // listed in Runner.wanting
+	asking  bool // a round of borrowing runs
+	askNext time.Duration
+	lenders map[lagoonhead.VMID]lenderView
+}
+
+const (
+	// reserveTime is how much of the recent use by other work a deferrable request
+	// leaves in the bucket.
+	reserveTime = time.Second
+	// prefetchBelow and prefetchFor are the stock, in time at the recent use, below
+	// which a busy workspace borrows ahead and up to which it does.
+	prefetchBelow = 200 * time.Millisecond
+	prefetchFor   = 400 * time.Millisecond
+)
+
+func (b *book) leavesReserve(now time.Duration, charge int64) bool {
+	reserve := min(b.prompt.rate(now)*reserveTime.Seconds(), float64(b.share.Burst())/2)
+	return float64(b.bucket.Available(now)-charge) >= math.Floor(reserve)
+}
+
+// short tells whether the workspace uses more here than its share here, so that
+// it should borrow before it has to wait.
+func (b *book) short(now time.Duration) bool {
+	rate := b.spent.rate(now)
+	return rate > b.share.Rate() && float64(b.bucket.Available(now)) < rate*prefetchBelow.Seconds()
+}
+
+// need returns the tokens to borrow now, at most the burst.
+func (b *book) need(now time.Duration) int64 {
+	have := b.bucket.Available(now)
+	need := b.waiting - have
+	if b.short(now) {
+		ahead := int64(b.spent.rate(now) * prefetchFor.Seconds())
+		need = b.waiting + min(ahead, b.bucket.Own(now)+b.bucket.Room(now)) - have
+	}
+	return min(need, b.quota.Burst-max(0, have))
+}
+
+// spare returns the tokens that may be lent.
+func (b *book) spare(now time.Duration) int64 {
+	keep := b.waiting + int64(b.spent.rate(now)*prefetchBelow.Seconds())
+	return b.bucket.Own(now) - keep
+}
+
+// fleetRate returns the recent use of the workspace over the fleet as far as this
+// daemon knows it. A lender that does not answer counts as zero.
+func (b *book) fleetRate(now time.Duration) float64 {
+	sum := b.spent.rate(now)
+	for _, v := range b.lenders {
+		if now-v.at < meterSpan {
+			sum += v.rate
+		}
+	}
+	return sum
+}
+
+// book returns the state of a workspace, or nil when it is unknown.
+func (r *Runner) book(now time.Duration, w lagoonhead.WorkspaceID) *book {
+	dir := r.Directory.Directory()
+	b := r.books[w]
+	if dir == nil {
+		return b
+	}
+	if b == nil {
+		if _, ok := dir.Quota(w); !ok {
+			return nil
+		}
+		b = &book{workspace: w}
+		r.books[w] = b
+		r.replay(b, dir)
+	}
+	if b.revision != dir.Revision() {
+		r.setQuota(now, b, dir)
+	}
+	return b
+}
+
+// replay sets a new bucket's shares at the times at which its slots came into
+// use, so that it holds what it would hold had it been kept since then.
+func (r *Runner) replay(b *book, dir lagoonhead.Directory) {
+	b.quota, _ = dir.Quota(b.workspace)
+	b.revision = dir.Revision()
+	slots := make([]int, 0, len(r.starts))
+	for _, s := range r.starts {
+		slots = append(slots, s.slot)
+		b.share = limit.ShareOf(b.quota, r.homes(b), slots)
+		b.bucket.SetShare(s.from, b.share)
+	}
+}
+
+func (r *Runner) homes(b *book) []int {
+	t, _ := r.slots.Table()
+	if n := len(t.Slots); b.homes == nil || n <= limit.MaxHomes && len(b.homes) != n {
+		b.homes = limit.Homes(b.workspace, n)
+	}
+	return b.homes
+}
+
+// setQuota applies a new revision of the directory. A workspace that was removed
+// keeps its bucket, without refill, until its requests have ended.
+func (r *Runner) setQuota(now time.Duration, b *book, dir lagoonhead.Directory) {
+	b.revision = dir.Revision()
+	q, _ := dir.Quota(b.workspace)
+	if q == b.quota {
+		return
+	}
+	b.quota = q
+	r.setShare(now, b)
+}
+
+func (r *Runner) setShare(now time.Duration, b *book) {
+	slots := make([]int, len(r.starts))
+	for i, s := range r.starts {
+		slots[i] = s.slot
+	}
+	b.share = limit.ShareOf(b.quota, r.homes(b), slots)
+	b.bucket.SetShare(now, b.share)
+}
+
+// sweep drops the books that can be made anew.
+func (r *Runner) sweep(now time.Duration) {
+	for w, b := range r.books {
+		if b.open == 0 && b.waiting == 0 && !b.wanting && !b.asking && b.bucket.Idle(now) {
+			delete(r.books, w)
+			r.queue.Forget(w)
+		}
+	}
+}
+
+func (r *Runner) want(b *book) {
+	if !b.wanting {
+		b.wanting = true
+		r.wanting = append(r.wanting, b)
+	}
+}
--- /dev/null
+++ b/fair/queue.go
@@ -0,0 +1,385 @@
+package fair
+
+import (
+	"time"
+
+	"github.com/lagoonhead/lagoonhead"
+)
+
+// Policy selects the order of service.
+type Policy uint8
+
+const (
+	// VirtualCounters is the fair order described in the package documentation.
+	VirtualCounters Policy = iota
+	// FirstComeFirstServed is the baseline: order of arrival, whatever the workspace
+	// and the class.
+	FirstComeFirstServed
+)
+
+// Handle refers to a waiting entry. Its zero value refers to none.
+type Handle struct {
+	index  int32
+	number uint64
+}
+
+// Entry describes a request that waits.
+type Entry struct {
+	Workspace lagoonhead.WorkspaceID
+	Priority  lagoonhead.Priority
+	// Cost is the service that the entry takes, in tokens.
+	Cost int64
+	// Weight is the share of the workspace; its rate in tokens per second, say. It
+	// must be positive.
+	Weight float64
+	// Deadline is the time since boot after which Expired returns the entry; 0 means
+	// never.
+	Deadline time.Duration
+}
+
+const none = int32(-1)
+
+const (
+	tierPrompt     = 0
+	tierDeferrable = 1
+	tierCount      = 2
+	classCount     = 3
+)
+
+type node[T any] struct {
+	entry  Entry
+	value  T
+	number uint64 // 0 while the node is unused
+	flow   int32
+	prev   int32
+	next   int32
+	due    int32 // position in the heap of deadlines
+	order  int32 // position in the heap of arrivals, for FirstComeFirstServed
+}
+
+type list struct{ head, tail int32 }
+
+// flow is the queue of one workspace.
+type flow struct {
+	workspace lagoonhead.WorkspaceID
+	served    float64 // tokens per weight, in virtual time
+	classes   [classCount]list
+	waiting   int
+	position  [tierCount]int32
+}
+
+// Queue is a bounded fair queue of values of type T. It is not safe for
+// concurrent use.
+type Queue[T any] struct {
+	policy Policy
+	limit  int
+	nodes  []node[T]
+	free   []int32
+	flows  []flow
+	unused []int32 // flows without a workspace
+	byName map[lagoonhead.WorkspaceID]int32
+	tiers  [tierCount]heap // flows with entries in the tier, by served
+	due    heap            // nodes with a deadline, by deadline
+	order  heap            // all nodes by arrival, for FirstComeFirstServed
+	put    []int32         // scratch of Pop
+	number uint64
+	length int
+	level  float64 // served of the flow served last
+}
+
+// New returns a queue that holds at most limit entries. It panics when limit is
+// not positive.
+func New[T any](p Policy, limit int) *Queue[T] {
+	if limit <= 0 {
+		panic("fair: limit must be positive")
+	}
+	q := &Queue[T]{policy: p, limit: limit, byName: make(map[lagoonhead.WorkspaceID]int32)}
+	for t := range q.tiers {
+		q.tiers[t] = heap{
+			less: func(a, b int32) bool { return q.flowLess(a, b) },
+			move: func(i, pos int32) { q.flows[i].position[t] = pos },
+		}
+	}
+	q.due = heap{
+		less: func(a, b int32) bool { return q.dueLess(a, b) },
+		move: func(i, pos int32) { q.nodes[i].due = pos },
+	}
+	q.order = heap{
+		less: func(a, b int32) bool { return q.nodes[a].number < q.nodes[b].number },
+		move: func(i, pos int32) { q.nodes[i].order = pos },
+	}
+	return q
+}
+
+func (q *Queue[T]) flowLess(a, b int32) bool {
+	x, y := &q.flows[a], &q.flows[b]
+	if x.served != y.served {
+		return x.served < y.served
+	}
+	return x.workspace < y.workspace
+}
+
+func (q *Queue[T]) dueLess(a, b int32) bool {
+	x, y := &q.nodes[a], &q.nodes[b]
+	if x.entry.Deadline != y.entry.Deadline {
+		return x.entry.Deadline < y.entry.Deadline
+	}
+	return x.number < y.number
+}
+
+// Len returns the number of entries that wait.
+func (q *Queue[T]) Len() int { return q.length }
+
+// Waiting returns the number of entries of a workspace that wait.
+func (q *Queue[T]) Waiting(w lagoonhead.WorkspaceID) int {
+	if f, ok := q.byName[w]; ok {
+		return q.flows[f].waiting
+	}
+	return 0
+}
+
+func tierOf(p lagoonhead.Priority) int {
+	if p >= lagoonhead.PriorityDeferrable {
+		return tierDeferrable
+	}
+	return tierPrompt
+}
+
+func classOf(p lagoonhead.Priority) int { return min(int(p), classCount-1) }
+
+// Push adds a value. ok is false when the queue is full.
+func (q *Queue[T]) Push(e Entry, v T) (h Handle, ok bool) {
+	if q.length >= q.limit {
+		return Handle{}, false
+	}
+	f := q.flowOf(e.Workspace)
+	i := q.newNode()
+	q.number++
+	q.nodes[i] = node[T]{entry: e, value: v, number: q.number, flow: f, prev: none, next: none, due: none, order: none}
+	q.length++
+	q.append(f, classOf(e.Priority), i)
+	if e.Deadline > 0 {
+		q.due.push(i)
+	}
+	if q.policy == FirstComeFirstServed {
+		q.order.push(i)
+	}
+	return Handle{i, q.number}, true
+}
+
+func (q *Queue[T]) newNode() int32 {
+	if n := len(q.free); n > 0 {
+		i := q.free[n-1]
+		q.free = q.free[:n-1]
+		return i
+	}
+	q.nodes = append(q.nodes, node[T]{})
+	return int32(len(q.nodes) - 1)
+}
+
+// flowOf returns the flow of a workspace. A workspace that has nothing waiting
+// starts at the level of those that have, if it is behind.
+func (q *Queue[T]) flowOf(w lagoonhead.WorkspaceID) int32 {
+	f, ok := q.byName[w]
+	if !ok {
+		f = q.newFlow(w)
+	}
+	fl := &q.flows[f]
+	if fl.waiting == 0 {
+		fl.served = max(fl.served, q.lowest())
+	}
+	return f
+}
+
+func (q *Queue[T]) newFlow(w lagoonhead.WorkspaceID) int32 {
+	var f int32
+	if n := len(q.unused); n > 0 {
+		f = q.unused[n-1]
+		q.unused = q.unused[:n-1]
+	} else {
+		q.flows = append(q.flows, flow{})
+		f = int32(len(q.flows) - 1)
+	}
+	empty := list{none, none}
+	q.flows[f] = flow{workspace: w, classes: [classCount]list{empty, empty, empty}, position: [tierCount]int32{none, none}}
+	q.byName[w] = f
+	return f
+}
+
+// lowest returns the smallest counter among the flows that wait, or that of the
+// flow served last when none waits.
+func (q *Queue[T]) lowest() float64 {
+	low, found := 0.0, false
+	for t := range q.tiers {
+		if q.tiers[t].len() == 0 {
+			continue
+		}
+		if s := q.flows[q.tiers[t].top()].served; !found || s < low {
+			low, found = s, true
+		}
+	}
+	if !found {
+		return q.level
+	}
+	return low
+}
+
+func (q *Queue[T]) append(f int32, class int, i int32) {
+	fl := &q.flows[f]
+	fl.waiting++
+	l := &fl.classes[class]
+	if l.tail == none {
+		l.head, l.tail = i, i
+	} else {
+		q.nodes[l.tail].next, q.nodes[i].prev = i, l.tail
+		l.tail = i
+	}
+	if t := tierOf(lagoonhead.Priority(class)); fl.position[t] == none {
+		q.tiers[t].push(f)
+	}
+}
+
+// Pop removes and returns the next value for which can returns true. can is
+// asked once for each workspace and level of priority, with the entry that the
+// workspace would have served next; nil stands for always. A workspace whose next
+// entry cannot be served holds back its later ones of the same tier.
+func (q *Queue[T]) Pop(can func(e Entry, v T) bool) (v T, ok bool) {
+	if q.policy == FirstComeFirstServed {
+		return q.popOldest(can)
+	}
+	for t := range q.tiers {
+		if i := q.pick(t, can); i != none {
+			return q.serve(i), true
+		}
+	}
+	return v, false
+}
+
+func (q *Queue[T]) pick(t int, can func(Entry, T) bool) int32 {
+	found := none
+	h := &q.tiers[t]
+	q.put = q.put[:0]
+	for h.len() > 0 {
+		f := h.top()
+		i := q.headOf(f, t)
+		if can == nil || can(q.nodes[i].entry, q.nodes[i].value) {
+			found = i
+			break
+		}
+		h.remove(0)
+		q.put = append(q.put, f)
+	}
+	for _, f := range q.put {
+		h.push(f)
+	}
+	return found
+}
+
+func (q *Queue[T]) headOf(f int32, t int) int32 {
+	fl := &q.flows[f]
+	for c := range fl.classes {
+		if tierOf(lagoonhead.Priority(c)) == t && fl.classes[c].head != none {
+			return fl.classes[c].head
+		}
+	}
+	return none
+}
+
+// popOldest serves the oldest entry and nothing before it, as a plain queue does.
+func (q *Queue[T]) popOldest(can func(Entry, T) bool) (v T, ok bool) {
+	if q.order.len() == 0 {
+		return v, false
+	}
+	i := q.order.top()
+	if can != nil && !can(q.nodes[i].entry, q.nodes[i].value) {
+		return v, false
+	}
+	return q.serve(i), true
+}
+
+func (q *Queue[T]) serve(i int32) T {
+	e := q.nodes[i].entry
+	f := q.nodes[i].flow
+	q.level = max(q.level, q.flows[f].served)
+	q.Charge(e.Workspace, e.Cost, e.Weight)
+	return q.remove(i)
+}
+
+// Charge counts service that a workspace got. Pop charges the cost of the entry by
+// itself; a negative cost corrects it when the real service was smaller.
+func (q *Queue[T]) Charge(w lagoonhead.WorkspaceID, cost int64, weight float64) {
+	f, ok := q.byName[w]
+	if !ok {
+		return
+	}
+	fl := &q.flows[f]
+	fl.served += float64(cost) / weight
+	for t := range q.tiers {
+		if fl.position[t] != none {
+			q.tiers[t].fix(fl.position[t])
+		}
+	}
+}
+
+// Remove takes a waiting entry out. ok is false when it no longer waits.
+func (q *Queue[T]) Remove(h Handle) (v T, ok bool) {
+	if h.number == 0 || int(h.index) >= len(q.nodes) || q.nodes[h.index].number != h.number {
+		return v, false
+	}
+	return q.remove(h.index), true
+}
+
+// Expired removes and returns an entry whose deadline is not after now.
+func (q *Queue[T]) Expired(now time.Duration) (v T, ok bool) {
+	if q.due.len() == 0 || q.nodes[q.due.top()].entry.Deadline > now {
+		return v, false
+	}
+	return q.remove(q.due.top()), true
+}
+
+func (q *Queue[T]) remove(i int32) T {
+	n := &q.nodes[i]
+	v := n.value
+	q.unlink(i)
+	if n.due != none {
+		q.due.remove(n.due)
+	}
+	if n.order != none {
+		q.order.remove(n.order)
+	}
+	*n = node[T]{}
+	q.free = append(q.free, i)
+	q.length--
+	return v
+}
+
+func (q *Queue[T]) unlink(i int32) {
+	n := &q.nodes[i]
+	fl := &q.flows[n.flow]
+	class := classOf(n.entry.Priority)
+	l := &fl.classes[class]
+	if n.prev == none {
+		l.head = n.next
+	} else {
+		q.nodes[n.prev].next = n.next
+	}
+	if n.next == none {
+		l.tail = n.prev
+	} else {
+		q.nodes[n.next].prev = n.prev
+	}
+	fl.waiting--
+	if t := tierOf(n.entry.Priority); q.headOf(n.flow, t) == none {
+		q.tiers[t].remove(fl.position[t])
+	}
+}
+
+// Forget drops the counter of a workspace that has nothing waiting.
+func (q *Queue[T]) Forget(w lagoonhead.WorkspaceID) {
+	f, ok := q.byName[w]
+	if !ok || q.flows[f].waiting > 0 {
+		return
+	}
+	delete(q.byName, w)
+	q.unused = append(q.unused, f)
+}
--- /dev/null
+++ b/limit/share.go
@@ -0,0 +1,56 @@
+package limit
+
+import (
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/lagoonhead/lagoonhead"
+)
+
+// MaxHomes is the largest number of home slots of a workspace. With more slots
+// than that, a workspace has shares at some of them only, so that a share does
+// not become too small for a request.
+const MaxHomes = 12
+
+// Homes returns the home slots of a workspace among n slots, ascending. With
+// more than MaxHomes slots they are chosen by rendezvous hash.
+func Homes(w lagoonhead.WorkspaceID, n int) []int {
+	slots := make([]int, n)
+	for i := range slots {
+		slots[i] = i
+	}
+	if n <= MaxHomes {
+		return slots
+	}
+	score := make([]uint64, n)
+	for i := range score {
+		score[i] = xxhash.Sum64(append([]byte(w), 0, byte(i>>8), byte(i)))
+	}
+	slices.SortFunc(slots, func(a, b int) int {
+		if score[a] > score[b] {
+			return -1
+		}
+		return 1
+	})
+	slots = slots[:MaxHomes]
+	slices.Sort(slots)
+	return slots
+}
+
+// ShareOf returns the part of q that falls to the given slots, for a workspace
+// with the given homes. The shares of all homes add up to q exactly.
+func ShareOf(q lagoonhead.Quota, homes, slots []int) Share {
+	n := micro(len(homes))
+	var s Share
+	burst := micros(q.Burst)
+	for i, h := range homes {
+		if !slices.Contains(slots, h) {
+			continue
+		}
+		k := micro(i)
+		s.capacity += (burst/n)*(k+1) + (burst%n)*(k+1)/n - (burst/n)*k - (burst%n)*k/n
+		s.rate += q.Rate / float64(n)
+	}
+	return s
+}
--- /dev/null
+++ b/limit/slots.go
@@ -0,0 +1,292 @@
+package limit
+
+import (
+	"cmp"
+	"encoding/json"
+	"slices"
+	"time"
+
+	"github.com/lagoonhead/lagoonhead"
+)
+
+const (
+	// SlotsKey is the key of the slot table in the store.
+	SlotsKey = "limit/slots"
+
+	// cleanWait is how long the new holder of a slot waits before its bucket refills
+	// when the former holder gave the slot up: what that one lent can be spent for
+	// so long.
+	cleanWait = LoanLife + LoanMargin
+	// takenWait is the same when the former holder did not give the slot up. That
+	// one may still run. It stops when it is not fresh or hears of the new table.
+	// Word of the table travels with the heartbeats that keep it fresh, which are at
+	// most 3 s old at each of two hops; then come the loans that it made until then.
+	takenWait = 10 * time.Second
+	// listLag is how long a VM must be missing from the platform's list before its
+	// slots are free. It is the longest time that the list lags.
+	listLag = 15 * time.Second
+)
+
+// Slot is one row of the slot table.
+type Slot struct {
+	// VM and Incarnation name the holder. They are empty while the slot is free.
+	VM          lagoonhead.VMID        `json:"vm,omitempty"`
+	Incarnation lagoonhead.Incarnation `json:"incarnation,omitempty"`
+	// Clean tells that the holder before this one gave the slot up itself.
+	Clean bool `json:"clean,omitempty"`
+}
+
+// Table is the slot table as it is kept in the store.
+type Table struct {
+	Slots []Slot `json:"slots"`
+	// Writer and Nonce identify the last write, so that a writer that lost the
+	// answer can see whether the write took effect.
+	Writer lagoonhead.Incarnation `json:"writer"`
+	Nonce  string                 `json:"nonce"`
+}
+
+// NewTable returns a table of n free slots.
+func NewTable(n int) Table {
+	t := Table{Slots: make([]Slot, n)}
+	for i := range t.Slots {
+		t.Slots[i].Clean = true
+	}
+	return t
+}
+
+// ParseTable decodes a table. It returns KindInvalid when the value is no table.
+func ParseTable(value []byte) (Table, error) {
+	var t Table
+	if err := json.Unmarshal(value, &t); err != nil {
+		return Table{}, &Error{lagoonhead.Fault{Op: "limit.parseTable", Kind: lagoonhead.KindInvalid, Err: err}}
+	}
+	return t, nil
+}
+
+// Encode returns the stored form.
+func (t Table) Encode() []byte {
+	b, err := json.Marshal(t)
+	if err != nil {
+		panic("limit: a slot table cannot be encoded: " + err.Error())
+	}
+	return b
+}
+
+// held is a slot that this daemon may use.
+type held struct {
+	slot int
+	from time.Duration // when its bucket begins to refill
+}
+
+// Slots decides which slots one daemon holds. It is not safe for concurrent use.
+type Slots struct {
+	// VM and Incarnation name the daemon. They are set before use.
+	VM          lagoonhead.VMID
+	Incarnation lagoonhead.Incarnation
+
+	known    bool // a table was observed; its revision is positive
+	table    Table
+	revision int64
+	heard    int64 // newest revision that a peer has seen
+	held     []held
+	givingUp bool
+	// releasedAt is the revision over which a release was written last. While the
+	// table has this revision, the write may still take effect, late.
+	releasedAt int64
+	listed     []lagoonhead.VM
+	missing    map[lagoonhead.VMID]time.Duration // since when a holder is not listed
+}
+
+// Table returns the table observed last and its revision, which is 0 before the
+// first one. The caller must not change it.
+func (s *Slots) Table() (Table, int64) { return s.table, s.revision }
+
+// Revision returns the newest revision of the table that this daemon has read or
+// heard of.
+func (s *Slots) Revision() int64 { return max(s.revision, s.heard) }
+
+// Observe takes in the table as read from the store. now must not be earlier than
+// the end of the read.
+func (s *Slots) Observe(now time.Duration, t Table, revision int64) {
+	if s.known && revision < s.revision {
+		return
+	}
+	s.known, s.table, s.revision = true, t, revision
+	s.held = slices.DeleteFunc(s.held, func(h held) bool {
+		return h.slot >= len(t.Slots) || !s.mine(t.Slots[h.slot])
+	})
+	for i, slot := range t.Slots {
+		if s.mine(slot) && !s.givingUp && !s.holds(i) && revision != s.releasedAt {
+			s.held = append(s.held, held{slot: i, from: now + slotWait(slot)})
+		}
+	}
+	s.watchMissing(now)
+}
+
+func slotWait(s Slot) time.Duration {
+	if s.Clean {
+		return cleanWait
+	}
+	return takenWait
+}
+
+func (s *Slots) mine(slot Slot) bool {
+	return slot.VM == s.VM && slot.Incarnation == s.Incarnation
+}
+
+func (s *Slots) holds(slot int) bool {
+	return slices.ContainsFunc(s.held, func(h held) bool { return h.slot == slot })
+}
+
+// Hear takes in a revision of the table that a peer has seen.
+func (s *Slots) Hear(revision int64) { s.heard = max(s.heard, revision) }
+
+// Suspended reports whether a peer has seen a newer table. The daemon must not
+// spend or lend until it has observed that one, since a slot of its own may have
+// changed hands.
+func (s *Slots) Suspended() bool { return s.heard > s.revision }
+
+// List takes in the platform's list of VMs.
+func (s *Slots) List(now time.Duration, vms []lagoonhead.VM) {
+	s.listed = vms
+	s.watchMissing(now)
+}
+
+func (s *Slots) watchMissing(now time.Duration) {
+	if s.listed == nil {
+		return
+	}
+	if s.missing == nil {
+		s.missing = make(map[lagoonhead.VMID]time.Duration)
+	}
+	listed := func(id lagoonhead.VMID) bool {
+		return slices.ContainsFunc(s.listed, func(v lagoonhead.VM) bool { return v.ID() == id })
+	}
+	for id := range s.missing {
+		if listed(id) {
+			delete(s.missing, id)
+		}
+	}
+	for _, slot := range s.table.Slots {
+		if _, ok := s.missing[slot.VM]; !ok && slot.VM != "" && !listed(slot.VM) {
+			s.missing[slot.VM] = now
+		}
+	}
+}
+
+// Starts calls f for each slot that may be used now, with the time from which its
+// bucket refills, in the order of these times.
+func (s *Slots) Starts(now time.Duration, f func(slot int, from time.Duration)) {
+	slices.SortFunc(s.held, func(a, b held) int { return cmp.Compare(a.from, b.from) })
+	for _, h := range s.held {
+		if h.from <= now {
+			f(h.slot, h.from)
+		}
+	}
+}
+
+// Drop stops the use of all slots at once. A slot that the table still names for
+// this daemon is taken up again by the next Observe, empty and after the wait.
+func (s *Slots) Drop() { s.held = s.held[:0] }
+
+// GiveUp stops the use of all slots for good.
+func (s *Slots) GiveUp() {
+	s.givingUp = true
+	s.Drop()
+}
+
+// Next returns the table that this daemon wants to write over the one that it
+// observed last, and whether it wants any. A slot that is given up is out of use
+// as soon as Next returns. The caller sets Writer and Nonce.
+func (s *Slots) Next(now time.Duration) (Table, bool) {
+	if !s.known {
+		return Table{}, false
+	}
+	t := s.table
+	t.Slots = slices.Clone(t.Slots)
+	if s.givingUp {
+		return t, s.release(t, len(t.Slots)) > 0
+	}
+	mine, want := s.count(s.VM, s.Incarnation), s.want()
+	if mine < want {
+		return t, s.take(now, t)
+	}
+	if mine > want || mine > 1 && s.someoneHasNone(now) {
+		return t, s.release(t, 1) > 0
+	}
+	// A slot whose release is no longer wanted comes back with a new revision, which
+	// makes the release conflict.
+	return t, s.releasedAt == s.revision && mine > len(s.held)
+}
+
+// want returns the slots that each listed VM may hold.
+func (s *Slots) want() int {
+	n := 0
+	for _, v := range s.listed {
+		if !v.Leaving() || v.ID() == s.VM {
+			n++
+		}
+	}
+	n = max(1, n)
+	return (len(s.table.Slots) + n - 1) / n
+}
+
+func (s *Slots) count(vm lagoonhead.VMID, in lagoonhead.Incarnation) int {
+	n := 0
+	for _, slot := range s.table.Slots {
+		if slot.VM == vm && (in == "" || slot.Incarnation == in) {
+			n++
+		}
+	}
+	return n
+}
+
+func (s *Slots) someoneHasNone(now time.Duration) bool {
+	for i := range s.table.Slots {
+		if s.free(now, s.table.Slots[i]) {
+			return false
+		}
+	}
+	for _, v := range s.listed {
+		if !v.Leaving() && s.count(v.ID(), "") == 0 {
+			return true
+		}
+	}
+	return false
+}
+
+func (s *Slots) free(now time.Duration, slot Slot) bool {
+	if slot.VM == "" {
+		return true
+	}
+	if slot.VM == s.VM {
+		return slot.Incarnation != s.Incarnation
+	}
+	since, ok := s.missing[slot.VM]
+	return ok && now-since > listLag
+}
+
+func (s *Slots) take(now time.Duration, t Table) bool {
+	for i, slot := range t.Slots {
+		if s.free(now, slot) {
+			t.Slots[i] = Slot{VM: s.VM, Incarnation: s.Incarnation, Clean: slot.VM == "" && slot.Clean}
+			return true
+		}
+	}
+	return false
+}
+
+// release frees up to n slots of this daemon, in use or not.
+func (s *Slots) release(t Table, n int) int {
+	released := 0
+	for i := len(t.Slots) - 1; i >= 0 && released < n; i-- {
+		if !s.mine(t.Slots[i]) {
+			continue
+		}
+		s.held = slices.DeleteFunc(s.held, func(h held) bool { return h.slot == i })
+		t.Slots[i] = Slot{Clean: true}
+		s.releasedAt = s.revision
+		released++
+	}
+	return released
+}
