Join configuration, limits, peers and duties in the daemon

Cause: the thin path read the configuration by a poll and had no limits.

Change: the daemon runs the configuration runner, the admission runner, the heartbeat exchange, the VM lease and the duty of engine orders. The order of taking a heartbeat is slot table first, then ages; ages of heartbeats that come as requests are not trusted.

--- /dev/null
+++ b/daemon/build.go
@@ -0,0 +1,236 @@
+package daemon
+
+import (
+	"crypto/rand"
+	"expvar"
+	"hash/maphash"
+	"net"
+
+	"go.opentelemetry.io/otel/trace"
+	"go.uber.org/zap"
+
+	"github.com/lagoonhead/lagoonhead"
+	"github.com/lagoonhead/lagoonhead/admit"
+	"github.com/lagoonhead/lagoonhead/caller"
+	"github.com/lagoonhead/lagoonhead/claim"
+	"github.com/lagoonhead/lagoonhead/config"
+	"github.com/lagoonhead/lagoonhead/control"
+	"github.com/lagoonhead/lagoonhead/engine"
+	"github.com/lagoonhead/lagoonhead/explain"
+	"github.com/lagoonhead/lagoonhead/lease"
+	"github.com/lagoonhead/lagoonhead/order"
+	"github.com/lagoonhead/lagoonhead/peer"
+	"github.com/lagoonhead/lagoonhead/place"
+	"github.com/lagoonhead/lagoonhead/platform"
+	"github.com/lagoonhead/lagoonhead/service"
+	"github.com/lagoonhead/lagoonhead/settings"
+	"github.com/lagoonhead/lagoonhead/store"
+	"github.com/lagoonhead/lagoonhead/suspect"
+	"github.com/lagoonhead/lagoonhead/timer"
+	"github.com/lagoonhead/lagoonhead/vmlist"
+)
+
+// resumeKeyBytes is the length of the key that seals resume tokens.
+const resumeKeyBytes = 32
+
+// builder holds the parts while they are joined.
+type builder struct {
+	settings    settings.Settings
+	timer       timer.Timer
+	log         *zap.Logger
+	incarnation lagoonhead.Incarnation
+	tracer      trace.Tracer
+
+	store     *store.Client
+	decisions *explain.Record
+	pool      *peer.Pool
+	vms       *vmPoller
+	config    *config.Runner
+	suspects  *suspect.Table
+	placer    *place.Placer
+	poller    *enginePoller
+	admit     *admit.Runner
+	session   *lease.Session
+	keeper    *lease.Keeper
+	committer *config.Committer
+	beats     *heartbeats
+	caller    *caller.Server
+
+	vars  *expvar.Map
+	parts []part
+}
+
+func (d *Daemon) build(l net.Listener, tracing tracing) ([]part, error) {
+	b := &builder{
+		settings: d.Settings, timer: d.Timer, log: d.Log, incarnation: d.incarnation,
+		tracer: tracing.provider.Tracer("lagoonhead/caller"), vars: new(expvar.Map),
+		decisions: explain.New(explain.DefaultSize),
+		store:     &store.Client{Platform: platform.Client{BaseURL: d.Settings.Platform.Store}},
+		suspects:  &suspect.Table{Timer: d.Timer},
+	}
+	for _, step := range []func() error{
+		b.buildPeers, b.buildConfig, b.buildPlacement, b.buildLimits,
+		func() error { return b.buildCaller(l) }, b.buildHeartbeats, b.buildDuties, b.buildOperator,
+	} {
+		if err := step(); err != nil {
+			return nil, err
+		}
+	}
+	d.caller = b.caller
+	return b.parts, nil
+}
+
+// add adds a part and publishes its counters.
+func (b *builder) add(name string, p part, vars *expvar.Map) {
+	b.parts = append(b.parts, p)
+	if vars != nil {
+		b.vars.Set(name, vars)
+	}
+}
+
+func (b *builder) buildPeers() error {
+	token, err := b.settings.Peer.ReadToken()
+	if err != nil {
+		return err
+	}
+	_, client, err := tlsConfigs(b.settings.Peer, b.timer)
+	if err != nil {
+		return err
+	}
+	b.pool = &peer.Pool{Token: token, TLS: client}
+	return nil
+}
+
+func (b *builder) buildConfig() error {
+	b.config = &config.Runner{
+		Self: b.settings.VM.ID, Incarnation: b.incarnation, Store: b.store,
+		Peers: config.PoolPeers{Pool: b.pool}, Timer: b.timer, Decisions: b.decisions,
+	}
+	b.add("config", b.config.Run, b.config.Vars())
+	b.committer = &config.Committer{Store: b.store, Runner: b.config, Peers: b.config.Peers, Timer: b.timer}
+	b.vars.Set("commits", b.committer.Vars())
+	b.vms = &vmPoller{
+		lister: &vmlist.Client{Platform: platform.Client{BaseURL: b.settings.Platform.VMs}},
+		timer:  b.timer, changed: b.config.SetVMs,
+	}
+	b.add("vmList", b.vms.Run, &b.vms.vars)
+	return nil
+}
+
+func (b *builder) buildPlacement() error {
+	b.placer = &place.Placer{
+		Source: b.config, Timer: b.timer, Suspects: b.suspects,
+		Seed: maphash.String(maphash.MakeSeed(), string(b.settings.VM.ID)),
+	}
+	b.add("placement", b.placer.Run, b.placer.Vars())
+	b.poller = &enginePoller{
+		querier: &engine.Querier{Timer: b.timer}, source: b.config, placer: b.placer, timer: b.timer,
+		self: b.settings.VM.ID, vms: b.vms.VMs,
+		all: func() bool { return b.keeper.Tenure(dutyEngineOrders) != nil },
+	}
+	b.add("enginePolls", b.poller.Run, &b.poller.vars)
+	b.vars.Set("suspects", b.suspects.Vars())
+	return nil
+}
+
+func (b *builder) buildLimits() error {
+	b.admit = &admit.Runner{
+		VM: b.settings.VM.ID, Incarnation: b.incarnation, Timer: b.timer, Store: b.store,
+		VMs: knownVMs{b.vms}, Directory: b.config, Gate: b.config, Peers: lenders{b.config, b.pool},
+		Decisions: b.decisions, Log: b.log, MaxWait: b.settings.Limits.MaxWait,
+	}
+	b.add("limits", b.admit.Run, b.admit.Vars())
+	return nil
+}
+
+func (b *builder) buildCaller(l net.Listener) error {
+	s := b.settings
+	sealer, err := newSealer(s.Resume)
+	if err != nil {
+		return err
+	}
+	streamer := &engine.Streamer{Timer: b.timer, IdleLimit: s.Limits.IdleTimeout, OnLoad: b.placer.Report}
+	b.add("engines", streamer.Run, streamer.Vars())
+	claims := &claim.Keeper{Store: b.store, Holder: b.incarnation, Timer: b.timer, Log: b.log}
+	b.add("claims", claims.Run, claims.Vars())
+	budget := new(service.Budget)
+	services := &service.Client{Budget: budget, Suspects: b.suspects}
+	b.vars.Set("services", services.Vars())
+	b.caller = &caller.Server{
+		Listener: l, Directories: b.config, Gate: b.config, Admitter: b.admit, Placer: b.placer,
+		Engines: streamer, Suspects: b.suspects, Usage: noUsage{}, Decisions: b.decisions,
+		Services: services, Claims: claims, Budget: budget, Relay: &caller.PlainRelay{Sealer: sealer}, Sealer: sealer,
+		Timer: b.timer, Log: b.log, Tracer: b.tracer,
+		Limits: caller.Limits{BodyBytes: s.Limits.MaxBodyBytes, DrainDelay: s.Drain.Lag},
+	}
+	b.add("callers", b.caller.Run, b.caller.Vars())
+	return nil
+}
+
+func newSealer(r settings.Resume) (caller.Sealer, error) {
+	key, err := r.ReadKey()
+	if err != nil {
+		return nil, err
+	}
+	if key == nil {
+		key = make([]byte, resumeKeyBytes)
+		_, _ = rand.Read(key) // it never fails
+	}
+	return caller.NewSealer(key)
+}
+
+func (b *builder) buildHeartbeats() error {
+	b.beats = &heartbeats{
+		config: b.config, admit: b.admit, placer: b.placer, suspects: b.suspects, poller: b.poller,
+		source: b.config, ready: func() bool { return b.config.Fresh() == nil }, inFlight: b.caller.InFlight,
+	}
+	x := &peer.Exchanger{
+		Pool: b.pool, Timer: b.timer, Self: b.settings.VM.ID, Peers: b.vms.VMs, Source: b.beats, Answered: b.beats.Answered,
+	}
+	b.add("heartbeats", x.Run, x.Vars())
+	server, _, err := tlsConfigs(b.settings.Peer, b.timer)
+	if err != nil {
+		return err
+	}
+	l, err := listen(b.settings.Listen.Peer, server)
+	if err != nil {
+		return err
+	}
+	s := &peer.Server{Config: b.config, Lender: b.admit, Usage: noUsage{}, Heartbeats: b.beats, Token: b.pool.Token}
+	b.add("", serveHTTP(l, s.Handler()), nil)
+	return nil
+}
+
+func (b *builder) buildDuties() error {
+	b.session = &lease.Session{Store: b.store, Timer: b.timer, Log: b.log}
+	d := newDuties(b.log, map[lease.Duty]func(*lease.Tenure) part{dutyEngineOrders: b.engineOrders})
+	b.keeper = &lease.Keeper{
+		Store: b.store, Session: b.session, Timer: b.timer, Log: b.log,
+		VM: b.settings.VM.ID, Incarnation: b.incarnation,
+		Duties: []lease.Duty{dutyEngineOrders, dutyEndpointOrders, dutyUsage},
+		Eligible: func(d lease.Duty) bool {
+			return falls(b.vms.VMs(), b.settings.VM.ID, "duty/"+d.String(), candidatesPerDuty)
+		},
+		Gained: d.gain,
+	}
+	b.add("lease", b.session.Run, b.session.Vars())
+	b.add("duties", b.keeper.Run, b.keeper.Vars())
+	b.add("", d.Run, nil)
+	return nil
+}
+
+func (b *builder) ledger(t *lease.Tenure) *order.Ledger {
+	return &order.Ledger{Store: b.store, Authority: t, Writer: string(b.incarnation)}
+}
+
+func (b *builder) engineOrders(t *lease.Tenure) part {
+	g := &control.Engines{
+		Fleet: &engineFleet{
+			source: b.config, poller: b.poller, beats: b.beats, confirmations: b.config, editor: b.editor(),
+			timer: b.timer, self: b.settings.VM.ID, vms: b.vms.VMs,
+		},
+		Ledger: b.ledger(t), Engines: &engine.Commander{Timer: b.timer, Authority: t.Check},
+		Timer: b.timer, Decisions: b.decisions,
+	}
+	return g.Run
+}
--- a/daemon/engines.go
+++ b/daemon/engines.go
@@ -1,8 +1,10 @@
 package daemon
 
 import (
+	"cmp"
 	"context"
 	"expvar"
+	"slices"
 	"sync"
 	"time"
 
@@ -34,6 +36,9 @@
 	timer   timer.Timer
 	self    lagoonhead.VMID
 	vms     func() []lagoonhead.VM
+	// all is true while this daemon holds the duty of engine orders, which needs a
+	// report of every engine. It may be nil.
+	all func() bool
 
 	mu    sync.Mutex
 	after map[lagoonhead.EndpointID]int64
@@ -78,17 +83,12 @@
 
 // mine returns the engines that this daemon polls.
 func (p *enginePoller) mine() []lagoonhead.Endpoint {
-	d := p.source.Directory()
-	if d == nil {
-		return nil
-	}
 	vms := p.vms()
+	all := p.all != nil && p.all()
 	var list []lagoonhead.Endpoint
-	for _, m := range d.Models() {
-		for _, e := range d.Endpoints(lagoonhead.KindEngine, m) {
-			if falls(vms, p.self, "poll/"+string(e.ID()), pollersPerEngine) {
-				list = append(list, e)
-			}
+	for _, e := range engines(p.source) {
+		if all || falls(vms, p.self, "poll/"+string(e.ID()), pollersPerEngine) {
+			list = append(list, e)
 		}
 	}
 	return list
@@ -143,6 +143,18 @@
 	return s, ok
 }
 
+// reports returns the newest reports, ordered by engine.
+func (p *enginePoller) reports() []lagoonhead.LoadReport {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	list := make([]lagoonhead.LoadReport, 0, len(p.fresh))
+	for _, s := range p.fresh {
+		list = append(list, s.report)
+	}
+	slices.SortFunc(list, func(a, b lagoonhead.LoadReport) int { return cmp.Compare(a.Endpoint, b.Endpoint) })
+	return list
+}
+
 func (p *enginePoller) events(ctx context.Context, e lagoonhead.Endpoint) {
 	p.mu.Lock()
 	after := p.after[e.ID()]
--- /dev/null
+++ b/daemon/heartbeats.go
@@ -0,0 +1,166 @@
+package daemon
+
+import (
+	"sync"
+	"time"
+
+	"github.com/lagoonhead/lagoonhead"
+	"github.com/lagoonhead/lagoonhead/admit"
+	"github.com/lagoonhead/lagoonhead/config"
+	"github.com/lagoonhead/lagoonhead/peer"
+	"github.com/lagoonhead/lagoonhead/place"
+	"github.com/lagoonhead/lagoonhead/suspect"
+)
+
+// maxLoadsPerHeartbeat bounds the loads in one heartbeat; the rest go with the next
+// ones. 16 loads of about 45 bytes to 5 peers 4 times a second are what today's
+// fleet needs.
+const maxLoadsPerHeartbeat = 16
+
+// heartbeats builds this daemon's heartbeat and takes those of the peers.
+type heartbeats struct {
+	config   *config.Runner
+	admit    *admit.Runner
+	placer   *place.Placer
+	suspects *suspect.Table
+	poller   *enginePoller
+	source   lagoonhead.DirectorySource
+	ready    func() bool
+	inFlight func(lagoonhead.EndpointID) int
+
+	mu     sync.Mutex
+	counts map[lagoonhead.VMID]peerCounts
+	next   int
+}
+
+// peerCounts is what a peer has said of the endpoints that are leaving.
+type peerCounts struct {
+	asked    time.Duration
+	inFlight map[lagoonhead.EndpointID]int
+}
+
+var _ peer.HeartbeatSource = (*heartbeats)(nil)
+
+// Local returns this daemon's heartbeat. The revision is written before the counts
+// of requests in flight, so that the counts are at least as new as the revision.
+func (b *heartbeats) Local() *peer.Heartbeat {
+	h := &peer.Heartbeat{
+		Ready: b.ready(), SlotsRevision: b.admit.SlotsRevision(), Suspects: b.suspects.Notices(), Loads: b.loads(),
+	}
+	b.config.Fill(h)
+	h.LeavingInFlight = b.leaving()
+	for _, s := range b.admit.HeldSlots() {
+		h.Slots = append(h.Slots, int32(s))
+	}
+	return h
+}
+
+// Told takes a heartbeat that came as a request. Its ages are not trusted, because
+// it may have been delayed for any time.
+func (b *heartbeats) Told(h *peer.Heartbeat) {
+	b.admit.HeardSlotsRevision(h.GetSlotsRevision())
+	b.config.Told(h)
+	b.news(h)
+}
+
+// Answered takes a heartbeat that answers one sent at since.
+func (b *heartbeats) Answered(h *peer.Heartbeat, since time.Duration) {
+	// The slot table must be known before the heartbeat can make this daemon fresh.
+	b.admit.HeardSlotsRevision(h.GetSlotsRevision())
+	b.count(h, since)
+	b.config.Answered(h, since)
+	b.news(h)
+}
+
+// news takes what does not depend on ages.
+func (b *heartbeats) news(h *peer.Heartbeat) {
+	b.suspects.Merge(h.GetSuspects())
+	for _, l := range h.GetLoads() {
+		b.placer.Report(lagoonhead.LoadReport{
+			Endpoint: lagoonhead.EndpointID(l.GetEndpoint()), Incarnation: lagoonhead.Incarnation(l.GetIncarnation()),
+			Number: l.GetNumber(), Running: int(l.GetRunning()), QueuedPrefillTokens: int(l.GetQueuedPrefillTokens()),
+			Role: lagoonhead.Role(l.GetRole()), FreeCacheBlocks: int(l.GetFreeCacheBlocks()),
+		})
+	}
+}
+
+// loads returns the next reports of engines that this daemon polls.
+func (b *heartbeats) loads() []*peer.LoadDelta {
+	reports := b.poller.reports()
+	if len(reports) == 0 {
+		return nil
+	}
+	b.mu.Lock()
+	first := b.next % len(reports)
+	b.next = first + maxLoadsPerHeartbeat
+	b.mu.Unlock()
+	var list []*peer.LoadDelta
+	for i := range min(len(reports), maxLoadsPerHeartbeat) {
+		r := reports[(first+i)%len(reports)]
+		list = append(list, &peer.LoadDelta{
+			Endpoint: string(r.Endpoint), Incarnation: string(r.Incarnation), Number: r.Number,
+			Running: int32(r.Running), QueuedPrefillTokens: int32(r.QueuedPrefillTokens),
+			Role: string(r.Role), FreeCacheBlocks: int32(r.FreeCacheBlocks),
+		})
+	}
+	return list
+}
+
+// leaving returns the requests in flight on endpoints that are leaving.
+func (b *heartbeats) leaving() []*peer.EndpointCount {
+	var list []*peer.EndpointCount
+	for _, e := range engines(b.source) {
+		if n := b.inFlight(e.ID()); e.Leaving() && n > 0 {
+			list = append(list, &peer.EndpointCount{Endpoint: string(e.ID()), InFlight: int32(n)})
+		}
+	}
+	return list
+}
+
+func (b *heartbeats) count(h *peer.Heartbeat, asked time.Duration) {
+	c := peerCounts{asked: asked, inFlight: make(map[lagoonhead.EndpointID]int)}
+	for _, e := range h.GetLeavingInFlight() {
+		c.inFlight[lagoonhead.EndpointID(e.GetEndpoint())] = int(e.GetInFlight())
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.counts == nil {
+		b.counts = make(map[lagoonhead.VMID]peerCounts)
+	}
+	vm := lagoonhead.VMID(h.GetVm())
+	if b.counts[vm].asked <= asked {
+		b.counts[vm] = c
+	}
+}
+
+// total returns the requests in flight on an endpoint over this daemon and the
+// listed VMs. known is false while a VM has not answered since the given time.
+func (b *heartbeats) total(id lagoonhead.EndpointID, vms []lagoonhead.VM, self lagoonhead.VMID, since time.Duration) (n int, known bool) {
+	n = b.inFlight(id)
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for _, v := range vms {
+		if v.ID() == self {
+			continue
+		}
+		c, ok := b.counts[v.ID()]
+		if !ok || c.asked < since {
+			return n, false
+		}
+		n += c.inFlight[id]
+	}
+	return n, true
+}
+
+// engines returns all engines of the configuration in force.
+func engines(s lagoonhead.DirectorySource) []lagoonhead.Endpoint {
+	d := s.Directory()
+	if d == nil {
+		return nil
+	}
+	var list []lagoonhead.Endpoint
+	for _, m := range d.Models() {
+		list = append(list, d.Endpoints(lagoonhead.KindEngine, m)...)
+	}
+	return list
+}
--- a/daemon/vms.go
+++ b/daemon/vms.go
@@ -26,16 +26,30 @@
 	// asked for.
 	changed func(list []lagoonhead.VM, asked time.Duration)
 
-	list atomic.Pointer[[]lagoonhead.VM]
+	list atomic.Pointer[vmList]
 	vars expvar.Map
 }
 
+// vmList is a list and when it was asked for.
+type vmList struct {
+	vms   []lagoonhead.VM
+	asked time.Duration
+}
+
 // VMs returns the newest list.
 func (p *vmPoller) VMs() []lagoonhead.VM {
-	if l := p.list.Load(); l != nil {
-		return *l
+	list, _, _ := p.newest()
+	return list
+}
+
+// newest returns the newest list and when it was asked for. ok is false before the
+// first one.
+func (p *vmPoller) newest() (list []lagoonhead.VM, asked time.Duration, ok bool) {
+	l := p.list.Load()
+	if l == nil {
+		return nil, 0, false
 	}
-	return nil
+	return l.vms, l.asked, true
 }
 
 // Run reads the list until ctx ends.
@@ -63,6 +77,6 @@
 		return
 	}
 	p.vars.Add("read", 1)
-	p.list.Store(&list)
+	p.list.Store(&vmList{vms: list, asked: asked})
 	p.changed(list, asked)
 }
