Answer waiting requests when the daemon is not fresh; test a fleet of runners

A request that waited at a daemon that was cut off was refused after 10 s, although another daemon could have run it. It now gets 'unavailable, not run' as soon as the daemon is not fresh.

No window exceeds rate*t + burst.

--- a/admit/admit.go
+++ b/admit/admit.go
@@ -20,6 +20,7 @@
 	request     *lagoonhead.Request
 	book        *book
 	since       time.Duration
+	expected    float64 // tokens counted as demand
 	handle      fair.Handle
 	reservation *reservation
 	done        chan answer
@@ -39,6 +40,7 @@
 	book     *book
 	hold     limit.Hold
 	priority lagoonhead.Priority
+	expected float64
 	settled  bool
 }
 
@@ -80,22 +82,24 @@
 			"the request needs %d tokens (prompt %d, output up to %d) and the burst of workspace %s is %d",
 			charge, q.PromptTokens(), q.MaxTokens(), b.workspace, b.quota.Burst)
 	}
-	if b.waiting == 0 {
-		if res, ok := r.take(now, b, q); ok {
+	expected := b.expect(charge)
+	b.demand.add(now, expected)
+	if b.waiting == 0 && !r.slots.Suspended() {
+		if res, ok := r.take(now, b, q, expected); ok {
 			r.counters.admitted.Add(1)
 			return res, nil, nil
 		}
 	}
-	w, err := r.enqueue(now, b, q)
+	w, err := r.enqueue(now, b, q, expected)
 	return nil, w, err
 }
 
-func (r *Runner) enqueue(now time.Duration, b *book, q *lagoonhead.Request) (*waiter, error) {
+func (r *Runner) enqueue(now time.Duration, b *book, q *lagoonhead.Request, expected float64) (*waiter, error) {
 	until := now + r.MaxWait
 	if d := q.Deadline(); d > 0 {
 		until = min(until, d)
 	}
-	w := &waiter{request: q, book: b, since: now, done: make(chan answer, 1)}
+	w := &waiter{request: q, book: b, since: now, expected: expected, done: make(chan answer, 1)}
 	h, ok := r.queue.Push(fair.Entry{
 		Workspace: b.workspace, Priority: q.Priority(),
 		Cost: q.Charge(), Weight: max(1, b.quota.Rate), Deadline: until,
@@ -154,6 +158,7 @@
 	}
 	s.settled = true
 	b.open--
+	b.learn(now, s.hold.Charged(), used, s.expected)
 	unused := float64(s.hold.Charged() - used)
 	b.spent.add(now, -unused)
 	if s.priority < lagoonhead.PriorityDeferrable {
@@ -173,7 +178,7 @@
 	}
 	r.Decisions.RecordDecision(lagoonhead.Decision{
 		At: now, Topic: "admission", Subject: string(w.book.workspace), Result: result,
-		Reason: fmt.Sprintf("request %s needs %d tokens; %d free here, recent use %.0f of %.0f tokens/s, %d tokens waited for",
+		Reason: fmt.Sprintf("request %s needs %d tokens; %d free here, recent demand %.0f of %.0f tokens/s, %d tokens waited for",
 			w.request.ID(), w.request.Charge(), w.book.bucket.Available(now), rate, w.book.quota.Rate, w.book.waiting),
 	})
 }
--- a/admit/book.go
+++ b/admit/book.go
@@ -38,7 +38,7 @@
 // lenderView is what is known of a lender for one workspace.
 type lenderView struct {
 	tokens int64         // lent at the last ask
-	rate   float64       // recent use there
+	rate   float64       // recent demand there
 	at     time.Duration // of the last answer
 }
 
@@ -54,8 +54,11 @@
 	open     int    // reservations that were not settled
 	waiting  int64  // tokens that requests wait for
 	heldBack uint64 // round in which a request was short of tokens
-	spent    meter  // tokens really used, as far as known
-	prompt   meter  // the same without deferrable work
+	spent    meter  // tokens charged, less what was not used
+	// demand is the tokens that requests would have used, the refused ones included.
+	demand   meter
+	usedPart float64 // recent share of a charge that is really used
+	prompt   meter   // the same without deferrable work
 
 	wanting bool // listed in Runner.wanting
 	asking  bool // a round of borrowing runs
@@ -71,6 +74,8 @@
 	// which a busy workspace borrows ahead and up to which it does.
 	prefetchBelow = 200 * time.Millisecond
 	prefetchFor   = 400 * time.Millisecond
+	// usedPartGain is the weight of the newest request in usedPart.
+	usedPartGain = 0.05
 )
 
 func (b *book) leavesReserve(now time.Duration, charge int64) bool {
@@ -102,10 +107,22 @@
 	return b.bucket.Own(now) - keep
 }
 
-// fleetRate returns the recent use of the workspace over the fleet as far as this
-// daemon knows it. A lender that does not answer counts as zero.
-func (b *book) fleetRate(now time.Duration) float64 {
-	sum := b.spent.rate(now)
+// expect returns the tokens that a request with this charge is expected to use.
+func (b *book) expect(charge int64) float64 { return float64(charge) * b.usedPart }
+
+// learn takes in what a request with this charge really used.
+func (b *book) learn(now time.Duration, charge, used int64, expected float64) {
+	b.demand.add(now, float64(used)-expected)
+	if charge > 0 {
+		b.usedPart += (min(1, float64(used)/float64(charge)) - b.usedPart) * usedPartGain
+	}
+}
+
+// fleetDemand returns the recent demand of the workspace over the fleet, in tokens
+// per second, as far as this daemon knows it. A lender that does not answer counts
+// as zero.
+func (b *book) fleetDemand(now time.Duration) float64 {
+	sum := b.demand.rate(now)
 	for _, v := range b.lenders {
 		if now-v.at < meterSpan {
 			sum += v.rate
@@ -125,7 +142,7 @@
 		if _, ok := dir.Quota(w); !ok {
 			return nil
 		}
-		b = &book{workspace: w}
+		b = &book{workspace: w, usedPart: 1}
 		r.books[w] = b
 		r.replay(b, dir)
 	}
--- a/admit/borrow.go
+++ b/admit/borrow.go
@@ -150,7 +150,7 @@
 	if t, revision := r.slots.Table(); revision > req.GetSlotsRevision() {
 		resp.SlotTable, resp.SlotsRevision = t.Encode(), revision
 	}
-	if req.GetTokens() <= 0 || req.GetTtlMs() > limit.LoanLife.Milliseconds() || r.fresh(now) != nil {
+	if req.GetTokens() <= 0 || req.GetTtlMs() > limit.LoanLife.Milliseconds() || r.slots.Suspended() || r.fresh(now) != nil {
 		return resp, nil
 	}
 	b := r.book(now, lagoonhead.WorkspaceID(req.GetWorkspace()))
@@ -162,7 +162,7 @@
 		resp.Loan, resp.Tokens = b.bucket.Lend(now, want)
 		r.counters.lent.Add(resp.Tokens)
 	}
-	resp.RecentRate = b.spent.rate(now)
+	resp.RecentRate = b.demand.rate(now)
 	if short := req.GetTokens() - resp.Tokens; short > 0 && b.share.Rate() > 0 {
 		resp.WaitMs = int64(float64(short) / b.share.Rate() * 1000)
 	}
--- /dev/null
+++ b/admit/cluster_test.go
@@ -0,0 +1,449 @@
+package admit
+
+import (
+	"context"
+	"math/rand/v2"
+	"slices"
+	"strconv"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/stretchr/testify/require"
+
+	"github.com/lagoonhead/lagoonhead"
+	"github.com/lagoonhead/lagoonhead/peer"
+	"github.com/lagoonhead/lagoonhead/timer"
+)
+
+const (
+	clockStep = 5 * time.Millisecond
+	delay     = time.Millisecond
+)
+
+func drawn(k lagoonhead.Kind) error {
+	return &Error{Fault: lagoonhead.Fault{Op: "test", Kind: k, Err: errors.New("test")}}
+}
+
+// cluster is a fleet of runners in a bubble with a fake clock.
+type cluster struct {
+	clock *timer.Manual
+	quota lagoonhead.Quota
+	slots int
+
+	mu        sync.Mutex
+	nodes     []*node
+	started   int
+	storeDown bool
+	entry     lagoonhead.Entry
+	group     sync.WaitGroup
+	stop      context.CancelFunc
+	ctx       context.Context
+	uses      []use
+}
+
+type use struct {
+	at   time.Duration
+	used int64
+}
+
+type node struct {
+	c        *cluster
+	vm       lagoonhead.VMID
+	runner   *Runner
+	stop     context.CancelFunc
+	dead     bool
+	cutSince time.Duration // 0: connected
+}
+
+func newCluster(n int, q lagoonhead.Quota) *cluster {
+	c := &cluster{clock: timer.NewManual(time.Hour, time.Unix(0, 0)), quota: q, slots: n}
+	c.ctx, c.stop = context.WithCancel(context.Background())
+	c.group.Go(func() {
+		for c.ctx.Err() == nil {
+			time.Sleep(clockStep)
+			c.clock.Advance(clockStep)
+		}
+	})
+	for i := range n {
+		c.start(i)
+	}
+	c.group.Go(c.heartbeats)
+	return c
+}
+
+func (c *cluster) start(i int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.started++
+	n := &node{c: c, vm: lagoonhead.VMID(strconv.Itoa(i))}
+	n.runner = &Runner{
+		VM: n.vm, Incarnation: lagoonhead.Incarnation(strconv.Itoa(c.started)), Timer: c.clock,
+		Store: n, VMs: n, Directory: n, Gate: n, Peers: n, SlotCount: c.slots,
+	}
+	n.runner.init()
+	if i == len(c.nodes) {
+		c.nodes = append(c.nodes, n)
+	}
+	c.nodes[i] = n
+	var ctx context.Context
+	ctx, n.stop = context.WithCancel(c.ctx)
+	c.group.Go(func() { _ = n.runner.Run(ctx) })
+}
+
+func (c *cluster) heartbeats() {
+	for c.ctx.Err() == nil {
+		time.Sleep(250 * time.Millisecond)
+		for _, a := range c.connected() {
+			for _, b := range c.connected() {
+				a.runner.HeardSlotsRevision(b.runner.SlotsRevision())
+			}
+		}
+	}
+}
+
+func (c *cluster) connected() []*node {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return slices.DeleteFunc(slices.Clone(c.nodes), func(n *node) bool { return n.dead || n.cutSince != 0 })
+}
+
+// kill stops a node without a word: its slots stay in the table.
+func (c *cluster) kill(i int) {
+	c.mu.Lock()
+	c.nodes[i].dead = true
+	c.mu.Unlock()
+	c.nodes[i].stop()
+}
+
+func (c *cluster) end() {
+	c.stop()
+	c.group.Wait()
+}
+
+// The methods below are the surroundings of one node.
+
+func (n *node) gone() bool {
+	n.c.mu.Lock()
+	defer n.c.mu.Unlock()
+	return n.dead || n.cutSince != 0
+}
+
+func (n *node) Fresh() error {
+	n.c.mu.Lock()
+	defer n.c.mu.Unlock()
+	if n.dead || n.cutSince != 0 && n.c.clock.Now()-n.cutSince > 3*time.Second {
+		return drawn(lagoonhead.KindUnavailable)
+	}
+	return nil
+}
+
+func (n *node) VMs(context.Context) ([]lagoonhead.VM, error) {
+	n.c.mu.Lock()
+	defer n.c.mu.Unlock()
+	var vms []lagoonhead.VM
+	for _, o := range n.c.nodes {
+		if !o.dead {
+			vms = append(vms, lagoonhead.NewVM(o.vm, "d", "", false))
+		}
+	}
+	return vms, nil
+}
+
+func (n *node) Lenders() []Lender {
+	n.c.mu.Lock()
+	defer n.c.mu.Unlock()
+	var l []Lender
+	for _, o := range n.c.nodes {
+		if o != n {
+			l = append(l, Lender{o.vm, link{n, o}})
+		}
+	}
+	return l
+}
+
+func (n *node) Directory() lagoonhead.Directory { return directory{quota: n.c.quota} }
+
+type directory struct {
+	lagoonhead.Directory
+	quota lagoonhead.Quota
+}
+
+func (directory) Revision() int64 { return 1 }
+func (d directory) Quota(w lagoonhead.WorkspaceID) (lagoonhead.Quota, bool) {
+	return d.quota, w != "unknown"
+}
+
+type link struct{ from, to *node }
+
+// reach waits as a call does: a peer that is gone never answers.
+func (l link) reach(ctx context.Context) error {
+	time.Sleep(delay)
+	if l.from.gone() || l.to.gone() {
+		<-ctx.Done()
+		return ctx.Err()
+	}
+	return nil
+}
+
+func (l link) Borrow(ctx context.Context, r *peer.BorrowRequest) (*peer.BorrowResponse, error) {
+	if err := l.reach(ctx); err != nil {
+		return nil, err
+	}
+	return l.to.runner.Borrow(ctx, r)
+}
+
+func (l link) GiveBack(ctx context.Context, r *peer.GiveBackRequest) (*peer.GiveBackResponse, error) {
+	if err := l.reach(ctx); err != nil {
+		return nil, err
+	}
+	return l.to.runner.GiveBack(ctx, r)
+}
+
+func (n *node) storeReachable() bool {
+	n.c.mu.Lock()
+	defer n.c.mu.Unlock()
+	return !n.c.storeDown && !n.dead && n.cutSince == 0
+}
+
+func (n *node) Get(_ context.Context, _ string) (lagoonhead.Entry, error) {
+	time.Sleep(delay)
+	if !n.storeReachable() {
+		return lagoonhead.Entry{}, drawn(lagoonhead.KindUnavailable)
+	}
+	n.c.mu.Lock()
+	defer n.c.mu.Unlock()
+	if n.c.entry.Revision == 0 {
+		return lagoonhead.Entry{}, drawn(lagoonhead.KindNotFound)
+	}
+	return n.c.entry, nil
+}
+
+func (n *node) Put(_ context.Context, r lagoonhead.PutRequest) (int64, error) {
+	time.Sleep(delay)
+	if !n.storeReachable() {
+		return 0, drawn(lagoonhead.KindUnavailable)
+	}
+	n.c.mu.Lock()
+	defer n.c.mu.Unlock()
+	if n.c.entry.Revision != r.IfRevision {
+		return 0, drawn(lagoonhead.KindConflict)
+	}
+	n.c.entry = lagoonhead.Entry{Key: r.Key, Value: r.Value, Revision: r.IfRevision + 1}
+	if n.c.entry.Revision%3 == 0 {
+		return 0, drawn(lagoonhead.KindUnknown) // the answer is lost
+	}
+	return n.c.entry.Revision, nil
+}
+
+func (n *node) List(context.Context, string) ([]lagoonhead.Entry, error) { return nil, nil }
+func (n *node) Watch(context.Context, string, int64) ([]lagoonhead.Event, int64, error) {
+	return nil, 0, nil
+}
+func (n *node) Delete(context.Context, string, int64) error { return nil }
+func (n *node) GrantLease(context.Context, time.Duration) (lagoonhead.LeaseID, error) {
+	return "", nil
+}
+func (n *node) RenewLease(context.Context, lagoonhead.LeaseID) error  { return nil }
+func (n *node) RevokeLease(context.Context, lagoonhead.LeaseID) error { return nil }
+
+// arrival is one request of a drawn load.
+type arrival struct {
+	at, length        time.Duration
+	prompt, most, out int
+	node              int
+}
+
+// load draws a minute of requests. share is the part of the rate that they really
+// use; hot is the part of them that comes to the first daemon besides its even
+// part.
+func load(seed uint64, n int, rate, share, hot float64) []arrival {
+	rng := rand.New(rand.NewPCG(seed, 3))
+	var l []arrival
+	for at := time.Duration(0); at < time.Minute; {
+		a := arrival{at: at, prompt: 200 + rng.IntN(1600), most: 1000, out: 100 + rng.IntN(500), node: rng.IntN(n)}
+		a.length = time.Duration(a.out) * 10 * time.Millisecond
+		if rng.Float64() < hot {
+			a.node = 0
+		}
+		l = append(l, a)
+		at += time.Duration(float64(a.prompt+a.out) / (rate * share) * rng.ExpFloat64() * float64(time.Second))
+	}
+	return l
+}
+
+// result is what became of a load.
+type result struct {
+	refused  []bool
+	moved    int // sent on because a daemon was not ready
+	excess   float64
+	counters map[string]int
+}
+
+// play sends the load to a fleet of n and runs the script beside it.
+func play(l []arrival, n int, q lagoonhead.Quota, script func(c *cluster)) result {
+	c := newCluster(n, q)
+	defer c.end()
+	time.Sleep(30 * time.Second)
+	res := result{refused: make([]bool, len(l)), counters: map[string]int{}}
+	var mu sync.Mutex
+	var w sync.WaitGroup
+	if script != nil {
+		w.Go(func() { script(c) })
+	}
+	began := c.clock.Now()
+	for i, a := range l {
+		w.Go(func() {
+			time.Sleep(a.at)
+			refused, moved := c.request(a, i)
+			mu.Lock()
+			defer mu.Unlock()
+			res.refused[i] = refused
+			res.moved += moved
+		})
+	}
+	w.Wait()
+	res.excess = c.excess(began)
+	for _, name := range []string{"admitted", "waited", "refused", "wronglyRefused", "borrowed", "failedAsks"} {
+		for _, o := range c.nodes {
+			v, _ := strconv.Atoi(o.runner.Vars().Get(name).String())
+			res.counters[name] += v
+		}
+	}
+	return res
+}
+
+// request sends one request, to the next daemon when one is not ready.
+func (c *cluster) request(a arrival, id int) (refused bool, moved int) {
+	for k := range c.nodes {
+		c.mu.Lock()
+		o := c.nodes[(a.node+k)%len(c.nodes)]
+		c.mu.Unlock()
+		q := lagoonhead.NewRequest(lagoonhead.RequestID(strconv.Itoa(id)), "w", "m", c.clock.Now())
+		q.SetTokens(a.prompt, a.most)
+		r, err := o.runner.Admit(context.Background(), q)
+		if lagoonhead.IsKind(err, lagoonhead.KindUnavailable) {
+			moved++
+			continue
+		}
+		if err != nil {
+			return true, moved
+		}
+		c.mu.Lock()
+		c.uses = append(c.uses, use{c.clock.Now(), int64(a.prompt + a.out)})
+		c.mu.Unlock()
+		time.Sleep(a.length)
+		r.Settle(int64(a.prompt + a.out))
+		return false, moved
+	}
+	return true, moved
+}
+
+// excess returns by how many tokens the worst window exceeds rate*t + burst.
+func (c *cluster) excess(last time.Duration) float64 {
+	worst, sum := -float64(c.quota.Burst), 0.0
+	for _, u := range c.uses {
+		sum = max(0, sum-c.quota.Rate*(u.at-last).Seconds()) + float64(u.used)
+		last = u.at
+		worst = max(worst, sum-float64(c.quota.Burst))
+	}
+	return worst
+}
+
+// tally sums up what became of some loads.
+type tally struct {
+	requests, refused, wrongly, refusedByOne, sentOn int
+	usedPart                                         float64 // of what one daemon lets use
+	leastHeadroom                                    float64 // tokens left in the worst window
+	counters                                         map[string]int
+	used, usedByOne                                  int
+}
+
+func (y *tally) add(l []arrival, fleet, single result) {
+	if y.counters == nil {
+		y.counters, y.leastHeadroom = map[string]int{}, -fleet.excess
+	}
+	y.requests += len(l)
+	y.sentOn += fleet.moved
+	y.leastHeadroom = min(y.leastHeadroom, -fleet.excess)
+	for i, a := range l {
+		switch {
+		case !fleet.refused[i]:
+			y.used += a.prompt + a.out
+		case !single.refused[i]:
+			y.wrongly++
+			fallthrough
+		default:
+			y.refused++
+		}
+		if single.refused[i] {
+			y.refusedByOne++
+		} else {
+			y.usedByOne += a.prompt + a.out
+		}
+	}
+	y.usedPart = float64(y.used) / float64(y.usedByOne)
+	for name, v := range fleet.counters {
+		y.counters[name] += v
+	}
+}
+
+func restartAll(c *cluster) {
+	for i := range c.nodes {
+		time.Sleep(8 * time.Second)
+		c.nodes[i].stop()
+		time.Sleep(time.Second)
+		c.start(i)
+	}
+}
+
+// Guards against a fleet that uses more than rate*t + burst in any window, and
+// against refusals inside the rate while nothing fails. With -v it prints for each
+// scenario the requests that the fleet refuses and that one daemon with the whole
+// rate and burst admits. Inside the rate these are the wrongful refusals; over the
+// rate the two choose different requests, and usedPart compares their throughput.
+func TestFleetScenarios(t *testing.T) {
+	quota := lagoonhead.Quota{Rate: 6000, Burst: 30000}
+	const n = 6
+	for _, s := range []struct {
+		name       string
+		share, hot float64
+		script     func(*cluster)
+	}{
+		{"even", 0.85, 0, nil},
+		{"uneven", 0.85, 0.7, nil},
+		{"oneDaemon", 0.85, 1, nil},
+		{"oneDead", 0.85, 0, func(c *cluster) { time.Sleep(10 * time.Second); c.kill(2) }},
+		{"oneCutOff", 0.85, 0, func(c *cluster) {
+			time.Sleep(10 * time.Second)
+			c.mu.Lock()
+			c.nodes[2].cutSince = c.clock.Now()
+			c.mu.Unlock()
+		}},
+		{"storeDown", 0.85, 0.7, func(c *cluster) {
+			c.mu.Lock()
+			defer c.mu.Unlock()
+			c.storeDown = true
+		}},
+		{"rollingRestart", 0.85, 0, restartAll},
+		{"fiveTimesTheRate", 5, 0.7, nil},
+	} {
+		t.Run(s.name, func(t *testing.T) {
+			var sum tally
+			for seed := range uint64(3) {
+				synctest.Test(t, func(t *testing.T) {
+					l := load(seed, n, quota.Rate, s.share, s.hot)
+					fleet := play(l, n, quota, s.script)
+					sum.add(l, fleet, play(l, 1, quota, nil))
+					require.LessOrEqual(t, fleet.excess, quota.Rate*clockStep.Seconds())
+				})
+			}
+			t.Logf("%+v", sum)
+			if s.share < 1 && s.script == nil {
+				require.Zero(t, sum.wrongly)
+			}
+		})
+	}
+}
--- a/admit/runner.go
+++ b/admit/runner.go
@@ -96,6 +96,8 @@
 
 var _ lagoonhead.Admitter = (*Runner)(nil)
 
+var errClosed = fault("admit.admit", lagoonhead.KindUnavailable, "the daemon is shutting down")
+
 type start struct {
 	slot int
 	from time.Duration
@@ -211,12 +213,18 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.closed = true
+	r.turnAway(errClosed)
+}
+
+// turnAway answers all that wait with err, so that another daemon can run them.
+func (r *Runner) turnAway(err error) {
 	for {
 		w, ok := r.queue.Pop(nil)
 		if !ok {
 			return
 		}
-		w.answer(nil, fault("admit.admit", lagoonhead.KindUnavailable, "the daemon is shutting down"))
+		w.book.waiting -= w.request.Charge()
+		w.answer(nil, err)
 	}
 }
 
@@ -227,11 +235,12 @@
 	}
 }
 
-// fresh tells whether the daemon may spend and lend. A daemon that was not fresh
+// fresh tells whether the daemon may start work. Spending and lending also need a
+// slot table that is not suspended. A daemon that was not fresh
 // for dropAfter stops using its slots first, even if it is fresh again.
 func (r *Runner) fresh(now time.Duration) error {
 	if r.closed {
-		return fault("admit.admit", lagoonhead.KindUnavailable, "the daemon is shutting down")
+		return errClosed
 	}
 	err := r.Gate.Fresh()
 	if r.everFresh && now-r.lastFresh > dropAfter && len(r.starts) > 0 {
@@ -243,9 +252,6 @@
 		return err
 	}
 	r.everFresh, r.lastFresh = true, now
-	if r.slots.Suspended() {
-		return fault("admit.admit", lagoonhead.KindUnavailable, "the slot table has changed and was not read yet")
-	}
 	return nil
 }
 
@@ -293,7 +299,14 @@
 		}
 		w.answer(nil, r.refusal(now, w))
 	}
-	if r.queue.Len() == 0 || r.fresh(now) != nil {
+	if r.queue.Len() == 0 {
+		return
+	}
+	if err := r.fresh(now); err != nil {
+		r.turnAway(err)
+		return
+	}
+	if r.slots.Suspended() {
 		return
 	}
 	r.round++
@@ -315,7 +328,7 @@
 	if b.heldBack == r.round {
 		return false
 	}
-	res, ok := r.take(now, b, w.request)
+	res, ok := r.take(now, b, w.request, w.expected)
 	if !ok {
 		b.heldBack = r.round
 		return false
@@ -326,7 +339,7 @@
 }
 
 // take reserves the charge of a request from the bucket.
-func (r *Runner) take(now time.Duration, b *book, q *lagoonhead.Request) (*reservation, bool) {
+func (r *Runner) take(now time.Duration, b *book, q *lagoonhead.Request, expected float64) (*reservation, bool) {
 	charge := q.Charge()
 	if q.Priority() >= lagoonhead.PriorityDeferrable && !b.leavesReserve(now, charge) {
 		return nil, false
@@ -344,7 +357,7 @@
 		r.want(b)
 		r.signal()
 	}
-	return &reservation{runner: r, book: b, hold: hold, priority: q.Priority()}, true
+	return &reservation{runner: r, book: b, hold: hold, priority: q.Priority(), expected: expected}, true
 }
 
 func (r *Runner) pourOld(now time.Duration) {
@@ -367,8 +380,8 @@
 	charge := w.request.Charge()
 	b.waiting -= charge
 	r.counters.refused.Add(1)
-	rate := b.fleetRate(now)
-	wrongful := rate+float64(charge)/meterSpan.Seconds() <= b.quota.Rate
+	rate := b.fleetDemand(now)
+	wrongful := rate <= b.quota.Rate
 	if wrongful {
 		r.counters.wronglyRefused.Add(1)
 	}
