--- a/engine/commander.go
+++ b/engine/commander.go
@@ -60,6 +60,13 @@
 // that the engine did not take the order, KindStale that the authority was lost
 // or that the engine refused, KindUnknown that the engine may have taken it.
 func (c *Commander) SendOrder(ctx context.Context, e lagoonhead.Endpoint, o lagoonhead.EngineOrder) error {
+	ctx, span := startSpan(ctx, opOrder, e)
+	err := c.send(ctx, e, o)
+	endSpan(span, err)
+	return err
+}
+
+func (c *Commander) send(ctx context.Context, e lagoonhead.Endpoint, o lagoonhead.EngineOrder) error {
 	r, text, err := orderRequest(ctx, e, o)
 	if err != nil {
 		return fail(opOrder, lagoonhead.KindInvalid, err)
@@ -96,6 +103,7 @@
 		return nil, nil, errors.Newf("scheme %q is not supported for orders", r.URL.Scheme)
 	}
 	r.Header.Set("Content-Type", contentJSON)
+	passSpan(ctx, r.Header)
 	r.Close = true
 	var text bytes.Buffer
 	if err := r.Write(&text); err != nil {
--- /dev/null
+++ b/engine/span.go
@@ -0,0 +1,35 @@
+package engine
+
+import (
+	"context"
+	"net/http"
+
+	"go.opentelemetry.io/otel"
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/codes"
+	"go.opentelemetry.io/otel/propagation"
+	"go.opentelemetry.io/otel/trace"
+
+	"github.com/lagoonhead/lagoonhead"
+)
+
+const tracerName = "github.com/lagoonhead/lagoonhead/engine"
+
+// startSpan starts the span of one hop to an engine.
+func startSpan(ctx context.Context, op string, e lagoonhead.Endpoint) (context.Context, trace.Span) {
+	return otel.Tracer(tracerName).Start(ctx, op, trace.WithSpanKind(trace.SpanKindClient),
+		trace.WithAttributes(attribute.String("lagoonhead.endpoint", string(e.ID()))))
+}
+
+// passSpan puts the span into the headers. Without a span the caller's own
+// traceparent stays.
+func passSpan(ctx context.Context, h http.Header) {
+	propagation.TraceContext{}.Inject(ctx, propagation.HeaderCarrier(h))
+}
+
+func endSpan(s trace.Span, err error) {
+	if err != nil {
+		s.SetStatus(codes.Error, lagoonhead.KindOf(err).String())
+	}
+	s.End()
+}
--- a/engine/stream.go
+++ b/engine/stream.go
@@ -9,6 +9,7 @@
 	"sync/atomic"
 
 	"github.com/cockroachdb/errors"
+	"go.opentelemetry.io/otel/trace"
 
 	"github.com/lagoonhead/lagoonhead"
 )
@@ -25,6 +26,7 @@
 	ctx      context.Context
 	cancel   context.CancelCauseFunc
 	exchange exchange
+	span     trace.Span
 
 	transport *http.Transport
 	response  *http.Response
@@ -203,6 +205,11 @@
 	s.cancel(errClosed)
 	s.response.Body.Close()
 	s.streamer.remove(s)
+	if errors.Is(s.ended, io.EOF) {
+		endSpan(s.span, nil)
+	} else {
+		endSpan(s.span, s.ended)
+	}
 	if s.ended == nil {
 		s.ended = fail(opNext, lagoonhead.KindInvalid, errClosed)
 	}
--- a/engine/streamer.go
+++ b/engine/streamer.go
@@ -134,10 +134,11 @@
 func (s *Streamer) Stream(ctx context.Context, e lagoonhead.Endpoint, c lagoonhead.Completion) (lagoonhead.EventStream, error) {
 	const op = "engine.stream"
 	s.init()
+	ctx, span := startSpan(ctx, op, e)
 	ctx, cancel := context.WithCancelCause(ctx)
 	v := &stream{
 		streamer: s, endpoint: e, request: string(c.Request.ID()),
-		expect: c.ResumeOffset + 1, ctx: ctx, cancel: cancel,
+		expect: c.ResumeOffset + 1, ctx: ctx, cancel: cancel, span: span,
 	}
 	r, err := http.NewRequestWithContext(v.exchange.trace(ctx), http.MethodPost, e.Address()+pathCompletions, nil)
 	if err == nil {
@@ -145,9 +146,11 @@
 	}
 	if err != nil {
 		cancel(nil)
+		endSpan(span, err)
 		return nil, fail(op, lagoonhead.KindInvalid, err)
 	}
 	r.Header = engineHeader(c)
+	passSpan(ctx, r.Header)
 	if c.ResumeOffset >= 0 {
 		r.Header.Set(HeaderResumeOffset, strconv.FormatInt(c.ResumeOffset, 10))
 	}
@@ -156,6 +159,7 @@
 	if err := v.start(r); err != nil {
 		s.remove(v)
 		cancel(nil)
+		endSpan(span, err)
 		return nil, err
 	}
 	return v, nil
--- a/fakeengine/orders.go
+++ b/fakeengine/orders.go
@@ -110,9 +110,9 @@
 		e.finishChange(o)
 		return cut
 	}
-	life := e.life
+	life, due := e.life, e.Timer.Now()+d
 	go func() {
-		if e.Timer.Sleep(life, d) != nil {
+		if e.Timer.Sleep(life, due-e.Timer.Now()) != nil {
 			return
 		}
 		e.mu.Lock()
