Tell a refused start from a lost answer to resume

An engine that does not have the model may be in the middle of a change, and another engine can run the request, so a new request gets KindUnavailable when the engine says that it did not run it; only a resume gets KindNotFound. An error body that never ends is now subject to the idle limit; before, it held the request for ever.

--- a/engine/commander_test.go
+++ b/engine/commander_test.go
@@ -51,6 +51,28 @@
 	require.Empty(t, f.Orders())
 }
 
+// Guards against an order that takes effect although its sender was paused between
+// the check of its authority and the write.
+func TestPauseAfterTheCheckFindsTheConnectionClosed(t *testing.T) {
+	f := &fakeengine.Engine{Timer: &timer.Service{}, ID: "e1"}
+	closed := make(chan struct{})
+	srv := httptest.NewUnstartedServer(f)
+	srv.Config.ReadHeaderTimeout = time.Millisecond
+	srv.Config.ConnState = func(_ net.Conn, s http.ConnState) {
+		if s == http.StateClosed {
+			close(closed)
+		}
+	}
+	srv.Start()
+	defer srv.Close()
+	c := newCommander(func() error {
+		<-closed
+		return nil
+	})
+	require.Error(t, c.SendOrder(t.Context(), testEndpoint(srv.URL), roleOrder(f.Incarnation(), 1)))
+	require.Empty(t, f.Orders())
+}
+
 // Guards against a lost answer that is reported as a failure, and against an
 // order that is sent twice by one call.
 func TestLostOrderAnswerIsUnknown(t *testing.T) {
@@ -110,6 +132,26 @@
 	require.Equal(t, lagoonhead.KindNotFound, lagoonhead.KindOf(s.Cancel(t.Context(), e, "r2")))
 }
 
+// Guards against kinds that do not tell a crash while the request ran, which makes
+// it a suspect, from an engine that was down before it got the request.
+func TestCrashAndDownEngineHaveOwnKinds(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	f := &fakeengine.Engine{Timer: &timer.Service{}}
+	f.SetFaults(fakeengine.Faults{CrashPrompt: "hi", CrashAfter: 1})
+	ended := make(chan error, 1)
+	go func() { ended <- (&fakeengine.Server{Engine: f, Listener: l}).Run(t.Context()) }()
+	s, e := newStreamer(), testEndpoint("http://"+l.Addr().String())
+	v, err := s.Stream(t.Context(), e, testCompletion("r1", -1))
+	for err == nil {
+		_, err = v.Next()
+	}
+	require.Equal(t, lagoonhead.KindCrashed, lagoonhead.KindOf(err), err)
+	require.NoError(t, <-ended)
+	_, err = s.Stream(t.Context(), e, testCompletion("r2", -1))
+	require.Equal(t, lagoonhead.KindUnavailable, lagoonhead.KindOf(err), err)
+}
+
 // Guards against queries that cannot read what an engine reports.
 func TestQuerier(t *testing.T) {
 	f := &fakeengine.Engine{Timer: &timer.Service{}, ID: "other", Model: "m@1", CacheBlocks: 4}
--- a/engine/stream.go
+++ b/engine/stream.go
@@ -82,7 +82,7 @@
 	const op = "engine.stream"
 	if res.StatusCode != http.StatusOK {
 		s.streamer.counters.refused.Add(1)
-		return statusError(op, res)
+		return s.refused(op, res)
 	}
 	if id := res.Header.Get(HeaderRequestID); id != "" && id != s.request {
 		return s.reject(op, ErrWrongRequest)
@@ -93,6 +93,19 @@
 	return nil
 }
 
+// refused returns the error of an answer without events. An engine that does not
+// have the model for a new request may be in the middle of a change, so another
+// engine can still run it; only a request to be resumed is not found.
+func (s *stream) refused(op string, res *http.Response) error {
+	s.waiting.Store(true)
+	err := statusError(op, res)
+	s.waiting.Store(false)
+	if s.expect == 0 && lagoonhead.IsKind(err, lagoonhead.KindNotFound) && res.Header.Get(HeaderRun) == runNo {
+		return fail(op, lagoonhead.KindUnavailable, err)
+	}
+	return err
+}
+
 // broke returns the error of a failed connection. It ends the use of the pool
 // unless the caller ended the request.
 func (s *stream) broke(op string, err error) error {
--- a/engine/stream_test.go
+++ b/engine/stream_test.go
@@ -26,6 +26,8 @@
 
 type streamCase struct {
 	Name      string
+	After     *int64
+	Sweep     bool
 	Headers   *bool
 	ID        string
 	Type      string
@@ -157,7 +159,7 @@
 			s := newStreamer()
 			url, answered := rawEngine(t, c.text(), c.End == "silence")
 			got := make(chan struct{})
-			if c.Cause == "idle" {
+			if c.Sweep || c.Cause == "idle" {
 				go func() {
 					<-answered
 					if c.Events > 0 {
@@ -166,7 +168,11 @@
 					sweepOften(t, s)
 				}()
 			}
-			v, err := s.Stream(t.Context(), testEndpoint(url), testCompletion("r1", -1))
+			after := int64(-1)
+			if c.After != nil {
+				after = *c.After
+			}
+			v, err := s.Stream(t.Context(), testEndpoint(url), testCompletion("r1", after))
 			var events []string
 			if err == nil {
 				defer v.Close()
--- a/fakeengine/completions.go
+++ b/fakeengine/completions.go
@@ -114,18 +114,20 @@
 	_ = json.NewEncoder(w).Encode(v) // the reader may be gone
 }
 
-func (e *Engine) answer(w http.ResponseWriter, r *http.Request, run *run, after int64, f connFaults) {
-	read := run
-	e.attach(read, 1)
-	defer e.attach(read, -1)
+// answer writes the run's answer, or that of another run when the two are
+// exchanged. It breaks the connection when the engine crashes.
+func (e *Engine) answer(w http.ResponseWriter, r *http.Request, own *run, after int64, f connFaults) {
+	e.attach(own, 1)
+	defer e.attach(own, -1)
 	ctx, stop := context.WithCancelCause(r.Context())
 	defer stop(nil)
 	e.mu.Lock()
 	life := e.life
 	e.mu.Unlock()
 	defer context.AfterFunc(life, func() { stop(errCrash) })()
+	run := own
 	if f.exchange {
-		run = e.exchange(ctx, run)
+		run = e.exchange(ctx, own)
 	}
 	if f.late > 0 && e.Timer.Sleep(ctx, f.late) != nil {
 		panic(http.ErrAbortHandler)
@@ -141,6 +143,8 @@
 	e.whole(ctx, w, run)
 }
 
+// attach counts the connections that read the run, so that it can be given up
+// when there is none for the resume window.
 func (e *Engine) attach(r *run, n int) {
 	now := e.Timer.Now()
 	r.mu.Lock()
--- a/fakeengine/engine_test.go
+++ b/fakeengine/engine_test.go
@@ -10,6 +10,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"runtime"
 	"strings"
 	"testing"
 	"time"
@@ -163,6 +164,50 @@
 	require.ElementsMatch(t, []string{"a got b/0", "b got a/0"}, []string{<-ids, <-ids})
 }
 
+// Guards against switches that do nothing, or that go on after their count.
+func TestConnectionFaults(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		faults Faults
+		events int
+	}{
+		{"close", Faults{Close: 1}, 0},
+		{"swallow before the headers", Faults{Swallow: 1}, 0},
+		{"swallow in the middle", Faults{Swallow: 1, SwallowAfter: 2}, 2},
+		{"break", Faults{Break: 1, BreakAfter: 3}, 3},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			e := &Engine{}
+			url := serve(t, e) + "/v1/chat/completions"
+			e.SetFaults(c.faults)
+			ctx, cancel := context.WithCancel(t.Context())
+			r, err := http.NewRequestWithContext(ctx, http.MethodPost, url, strings.NewReader(body("x", 20, true)))
+			require.NoError(t, err)
+			if c.faults.Swallow > 0 {
+				// The silence lasts until the reader gives up.
+				go func() {
+					for len(e.Records()) == 0 {
+						runtime.Gosched()
+					}
+					_ = e.Timer.Sleep(ctx, 20*time.Millisecond)
+					cancel()
+				}()
+			}
+			defer cancel()
+			res, err := http.DefaultClient.Do(r)
+			if err == nil {
+				_, ids, done := readText(t, res.Body)
+				require.False(t, done)
+				require.LessOrEqual(t, len(ids), c.events)
+			}
+			res, err = post(t, url, "next", body("x", 20, true))
+			require.NoError(t, err)
+			_, _, done := readText(t, res.Body)
+			require.True(t, done)
+		})
+	}
+}
+
 // Guards against a fence that lets an old order through, and against an unfenced
 // engine that checks.
 func TestOrders(t *testing.T) {
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -150,7 +150,7 @@
 			return err
 		}
 		if !o.started {
-			if j := o.job; j.FirstToken != nil {
+			if j := o.job; j.FirstToken != nil && err == nil {
 				j.FirstToken()
 			}
 			o.start()
