Test many streams that break at once

One stream with breaks does not show buffers that streams share. The bound on writes to callers can now be turned off, since it is a deadline by the wall time and a manual clock would end every write.

--- a/relay/output.go
+++ b/relay/output.go
@@ -35,7 +35,7 @@
 	o.w.WriteHeader(http.StatusOK)
 	o.started = true
 	o.buf = make([]byte, 0, firstBufferBytes)
-	o.limited = true
+	o.limited = o.relay.WriteLimit >= 0
 	o.limit()
 }
 
@@ -45,7 +45,7 @@
 		return
 	}
 	d := o.relay.WriteLimit
-	if d <= 0 {
+	if d == 0 {
 		d = defaultWriteLimit
 	}
 	o.limited = o.control.SetWriteDeadline(o.relay.Timer.Wall().Add(d)) == nil
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -33,7 +33,9 @@
 	Sealer *Sealer
 	// MaxResumes bounds the resumes of one answer; 0 means 4, a negative number none.
 	MaxResumes int
-	// WriteLimit bounds the write of one event to a caller; 0 means 30 s.
+	// WriteLimit bounds the write of one event to a caller; 0 means 30 s, a negative
+	// number no bound. It is set as a deadline by the wall time of Timer, so over a
+	// network connection it needs a Timer that tells the real time.
 	WriteLimit time.Duration
 	// MaxAnswerBytes bounds a collected answer; 0 means 16 MiB.
 	MaxAnswerBytes int
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -261,52 +261,89 @@
 	require.Equal(t, lagoonhead.KindInvalid, lagoonhead.KindOf(err))
 }
 
-// Guards against faults between the parts: the caller must see the engine's whole
-// answer through breaks and an exchange of two answers.
-func TestWholeAnswerThroughFaults(t *testing.T) {
-	f := &fakeengine.Engine{Timer: &timer.Service{}, Model: "m", Slots: 4}
+// engineJob starts a request whose answer is resumed on the same engine.
+func engineJob(ctx context.Context, s *engine.Streamer, e lagoonhead.Endpoint, id lagoonhead.RequestID, body []byte) (Job, error) {
+	c := lagoonhead.Completion{Request: lagoonhead.NewRequest(id, "w1", "m", 0), Body: body, ResumeOffset: -1}
+	v, err := s.Stream(ctx, e, c)
+	return Job{
+		Request: c.Request, Endpoint: e.ID(), Stream: v, After: -1,
+		Resume: func(ctx context.Context, after int64) (lagoonhead.EventStream, lagoonhead.EndpointID, error) {
+			c.ResumeOffset = after
+			v, err := s.Stream(ctx, e, c)
+			return v, e.ID(), err
+		},
+	}, err
+}
+
+func newEngine(t *testing.T, f *fakeengine.Engine) (*engine.Streamer, lagoonhead.Endpoint) {
+	f.Timer = &timer.Service{}
 	srv := httptest.NewServer(f)
-	defer srv.Close()
-	e := lagoonhead.NewEndpoint("e1", lagoonhead.KindEngine, "m", srv.URL, "d1")
-	s := &engine.Streamer{Timer: &timer.Service{}}
-	body := []byte(`{"model":"m","messages":[{"role":"user","content":"hi"}],"max_tokens":50}`)
-	job := func(id lagoonhead.RequestID) (Job, error) {
-		c := lagoonhead.Completion{Request: lagoonhead.NewRequest(id, "w1", "m", 0), Body: body, ResumeOffset: -1}
-		v, err := s.Stream(t.Context(), e, c)
-		return Job{Request: c.Request, Endpoint: "e1", Stream: v, After: -1,
-			Resume: func(ctx context.Context, after int64) (lagoonhead.EventStream, lagoonhead.EndpointID, error) {
-				c.ResumeOffset = after
-				v, err := s.Stream(ctx, e, c)
-				return v, "e1", err
-			}}, err
-	}
-	words, err := fakeengine.Answer(body)
-	require.NoError(t, err)
-	r := newRelay(t)
+	t.Cleanup(srv.Close)
+	return &engine.Streamer{Timer: f.Timer}, lagoonhead.NewEndpoint("e1", lagoonhead.KindEngine, "m", srv.URL, "d1")
+}
 
-	f.SetFaults(fakeengine.Faults{Break: 3, BreakAfter: 7})
-	j, err := job("r1")
-	require.NoError(t, err)
+// carry streams one answer and returns its text.
+func carry(ctx context.Context, r *Relay, j Job) (string, Result, error) {
 	w := httptest.NewRecorder()
-	res, err := r.Stream(t.Context(), w, j)
-	require.NoError(t, err)
-	require.Equal(t, 3, res.Resumes)
-	require.Equal(t, len(words), res.OutputTokens)
+	res, err := r.Stream(ctx, w, j)
+	if err != nil {
+		return "", res, err
+	}
 	var a answer
 	for _, v := range readSSE(w.Body) {
-		if v.data != "[DONE]" {
-			require.NoError(t, a.add([]byte(v.data)))
+		if v.data == "[DONE]" {
+			break
+		}
+		if err := a.add([]byte(v.data)); err != nil {
+			return "", res, err
 		}
 	}
-	require.Equal(t, strings.Join(words, ""), string(a.Choices[0].Message.content))
+	return string(a.Choices[0].Message.content), res, nil
+}
+
+// Guards against answers that are cut, doubled or mixed when many streams break
+// again and again at once.
+func TestWholeAnswersThroughBreaks(t *testing.T) {
+	const streams, breakAfter = 50, 9
+	f := &fakeengine.Engine{Model: "m", Slots: streams}
+	s, e := newEngine(t, f)
+	f.SetFaults(fakeengine.Faults{Break: fakeengine.All, BreakAfter: breakAfter})
+	r := newRelay(t)
+	r.MaxResumes = 20
+	errs := make(chan error, streams)
+	for i := range streams {
+		go func() {
+			body := fmt.Appendf(nil, `{"model":"m","messages":[{"role":"user","content":"q%d"}],"max_tokens":50}`, i)
+			words, _ := fakeengine.Answer(body)
+			j, err := engineJob(t.Context(), s, e, lagoonhead.RequestID(fmt.Sprint("r", i)), body)
+			if err != nil {
+				errs <- err
+				return
+			}
+			text, res, err := carry(t.Context(), r, j)
+			if err == nil && (text != strings.Join(words, "") || res.OutputTokens != len(words) || res.Resumes < len(words)/breakAfter) {
+				err = fmt.Errorf("stream %d: %+v: %q", i, res, text)
+			}
+			errs <- err
+		}()
+	}
+	for range streams {
+		require.NoError(t, <-errs)
+	}
+}
 
+// Guards against an answer that reaches the caller of another request.
+func TestExchangedAnswersReachNobody(t *testing.T) {
+	f := &fakeengine.Engine{Model: "m", Slots: 2}
+	s, e := newEngine(t, f)
 	f.SetFaults(fakeengine.Faults{Exchange: 1})
+	body := []byte(`{"model":"m","messages":[{"role":"user","content":"hi"}]}`)
 	errs := make(chan error, 2)
 	for _, id := range []lagoonhead.RequestID{"r2", "r3"} {
 		go func() {
-			j, err := job(id)
+			j, err := engineJob(t.Context(), s, e, id, body)
 			if err == nil {
-				_, _, err = r.Collect(t.Context(), j)
+				_, _, err = newRelay(t).Collect(t.Context(), j)
 			}
 			errs <- err
 		}()
