--- a/engine/parser_test.go
+++ b/engine/parser_test.go
@@ -86,3 +86,16 @@
 	})
 	require.Zero(t, n)
 }
+
+// Guards against a relay that holds events back because a keep-alive, or a part
+// of an event, passes for the next event.
+func TestBuffered(t *testing.T) {
+	for text, want := range map[string]bool{
+		"": false, ": keep-alive\n\n": false, "id: r/1\ndata: a\n": false, "id: r/1\n\n": false,
+		"id: r/1\ndata: a\n\n": true, ": c\n\nid: r/1\r\ndata: a\r\n\r\n": true,
+	} {
+		p := newParser(bytes.NewReader([]byte("data: first\n\n"+text)), 0)
+		require.NoError(t, p.next())
+		require.Equal(t, want, p.buffered(), "%q", text)
+	}
+}
