Let requests wait in the fair queue while the fleet is saturated

Requests now wait in the daemon while the mean queue of the engines is above 0.6 s of prefill; requests beyond their deadline go last; place uses package fair. place only asks SuspectWatch and no longer reports to it: callers end placements that they did not use, which cleared suspects.

--- a/cmd/lagoonbench/measure.go
+++ b/cmd/lagoonbench/measure.go
@@ -8,6 +8,8 @@
 	"strings"
 	"sync"
 	"time"
+
+	"github.com/lagoonhead/lagoonhead"
 )
 
 // variant is one way to run a scenario: a policy, a queue or a planner.
@@ -154,3 +156,31 @@
 	slices.Sort(ts)
 	return ts[len(ts)*95/100].Seconds()
 }
+
+// byWorkspace returns the goodput of each workspace.
+func byWorkspace(cs []*call) map[lagoonhead.WorkspaceID]float64 {
+	split := make(map[lagoonhead.WorkspaceID][]*call)
+	for _, c := range cs {
+		w := c.request.Workspace()
+		split[w] = append(split[w], c)
+	}
+	shares := make(map[lagoonhead.WorkspaceID]float64)
+	for w, x := range split {
+		shares[w] = goodput(nil, x)
+	}
+	return shares
+}
+
+// worstGoodput is the goodput of the worst-served workspace that keeps its rate.
+func worstGoodput(_ *sim, cs []*call) float64 {
+	worst := 1.0
+	for w, g := range byWorkspace(cs) {
+		if w != hotWorkspace {
+			worst = min(worst, g)
+		}
+	}
+	return worst
+}
+
+// hotGoodput is the goodput of the workspace above its rate.
+func hotGoodput(_ *sim, cs []*call) float64 { return byWorkspace(cs)[hotWorkspace] }
--- a/cmd/lagoonbench/rounds.go
+++ b/cmd/lagoonbench/rounds.go
@@ -3,6 +3,8 @@
 import (
 	"time"
 
+	"github.com/lagoonhead/lagoonhead"
+	"github.com/lagoonhead/lagoonhead/fair"
 	"github.com/lagoonhead/lagoonhead/route"
 )
 
@@ -16,6 +18,13 @@
 			{"Lagging reports", "The same load with 12 daemons and load reports 2 s old.",
 				laggingScenario, policies(), routing},
 		}},
+		{"b", "fairness", []part{
+			{"One workspace at ten times its rate", "The steady fleet at 0.7 of its load, five workspaces; the first one sends ten times its share.",
+				hotScenario, queues(), []figure{
+					{"worst goodput within its rate", worstGoodput}, {"goodput of all", goodput},
+					{"goodput of the hot one", hotGoodput},
+				}},
+		}},
 	}
 }
 
@@ -46,3 +55,29 @@
 	c.daemons = 12
 	return c
 }
+
+// hotWorkspace sends hotFactor times what each other workspace does.
+const (
+	hotWorkspace = lagoonhead.WorkspaceID("0")
+	hotFactor    = 10
+)
+
+// hotScenario is 0.7 of the steady load with one workspace at ten times its rate.
+func hotScenario() scenario {
+	c := steadyScenario()
+	const workspaces, load = 5, 0.7
+	more := load * (hotFactor + workspaces - 1) / workspaces
+	c.classes = mix(4*more, 10*more, 2*more)
+	for i := range c.classes {
+		c.classes[i].hot = hotFactor
+	}
+	return c
+}
+
+// queues are the orders of waiting requests.
+func queues() []variant {
+	return []variant{
+		{"fair", func(c *scenario) { c.order = fair.VirtualCounters }},
+		{"firstComeFirstServed", func(c *scenario) { c.order = fair.FirstComeFirstServed }},
+	}
+}
--- a/place/group.go
+++ b/place/group.go
@@ -33,7 +33,7 @@
 	table  *route.Table
 	prefix *prefix.Index
 	policy lagoonhead.RoutePolicy
-	queue  Queue
+	queue  *Queue
 	// waiting holds the requests in the queue.
 	waiting map[*lagoonhead.Request]*waiter
 	// running holds the placements in flight.
--- a/place/placement.go
+++ b/place/placement.go
@@ -11,7 +11,6 @@
 type placement struct {
 	placer   *Placer
 	group    *group
-	request  *lagoonhead.Request
 	endpoint lagoonhead.Endpoint
 	base     time.Duration
 	ticket   route.Ticket
@@ -36,29 +35,13 @@
 
 // Done frees the slot. A second call is counted and has no effect.
 func (m *placement) Done(o lagoonhead.Outcome) {
-	if !m.placer.finish(m, o) {
-		return
-	}
-	s, h := m.placer.Suspects, m.request.Fingerprint()
-	if s == nil || h == 0 {
-		return
-	}
-	if o.Failed && o.Kind == lagoonhead.KindCrashed {
-		s.Crashed(h, m.endpoint.ID())
-		return
-	}
-	s.Finished(h)
-}
-
-// finish counts the end of the placement and reports whether it was the first
-// call.
-func (p *Placer) finish(m *placement, o lagoonhead.Outcome) bool {
+	p := m.placer
 	now := p.Timer.Now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if m.done {
 		p.metrics.doubleDone.Add(1)
-		return false
+		return
 	}
 	m.done = true
 	g, i := m.group, m.ticket.Engine()
@@ -74,5 +57,4 @@
 		g.drop(i)
 	}
 	p.serve(now, g)
-	return true
 }
--- a/place/placer.go
+++ b/place/placer.go
@@ -9,6 +9,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/lagoonhead/lagoonhead"
+	"github.com/lagoonhead/lagoonhead/fair"
 	"github.com/lagoonhead/lagoonhead/prefix"
 	"github.com/lagoonhead/lagoonhead/ring"
 	"github.com/lagoonhead/lagoonhead/route"
@@ -38,12 +39,15 @@
 	// ReportLag is how old the state in a load report is when it arrives; 0 means
 	// route.ReportLag.
 	ReportLag time.Duration
-	// NewQueue makes the queue of one model; nil means NewFirstCome.
-	NewQueue func() Queue
+	// PrefillRate is the speed of an engine in prompt tokens per second; 0 means
+	// route.DefaultPrefillRate. Too low a rate makes requests wait without need.
+	PrefillRate float64
+	// Order is the order of the requests that wait; the zero value is the fair one.
+	Order fair.Policy
 	// MaxWaiting bounds the queue of one model; 0 means 10,000.
 	MaxWaiting int
-	// Suspects is told of crashes and asked about repeats of what crashed; it may be
-	// nil.
+	// Suspects tells which requests have crashed an endpoint; it may be nil. Placer
+	// only asks it, since the caller of Place knows whether an attempt was made.
 	Suspects lagoonhead.SuspectWatch
 
 	mu       sync.Mutex
@@ -146,7 +150,7 @@
 		policy, _ = route.New(route.Predicted, p.Seed)
 	}
 	g := &group{
-		key: k, table: route.NewTable(p.reportLag()), policy: policy, queue: p.newQueue(),
+		key: k, table: route.NewTable(p.reportLag(), p.prefillRate()), policy: policy, queue: NewQueue(p.Order, p.maxWaiting()),
 		waiting: make(map[*lagoonhead.Request]*waiter), running: make(map[*placement]struct{}),
 	}
 	if k.kind == lagoonhead.KindEngine {
@@ -175,13 +179,6 @@
 	return p.ReportLag
 }
 
-func (p *Placer) newQueue() Queue {
-	if p.NewQueue == nil {
-		return NewFirstCome()
-	}
-	return p.NewQueue()
-}
-
 // Place chooses an endpoint that is not in avoid and waits for room until ctx
 // ends. The kinds of its errors are NotFound (no endpoint is known), Unavailable
 // (none can serve the request), Timeout (no room until ctx ended), Exhausted (too
@@ -240,20 +237,34 @@
 	if g == nil {
 		return nil, fault(lagoonhead.KindNotFound, errors.Newf("no endpoint serves %q", r.Serves()))
 	}
-	if g.queue.Len() >= p.maxWaiting() {
-		p.metrics.refused.Add(1)
-		return nil, fault(lagoonhead.KindExhausted, errors.Newf("%d requests wait for %q", g.queue.Len(), r.Serves()))
-	}
 	if g.waiting[r] != nil {
 		return nil, fault(lagoonhead.KindConflict, errors.Newf("request %q waits already", r.ID()))
 	}
 	w.request.CostCeiling = d.Rule(r.Workspace(), r.Serves()).CostCeiling
+	if !g.queue.Push(r, weight(d, r.Workspace())) {
+		p.metrics.refused.Add(1)
+		return nil, fault(lagoonhead.KindExhausted, errors.Newf("%d requests wait for %q", g.queue.Len(), r.Serves()))
+	}
 	g.waiting[r] = w
-	g.queue.Push(now, r)
 	p.serve(now, g)
 	return g, nil
 }
 
+func (p *Placer) prefillRate() float64 {
+	if p.PrefillRate == 0 {
+		return route.DefaultPrefillRate
+	}
+	return p.PrefillRate
+}
+
+// weight returns the share of a workspace in the fair order: its rate.
+func weight(d lagoonhead.Directory, w lagoonhead.WorkspaceID) float64 {
+	if q, ok := d.Quota(w); ok && q.Rate > 0 {
+		return q.Rate
+	}
+	return 1
+}
+
 func (p *Placer) maxWaiting() int {
 	if p.MaxWaiting == 0 {
 		return defaultMaxWaiting
@@ -309,7 +320,7 @@
 	p.metrics.placed.Add(1)
 	p.recent.Add(newPlaced(now, g, w, c))
 	m := &placement{
-		placer: p, group: g, request: w.request.Request, base: c.Base,
+		placer: p, group: g, base: c.Base,
 		endpoint: g.table.States()[c.Engine].Endpoint,
 		ticket:   g.table.Dispatch(now, &w.request, c),
 	}
--- a/place/queue.go
+++ b/place/queue.go
@@ -1,75 +1,77 @@
 package place
 
 import (
-	"container/list"
 	"time"
 
 	"github.com/lagoonhead/lagoonhead"
+	"github.com/lagoonhead/lagoonhead/fair"
 )
 
-// Queue orders the requests that want an endpoint. Each request passes through
-// it, so that it sees all work that is served. It need not be safe for concurrent
-// use.
-type Queue interface {
-	// Push adds a request that is not in the queue.
-	Push(now time.Duration, r *lagoonhead.Request)
-	// Take removes the first request in order that fits and returns it, or nil. fits
-	// has side effects when it returns true and is then not called again.
-	Take(now time.Duration, fits func(*lagoonhead.Request) bool) *lagoonhead.Request
-	// Remove drops a request that waits no longer.
-	Remove(r *lagoonhead.Request)
-	// Len returns the number of requests that wait.
-	Len() int
+// Queue orders the requests that want an endpoint. Each request passes through it,
+// so that it counts all work that is served. It is not safe for concurrent use.
+type Queue struct {
+	order   fair.Policy
+	entries *fair.Queue[*lagoonhead.Request]
+	handles map[*lagoonhead.Request]waiting
 }
 
-// misfits is how many requests of one class a Take tries. Requests of one class
-// mostly fail for the same reason, a lack of room.
-const misfits = 64
-
-// firstCome serves each priority class in order of arrival.
-type firstCome struct {
-	classes [lagoonhead.PriorityDeferrable + 1]list.List
-	entries map[*lagoonhead.Request]*list.Element
+type waiting struct {
+	handle fair.Handle
+	weight float64
 }
 
-// NewFirstCome returns a queue that serves more urgent classes first and each
-// class in order of arrival.
-func NewFirstCome() Queue {
-	return &firstCome{entries: make(map[*lagoonhead.Request]*list.Element)}
+// NewQueue returns a queue that holds at most limit requests.
+func NewQueue(order fair.Policy, limit int) *Queue {
+	return &Queue{
+		order: order, entries: fair.New[*lagoonhead.Request](order, limit),
+		handles: make(map[*lagoonhead.Request]waiting),
+	}
 }
 
-func (q *firstCome) class(r *lagoonhead.Request) *list.List {
-	return &q.classes[min(r.Priority(), lagoonhead.PriorityDeferrable)]
+// Push adds a request of a workspace with the given weight, which must be
+// positive. It returns false when the queue is full.
+func (q *Queue) Push(r *lagoonhead.Request, weight float64) bool {
+	deadline := r.Deadline()
+	if q.order == fair.FirstComeFirstServed {
+		deadline = 0
+	}
+	return q.put(r, r.Priority(), weight, deadline)
 }
 
-// Push adds a request.
-func (q *firstCome) Push(_ time.Duration, r *lagoonhead.Request) {
-	q.entries[r] = q.class(r).PushBack(r)
+func (q *Queue) put(r *lagoonhead.Request, p lagoonhead.Priority, weight float64, deadline time.Duration) bool {
+	h, ok := q.entries.Push(fair.Entry{
+		Workspace: r.Workspace(), Priority: p, Cost: max(r.Charge(), 1), Weight: weight, Deadline: deadline,
+	}, r)
+	if ok {
+		q.handles[r] = waiting{h, weight}
+	}
+	return ok
 }
 
-// Take removes the first request that fits.
-func (q *firstCome) Take(_ time.Duration, fits func(*lagoonhead.Request) bool) *lagoonhead.Request {
-	for i := range q.classes {
-		left := misfits
-		for e := q.classes[i].Front(); e != nil && left > 0; e = e.Next() {
-			r := e.Value.(*lagoonhead.Request)
-			if fits(r) {
-				q.Remove(r)
-				return r
-			}
-			left--
+// Take removes and returns the first request in order that fits, or nil. fits may
+// have side effects when it returns true; it is then not called again. Requests
+// whose deadline has passed go behind those that can still be answered in time.
+func (q *Queue) Take(now time.Duration, fits func(*lagoonhead.Request) bool) *lagoonhead.Request {
+	for {
+		r, late := q.entries.Expired(now)
+		if !late {
+			break
 		}
+		q.put(r, lagoonhead.PriorityDeferrable, q.handles[r].weight, 0)
+	}
+	r, ok := q.entries.Pop(func(_ fair.Entry, r *lagoonhead.Request) bool { return fits(r) })
+	if !ok {
+		return nil
 	}
-	return nil
+	delete(q.handles, r)
+	return r
 }
 
-// Remove drops a request.
-func (q *firstCome) Remove(r *lagoonhead.Request) {
-	if e, ok := q.entries[r]; ok {
-		q.class(r).Remove(e)
-		delete(q.entries, r)
-	}
+// Remove drops a request that waits no longer.
+func (q *Queue) Remove(r *lagoonhead.Request) {
+	q.entries.Remove(q.handles[r].handle)
+	delete(q.handles, r)
 }
 
 // Len returns the number of requests that wait.
-func (q *firstCome) Len() int { return len(q.entries) }
+func (q *Queue) Len() int { return q.entries.Len() }
--- a/route/inflow.go
+++ b/route/inflow.go
@@ -29,24 +29,46 @@
 	return f.rate * math.Exp(-max(age, 0))
 }
 
-// level returns the queue, in tokens, up to which the other daemons are expected
+// One engine that is slow, hangs or has stopped reporting must not make the whole
+// fleet look saturated.
+const (
+	// slowEngine is the slowdown from which an engine does not count.
+	slowEngine = 3
+	// longQueue is the longest queue, in seconds, that one engine counts with.
+	longQueue = 4 * saturated
+)
+
+// level sets the backlog and returns the queue, in tokens, up to which the other daemons are expected
 // to have filled the candidates since the reports were made. All daemons see the
 // same short queues, so without it they choose the same engines.
 func (p *predicted) level(now time.Duration, es []lagoonhead.EngineState, n int) float64 {
 	own, all, ages := 0, 0, 0.0
+	reported, sent, rates := 0.0, 0.0, 0.0
 	for i, c := range p.near[:n] {
 		s := &es[c.engine]
 		own += s.InFlight
 		all += max(s.Report.Running, s.InFlight)
 		ages += (now - s.ReportAt).Seconds()
 		p.levels[i] = reportedTokens(now, s)
+		if now-s.ReportAt > staleAfter || slowdown(now, s) > slowEngine {
+			continue
+		}
+		reported += min(float64(s.Report.QueuedPrefillTokens), longQueue*s.PrefillRate)
+		sent += float64(s.SentTokens)
+		rates += s.PrefillRate
 	}
-	if own == 0 {
-		return 0
+	others := 0.0
+	if own > 0 {
+		others = float64(all-own) / float64(own)
 	}
-	others := float64(all-own) / float64(own)
 	age := min(ages/float64(n), staleAfter.Seconds())
 	tokens := p.inflow.perSecond(now) * others * age * float64(n) / float64(len(es))
+	// The others are taken to send at least what this daemon has sent and its reports
+	// cannot contain yet; otherwise all daemons open at the same time.
+	p.backlog = 0
+	if rates > 0 {
+		p.backlog = max((reported+max(tokens, sent*others))/rates-age, 0) + sent/rates
+	}
 	return fill(p.levels[:n], tokens)
 }
 
--- a/route/policy.go
+++ b/route/policy.go
@@ -61,6 +61,11 @@
 // engines within it.
 const tieShare = 0.05
 
+// saturated is the mean queue of the engines, in seconds of prefill, above which
+// requests wait in the daemon, where the fair order applies. A bound on each engine
+// instead of the mean sends prompts away from their cache.
+const saturated = 0.6
+
 // workWeight is the weight of the time to compute the uncached prompt, which also
 // delays the requests that come after it.
 const workWeight = 0.5
@@ -80,6 +85,8 @@
 	// levels holds the sorted queues of the candidates.
 	levels [scanLimit + holders]float64
 	inflow inflow
+	// backlog is the mean queue of the candidates in seconds.
+	backlog float64
 }
 
 type candidate struct {
@@ -102,6 +109,9 @@
 		return lagoonhead.Choice{Engine: -1, Decode: -1, Usable: usable}
 	}
 	p.weighAll(now, r, es, n)
+	if p.backlog > saturated {
+		return lagoonhead.Choice{Engine: -1, Decode: -1, Usable: true}
+	}
 	best := p.choose(n)
 	p.inflow.sent(now, best.tokens)
 	return lagoonhead.Choice{
@@ -188,7 +198,7 @@
 // Reason tells the figures that led to the choice.
 func (p *predicted) Reason(now time.Duration, r *lagoonhead.RouteRequest, es []lagoonhead.EngineState, c lagoonhead.Choice) string {
 	if c.Engine < 0 {
-		return noChoice(now, r, es)
+		return fmt.Sprintf("%s, mean queue %.1f s (saturated above %.1f s)", noChoice(now, r, es), p.backlog, saturated)
 	}
 	s := &es[c.Engine]
 	return fmt.Sprintf("predicted first token in %v: %.0f tokens queued, %d of %d prompt tokens not cached, %d of %d slots busy, slowdown %.1f, report %v old",
--- a/route/table.go
+++ b/route/table.go
@@ -6,8 +6,8 @@
 	"github.com/lagoonhead/lagoonhead"
 )
 
-// DefaultPrefillRate is assumed of an engine, in prompt tokens per second, until
-// its slowdown is known. At 2,000 tokens a block it prefills four blocks a second.
+// DefaultPrefillRate is assumed of an engine, in prompt tokens per second, when
+// nothing else is set. At 2,000 tokens a block it prefills four blocks a second.
 const DefaultPrefillRate = 8000
 
 // ReportLag is how old the state in a load report is when it arrives, unless the
@@ -44,6 +44,7 @@
 // use.
 type Table struct {
 	lag    time.Duration
+	rate   float64
 	states []lagoonhead.EngineState
 	recent []dispatches
 	places map[lagoonhead.EndpointID]int
@@ -70,9 +71,10 @@
 	return &d.entries[sequence%recentDispatches]
 }
 
-// NewTable returns an empty table whose load reports are lag old when they arrive.
-func NewTable(lag time.Duration) *Table {
-	return &Table{lag: lag, places: make(map[lagoonhead.EndpointID]int)}
+// NewTable returns an empty table whose load reports are lag old when they arrive
+// and whose engines prefill rate tokens per second.
+func NewTable(lag time.Duration, rate float64) *Table {
+	return &Table{lag: lag, rate: rate, places: make(map[lagoonhead.EndpointID]int)}
 }
 
 // States returns the states by place. The caller must not change or keep them. A
@@ -92,7 +94,7 @@
 		t.states[i].Endpoint = e
 		return i
 	}
-	s := lagoonhead.EngineState{Endpoint: e, PrefillRate: DefaultPrefillRate, Slowdown: 1}
+	s := lagoonhead.EngineState{Endpoint: e, PrefillRate: t.rate, Slowdown: 1}
 	i := len(t.states)
 	if n := len(t.free); n > 0 {
 		i = t.free[n-1]
