--- a/cmd/lagoonbench/main.go
+++ b/cmd/lagoonbench/main.go
@@ -50,6 +50,11 @@
 		}
 		page.WriteString(text)
 	}
+	digests, err := notes.ReadFile("notes/digest.md")
+	if err != nil {
+		return err
+	}
+	page.Write(digests)
 	if o.out == "" {
 		_, err := os.Stdout.WriteString(page.String())
 		return err
