--- a/daemon/build.go
+++ b/daemon/build.go
@@ -11,6 +11,7 @@
 
 	"github.com/lagoonhead/lagoonhead"
 	"github.com/lagoonhead/lagoonhead/admit"
+	"github.com/lagoonhead/lagoonhead/billing"
 	"github.com/lagoonhead/lagoonhead/caller"
 	"github.com/lagoonhead/lagoonhead/claim"
 	"github.com/lagoonhead/lagoonhead/config"
@@ -54,6 +55,7 @@
 	keeper    *lease.Keeper
 	committer *config.Committer
 	beats     *heartbeats
+	usage     *billing.Recorder
 	caller    *caller.Server
 
 	vars  *expvar.Map
@@ -140,6 +142,11 @@
 		Decisions: b.decisions, Log: b.log, MaxWait: b.settings.Limits.MaxWait,
 	}
 	b.add("limits", b.admit.Run, b.admit.Vars())
+	b.usage = &billing.Recorder{
+		VM: b.settings.VM.ID, Incarnation: b.incarnation, Timer: b.timer, Store: b.store, Log: b.log,
+		Buddies: buddies{b.config, b.pool, b.settings.VM.ID, b.settings.VM.FailureDomain},
+	}
+	b.add("usage", b.usage.Run, b.usage.Vars())
 	return nil
 }
 
@@ -158,7 +165,7 @@
 	b.vars.Set("services", services.Vars())
 	b.caller = &caller.Server{
 		Listener: l, Directories: b.config, Gate: b.config, Admitter: b.admit, Placer: b.placer,
-		Engines: streamer, Suspects: b.suspects, Usage: noUsage{}, Decisions: b.decisions,
+		Engines: streamer, Suspects: b.suspects, Usage: b.usage, Decisions: b.decisions,
 		Services: services, Claims: claims, Budget: budget, Relay: &caller.PlainRelay{Sealer: sealer}, Sealer: sealer,
 		Timer: b.timer, Log: b.log, Tracer: b.tracer,
 		Limits: caller.Limits{BodyBytes: s.Limits.MaxBodyBytes, DrainDelay: s.Drain.Lag},
@@ -196,14 +203,16 @@
 	if err != nil {
 		return err
 	}
-	s := &peer.Server{Config: b.config, Lender: b.admit, Usage: noUsage{}, Heartbeats: b.beats, Token: b.pool.Token}
+	s := &peer.Server{Config: b.config, Lender: b.admit, Usage: b.usage, Heartbeats: b.beats, Token: b.pool.Token}
 	b.add("", serveHTTP(l, s.Handler()), nil)
 	return nil
 }
 
 func (b *builder) buildDuties() error {
 	b.session = &lease.Session{Store: b.store, Timer: b.timer, Log: b.log}
-	d := newDuties(b.log, map[lease.Duty]func(*lease.Tenure) part{dutyEngineOrders: b.engineOrders})
+	d := newDuties(b.log, map[lease.Duty]func(*lease.Tenure) part{
+		dutyEngineOrders: b.engineOrders, dutyUsage: b.usageReports,
+	})
 	b.keeper = &lease.Keeper{
 		Store: b.store, Session: b.session, Timer: b.timer, Log: b.log,
 		VM: b.settings.VM.ID, Incarnation: b.incarnation,
