Give the process tests links that can be cut between any two processes

Cause: freshness, limits and duties must be proved while one VM is cut off from the store or from some peers only.

Change: each daemon of a test reaches the platform and each peer through a link of its own; a cut link swallows bytes without closing. The usage window is a setting.

--- a/cmd/lagoonheadd/fleet_test.go
+++ b/cmd/lagoonheadd/fleet_test.go
@@ -8,16 +8,17 @@
 	"testing"
 	"time"
 
+	"github.com/google/uuid"
 	"github.com/openai/openai-go/v3"
 	"github.com/openai/openai-go/v3/option"
 	"github.com/stretchr/testify/require"
 
 	"github.com/lagoonhead/lagoonhead"
+	"github.com/lagoonhead/lagoonhead/config"
 	"github.com/lagoonhead/lagoonhead/fakeplatform"
 	"github.com/lagoonhead/lagoonhead/inventory"
 	"github.com/lagoonhead/lagoonhead/platform"
 	"github.com/lagoonhead/lagoonhead/store"
-	"github.com/lagoonhead/lagoonhead/vmlist"
 )
 
 const (
@@ -36,61 +37,78 @@
 	service  *process
 	engines  []*process
 	daemons  []*process
+	network  *network
+	// listeners are the addresses of the peer and then of the operator listeners.
+	listeners []string
 	// resumeKey is the file of the key that all daemons share.
 	resumeKey string
 }
 
 // newFleet starts a fleet and waits until every daemon is ready.
 func newFleet(t *testing.T, engines, daemons int) *fleet {
+	t.Helper()
+	f := newPlatform(t, engines, daemons)
+	for i := range daemons {
+		f.daemons = append(f.daemons, f.startDaemon(t, i))
+	}
+	f.awaitReady(t)
+	return f
+}
+
+// newPlatform starts everything but the daemons and applies the inventory.
+func newPlatform(t *testing.T, engines, daemons int) *fleet {
 	t.Helper()
 	f := &fleet{
 		platform: start(t, "platform", "platform"), service: start(t, "service", "bookings"),
 		resumeKey: writeFile(t, "resume.key", strings.Repeat("ab", 32)),
+		listeners: freePorts(t, 2*daemons),
 	}
 	for i := range engines {
 		id := fmt.Sprintf("e%d", i+1)
 		f.engines = append(f.engines, start(t, "engine", id, id))
 	}
-	f.apply(t, f.inventory())
-	peers := freePorts(t, 2*daemons)
-	for i := range daemons {
-		f.list(t, i, peers[i])
-	}
-	for i := range daemons {
-		f.daemons = append(f.daemons, f.startDaemon(t, i, peers[i], peers[daemons+i]))
-	}
+	f.apply(t, f.inventory(defaultQuota))
+	f.network = newNetwork(t, f.platform, f.listeners[:daemons])
+	return f
+}
+
+func (f *fleet) awaitReady(t *testing.T) {
+	t.Helper()
 	for _, d := range f.daemons {
 		eventually(t, d.name+" ready", func() bool { return status(t, d.url()+"/readyz") == http.StatusOK })
 	}
-	return f
 }
 
 func vmName(i int) string { return fmt.Sprintf("vm%d", i+1) }
 
 func domain(i int) string { return string(rune('a' + i%3)) }
 
-func (f *fleet) list(t *testing.T, i int, peer string) {
-	t.Helper()
-	post(t, f.platform.url()+"/vms/set", vmlist.VMMessage{
-		ID: lagoonhead.VMID(vmName(i)), FailureDomain: lagoonhead.FailureDomain(domain(i)), PeerAddress: peer,
-	}, nil)
-}
-
-func (f *fleet) startDaemon(t *testing.T, i int, peer, operator string) *process {
+func (f *fleet) startDaemon(t *testing.T, i int) *process {
 	t.Helper()
+	n := len(f.network.platform)
 	file := writeFile(t, "settings.yaml", fmt.Sprintf(`
 vm: {id: %s, failureDomain: %s, region: r}
 listen: {caller: "127.0.0.1:0", peer: %q, operator: %q}
-platform: {store: %[5]q, ordering: %[5]q, usage: %[5]q, vms: %[5]q}
-resume: {keyFile: %q}
+platform: {store: %[5]q, ordering: %[5]q, usage: %[5]q, vms: %[6]q}
+resume: {keyFile: %[7]q}
 drain: {lag: 200ms, max: 1m}
-limits: {idleTimeout: %s}
-`, vmName(i), domain(i), peer, operator, f.platform.url(), f.resumeKey, idleLimit))
+limits: {idleTimeout: %[8]s}
+usage: {window: 2s}
+`, vmName(i), domain(i), f.listeners[i], f.listeners[n+i], "http://"+f.network.platform[i].address(),
+		f.network.lists[i].URL, f.resumeKey, idleLimit))
 	return start(t, "daemon", vmName(i), "-settings", file)
 }
 
+// operatorURL returns the base URL of a daemon's operator listener.
+func (f *fleet) operatorURL(i int) string {
+	return "http://" + f.listeners[len(f.network.platform)+i]
+}
+
+// defaultQuota is more than the tests use.
+const defaultQuota = "rate: 100ktok/s, burst: 1000ktok"
+
 // inventory returns an inventory of the fleet in YAML.
-func (f *fleet) inventory() string {
+func (f *fleet) inventory(quota string) string {
 	var b strings.Builder
 	b.WriteString("failureDomains:\n")
 	for i := range 3 {
@@ -111,26 +129,45 @@
 `, f.service.url())
 	b.WriteString("workspaces:\n")
 	for _, w := range []struct{ id, key string }{{"crates", frontDeskKey}, {"toys", branchKey}} {
-		fmt.Fprintf(&b, "  - {id: %s, rate: 100ktok/s, burst: 1000ktok, keys: [{id: %s-key, sha256: %x}]}\n",
-			w.id, w.id, sha256.Sum256([]byte(w.key)))
+		fmt.Fprintf(&b, "  - {id: %s, %s, keys: [{id: %s-key, sha256: %x}]}\n",
+			w.id, quota, w.id, sha256.Sum256([]byte(w.key)))
 	}
 	return b.String()
 }
 
+// apply makes the text the newest revision.
 func (f *fleet) apply(t *testing.T, text string) {
 	t.Helper()
 	inv, err := inventory.Parse("inventory.yaml", []byte(text))
 	require.NoError(t, err)
-	m, parts, err := inventory.Split(inv, nil, "test", "n1")
-	require.NoError(t, err)
+	f.commit(t, func(*inventory.Inventory) *inventory.Inventory { return inv })
+}
+
+// commit writes a revision to the store as a daemon does.
+func (f *fleet) commit(t *testing.T, edit func(*inventory.Inventory) *inventory.Inventory) {
+	t.Helper()
 	kv := &store.Client{Platform: platform.Client{BaseURL: f.platform.url()}}
+	var before *inventory.Manifest
+	now := &inventory.Inventory{}
+	e, err := kv.Get(t.Context(), config.ManifestKey)
+	if err == nil {
+		before, err = inventory.DecodeManifest(e.Value)
+		require.NoError(t, err)
+		now, err = inventory.Join(before, func(hash string) ([]byte, bool) {
+			p, err := kv.Get(t.Context(), config.PartPrefix+hash)
+			return p.Value, err == nil
+		})
+		require.NoError(t, err)
+	}
+	m, parts, err := inventory.Split(edit(now), before, "test", uuid.NewString())
+	require.NoError(t, err)
 	for _, p := range parts {
-		_, err := kv.Put(t.Context(), lagoonhead.PutRequest{Key: "config/part/" + p.Hash, Value: p.Body})
+		_, err := kv.Put(t.Context(), lagoonhead.PutRequest{Key: config.PartPrefix + p.Hash, Value: p.Body})
 		require.NoError(t, err)
 	}
 	raw, err := m.Encode()
 	require.NoError(t, err)
-	_, err = kv.Put(t.Context(), lagoonhead.PutRequest{Key: "config/manifest", Value: raw})
+	_, err = kv.Put(t.Context(), lagoonhead.PutRequest{Key: config.ManifestKey, Value: raw, IfRevision: e.Revision})
 	require.NoError(t, err)
 }
 
--- a/daemon/usage.go
+++ b/daemon/usage.go
@@ -73,7 +73,8 @@
 func (b *builder) usageReports(t *lease.Tenure) part {
 	r := &billing.Reporter{
 		Incarnation: b.incarnation, Timer: b.timer, Store: b.store, Log: b.log,
-		Usage: &usage.Client{Platform: platform.Client{BaseURL: b.settings.Platform.Usage}, Authority: t.Check},
+		Window: b.settings.Usage.Window,
+		Usage:  &usage.Client{Platform: platform.Client{BaseURL: b.settings.Platform.Usage}, Authority: t.Check},
 	}
 	r.Gain(t.Check)
 	b.vars.Set("usageReports", r.Vars())
--- a/fakeplatform/handler.go
+++ b/fakeplatform/handler.go
@@ -25,6 +25,14 @@
 // PathFaults is the path of the fault switches.
 const PathFaults = "/faults"
 
+// PathReports is the path that lists the usage reports received.
+const PathReports = "/usage/reports"
+
+// ReportsResponse lists every usage report in its order of arrival.
+type ReportsResponse struct {
+	Reports []lagoonhead.UsageWindow `json:"reports"`
+}
+
 // FaultRequest sets the faults of one interface.
 type FaultRequest struct {
 	// Interface is kv, ordering, usage or vms.
@@ -62,6 +70,9 @@
 	handle(mux, usage.PathReport, func(ctx context.Context, w lagoonhead.UsageWindow) (struct{}, error) {
 		return struct{}{}, p.Usage.Report(ctx, w)
 	})
+	handle(mux, PathReports, func(context.Context, struct{}) (ReportsResponse, error) {
+		return ReportsResponse{Reports: p.Usage.Reports()}, nil
+	})
 	handle(mux, vmlist.PathVMs, func(ctx context.Context, _ struct{}) (vmlist.VMsResponse, error) {
 		l, err := p.VMs.VMs(ctx)
 		return vmsResponse(l), err
--- a/settings/load.go
+++ b/settings/load.go
@@ -53,6 +53,7 @@
 	section(m, "log", s.Log.read)
 	section(m, "drain", s.Drain.read)
 	section(m, "limits", s.Limits.read)
+	section(m, "usage", s.Usage.read)
 	m.End()
 	s.place(m)
 	return s
@@ -176,6 +177,10 @@
 	l.IdleTimeout = m.Duration("idleTimeout", l.IdleTimeout, 100*time.Millisecond, maxLag)
 }
 
+func (u *Usage) read(m *strict.Map) {
+	u.Window = m.Duration("window", u.Window, time.Second, maxTime)
+}
+
 // bodySize is a number of bytes.
 type bodySize int64
 
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -22,6 +22,7 @@
 	Log      Log
 	Drain    Drain
 	Limits   Limits
+	Usage    Usage
 }
 
 // VM says who and where the daemon is.
@@ -116,6 +117,13 @@
 	IdleTimeout time.Duration
 }
 
+// Usage says how usage is reported.
+type Usage struct {
+	// Window is the length of a usage window. The daemon that holds the duty of usage
+	// reports decides, so all daemons should have the same.
+	Window time.Duration
+}
+
 // Defaults of the settings.
 const (
 	defaultCaller   = "127.0.0.1:8080"
@@ -131,6 +139,7 @@
 	// Engines send a keep-alive at least every 2 s.
 	defaultIdleTimeout = 6 * time.Second
 	defaultSampleRatio = 0.01
+	defaultWindow      = time.Minute
 )
 
 // Default returns the settings of a daemon for which nothing is set. They lack the
@@ -145,5 +154,6 @@
 			MaxBodyBytes: defaultMaxBody, MaxWait: defaultMaxWait, MaxInFlight: defaultMaxInFlight,
 			HeaderTimeout: defaultHeaderTimeout, IdleTimeout: defaultIdleTimeout,
 		},
+		Usage: Usage{Window: defaultWindow},
 	}
 }
