--- a/cmd/lagoonheadd/stream_test.go
+++ b/cmd/lagoonheadd/stream_test.go
@@ -22,6 +22,8 @@
 	failed string
 	status int
 	run    string
+	// count is the number of events with text.
+	count int
 }
 
 // streamBody returns a streamed completion of about most tokens.
@@ -94,6 +96,9 @@
 	}
 	for _, c := range v.Choices {
 		e.text.WriteString(c.Delta.Content)
+		if c.Delta.Content != "" {
+			e.count++
+		}
 	}
 }
 
--- a/limit/slots.go
+++ b/limit/slots.go
@@ -219,8 +219,13 @@
 	return t, s.releasedAt == s.revision && mine > len(s.held)
 }
 
-// want returns the slots that each listed VM may hold.
+// want returns the slots that each listed VM may hold. Before the first list a
+// daemon takes one only: the first daemon of a fleet would otherwise take all of
+// them, and the others would have none if it stopped before it gave some up.
 func (s *Slots) want() int {
+	if len(s.listed) == 0 {
+		return 1
+	}
 	n := 0
 	for _, v := range s.listed {
 		if !v.Leaving() || v.ID() == s.VM {
