--- /dev/null
+++ b/operator/server.go
@@ -0,0 +1,213 @@
+package operator
+
+import (
+	"context"
+	"errors"
+	"expvar"
+	"fmt"
+	"net/http"
+	"time"
+
+	"github.com/lagoonhead/lagoonhead"
+	"github.com/lagoonhead/lagoonhead/config"
+	"github.com/lagoonhead/lagoonhead/explain"
+	"github.com/lagoonhead/lagoonhead/inventory"
+)
+
+const (
+	// maxRequestBytes bounds a request; an inventory is the largest.
+	maxRequestBytes = inventory.MaxBytes + 1<<20
+	// maxWait bounds the time that a command waits for confirmations.
+	maxWait = 10 * time.Minute
+	// maxDecisions bounds an answer to Explain.
+	maxDecisions = 1000
+)
+
+// Committer changes the configuration. config.Committer implements it.
+type Committer interface {
+	Apply(ctx context.Context, on int64, wait time.Duration, edit config.Edit) (config.Result, error)
+}
+
+// InventorySource gives the inventory in force. config.Runner implements it.
+type InventorySource interface {
+	Inventory() (inv *inventory.Inventory, revision int64)
+}
+
+// StatusSource gives the state of the daemon.
+type StatusSource interface {
+	Status() *StatusResponse
+}
+
+// DecisionSource finds recent decisions. explain.Record implements it.
+type DecisionSource interface {
+	Find(q explain.Query) []lagoonhead.Decision
+}
+
+// Server answers operators. Set the exported fields before Handler.
+type Server struct {
+	Committer Committer
+	Inventory InventorySource
+	Status    StatusSource
+	Decisions DecisionSource
+	// Recorder gets the commands that were carried out. Nil keeps none.
+	Recorder lagoonhead.DecisionRecorder
+	Clock    lagoonhead.Clock
+	Guard    *Guard
+
+	vars expvar.Map
+}
+
+// Vars returns the counters: commands, failed and queries.
+func (s *Server) Vars() *expvar.Map { return &s.vars }
+
+// Handler returns the HTTP handler of both services behind the guard.
+func (s *Server) Handler() http.Handler {
+	mux := http.NewServeMux()
+	c, q := NewCommandsServer(commands{s}), NewQueriesServer(queries{s})
+	mux.Handle(c.PathPrefix(), c)
+	mux.Handle(q.PathPrefix(), q)
+	return s.Guard.Wrap(http.MaxBytesHandler(mux, maxRequestBytes))
+}
+
+type commands struct{ s *Server }
+
+var _ Commands = commands{}
+
+// apply makes an edit and records it under the given subject.
+func (c commands) apply(
+	ctx context.Context, subject, what string, on, waitMs int64, edit config.Edit,
+) (*CommitResponse, error) {
+	c.s.vars.Add("commands", 1)
+	wait := time.Duration(min(max(waitMs, 0), maxWait.Milliseconds())) * time.Millisecond
+	r, err := c.s.Committer.Apply(ctx, on, wait, edit)
+	if err != nil {
+		c.s.vars.Add("failed", 1)
+		return nil, err
+	}
+	c.record(subject, what, r)
+	return &CommitResponse{
+		Revision: r.Revision, Accepted: r.Accepted, Confirmed: ids(r.Confirmed), Unconfirmed: ids(r.Unconfirmed),
+	}, nil
+}
+
+func (c commands) record(subject, what string, r config.Result) {
+	if c.s.Recorder == nil {
+		return
+	}
+	c.s.Recorder.RecordDecision(lagoonhead.Decision{
+		At: c.s.Clock.Now(), Topic: "config", Subject: subject, Result: what,
+		Reason: fmt.Sprintf("operator command; revision %d, confirmed by %d VMs", r.Revision, len(r.Confirmed)),
+	})
+}
+
+func ids(vms []lagoonhead.VMID) []string {
+	out := make([]string, len(vms))
+	for i, vm := range vms {
+		out[i] = string(vm)
+	}
+	return out
+}
+
+// Apply implements Commands.
+func (c commands) Apply(ctx context.Context, r *ApplyRequest) (*CommitResponse, error) {
+	inv, err := inventory.Parse("inventory", []byte(r.GetYaml()))
+	if err != nil {
+		return nil, toTwirp(err)
+	}
+	replace := func(*inventory.Inventory) (*inventory.Inventory, error) { return inv, nil }
+	out, err := c.apply(ctx, "inventory", "applied", r.GetBaseRevision(), r.GetWaitMs(), replace)
+	return out, toTwirp(err)
+}
+
+// edit returns an Edit that changes a copy.
+func edit(change func(inv *inventory.Inventory) error) config.Edit {
+	return func(inv *inventory.Inventory) (*inventory.Inventory, error) {
+		out := inv.Clone()
+		return out, change(out)
+	}
+}
+
+// SetLeaving implements Commands.
+func (c commands) SetLeaving(ctx context.Context, r *SetLeavingRequest) (*CommitResponse, error) {
+	what := "in service"
+	if r.GetLeaving() {
+		what = "leaving"
+	}
+	out, err := c.apply(ctx, r.GetEndpoint(), what, r.GetBaseRevision(), r.GetWaitMs(),
+		edit(func(inv *inventory.Inventory) error {
+			return inv.SetLeaving(lagoonhead.EndpointID(r.GetEndpoint()), r.GetLeaving())
+		}))
+	return out, toTwirp(err)
+}
+
+// IssueKey implements Commands. The key is in the answer and nowhere else.
+func (c commands) IssueKey(ctx context.Context, r *IssueKeyRequest) (*IssueKeyResponse, error) {
+	key, stored := NewKey(r.GetLabel())
+	out, err := c.apply(ctx, r.GetWorkspace(), "issued key "+stored.ID, r.GetBaseRevision(), r.GetWaitMs(),
+		edit(func(inv *inventory.Inventory) error {
+			return inv.AddKey(lagoonhead.WorkspaceID(r.GetWorkspace()), stored)
+		}))
+	if lagoonhead.IsKind(err, lagoonhead.KindUnknown) {
+		// The caller must be able to withdraw a key that may exist.
+		err = fail("issueKey", lagoonhead.KindUnknown, fmt.Errorf("%s: %s", stored.ID, message(err)))
+	}
+	if err != nil {
+		return nil, toTwirp(err)
+	}
+	return &IssueKeyResponse{Key: key, KeyId: stored.ID, Commit: out}, nil
+}
+
+// WithdrawKey implements Commands.
+func (c commands) WithdrawKey(ctx context.Context, r *WithdrawKeyRequest) (*CommitResponse, error) {
+	out, err := c.apply(ctx, r.GetKeyId(), "withdrew key", r.GetBaseRevision(), r.GetWaitMs(),
+		edit(func(inv *inventory.Inventory) error {
+			_, err := inv.WithdrawKey(r.GetKeyId())
+			return err
+		}))
+	return out, toTwirp(err)
+}
+
+type queries struct{ s *Server }
+
+var _ Queries = queries{}
+
+// GetInventory implements Queries.
+func (q queries) GetInventory(context.Context, *GetInventoryRequest) (*GetInventoryResponse, error) {
+	q.s.vars.Add("queries", 1)
+	inv, revision := q.s.Inventory.Inventory()
+	if revision == 0 {
+		return &GetInventoryResponse{}, nil
+	}
+	text, err := inventory.Format(inv)
+	if err != nil {
+		return nil, toTwirp(err)
+	}
+	return &GetInventoryResponse{Yaml: string(text), Revision: revision}, nil
+}
+
+// Status implements Queries.
+func (q queries) Status(context.Context, *StatusRequest) (*StatusResponse, error) {
+	q.s.vars.Add("queries", 1)
+	return q.s.Status.Status(), nil
+}
+
+// Explain implements Queries.
+func (q queries) Explain(_ context.Context, r *ExplainRequest) (*ExplainResponse, error) {
+	q.s.vars.Add("queries", 1)
+	limit := int(r.GetLimit())
+	if limit < 0 {
+		return nil, toTwirp(fail("explain", lagoonhead.KindInvalid, errors.New("the limit is negative")))
+	}
+	if limit == 0 || limit > maxDecisions {
+		limit = maxDecisions
+	}
+	now := q.s.Clock.Now()
+	found := q.s.Decisions.Find(explain.Query{Topic: r.GetTopic(), Subject: r.GetSubject(), Limit: limit})
+	out := &ExplainResponse{Decisions: make([]*Decision, len(found))}
+	for i, d := range found {
+		out.Decisions[i] = &Decision{
+			AgeMs: (now - d.At).Milliseconds(), Topic: d.Topic, Subject: d.Subject, Result: d.Result, Reason: d.Reason,
+		}
+	}
+	return out, nil
+}
