--- a/config/committer.go
+++ b/config/committer.go
@@ -26,6 +26,10 @@
 	rebases = 8
 )
 
+// NoRevision as the revision of an edit means that there must be no configuration
+// yet.
+const NoRevision int64 = -1
+
 // Edit returns a changed inventory. It must not change the one that it is given; it
 // may be called again when another commit came first.
 type Edit func(inv *inventory.Inventory) (*inventory.Inventory, error)
@@ -62,8 +66,8 @@
 	return b.manifest.Revision
 }
 
-// Commit makes an edit of the given revision, or of the newest one when that is 0,
-// and returns the new revision; an edit that changes nothing returns the one that it
+// Commit makes an edit of the given revision, of the newest one when that is 0, or
+// of none when that is NoRevision, and returns the new revision; an edit that changes nothing returns the one that it
 // was made on. An error of KindConflict has a *Conflict as its cause, one of
 // KindInvalid lists the faults of the inventory, and one of KindUnknown means that
 // the edit may have been committed.
@@ -97,8 +101,8 @@
 	if err != nil {
 		return 0, err
 	}
-	if on != 0 && on != b.revision() {
-		return 0, conflict(on, b.revision())
+	if on != 0 && max(on, 0) != b.revision() {
+		return 0, conflict(max(on, 0), b.revision())
 	}
 	inv, err := edit(b.inventory)
 	if err != nil {
--- a/strict/problem.go
+++ b/strict/problem.go
@@ -14,16 +14,17 @@
 // Problem is one fault of a document.
 type Problem struct {
 	// File is the name given to Open.
-	File string
+	File string `json:"file"`
 	// Line and Column count from 1.
-	Line, Column int
+	Line   int `json:"line"`
+	Column int `json:"column"`
 	// Field is the path of the field, for example "engines[2].slots"; it is empty
 	// for the document itself.
-	Field string
+	Field string `json:"field,omitempty"`
 	// Message says what is wrong.
-	Message string
+	Message string `json:"message"`
 	// Accepted says what is accepted instead; it may be empty.
-	Accepted string
+	Accepted string `json:"accepted,omitempty"`
 }
 
 // String returns the problem on one line.
