Bound heartbeats and test the strict reader by itself

A heartbeat that names all other daemons would have about 18 KB at 390 daemons. It now names at most 32 at random, and none while the sender has a recent confirmation by the store.

--- a/cmd/lagoonctl/remote.go
+++ b/cmd/lagoonctl/remote.go
@@ -144,6 +144,9 @@
 	}
 	missing := strings.Join(r.GetUnconfirmed(), ", ")
 	switch {
+	case total == 0:
+		return &unconfirmedError{fmt.Sprintf(
+			"revision %d is committed, but the daemon does not know the VMs that must confirm it", r.GetRevision())}
 	case !r.GetAccepted():
 		return &unconfirmedError{fmt.Sprintf(
 			"revision %d is committed, but a majority has not confirmed it yet; missing: %s", r.GetRevision(), missing)}
--- a/config/runner.go
+++ b/config/runner.go
@@ -37,8 +37,13 @@
 	// confirms the newest revision.
 	watchTime = 500 * time.Millisecond
 	// fallbackAge is the age of the newest confirmation from which on a daemon reads
-	// the store itself. At 390 daemons a confirmation reaches all within about 1.75 s.
+	// the store itself. In a simulation of 390 daemons that ask five peers every
+	// 250 ms, no daemon's newest confirmation was older than 1.2 s.
 	fallbackAge = 2 * time.Second
+	// maxHeard bounds what a heartbeat says about other daemons. In the same
+	// simulation without the store, 32 random entries kept all daemons fresh; all 390
+	// would make heartbeats of about 18 KB.
+	maxHeard = 32
 	// fallbackInterval is the time between such reads: 390 daemons make 390 calls/s.
 	fallbackInterval = time.Second
 	// idleInterval is the time between looks at whether to read.
@@ -117,9 +122,12 @@
 	})
 }
 
-// Vars returns the counters: storeRead, storeFailed, storeStale, pulled, pullFailed,
-// applied, refused and damaged.
-func (r *Runner) Vars() *expvar.Map { return &r.vars }
+// Vars returns the revision in force and the counters storeRead, storeFailed,
+// storeStale, pulled, pullFailed, applied, refused and damaged.
+func (r *Runner) Vars() *expvar.Map {
+	r.vars.Set("revision", expvar.Func(func() any { return r.RevisionState().GetRevision() }))
+	return &r.vars
+}
 
 // Run reads the store and pulls from peers until ctx ends.
 func (r *Runner) Run(ctx context.Context) error {
@@ -282,14 +290,29 @@
 	r.mu.Unlock()
 	h.Vm, h.Incarnation, h.Revision = string(report.VM), string(report.Incarnation), report.Revision
 	h.StoreContactAgeMs = milliseconds(report.ProofAge)
-	h.Heard = make([]*peer.Heard, len(report.Heard))
-	for i, o := range report.Heard {
+	told := tell(report)
+	h.Heard = make([]*peer.Heard, len(told))
+	for i, o := range told {
 		h.Heard[i] = &peer.Heard{
 			Vm: string(o.VM), AgeMs: milliseconds(o.Age), Revision: o.Revision, Incarnation: string(o.Incarnation),
 		}
 	}
 }
 
+// tell returns what a heartbeat says about other daemons. In a large fleet that is a
+// random part, and nothing while the sender has a recent confirmation by the store:
+// then the receiver needs no majority.
+func tell(r Report) []HeardReport {
+	if len(r.Heard) <= maxHeard {
+		return r.Heard
+	}
+	if r.ProofAge >= 0 && r.ProofAge < Window/2 {
+		return nil
+	}
+	rand.Shuffle(len(r.Heard), func(i, j int) { r.Heard[i], r.Heard[j] = r.Heard[j], r.Heard[i] })
+	return r.Heard[:maxHeard]
+}
+
 func milliseconds(d time.Duration) int64 {
 	if d < 0 {
 		return -1
@@ -326,8 +349,9 @@
 	return &peer.RevisionStateResponse{Vm: string(r.Self), Incarnation: string(r.Incarnation), Revision: revision}
 }
 
-// Confirmed splits the listed VMs into those that are known to have at least the
-// revision in force and the others.
+// Confirmed splits the listed VMs into those that are known from heartbeats to have
+// at least the revision in force and the others. In a fleet of more than about 32
+// VMs heartbeats do not tell of all others; Committer.Await asks each VM.
 func (r *Runner) Confirmed(revision int64) (confirmed, unconfirmed []lagoonhead.VMID) {
 	r.start()
 	r.mu.Lock()
--- a/config/runner_test.go
+++ b/config/runner_test.go
@@ -160,6 +160,28 @@
 	require.Equal(t, []lagoonhead.VMID{"vm0", "vm1", "vm2", "vm3"}, confirmed)
 }
 
+// BenchmarkFresh measures the check that is made for every request.
+func BenchmarkFresh(b *testing.B) {
+	c := newCluster(5, &timer.Service{})
+	for i := range c.vms {
+		_, err := c.committer(i).Commit(context.Background(), 0, addWorkspace(fmt.Sprint("w", i)))
+		require.NoError(b, err)
+	}
+	for b.Loop() {
+		_ = c.at(0).Fresh()
+	}
+}
+
+// Guards against heartbeats that grow with the fleet.
+func TestHeartbeatIsBounded(t *testing.T) {
+	r := Report{ProofAge: time.Second, Heard: make([]HeardReport, maxHeard)}
+	require.Len(t, tell(r), maxHeard)
+	r.Heard = make([]HeardReport, 390)
+	require.Empty(t, tell(r))
+	r.ProofAge = noProof
+	require.Len(t, tell(r), maxHeard)
+}
+
 // Guards against an answer of the store that is older than what the daemon has.
 func TestOldStoreAnswers(t *testing.T) {
 	tm := stepTimer{timer.NewManual(time.Minute, time.Unix(0, 0))}
--- /dev/null
+++ b/strict/strict_test.go
@@ -0,0 +1,77 @@
+package strict
+
+import (
+	"errors"
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/lagoonhead/lagoonhead"
+)
+
+// Guards against values that are read in another way than a person means them.
+func TestScalars(t *testing.T) {
+	const text = `{i: %s, d: %s, b: %s}`
+	for _, c := range []struct {
+		i, d, b string
+		faults  int
+	}{
+		{"7", "1.5s", "true", 0},
+		{"07", "1m30s", "false", 0},
+		{"0x7", "5", "yes", 3},
+		{"1_000", "-1s", "1", 3},
+		{`"7"`, "1d", `"true"`, 3},
+		{"7.0", "~", "", 3},
+		{"[7]", "{}", "null", 3},
+		{"99999999999999999999", "2h", "True", 2},
+	} {
+		m, err := Open("f", fmt.Appendf(nil, text, c.i, c.d, c.b), 1000)
+		require.NoError(t, err)
+		m.Int("i", 0, 0, 100)
+		m.Duration("d", 0, 0, time.Hour)
+		m.Bool("b", false)
+		m.End()
+		var p Problems
+		errors.As(m.Err("test"), &p)
+		require.Len(t, p, c.faults, "%+v: %v", c, p)
+	}
+}
+
+// Guards against duplicates that are found in small mappings only.
+func TestDuplicateInALargeMapping(t *testing.T) {
+	var text strings.Builder
+	for i := range 5 * indexFrom {
+		fmt.Fprintf(&text, "f%d: 1\n", i)
+	}
+	m, err := Open("f", []byte(text.String()+"f7: 2\n"), 10000)
+	require.NoError(t, err)
+	err = m.Err("test")
+	require.True(t, lagoonhead.IsKind(err, lagoonhead.KindInvalid))
+	require.ErrorContains(t, err, "f:81:1: f7: duplicate field; the first is in line 8")
+}
+
+// Guards against an empty or a comment-only document that is a fault.
+func TestEmptyDocument(t *testing.T) {
+	for _, text := range []string{"", "# nothing\n", "---\n", "null"} {
+		m, err := Open("f", []byte(text), 100)
+		require.NoError(t, err, text)
+		m.End()
+		require.NoError(t, m.Err("test"))
+	}
+	for _, text := range []string{"a: [", "\xff", "a: \x01", "text", "a: 1\n--- {b: 1}", "? [x]\n: 1"} {
+		m, err := Open("f", []byte(text), 100)
+		if err == nil {
+			err = m.Err("test")
+		}
+		require.True(t, lagoonhead.IsKind(err, lagoonhead.KindInvalid), text)
+	}
+}
+
+// Guards against messages that list thousands of accepted values.
+func TestListIsShortened(t *testing.T) {
+	require.Equal(t, "a, b", List([]string{"a", "b"}))
+	require.Equal(t, strings.Repeat("x, ", 11)+"x and 88 more", List(strings.Split(strings.Repeat("x ", 99)+"x", " ")))
+}
