Steer prefill and decode softly and make role changes dearer

A mix that shifts within minutes starves one of the two phases; role changes take engines out and follow an oscillating mix.

A policy may hand a request over after its prefill (route.NewSplit) and chooses both engines by role and load; an engine for prefill that is idle counts as partly taken for an answer. A role change must gain six times its loss (two before), with a first expected stay of three minutes (ten before).

--- a/cmd/lagoonbench/engine.go
+++ b/cmd/lagoonbench/engine.go
@@ -50,6 +50,8 @@
 	speed       float64
 	incarnation int
 	down        bool
+	// changing engines are being drained or changed.
+	changing bool
 	// silent reports repeat the load of an idle engine.
 	silent  bool
 	prefill []*job
--- a/cmd/lagoonbench/rounds.go
+++ b/cmd/lagoonbench/rounds.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"math"
 	"time"
 
 	"github.com/lagoonhead/lagoonhead"
@@ -25,6 +26,7 @@
 					{"goodput of the hot one", hotGoodput},
 				}},
 		}},
+		{"c", "mix shift", shifts()},
 	}
 }
 
@@ -81,3 +83,60 @@
 		{"firstComeFirstServed", func(c *scenario) { c.order = fair.FirstComeFirstServed }},
 	}
 }
+
+// shifts are the parts of round c.
+func shifts() []part {
+	const two = 2 * time.Minute
+	ramp := func(t time.Duration) float64 { return min(max(float64(t-time.Minute)/float64(two), 0), 1) }
+	moves := []struct {
+		title string
+		high  func(time.Duration) float64
+	}{
+		{"Prefill share up", ramp},
+		{"Prefill share down", func(t time.Duration) float64 { return 1 - ramp(t) }},
+		{"Prefill share oscillating every two minutes", func(t time.Duration) float64 {
+			return (1 - math.Cos(2*math.Pi*float64(t)/float64(two))) / 2
+		}},
+	}
+	parts := make([]part, 0, len(moves))
+	for _, m := range moves {
+		parts = append(parts, part{
+			m.title, "Six engines for prefill and six for decode at the start; requests are handed over after their prefill. The prefill share of the work moves between about 0.35 and 0.6.",
+			func() scenario { return shiftScenario(m.high) }, steering(),
+			[]figure{{"goodput", goodput}, {"p95 first token (s)", firstTokenP95}, {"role changes", roleChanges}},
+		})
+	}
+	return parts
+}
+
+// shiftScenario moves between many chats and many readings; high is the share of the
+// way.
+func shiftScenario(high func(time.Duration) float64) scenario {
+	c := steadyScenario()
+	c.length = 6 * time.Minute
+	c.split = true
+	c.classes = mix(0, 0, 1)
+	c.classes[0].rate = func(t time.Duration) float64 { return 1.5 + 5.5*high(t) }
+	c.classes[1].rate = func(t time.Duration) float64 { return 15 - 12*high(t) }
+	for i := range c.engines {
+		r := lagoonhead.RolePrefill
+		if i >= len(c.engines)/2 {
+			r = lagoonhead.RoleDecode
+		}
+		c.engines[i] = c.engines[i].WithRole(r)
+	}
+	return c
+}
+
+// steering are the ways to meet a shift.
+func steering() []variant {
+	return []variant{
+		{"both", func(c *scenario) { c.changeRoles = true }},
+		{"softSteering", func(*scenario) {}},
+		{"roleChanges", func(c *scenario) { c.policy, c.changeRoles = route.StaticRoles, true }},
+		{"staticRoles", func(c *scenario) { c.policy = route.StaticRoles }},
+	}
+}
+
+// roleChanges is the number of changes.
+func roleChanges(s *sim, _ []*call) float64 { return float64(s.changes) }
--- a/cmd/lagoonbench/sim.go
+++ b/cmd/lagoonbench/sim.go
@@ -38,6 +38,10 @@
 	eventLoss     float64
 	policy        string
 	order         fair.Policy
+	// split lets the policy hand requests over after their prefill.
+	split bool
+	// changeRoles lets the planner change the roles of engines.
+	changeRoles bool
 	// prepare schedules what happens to the engines.
 	prepare func(s *sim)
 }
@@ -53,6 +57,10 @@
 	events  timeline
 	// scheduled counts the events, to keep those of equal times in order.
 	scheduled int64
+	// demand is what arrived since the planner looked.
+	demand demand
+	// changes counts role changes.
+	changes int
 	// crashed counts attempts that were lost with their engine.
 	crashed int
 }
@@ -77,10 +85,7 @@
 		s.engines = append(s.engines, newEngine(e))
 	}
 	for i := range c.daemons {
-		p, err := route.New(c.policy, seed*1000+uint64(i))
-		if err != nil {
-			panic(err)
-		}
+		p := c.newPolicy(seed*1000 + uint64(i))
 		d := &daemon{sim: s, table: route.NewTable(c.lag, prefillRate), index: prefix.New(128, 8192), policy: p,
 			waiting: make(map[*lagoonhead.Request]*call), running: make(map[*call]*job)}
 		d.queue = place.NewQueue(c.order, maxWaiting)
@@ -89,12 +94,29 @@
 		}
 		s.daemons = append(s.daemons, d)
 	}
+	if c.changeRoles {
+		s.startRoles()
+	}
 	if c.prepare != nil {
 		c.prepare(s)
 	}
 	return s
 }
 
+// newPolicy returns the policy of one daemon. The names are constants of this
+// command, so an error is a fault of it.
+func (c *scenario) newPolicy(seed uint64) lagoonhead.RoutePolicy {
+	make := route.New
+	if c.split {
+		make = route.NewSplit
+	}
+	p, err := make(c.policy, seed)
+	if err != nil {
+		panic(err)
+	}
+	return p
+}
+
 // run plays the scenario and returns the calls that arrived after the warm-up and
 // long enough before the end to be judged.
 func (s *sim) run() []*call {
@@ -110,6 +132,7 @@
 		}
 		for next < len(s.calls) && s.calls[next].request.Arrived() <= s.now {
 			c := s.calls[next]
+			s.demand.arrived(c)
 			s.daemons[c.daemon].arrive(c)
 			next++
 		}
@@ -241,6 +264,7 @@
 		return false
 	}
 	j := &job{call: c, daemon: d, choice: choice}
+	s.demand.dispatched(c, choice)
 	j.ticket = d.table.Dispatch(s.now, &rr, choice)
 	d.index.Learn(choice.Engine, c.request.Blocks())
 	d.running[c] = j
--- a/plan/roles.go
+++ b/plan/roles.go
@@ -45,10 +45,12 @@
 	// leastGain is the drop of utilization that a change must bring.
 	leastGain = 0.05
 	// payOff is how many times the gain must exceed the loss. Demand is known only
-	// roughly, and a change that is taken back costs twice.
-	payOff = 2
+	// roughly, a change that is taken back costs twice, and the drain takes capacity
+	// when it is short. 2 changed roles 12 to 14 times in six minutes of a mix that
+	// turned back each minute.
+	payOff = 6
 	// firstStay is the expected time between reversals of the mix before any was seen.
-	firstStay = 10 * time.Minute
+	firstStay = 3 * time.Minute
 	// turnSize is the move of the prefill share that counts as a reversal.
 	turnSize = 0.1
 	// settle is the least time between two changes in a failure domain.
--- a/route/policy.go
+++ b/route/policy.go
@@ -26,6 +26,24 @@
 	return []string{Predicted, RoundRobin, LeastOutstanding, StaticRoles, NoAffinity}
 }
 
+// NewSplit returns the policy with the given name that may hand a request over to
+// another engine after its prefill. roundRobin and leastOutstanding cannot; for them
+// and for unknown names it returns KindInvalid.
+func NewSplit(name string, seed uint64) (lagoonhead.RoutePolicy, error) {
+	p, err := New(name, seed)
+	if err != nil {
+		return nil, err
+	}
+	q, ok := p.(*predicted)
+	if !ok {
+		return nil, &Error{lagoonhead.Fault{
+			Op: "route.newSplit", Kind: lagoonhead.KindInvalid, Err: errors.Newf("policy %q cannot hand over", name),
+		}}
+	}
+	q.split = true
+	return q, nil
+}
+
 // New returns the policy with the given name, or KindInvalid. Daemons pass
 // different seeds, so that equal views lead them to different engines.
 func New(name string, seed uint64) (lagoonhead.RoutePolicy, error) {
@@ -79,6 +97,8 @@
 	random      *rand.Rand
 	affinity    bool
 	strictRoles bool
+	// split allows another engine to decode.
+	split bool
 	// near holds the candidates of one Pick; it is a field to save allocations.
 	near [scanLimit + holders]candidate
 	held [holders]int
@@ -114,8 +134,14 @@
 	}
 	best := p.choose(n)
 	p.inflow.sent(now, best.tokens)
+	decode := best.engine
+	if p.split {
+		if decode = p.decoder(now, r, es, best.engine); decode < 0 {
+			return lagoonhead.Choice{Engine: -1, Decode: -1, Usable: true}
+		}
+	}
 	return lagoonhead.Choice{
-		Engine: best.engine, Decode: best.engine, Cached: best.depth, Uncached: best.tokens,
+		Engine: best.engine, Decode: decode, Cached: best.depth, Uncached: best.tokens,
 		Base: best.base, Predicted: best.time, Usable: true,
 	}
 }
@@ -126,7 +152,7 @@
 		if n == len(p.near) || !eligible(now, r, &es[i], &usable) {
 			return
 		}
-		if p.strictRoles && !roleFits(r.Request, es[i].Endpoint.Role()) {
+		if p.strictRoles && !p.fits(r.Request, role(&es[i])) {
 			return
 		}
 		p.near[n] = candidate{engine: i}
@@ -166,6 +192,9 @@
 		c.tokens = uncached(r.Request, c.depth)
 		queued := max(reportedTokens(now, s), level) + float64(s.SentTokens)
 		c.base = baseTime(now, s, queued, c.tokens)
+		if p.split {
+			c.base = time.Duration(float64(c.base) / prefillPace(s))
+		}
 		c.time = time.Duration(float64(c.base) * slowdown(now, s))
 		delay := time.Duration(workWeight * float64(c.tokens) / s.PrefillRate * float64(time.Second))
 		c.score = c.time + delay + supplyCost(r.Request, s)
--- a/route/route_test.go
+++ b/route/route_test.go
@@ -224,6 +224,35 @@
 	require.Equal(t, 0, p.Pick(now+staleAfter, r, b.States()).Engine, "one stale report blocks nothing")
 }
 
+// Guards against a handed over request that is counted on the wrong engine or
+// twice, and against strict roles that are not kept.
+func TestSplitCountsBothEngines(t *testing.T) {
+	_, err := NewSplit(RoundRobin, 1)
+	require.Equal(t, lagoonhead.KindInvalid, lagoonhead.KindOf(err))
+	for _, name := range []string{Predicted, StaticRoles} {
+		p, err := NewSplit(name, 1)
+		require.NoError(t, err)
+		b, r := table(2), request(4000)
+		b.Put(engine(0).WithRole(lagoonhead.RolePrefill))
+		b.Put(engine(1).WithRole(lagoonhead.RoleDecode))
+		b.Report(now, report(1, 1, 0, 4))
+		c := p.Pick(now, r, b.States())
+		require.Equal(t, []int{0, 1}, []int{c.Engine, c.Decode}, name)
+		flight := func() []int { return []int{b.States()[0].InFlight, b.States()[1].InFlight} }
+		for _, early := range []bool{true, false} {
+			k := b.Dispatch(now, r, c)
+			require.Equal(t, []int{1, 1}, flight())
+			if early {
+				b.FirstToken(now, &k)
+				require.Equal(t, []int{0, 1}, flight())
+			}
+			b.Done(now, &k, lagoonhead.Outcome{})
+			require.Equal(t, []int{0, 0}, flight())
+			require.Zero(t, b.States()[0].SentRequests)
+		}
+	}
+}
+
 // Guards against daemons that all choose the engine whose queue was the shortest
 // in reports that are old by now.
 func TestLevelCountsWhatOtherDaemonsSend(t *testing.T) {
--- a/route/supply.go
+++ b/route/supply.go
@@ -20,10 +20,6 @@
 	firmCost = time.Hour
 )
 
-// longPrompt is the prompt length from which strict roles send a request to
-// engines for prefill.
-const longPrompt = 2 * BlockTokens
-
 // hasGap reports whether deferrable work would delay nothing on the engine.
 func hasGap(now time.Duration, s *lagoonhead.EngineState) bool {
 	if s.Endpoint.Kind() == lagoonhead.KindService {
@@ -47,15 +43,3 @@
 	}
 	return 0
 }
-
-// roleFits reports whether an engine of the role takes the request under strict
-// roles.
-func roleFits(r *lagoonhead.Request, role lagoonhead.Role) bool {
-	switch role {
-	case lagoonhead.RolePrefill:
-		return r.PromptTokens() >= longPrompt
-	case lagoonhead.RoleDecode:
-		return r.PromptTokens() < longPrompt
-	}
-	return true
-}
--- a/route/table.go
+++ b/route/table.go
@@ -21,6 +21,7 @@
 // has a first token and when it ends.
 type Ticket struct {
 	engine   int
+	decode   int
 	at       time.Duration
 	tokens   int
 	base     time.Duration
@@ -36,6 +37,10 @@
 // At returns the time of the dispatch since boot.
 func (t *Ticket) At() time.Duration { return t.at }
 
+// Decode returns the place of the endpoint that takes over after the prefill. It is
+// that of Engine when none does.
+func (t *Ticket) Decode() int { return t.decode }
+
 // Waiting reports whether the first token is still due.
 func (t *Ticket) Waiting() bool { return !t.first }
 
@@ -130,7 +135,7 @@
 	d.sequence++
 	*d.entry(d.sequence) = dispatch{at: now, tokens: c.Uncached, sequence: d.sequence}
 	k := Ticket{
-		engine: c.Engine, at: now, tokens: c.Uncached, base: c.Base,
+		engine: c.Engine, decode: c.Decode, at: now, tokens: c.Uncached, base: c.Base,
 		sequence: d.sequence, suspect: r.Suspect, probe: s.Failures > toleratedTimeouts,
 	}
 	s.SentTokens += c.Uncached
@@ -142,6 +147,9 @@
 	if k.probe {
 		s.Probing = true
 	}
+	if c.Decode != c.Engine {
+		t.states[c.Decode].InFlight++
+	}
 	return k
 }
 
@@ -153,6 +161,9 @@
 	k.first = true
 	t.prefilled(k)
 	t.observe(now, k, true)
+	if k.decode != k.engine {
+		t.leave(k)
+	}
 }
 
 // Overdue tells that the first token of the dispatch is still due. A dispatch
@@ -175,14 +186,9 @@
 	}
 }
 
-// Done counts the end of the dispatch and judges the endpoint's health by it.
-func (t *Table) Done(now time.Duration, k *Ticket, o lagoonhead.Outcome) {
-	s := &t.states[k.engine]
-	if !k.first {
-		k.first = true
-		t.prefilled(k)
-	}
-	d := &t.recent[k.engine]
+// leave frees the slot of the dispatch on its first engine.
+func (t *Table) leave(k *Ticket) {
+	s, d := &t.states[k.engine], &t.recent[k.engine]
 	if k.sequence > d.reported {
 		s.SentRequests--
 	}
@@ -193,7 +199,30 @@
 	if k.suspect {
 		s.Suspects--
 	}
-	judge(now, s, k, o)
+}
+
+// Done counts the end of the dispatch and judges the health of the endpoint that
+// ran it last.
+func (t *Table) Done(now time.Duration, k *Ticket, o lagoonhead.Outcome) {
+	last := k.engine
+	handed := k.first && k.decode != k.engine
+	if handed {
+		last = k.decode
+	}
+	if !k.first {
+		k.first = true
+		t.prefilled(k)
+	}
+	if !handed {
+		t.leave(k)
+	}
+	if k.decode != k.engine {
+		t.states[k.decode].InFlight--
+	}
+	judge(now, &t.states[last], k, o)
+	if k.probe && handed {
+		t.states[k.engine].Probing = false
+	}
 }
 
 // Report takes a load report that arrived now. It returns false when the report is
