Hold the front to the truth of its answers

The front promises that a refusal that says "not run" is true.

The tests found four faults, which are mended here: a budget token was spent for a retry that found no endpoint; error messages named operations of the program; a short answer of a service that broke off reached the caller as a cut connection although another service could have answered; a half-armed deadline made a test wait for ever.

--- a/caller/completion.go
+++ b/caller/completion.go
@@ -90,6 +90,9 @@
 		p, err := c.place()
 		if err != nil {
 			c.settle(0)
+			if last != nil {
+				c.x.server.Budget.Return()
+			}
 			// The failure of an attempt says more than the lack of another endpoint.
 			// A refusal for the request itself counts all the same.
 			if last != nil && !lagoonhead.IsKind(err, lagoonhead.KindForbidden) {
@@ -140,6 +143,9 @@
 // start opens the answer of an engine and waits for its first event.
 func (c *completionRun) start(p lagoonhead.Placement) (lagoonhead.EventStream, error) {
 	c.attempts++
+	if c.attempts > 1 {
+		c.x.server.vars.retries.Add(1)
+	}
 	ctx, span := c.x.server.Tracer.Start(c.ctx, "caller.attempt", trace.WithSpanKind(trace.SpanKindClient))
 	span.SetAttributes(attribute.String("lagoonhead.endpoint", string(p.Endpoint().ID())))
 	defer span.End()
@@ -228,7 +234,6 @@
 		c.x.note("retry budget is empty")
 		return false
 	}
-	s.vars.retries.Add(1)
 	return true
 }
 
--- a/caller/errors.go
+++ b/caller/errors.go
@@ -75,13 +75,16 @@
 		c.status, c.code = e.status, e.code
 	}
 	if own || c.message == "" {
-		c.message = innermost(err).Error()
+		c.message = "the request was refused"
+		if cause := innermost(err); cause != nil {
+			c.message = cause.Error()
+		}
 	}
 	return c
 }
 
 // innermost returns the cause below the faults of err, which name operations of
-// the program.
+// the program, or nil when there is none.
 func innermost(err error) error {
 	for {
 		var f interface {
@@ -91,10 +94,8 @@
 		if !errors.As(err, &f) {
 			return err
 		}
-		cause := errors.Unwrap(f)
-		if cause == nil {
-			return f
+		if err = errors.Unwrap(f); err == nil {
+			return nil
 		}
-		err = cause
 	}
 }
--- /dev/null
+++ b/caller/resume_test.go
@@ -0,0 +1,144 @@
+package caller
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"regexp"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	sdktrace "go.opentelemetry.io/otel/sdk/trace"
+	"go.opentelemetry.io/otel/sdk/trace/tracetest"
+
+	"github.com/lagoonhead/lagoonhead"
+)
+
+const streamBody = `{"model":"m","stream":true,"messages":[{"role":"user","content":"a"}]}`
+
+var eventID = regexp.MustCompile(`(?m)^id: (.*)$`)
+
+// Guards against a resumed stream that repeats or skips events, or is billed twice:
+// the first daemon's stream breaks for good, another daemon with the same secret
+// continues it.
+func TestResumeThroughAnotherServer(t *testing.T) {
+	for breakAt := 1; breakAt <= 3; breakAt++ {
+		_, st, srv, _ := newFront(t)
+		st.engine = brokenAt(breakAt, lagoonhead.KindUnknown)
+		_, first := ask(t, srv.URL, "kA", streamBody)
+		require.Contains(t, first, `"error"`)
+		require.NotContains(t, first, "[DONE]")
+		ids := eventID.FindAllStringSubmatch(first, -1)
+		require.Len(t, ids, breakAt)
+		srv.Close()
+
+		s2, st2, srv2, _ := newFront(t)
+		res, rest := ask(t, srv2.URL, "kA", streamBody, "Last-Event-ID", ids[breakAt-1][1])
+		require.Equal(t, 200, res.StatusCode, rest)
+		require.Contains(t, rest, "[DONE]")
+		var text strings.Builder
+		for _, m := range regexp.MustCompile(`"content":"([^"]*)"`).FindAllStringSubmatch(first+rest, -1) {
+			text.WriteString(m[1])
+		}
+		require.Equal(t, "one two three", text.String())
+		srv2.Close()
+		seen := st2.attempts()
+		require.Len(t, seen, 1)
+		require.EqualValues(t, breakAt-1, seen[0].offset)
+		require.Equal(t, st.attempts()[0].id, seen[0].id)
+		require.Equal(t, []lagoonhead.WorkspaceUsage{{Workspace: "A", OutputTokens: int64(3 - breakAt)}}, st2.usage)
+		require.EqualValues(t, breakAt, st.usage[0].OutputTokens)
+		require.Empty(t, st.cancelled, "a stream that may be resumed was cancelled")
+		require.Empty(t, st2.settled, "a resume was charged again")
+		require.Zero(t, s2.InFlight("e1"))
+	}
+}
+
+// Guards against a resume on an endpoint that is gone being told as not run.
+func TestResumeOnAnEndpointThatIsGone(t *testing.T) {
+	s, _, srv, _ := newFront(t)
+	sealed := s.Sealer.Seal(Token{Workspace: "A", Endpoint: "old", Request: "r"})
+	res, body := ask(t, srv.URL, "kA", streamBody, "Last-Event-ID", sealed)
+	require.Equal(t, http.StatusGone, res.StatusCode, body)
+	require.Equal(t, string(runYes), res.Header.Get(headerRun))
+}
+
+// Guards against hops that lose the trace of the caller, and against a key that
+// reaches an engine.
+func TestTraceAndHeaders(t *testing.T) {
+	s, st, srv, _ := newFront(t)
+	rec := tracetest.NewSpanRecorder()
+	s.Tracer = sdktrace.NewTracerProvider(sdktrace.WithSpanProcessor(rec)).Tracer("test")
+	const trace = "0af7651916cd43dd8448eb211c80319c"
+	res, body := ask(t, srv.URL, "kA", validBody, "Traceparent", "00-"+trace+"-b7ad6b7169203331-01", "Cookie", "c", "X-Api-Key", "kA")
+	require.Equal(t, 200, res.StatusCode, body)
+	srv.Close()
+	names := make([]string, 0, 2)
+	for _, sp := range rec.Ended() {
+		require.Equal(t, trace, sp.SpanContext().TraceID().String())
+		names = append(names, sp.Name())
+	}
+	slices.Sort(names)
+	require.Equal(t, []string{"caller.attempt", "caller.request"}, names)
+	h := st.attempts()[0].header
+	require.Contains(t, h.Get("Traceparent"), trace)
+	h.Del("Traceparent")
+	require.Equal(t, http.Header{headerPriority: {"normal"}}, h)
+	require.NotContains(t, fmt.Sprint(st.attempts(), st.decisions), "kA")
+}
+
+// Guards against a shutdown that cuts off a request, that stops accepting before
+// the balancer knows, or that runs a request behind the drain.
+func TestDrain(t *testing.T) {
+	s, st, srv, tm := newFront(t)
+	release := make(chan struct{})
+	entered := make(chan struct{}, 2)
+	st.engine = func(_ context.Context, _ lagoonhead.Endpoint, c lagoonhead.Completion) (lagoonhead.EventStream, error) {
+		entered <- struct{}{}
+		<-release
+		return newScript(c.ResumeOffset), nil
+	}
+	answers := make(chan int, 2)
+	start := func() {
+		go func() {
+			r, err := http.NewRequest(http.MethodPost, srv.URL+"/v1/chat/completions", strings.NewReader(validBody))
+			if err != nil {
+				answers <- -1
+				return
+			}
+			r.Header.Set("Authorization", "Bearer kA")
+			res, err := http.DefaultClient.Do(r)
+			if err != nil {
+				answers <- -1
+				return
+			}
+			res.Body.Close()
+			answers <- res.StatusCode
+		}()
+		<-entered
+	}
+	start()
+	require.Equal(t, 1, s.InFlight("e1"))
+	drained := make(chan error, 1)
+	go func() { drained <- s.Drain(context.Background()) }()
+	require.Eventually(t, func() bool { return s.ready() != nil }, time.Minute, time.Millisecond)
+	res, err := http.Get(srv.URL + "/readyz")
+	require.NoError(t, err)
+	res.Body.Close()
+	require.Equal(t, http.StatusServiceUnavailable, res.StatusCode)
+	start() // still accepted
+	closed := func() bool {
+		tm.Advance(s.Limits.DrainDelay)
+		res, _ := ask(t, srv.URL, "kA", "{")
+		return res.StatusCode == http.StatusServiceUnavailable && res.Header.Get(headerRun) == "no"
+	}
+	require.Eventually(t, closed, time.Minute, time.Millisecond)
+	require.Empty(t, drained, "the drain ended before the requests")
+	close(release)
+	require.NoError(t, <-drained)
+	require.Equal(t, []int{200, 200}, []int{<-answers, <-answers})
+	require.Len(t, st.attempts(), 2)
+}
--- /dev/null
+++ b/caller/truth_test.go
@@ -0,0 +1,232 @@
+package caller
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"runtime"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/lagoonhead/lagoonhead"
+	"github.com/lagoonhead/lagoonhead/timer"
+)
+
+func post(t *testing.T, url, key, body string, headers ...string) (*http.Response, string) {
+	t.Helper()
+	r, err := http.NewRequest(http.MethodPost, url, strings.NewReader(body))
+	require.NoError(t, err)
+	if key != "" {
+		r.Header.Set("Authorization", "Bearer "+key)
+	}
+	for i := 0; i+1 < len(headers); i += 2 {
+		r.Header.Set(headers[i], headers[i+1])
+	}
+	res, err := http.DefaultClient.Do(r)
+	require.NoError(t, err)
+	defer res.Body.Close()
+	b, err := io.ReadAll(res.Body)
+	if err != nil {
+		b = append(b, " (broken off)"...)
+	}
+	return res, string(b)
+}
+
+func ask(t *testing.T, url, key, body string, headers ...string) (*http.Response, string) {
+	t.Helper()
+	return post(t, url+"/v1/chat/completions", key, body, headers...)
+}
+
+// waitError is a refusal that knows when a retry may succeed.
+type waitError struct{ error }
+
+func (waitError) RetryAfter() time.Duration { return 2500 * time.Millisecond }
+
+func failing(k lagoonhead.Kind) func(context.Context, lagoonhead.Endpoint, lagoonhead.Completion) (lagoonhead.EventStream, error) {
+	return func(context.Context, lagoonhead.Endpoint, lagoonhead.Completion) (lagoonhead.EventStream, error) {
+		return nil, fault("stub.engine", k, nil)
+	}
+}
+
+// brokenAt is an engine whose stream breaks before the given event each time.
+func brokenAt(at int, k lagoonhead.Kind) func(context.Context, lagoonhead.Endpoint, lagoonhead.Completion) (lagoonhead.EventStream, error) {
+	return func(_ context.Context, _ lagoonhead.Endpoint, c lagoonhead.Completion) (lagoonhead.EventStream, error) {
+		s := newScript(c.ResumeOffset)
+		s.breakAt, s.err = at, fault("stub.engine", k, nil)
+		return s, nil
+	}
+}
+
+// Guards against a refusal that says "not run" although an endpoint saw the
+// request, and against a wrong status, Retry-After or reservation: each way to fail
+// is held against what the stub saw.
+func TestRunStateIsTrue(t *testing.T) {
+	forbidden := fault("stub", lagoonhead.KindForbidden, errors.New("x"))
+	for _, c := range []struct {
+		name    string
+		damage  func(*Server, *stub)
+		status  int
+		run     runState
+		retry   string
+		settled []int64 // -1 stands for the whole charge
+	}{
+		{"stale", func(_ *Server, st *stub) { st.stale = errors.New("old") }, 503, runNo, "1", nil},
+		{"over its rate", func(_ *Server, st *stub) {
+			st.admitErr = fault("stub", lagoonhead.KindExhausted, waitError{errors.New("rate")})
+		}, 429, runNo, "3", nil},
+		{"larger than its burst", func(_ *Server, st *stub) { st.admitErr = fault("stub", lagoonhead.KindInvalid, errors.New("burst")) }, 400, runNo, "", nil},
+		{"forbidden by the limiter", func(_ *Server, st *stub) { st.admitErr = forbidden }, 403, runNo, "", nil},
+		{"no endpoint", func(_ *Server, st *stub) { st.endpoints = nil }, 503, runNo, "1", []int64{0}},
+		{"key withdrawn while it waits", func(s *Server, st *stub) { s.Admitter = withdrawing{st} }, 401, runNo, "", []int64{0}},
+		{"stale while it waits", func(s *Server, st *stub) { s.Admitter = aging{st} }, 503, runNo, "1", []int64{0}},
+		{"all engines refuse", func(_ *Server, st *stub) { st.engine = failing(lagoonhead.KindUnavailable) }, 503, runNo, "1", []int64{0}},
+		{"answer lost", func(_ *Server, st *stub) { st.engine = failing(lagoonhead.KindUnknown) }, 502, runUnknown, "", []int64{-1, -1, 0}},
+		{"engine refuses the body", func(_ *Server, st *stub) { st.engine = failing(lagoonhead.KindInvalid) }, 400, runUnknown, "", []int64{-1}},
+		{"engines time out", func(_ *Server, st *stub) { st.engine = failing(lagoonhead.KindTimeout) }, 504, runUnknown, "", []int64{-1, -1, 0}},
+		{"crashes two engines", func(_ *Server, st *stub) { st.engine = failing(lagoonhead.KindCrashed) }, 403, runUnknown, "", []int64{-1, -1}},
+		{"breaks before the first token", func(_ *Server, st *stub) { st.engine = brokenAt(0, lagoonhead.KindUnavailable) }, 502, runUnknown, "", []int64{-1, -1, 0}},
+		{"breaks behind the first token", func(_ *Server, st *stub) { st.engine = brokenAt(1, lagoonhead.KindUnavailable) }, 502, runYes, "", []int64{-1}},
+		{"panics", func(s *Server, _ *stub) { s.Placer = nil }, 500, runNo, "", nil},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			s, st, srv, _ := newFront(t)
+			c.damage(s, st)
+			res, body := ask(t, srv.URL, "kA", validBody)
+			require.Equal(t, c.status, res.StatusCode, body)
+			require.Equal(t, string(c.run), res.Header.Get(headerRun), body)
+			require.Equal(t, c.retry, res.Header.Get(headerRetryAfter))
+			require.Equal(t, c.run == runNo, len(st.attempts()) == 0, "the stub saw %v", st.attempts())
+			srv.Close()
+			for i := range c.settled {
+				if c.settled[i] == -1 {
+					c.settled[i] = int64(estimateTokens(len(validBody)) + s.Limits.DefaultMaxTokens)
+				}
+			}
+			require.Equal(t, c.settled, st.settled)
+			require.Zero(t, s.InFlight("e1")+s.InFlight("e2"))
+			require.NotEmpty(t, st.decisions)
+			require.NotContains(t, body, "stub.engine", "the message names operations of the program")
+		})
+	}
+}
+
+// withdrawing admits a request and withdraws its key meanwhile.
+type withdrawing struct{ *stub }
+
+func (w withdrawing) Admit(ctx context.Context, r *lagoonhead.Request) (lagoonhead.Reservation, error) {
+	w.setKey("kA", "")
+	return w.stub.Admit(ctx, r)
+}
+
+// aging admits a request while the daemon loses its freshness.
+type aging struct{ *stub }
+
+func (a aging) Admit(ctx context.Context, r *lagoonhead.Request) (lagoonhead.Reservation, error) {
+	a.mu.Lock()
+	a.stale = errors.New("frozen for a while")
+	a.mu.Unlock()
+	return a.stub.Admit(ctx, r)
+}
+
+// Guards against a retry on the endpoint that has failed, and against a retry that
+// is not made.
+func TestRetryOnAnotherEndpoint(t *testing.T) {
+	for _, k := range []lagoonhead.Kind{lagoonhead.KindUnavailable, lagoonhead.KindUnknown, lagoonhead.KindCrashed} {
+		s, st, srv, _ := newFront(t)
+		st.engine = func(_ context.Context, e lagoonhead.Endpoint, c lagoonhead.Completion) (lagoonhead.EventStream, error) {
+			if e.ID() == "e1" {
+				return nil, fault("stub", k, nil)
+			}
+			return newScript(c.ResumeOffset), nil
+		}
+		res, body := ask(t, srv.URL, "kA", validBody)
+		require.Equal(t, 200, res.StatusCode, body)
+		require.Contains(t, body, "one two three")
+		require.EqualValues(t, "e2", st.attempts()[len(st.attempts())-1].endpoint)
+		require.Equal(t, "1", s.Vars().Get("retries").String())
+		srv.Close()
+		require.Len(t, st.usage, 1, "a failed attempt is not billed")
+	}
+}
+
+// Guards against retries without a bound when all engines fail.
+func TestRetryBudget(t *testing.T) {
+	s, st, srv, _ := newFront(t)
+	st.engine = failing(lagoonhead.KindUnknown)
+	for range 30 {
+		ask(t, srv.URL, "kA", validBody)
+	}
+	// 10 at once, and one for each 10 requests behind the tenth.
+	require.Equal(t, "12", s.Vars().Get("retries").String())
+	require.Equal(t, 42, len(st.attempts()))
+}
+
+// Guards against two suspects on one endpoint at the same time.
+func TestSuspectsRunApart(t *testing.T) {
+	s, st, _, _ := newFront(t)
+	x := &exchange{server: s, key: "kA", workspace: "A"}
+	var placed []lagoonhead.Placement
+	for i, id := range []lagoonhead.RequestID{"r1", "r2", "r3"} {
+		r := lagoonhead.NewRequest(id, "A", "m", 0)
+		r.SetFingerprint(uint64(i))
+		st.suspects[uint64(i)] = []lagoonhead.EndpointID{"elsewhere"}
+		p, err := guardedPlacer{x}.Place(context.Background(), r, nil)
+		if i == 2 {
+			require.True(t, lagoonhead.IsKind(err, lagoonhead.KindUnavailable), "%v", err)
+			break
+		}
+		require.NoError(t, err)
+		placed = append(placed, p)
+	}
+	require.NotEqual(t, placed[0].Endpoint().ID(), placed[1].Endpoint().ID())
+	placed[0].Done(lagoonhead.Outcome{})
+	r := lagoonhead.NewRequest("r4", "A", "m", 0)
+	p, err := guardedPlacer{x}.Place(context.Background(), r, nil)
+	require.NoError(t, err)
+	require.Equal(t, placed[0].Endpoint().ID(), p.Endpoint().ID(), "a place is free again")
+}
+
+// Guards against a request that waits past its deadline, and against a deadline
+// that cuts off an answer that has begun.
+func TestDeadline(t *testing.T) {
+	for _, begun := range []bool{false, true} {
+		_, st, srv, tm := newFront(t)
+		st.engine = func(ctx context.Context, _ lagoonhead.Endpoint, _ lagoonhead.Completion) (lagoonhead.EventStream, error) {
+			return &gated{script: newScript(-1), ctx: ctx, begun: begun, tm: tm}, nil
+		}
+		res, body := ask(t, srv.URL, "kA", validBody, headerDeadline, "100")
+		if begun {
+			require.Equal(t, 200, res.StatusCode, body)
+			continue
+		}
+		require.Equal(t, http.StatusGatewayTimeout, res.StatusCode, body)
+		require.Equal(t, string(runUnknown), res.Header.Get(headerRun))
+	}
+}
+
+// gated moves the clock past the deadline before its first event, or behind it.
+type gated struct {
+	*script
+	ctx   context.Context
+	begun bool
+	tm    *timer.Manual
+}
+
+func (g *gated) Next() (lagoonhead.StreamEvent, error) {
+	if g.begun && g.next == 0 {
+		return g.script.Next()
+	}
+	g.tm.Advance(time.Minute)
+	if g.begun {
+		return g.script.Next()
+	}
+	for g.ctx.Err() == nil { // the server may only now begin to wait
+		g.tm.Advance(time.Minute)
+		runtime.Gosched()
+	}
+	return lagoonhead.StreamEvent{}, g.ctx.Err()
+}
--- a/service/budget.go
+++ b/service/budget.go
@@ -33,3 +33,10 @@
 	b.missing += budgetPrice
 	return true
 }
+
+// Return gives back what Take took for a retry that was not made.
+func (b *Budget) Return() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.missing = max(0, b.missing-budgetPrice)
+}
--- a/service/client.go
+++ b/service/client.go
@@ -122,6 +122,7 @@
 	for {
 		p, err := a.placer.Place(ctx, a.call.Request, a.avoid)
 		if err != nil && last != nil {
+			a.client.Budget.Return()
 			return nil, last
 		}
 		if err != nil {
@@ -164,7 +165,6 @@
 		a.client.vars.budgetEmpty.Add(1)
 		return false
 	}
-	a.client.vars.retries.Add(1)
 	return true
 }
 
@@ -173,6 +173,9 @@
 func (a *attempts) attempt(ctx context.Context, p lagoonhead.Placement) (*lagoonhead.ServiceAnswer, error) {
 	a.count++
 	a.client.vars.attempts.Add(1)
+	if a.count > 1 {
+		a.client.vars.retries.Add(1)
+	}
 	res, err := a.roundTrip(ctx, p.Endpoint()) //nolint:bodyclose // answerBody closes it
 	if err != nil {
 		k := lagoonhead.KindOf(err)
@@ -219,9 +222,28 @@
 		res.Body.Close()
 		return nil, fault("service.answer", lagoonhead.KindInternal, errors.Newf("answer has %d bytes, more than the limit", res.ContentLength))
 	}
+	if err := readAhead(res); err != nil {
+		return nil, fault("service.readAhead", lagoonhead.KindUnknown, err)
+	}
 	return res, nil
 }
 
+// readAheadBytes bounds the answers that are read before the caller gets their
+// header.
+const readAheadBytes = 32 << 10
+
+// readAhead reads a short answer of known length as a whole, so that a broken one
+// can still be retried, or told as an error. Others are streamed.
+func readAhead(res *http.Response) error {
+	if res.ContentLength <= 0 || res.ContentLength > readAheadBytes {
+		return nil
+	}
+	b, err := io.ReadAll(res.Body)
+	res.Body.Close()
+	res.Body = io.NopCloser(bytes.NewReader(b))
+	return err
+}
+
 func (a *attempts) request(ctx context.Context, e lagoonhead.Endpoint) (*http.Request, error) {
 	path := (&url.URL{Path: a.call.Path}).EscapedPath()
 	target := strings.TrimSuffix(e.Address(), "/") + path
