Join the operators' interface and the status of a daemon

Cause: operators edit the inventory while traffic runs and ask why.

Change: the operator listener serves the commands and queries behind its guard; status shows peers, endpoints, duties and workspaces; explain joins recorded decisions with placements.

--- a/admit/book.go
+++ b/admit/book.go
@@ -51,10 +51,11 @@
 	share     limit.Share
 	bucket    limit.Bucket
 
-	open     int    // reservations that were not settled
-	waiting  int64  // tokens that requests wait for
-	heldBack uint64 // round in which a request was short of tokens
-	spent    meter  // tokens charged, less what was not used
+	refused, wronglyRefused int64
+	open                    int    // reservations that were not settled
+	waiting                 int64  // tokens that requests wait for
+	heldBack                uint64 // round in which a request was short of tokens
+	spent                   meter  // tokens charged, less what was not used
 	// demand is the tokens that requests would have used, the refused ones included.
 	demand   meter
 	usedPart float64 // recent share of a charge that is really used
--- a/admit/runner.go
+++ b/admit/runner.go
@@ -380,10 +380,12 @@
 	charge := w.request.Charge()
 	b.waiting -= charge
 	r.counters.refused.Add(1)
+	w.book.refused++
 	rate := b.fleetDemand(now)
 	wrongful := rate <= b.quota.Rate
 	if wrongful {
 		r.counters.wronglyRefused.Add(1)
+		w.book.wronglyRefused++
 	}
 	after := defaultRetryAfter
 	if b.quota.Rate > 0 {
--- a/daemon/operator.go
+++ b/daemon/operator.go
@@ -1,13 +1,17 @@
 package daemon
 
 import (
+	"cmp"
 	"context"
 	"net/http"
+	"slices"
 
 	"github.com/lagoonhead/lagoonhead"
 	"github.com/lagoonhead/lagoonhead/config"
+	"github.com/lagoonhead/lagoonhead/explain"
 	"github.com/lagoonhead/lagoonhead/inventory"
-	"github.com/lagoonhead/lagoonhead/peer"
+	"github.com/lagoonhead/lagoonhead/operator"
+	"github.com/lagoonhead/lagoonhead/place"
 )
 
 // pathVars is where the operator listener serves the counters as JSON.
@@ -61,11 +65,48 @@
 	if err != nil {
 		return err
 	}
+	guard := &operator.Guard{Token: token, MutualTLS: b.settings.Operator.TLS()}
+	o := &operator.Server{
+		Committer: b.committer, Inventory: b.config, Status: statusSource{b}, Decisions: b.findDecisions(),
+		Recorder: b.decisions, Clock: b.timer, Guard: guard,
+	}
+	b.vars.Set("operator", o.Vars())
 	mux := http.NewServeMux()
-	mux.HandleFunc("GET "+pathVars, func(w http.ResponseWriter, _ *http.Request) {
-		w.Header().Set("Content-Type", "application/json; charset=utf-8")
-		_, _ = w.Write([]byte(b.vars.String()))
-	})
-	b.add("", serveHTTP(l, peer.RequireToken(token, mux)), nil)
+	mux.Handle("/", o.Handler())
+	mux.Handle("GET "+pathVars, guard.Wrap(http.HandlerFunc(b.serveVars)))
+	b.add("", serveHTTP(l, mux), nil)
 	return nil
 }
+
+func (b *builder) serveVars(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Content-Type", "application/json; charset=utf-8")
+	_, _ = w.Write([]byte(b.vars.String()))
+}
+
+// decisionFinder joins the recorded decisions with the placements, whose reasons
+// are built only when they are asked for.
+type decisionFinder struct {
+	record *explain.Record
+	placer *place.Placer
+}
+
+func (b *builder) findDecisions() operator.DecisionSource {
+	return decisionFinder{b.decisions, b.placer}
+}
+
+// Find returns the decisions that match, ordered by time.
+func (f decisionFinder) Find(q explain.Query) []lagoonhead.Decision {
+	list := f.record.Find(q)
+	if q.Topic != "" && q.Topic != topicRequest {
+		return list
+	}
+	list = append(list, f.placer.Explain(lagoonhead.RequestID(q.Subject), max(q.Limit, 1))...)
+	slices.SortStableFunc(list, func(a, b lagoonhead.Decision) int { return cmp.Compare(a.At, b.At) })
+	if q.Limit > 0 && len(list) > q.Limit {
+		list = list[len(list)-q.Limit:]
+	}
+	return list
+}
+
+// topicRequest is the topic of decisions about one request.
+const topicRequest = "request"
