Measure endpoint orders and keep deferrable work out of the way

Reclaimable engines are cheap but go a failure domain at a time, and deferrable work filled them to the harm of urgent work.

Deferrable work needs a gap on reclaimable engines too. The planner aims at a load of 0.6 and at 0.55 after the loss of a failure domain (0.65 and 0.85 before), and reads the trend from two means of the demand.

--- a/cmd/lagoonbench/engine.go
+++ b/cmd/lagoonbench/engine.go
@@ -52,6 +52,8 @@
 	down        bool
 	// changing engines are being drained or changed.
 	changing bool
+	// gone engines are never back.
+	gone bool
 	// silent reports repeat the load of an idle engine.
 	silent  bool
 	prefill []*job
--- a/cmd/lagoonbench/roles.go
+++ b/cmd/lagoonbench/roles.go
@@ -20,14 +20,20 @@
 	decodeRate = slots / 2 / (stepFixed + stepPerSequence*slots/2)
 )
 
-// demand counts the tokens that arrived.
+// demand counts the tokens that arrived, urgent and deferrable ones apart.
 type demand struct {
-	prompt, output float64
+	prompt, output           float64
+	laterPrompt, laterOutput float64
 	// uncached and placed give the share of prompts that had to be computed.
 	uncached, placed float64
 }
 
 func (d *demand) arrived(c *call) {
+	if c.request.Priority() == lagoonhead.PriorityDeferrable {
+		d.laterPrompt += float64(c.request.PromptTokens())
+		d.laterOutput += float64(c.output)
+		return
+	}
 	d.prompt += float64(c.request.PromptTokens())
 	d.output += float64(c.output)
 }
@@ -38,17 +44,16 @@
 }
 
 // take returns the work per second in engines, over the time since the last call.
-func (d *demand) take(over time.Duration) plan.Work {
+func (d *demand) take(over time.Duration) (urgent, deferrable plan.Work) {
 	miss := 1.0
 	if d.placed > 0 {
 		miss = d.uncached / d.placed
 	}
-	w := plan.Work{
-		Prefill: d.prompt * miss / prefillRate / over.Seconds(),
-		Decode:  d.output / decodeRate / over.Seconds(),
-	}
+	t := over.Seconds()
+	urgent = plan.Work{Prefill: d.prompt * miss / prefillRate / t, Decode: d.output / decodeRate / t}
+	deferrable = plan.Work{Prefill: d.laterPrompt / prefillRate / t, Decode: d.laterOutput / decodeRate / t}
 	*d = demand{}
-	return w
+	return urgent, deferrable
 }
 
 // startRoles runs the planner of roles.
@@ -57,7 +62,8 @@
 	var look func()
 	look = func() {
 		s.after(planInterval, look)
-		p.Observe(s.now, s.demand.take(planInterval))
+		urgent, deferrable := s.demand.take(planInterval)
+		p.Observe(s.now, plan.Work{Prefill: urgent.Prefill + deferrable.Prefill, Decode: urgent.Decode + deferrable.Decode})
 		es := make([]plan.Engine, 0, len(s.engines))
 		for _, e := range s.engines {
 			es = append(es, plan.Engine{ID: e.endpoint.ID(), FailureDomain: e.endpoint.FailureDomain(),
--- a/cmd/lagoonbench/rounds.go
+++ b/cmd/lagoonbench/rounds.go
@@ -6,6 +6,7 @@
 
 	"github.com/lagoonhead/lagoonhead"
 	"github.com/lagoonhead/lagoonhead/fair"
+	"github.com/lagoonhead/lagoonhead/plan"
 	"github.com/lagoonhead/lagoonhead/route"
 )
 
@@ -27,6 +28,13 @@
 				}},
 		}},
 		{"c", "mix shift", shifts()},
+		{"d", "cost", []part{
+			{"Deferrable work and reclaimable engines", "Twelve firm engines at the start, a third of the load deferrable. Failure domain b never has reclaimable engines, all reclaimable engines of c are lost at 200 s and it gives none for 90 s; a new engine loads weights for 40 s. Engines cost 3 (firm) and 1 (reclaimable) units per hour.",
+				costScenario, supplies(), []figure{
+					{"goodput", goodput}, {"goodput 60 s from the reclaim", reclaimGoodput}, {"units per hour", spend},
+					{"deferrable done", laterDone}, {"deferrable on reclaimable", laterCheap},
+				}},
+		}},
 	}
 }
 
@@ -140,3 +148,62 @@
 
 // roleChanges is the number of changes.
 func roleChanges(s *sim, _ []*call) float64 { return float64(s.changes) }
+
+// costScenario has much deferrable work.
+func costScenario() scenario {
+	c := steadyScenario()
+	c.length = 6 * time.Minute
+	c.classes = mix(2.5, 6, 8)
+	for i := range c.engines {
+		c.engines[i] = c.engines[i].WithPrice(firmPrice)
+	}
+	return c
+}
+
+// supplies are the ways to order endpoints.
+func supplies() []variant {
+	firm, cheap := lagoonhead.SupplyFirm, lagoonhead.SupplyReclaimable
+	planned := func() *plan.Supplies { return &plan.Supplies{LoadFor: loadTime, MostLoading: mostLoading} }
+	return []variant{
+		{"planned", func(c *scenario) { c.prepare = func(s *sim) { s.startSupply(planned(), firm, cheap) } }},
+		{"plannedFirmOnly", func(c *scenario) { c.prepare = func(s *sim) { s.startSupply(planned(), firm) } }},
+		{"cheapFirst", func(c *scenario) { c.prepare = func(s *sim) { s.startSupply(&cheapFirst{}, firm, cheap) } }},
+		{"fixedFirm", func(c *scenario) { c.prepare = func(s *sim) { s.startSupply(&plan.Supplies{}) } }},
+	}
+}
+
+// spend is the mean price of all engines in units per hour.
+func spend(s *sim, _ []*call) float64 { return s.supply.spent / (s.length - s.warmUp).Hours() }
+
+// reclaimGoodput is the goodput of calls that arrived within a minute of the reclaim.
+func reclaimGoodput(_ *sim, cs []*call) float64 {
+	var near []*call
+	for _, c := range cs {
+		if at := c.request.Arrived(); at >= reclaimAt && at < reclaimAt+time.Minute {
+			near = append(near, c)
+		}
+	}
+	return goodput(nil, near)
+}
+
+// laterDone is the share of deferrable calls that were answered by the end.
+func laterDone(_ *sim, cs []*call) float64 { return later(cs, func(*call) bool { return true }) }
+
+// laterCheap is the share of deferrable calls that reclaimable engines answered.
+func laterCheap(_ *sim, cs []*call) float64 {
+	return later(cs, func(c *call) bool { return c.supply == lagoonhead.SupplyReclaimable })
+}
+
+func later(cs []*call, counts func(*call) bool) float64 {
+	n, done := 0, 0
+	for _, c := range cs {
+		if c.request.Priority() != lagoonhead.PriorityDeferrable {
+			continue
+		}
+		n++
+		if c.ended > 0 && counts(c) {
+			done++
+		}
+	}
+	return float64(done) / float64(n)
+}
--- a/cmd/lagoonbench/sim.go
+++ b/cmd/lagoonbench/sim.go
@@ -59,6 +59,8 @@
 	scheduled int64
 	// demand is what arrived since the planner looked.
 	demand demand
+	// supply is nil unless endpoints are ordered.
+	supply *supply
 	// changes counts role changes.
 	changes int
 	// crashed counts attempts that were lost with their engine.
@@ -230,10 +232,15 @@
 
 // crash ends an engine's process; it is back after the given time.
 func (s *sim) crash(e *engine, away time.Duration) {
+	s.lose(e)
+	s.after(away, func() { e.down = false })
+}
+
+// lose ends an engine's process and all attempts that it runs.
+func (s *sim) lose(e *engine) {
 	for _, j := range e.crash() {
 		s.finish(j, lagoonhead.Outcome{Failed: true, Kind: lagoonhead.KindCrashed})
 	}
-	s.after(away, func() { e.down = false })
 }
 
 func (d *daemon) arrive(c *call) {
--- a/plan/plan_test.go
+++ b/plan/plan_test.go
@@ -134,7 +134,7 @@
 		cheap, by := totals(ts, lagoonhead.SupplyReclaimable)
 		require.Positive(t, cheap)
 		for _, lost := range by {
-			require.GreaterOrEqual(t, float64(firm+cheap-lost)*highestLoad, urgent)
+			require.GreaterOrEqual(t, float64(firm+cheap-lost)*reserveLoad, urgent)
 		}
 		require.GreaterOrEqual(t, float64(firm+cheap)*targetLoad, urgent)
 	}
--- a/plan/roles.go
+++ b/plan/roles.go
@@ -77,7 +77,7 @@
 		p.demand, p.started = w, true
 		p.turns.begin(now, share(w))
 	}
-	k := 1 - math.Exp(-float64(now-p.seenAt)/float64(smoothing))
+	k := weight(now-p.seenAt, smoothing)
 	p.seenAt = now
 	p.demand.Prefill += k * (w.Prefill - p.demand.Prefill)
 	p.demand.Decode += k * (w.Decode - p.demand.Decode)
--- a/plan/supply.go
+++ b/plan/supply.go
@@ -41,16 +41,19 @@
 
 const (
 	// targetLoad is the utilization that the totals aim at.
-	targetLoad = 0.65
-	// highestLoad is the utilization up to which deadlines hold.
-	highestLoad = 0.85
+	targetLoad = 0.6
+	// reserveLoad is the utilization up to which deadlines hold after the loss of a
+	// failure domain. It is below targetLoad, since the prefixes cached there are lost
+	// too and what was running is repeated.
+	reserveLoad = 0.55
 	// deferrableLoad is the utilization by deferrable work, which may wait.
 	deferrableLoad = 1
 	// exhaustedFor is how long a pool that had none to give is not asked again.
 	exhaustedFor = 2 * time.Minute
 	// holdDown is how long the demand must have been lower before a total is lowered.
 	holdDown = 2 * time.Minute
-	// slopeWindow is the time constant of the mean demand that the trend is read from.
+	// slopeWindow is the time constant of the slow mean of the demand. The trend is
+	// the difference between it and the mean over smoothing.
 	slopeWindow = time.Minute
 	// mostGrowth bounds the forecast.
 	mostGrowth = 1.5
@@ -65,8 +68,8 @@
 	// weight store is limited in rate; 0 means no bound.
 	MostLoading int
 
-	mean       float64
-	meanAt     time.Duration
+	fast, slow float64
+	seenAt     time.Duration
 	started    bool
 	urgent     peak
 	deferrable peak
@@ -89,14 +92,20 @@
 // forecast returns the urgent demand expected when an endpoint ordered now serves.
 func (p *Supplies) forecast(now time.Duration, urgent float64) float64 {
 	if !p.started {
-		p.mean, p.started = urgent, true
+		p.fast, p.slow, p.started = urgent, urgent, true
 	}
-	k := 1 - math.Exp(-float64(now-p.meanAt)/float64(slopeWindow))
-	p.meanAt = now
-	p.mean += k * (urgent - p.mean)
-	// For a steady ramp the mean lags by slopeWindow.
-	slope := (urgent - p.mean) / slopeWindow.Seconds()
-	return min(max(urgent, urgent+slope*p.LoadFor.Seconds()), mostGrowth*urgent)
+	age := now - p.seenAt
+	p.seenAt = now
+	p.fast += weight(age, smoothing) * (urgent - p.fast)
+	p.slow += weight(age, slopeWindow) * (urgent - p.slow)
+	// In a steady ramp a mean lags by its time constant.
+	slope := (p.fast - p.slow) / (slopeWindow - smoothing).Seconds()
+	return min(max(p.fast, p.fast+slope*(p.LoadFor+smoothing).Seconds()), mostGrowth*p.fast)
+}
+
+// weight returns the weight of a sample after age in a mean with a time constant.
+func weight(age, constant time.Duration) float64 {
+	return 1 - math.Exp(-float64(age)/float64(constant))
 }
 
 // Plan returns the wanted totals of all pools, in their order.
@@ -197,7 +206,7 @@
 // needed returns the number of endpoints that serve the work, and the least number
 // that keeps the deadlines.
 func needed(urgent, deferrable float64) (all, safe int) {
-	return int(math.Ceil(urgent/targetLoad + deferrable/deferrableLoad)), int(math.Ceil(urgent / highestLoad))
+	return int(math.Ceil(urgent/targetLoad + deferrable/deferrableLoad)), int(math.Ceil(urgent / reserveLoad))
 }
 
 // split returns the cheapest numbers of firm and reclaimable endpoints that serve
--- a/route/route_test.go
+++ b/route/route_test.go
@@ -187,10 +187,12 @@
 func TestDeferrableGoesToReclaimableFirst(t *testing.T) {
 	b, r, p := table(2), request(4000), policy(t, Predicted)
 	b.Put(engine(1).WithSupply(lagoonhead.SupplyReclaimable))
-	b.Report(now, report(1, 1, 9000, 4))
+	b.Report(now, report(1, 1, 1500, 6))
 	require.Equal(t, 0, p.Pick(now, r, b.States()).Engine)
 	r.Request.SetPriority(lagoonhead.PriorityDeferrable)
 	require.Equal(t, 1, p.Pick(now, r, b.States()).Engine)
+	b.Report(now, report(1, 2, 9000, 6))
+	require.Equal(t, 0, p.Pick(now, r, b.States()).Engine, "it would delay urgent work there")
 }
 
 // Guards against old reports that overwrite new ones, and against a new process
--- a/route/supply.go
+++ b/route/supply.go
@@ -10,8 +10,10 @@
 	// gapShare is the share of a firm engine's slots above which deferrable work
 	// waits.
 	gapShare = 0.6
+	// reclaimableGapShare is the same for a reclaimable engine.
+	reclaimableGapShare = 0.9
 	// gapTokens is the queued prefill above which deferrable work waits.
-	gapTokens = 2 * BlockTokens
+	gapTokens = BlockTokens
 	// reclaimableRisk is added for interactive work on an engine that may be
 	// reclaimed while it answers.
 	reclaimableRisk = 20 * time.Millisecond
@@ -20,16 +22,17 @@
 	firmCost = time.Hour
 )
 
-// hasGap reports whether deferrable work would delay nothing on the engine.
+// hasGap reports whether deferrable work would delay nothing on the endpoint.
 func hasGap(now time.Duration, s *lagoonhead.EngineState) bool {
 	if s.Endpoint.Kind() == lagoonhead.KindService {
 		return true
 	}
+	most := gapShare
 	if s.Endpoint.Supply() == lagoonhead.SupplyReclaimable {
-		return true
+		most = reclaimableGapShare
 	}
 	busy := float64(occupied(s)) / float64(max(s.Endpoint.Slots(), 1))
-	return busy < gapShare && queuedTokens(now, s) <= gapTokens
+	return busy < most && queuedTokens(now, s) <= gapTokens
 }
 
 // supplyCost orders firm and reclaimable engines by the priority of the request.
