Tell a lost answer also when a later endpoint refuses

When one engine lost its answer and the next one refused, the error was that of the second, with status 503 although the run state was unknown. The lost answer now decides. Two cases of the table cover both orders, and the deadline test now fails when an answer that has begun can still be cut off; faults put into a scratch copy had shown that neither was covered.

--- a/caller/completion.go
+++ b/caller/completion.go
@@ -106,6 +106,9 @@
 		}
 		last = deadlineError(c.ctx, err)
 		c.attemptFailed(p, last)
+		if c.mayHaveRun && lagoonhead.IsKind(last, lagoonhead.KindUnavailable) {
+			last = fault("caller.retry", lagoonhead.KindUnknown, last)
+		}
 		if !c.mayRetry(last) {
 			c.settle(0)
 			return last
--- a/caller/services_test.go
+++ b/caller/services_test.go
@@ -116,6 +116,7 @@
 				require.Equal(t, "true", again.Header.Get(headerRepeated))
 				other, _ := post(t, url+"/bookings", "kA", `{"crates":4}`, headers...)
 				require.Equal(t, http.StatusUnprocessableEntity, other.StatusCode)
+				require.Equal(t, string(runNo), other.Header.Get(headerRun))
 				foreign, _ := post(t, url+"/bookings", "kB", `{"crates":4}`, headers...)
 				require.Equal(t, 200, foreign.StatusCode, "keys are counted by workspace")
 				st.endpoints = nil
--- a/caller/truth_test.go
+++ b/caller/truth_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"runtime"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -52,6 +53,14 @@
 	}
 }
 
+// lostThenRefused loses the answer of e1; e2 says that it did not run.
+func lostThenRefused(ctx context.Context, e lagoonhead.Endpoint, c lagoonhead.Completion) (lagoonhead.EventStream, error) {
+	if e.ID() == "e1" {
+		return failing(lagoonhead.KindUnknown)(ctx, e, c)
+	}
+	return failing(lagoonhead.KindUnavailable)(ctx, e, c)
+}
+
 // brokenAt is an engine whose stream breaks before the given event each time.
 func brokenAt(at int, k lagoonhead.Kind) func(context.Context, lagoonhead.Endpoint, lagoonhead.Completion) (lagoonhead.EventStream, error) {
 	return func(_ context.Context, _ lagoonhead.Endpoint, c lagoonhead.Completion) (lagoonhead.EventStream, error) {
@@ -85,6 +94,11 @@
 		{"stale while it waits", func(s *Server, st *stub) { s.Admitter = aging{st} }, 503, runNo, "1", []int64{0}},
 		{"all engines refuse", func(_ *Server, st *stub) { st.engine = failing(lagoonhead.KindUnavailable) }, 503, runNo, "1", []int64{0}},
 		{"answer lost", func(_ *Server, st *stub) { st.engine = failing(lagoonhead.KindUnknown) }, 502, runUnknown, "", []int64{-1, -1, 0}},
+		{"answer lost, then refused", func(_ *Server, st *stub) { st.engine = lostThenRefused }, 502, runUnknown, "", []int64{-1, 0}},
+		{"refused, then answer lost", func(_ *Server, st *stub) {
+			st.engine = lostThenRefused
+			slices.Reverse(st.endpoints)
+		}, 502, runUnknown, "", []int64{-1, 0}},
 		{"engine refuses the body", func(_ *Server, st *stub) { st.engine = failing(lagoonhead.KindInvalid) }, 400, runUnknown, "", []int64{-1}},
 		{"engines time out", func(_ *Server, st *stub) { st.engine = failing(lagoonhead.KindTimeout) }, 504, runUnknown, "", []int64{-1, -1, 0}},
 		{"crashes two engines", func(_ *Server, st *stub) { st.engine = failing(lagoonhead.KindCrashed) }, 403, runUnknown, "", []int64{-1, -1}},
@@ -222,6 +236,12 @@
 	}
 	g.tm.Advance(time.Minute)
 	if g.begun {
+		for range 1000 { // a deadline that is still armed gets the time to strike
+			runtime.Gosched()
+		}
+		if g.ctx.Err() != nil {
+			return lagoonhead.StreamEvent{}, g.ctx.Err()
+		}
 		return g.script.Next()
 	}
 	for g.ctx.Err() == nil { // the server may only now begin to wait
