Join the planners of roles and endpoint orders; prove drains and role changes

Cause: roles and endpoint totals must follow the demand without cutting a request.

Change: the holder of engine orders samples the demand from load reports and commits planned roles; the holder of endpoint orders plans totals within the inventory's bounds and keeps the inventory in line with the platform's list. Daemons tell each other how many engine requests may wait.

Proof: with nine streams running, two engines change role and one changes back; every stream is whole, the engine without fencing takes one order only. A drained engine becomes idle and stays so.

--- a/cmd/lagoonheadd/fleet_test.go
+++ b/cmd/lagoonheadd/fleet_test.go
@@ -143,8 +143,24 @@
 	f.commit(t, func(*inventory.Inventory) *inventory.Inventory { return inv })
 }
 
-// commit writes a revision to the store as a daemon does.
+// commit writes a revision to the store as a daemon does. It fails the test when
+// another writer comes first.
 func (f *fleet) commit(t *testing.T, edit func(*inventory.Inventory) *inventory.Inventory) {
+	t.Helper()
+	require.NoError(t, f.tryCommit(t, edit))
+}
+
+// commitRetry is commit next to daemons that write revisions of their own.
+func (f *fleet) commitRetry(t *testing.T, edit func(*inventory.Inventory) *inventory.Inventory) {
+	t.Helper()
+	eventually(t, "committed", func() bool {
+		err := f.tryCommit(t, edit)
+		require.True(t, err == nil || lagoonhead.IsKind(err, lagoonhead.KindConflict), "%v", err)
+		return err == nil
+	})
+}
+
+func (f *fleet) tryCommit(t *testing.T, edit func(*inventory.Inventory) *inventory.Inventory) error {
 	t.Helper()
 	kv := &store.Client{Platform: platform.Client{BaseURL: f.platform.url()}}
 	var before *inventory.Manifest
@@ -168,7 +184,7 @@
 	raw, err := m.Encode()
 	require.NoError(t, err)
 	_, err = kv.Put(t.Context(), lagoonhead.PutRequest{Key: config.ManifestKey, Value: raw, IfRevision: e.Revision})
-	require.NoError(t, err)
+	return err
 }
 
 // client is the published client of the API that callers use.
--- a/daemon/build.go
+++ b/daemon/build.go
@@ -1,6 +1,7 @@
 package daemon
 
 import (
+	"context"
 	"crypto/rand"
 	"expvar"
 	"hash/maphash"
@@ -8,6 +9,7 @@
 
 	"go.opentelemetry.io/otel/trace"
 	"go.uber.org/zap"
+	"golang.org/x/sync/errgroup"
 
 	"github.com/lagoonhead/lagoonhead"
 	"github.com/lagoonhead/lagoonhead/admit"
@@ -49,6 +51,7 @@
 	config    *config.Runner
 	suspects  *suspect.Table
 	placer    *place.Placer
+	classes   *classCounter
 	poller    *enginePoller
 	admit     *admit.Runner
 	session   *lease.Session
@@ -125,6 +128,7 @@
 		Seed: maphash.String(maphash.MakeSeed(), string(b.settings.VM.ID)),
 	}
 	b.add("placement", b.placer.Run, b.placer.Vars())
+	b.classes = &classCounter{Placer: b.placer}
 	b.poller = &enginePoller{
 		querier: &engine.Querier{Timer: b.timer}, source: b.config, placer: b.placer, timer: b.timer,
 		self: b.settings.VM.ID, vms: b.vms.VMs,
@@ -164,7 +168,7 @@
 	services := &service.Client{Budget: budget, Suspects: b.suspects}
 	b.vars.Set("services", services.Vars())
 	b.caller = &caller.Server{
-		Listener: l, Directories: b.config, Gate: b.config, Admitter: b.admit, Placer: b.placer,
+		Listener: l, Directories: b.config, Gate: b.config, Admitter: b.admit, Placer: b.classes,
 		Engines: streamer, Suspects: b.suspects, Usage: b.usage, Decisions: b.decisions,
 		Services: services, Claims: claims, Budget: budget, Relay: &caller.PlainRelay{Sealer: sealer}, Sealer: sealer,
 		Timer: b.timer, Log: b.log, Tracer: b.tracer,
@@ -190,6 +194,7 @@
 	b.beats = &heartbeats{
 		config: b.config, admit: b.admit, placer: b.placer, suspects: b.suspects, poller: b.poller,
 		source: b.config, ready: func() bool { return b.config.Fresh() == nil }, inFlight: b.caller.InFlight,
+		classes: b.classes,
 	}
 	x := &peer.Exchanger{
 		Pool: b.pool, Timer: b.timer, Self: b.settings.VM.ID, Peers: b.vms.VMs, Source: b.beats, Answered: b.beats.Answered,
@@ -211,7 +216,7 @@
 func (b *builder) buildDuties() error {
 	b.session = &lease.Session{Store: b.store, Timer: b.timer, Log: b.log}
 	d := newDuties(b.log, map[lease.Duty]func(*lease.Tenure) part{
-		dutyEngineOrders: b.engineOrders, dutyUsage: b.usageReports,
+		dutyEngineOrders: b.engineOrders, dutyEndpointOrders: b.endpointOrders, dutyUsage: b.usageReports,
 	})
 	b.keeper = &lease.Keeper{
 		Store: b.store, Session: b.session, Timer: b.timer, Log: b.log,
@@ -241,5 +246,12 @@
 		Ledger: b.ledger(t), Engines: &engine.Commander{Timer: b.timer, Authority: t.Check},
 		Timer: b.timer, Decisions: b.decisions,
 	}
-	return g.Run
+	b.vars.Set("engineOrders", g.Vars())
+	planner := &rolePlanner{b: b}
+	return func(ctx context.Context) error {
+		group, ctx := errgroup.WithContext(ctx)
+		group.Go(func() error { return g.Run(ctx) })
+		group.Go(func() error { return whileHeld(t, b.timer, planner.Run)(ctx) })
+		return group.Wait()
+	}
 }
--- a/daemon/heartbeats.go
+++ b/daemon/heartbeats.go
@@ -27,6 +27,7 @@
 	source   lagoonhead.DirectorySource
 	ready    func() bool
 	inFlight func(lagoonhead.EndpointID) int
+	classes  *classCounter
 
 	mu     sync.Mutex
 	counts map[lagoonhead.VMID]peerCounts
@@ -37,6 +38,7 @@
 type peerCounts struct {
 	asked    time.Duration
 	inFlight map[lagoonhead.EndpointID]int
+	classes  classCounts
 }
 
 var _ peer.HeartbeatSource = (*heartbeats)(nil)
@@ -47,6 +49,9 @@
 	h := &peer.Heartbeat{
 		Ready: b.ready(), SlotsRevision: b.admit.SlotsRevision(), Suspects: b.suspects.Notices(), Loads: b.loads(),
 	}
+	own := b.classes.counts()
+	h.EngineRequests = int32(own.all)
+	h.DeferrableRequests = int32(own.deferrable)
 	b.config.Fill(h)
 	h.LeavingInFlight = b.leaving()
 	for _, s := range b.admit.HeldSlots() {
@@ -118,7 +123,10 @@
 }
 
 func (b *heartbeats) count(h *peer.Heartbeat, asked time.Duration) {
-	c := peerCounts{asked: asked, inFlight: make(map[lagoonhead.EndpointID]int)}
+	c := peerCounts{
+		asked: asked, inFlight: make(map[lagoonhead.EndpointID]int),
+		classes: classCounts{all: int(h.GetEngineRequests()), deferrable: int(h.GetDeferrableRequests())},
+	}
 	for _, e := range h.GetLeavingInFlight() {
 		c.inFlight[lagoonhead.EndpointID(e.GetEndpoint())] = int(e.GetInFlight())
 	}
@@ -152,6 +160,22 @@
 	return n, true
 }
 
+// deferrableShare returns the share of the engine requests of all daemons that may
+// wait, or 0 when there are none.
+func (b *heartbeats) deferrableShare() float64 {
+	sum := b.classes.counts()
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for _, c := range b.counts {
+		sum.all += c.classes.all
+		sum.deferrable += c.classes.deferrable
+	}
+	if sum.all == 0 {
+		return 0
+	}
+	return float64(sum.deferrable) / float64(sum.all)
+}
+
 // engines returns all engines of the configuration in force.
 func engines(s lagoonhead.DirectorySource) []lagoonhead.Endpoint {
 	d := s.Directory()
