--- a/cmd/lagoonheadd/process_test.go
+++ b/cmd/lagoonheadd/process_test.go
@@ -26,6 +26,9 @@
 	"github.com/lagoonhead/lagoonhead/timer"
 )
 
+// poison is a prompt that crashes each engine that runs it.
+const poison = "crash every engine"
+
 // modeVariable makes the test binary run as one of the processes of a fleet.
 const modeVariable = "LAGOONHEAD_TEST_PROCESS"
 
@@ -50,6 +53,7 @@
 		PrefillRate: 1e6, DecodeRate: 400, CacheBlocks: 100, LoadLag: 100 * time.Millisecond, RoleTime: 300 * time.Millisecond,
 	}
 	e.OnCrash = func() { os.Exit(1) }
+	e.SetFaults(fakeengine.Faults{CrashPrompt: poison})
 	return e
 }
 
--- a/daemon/build.go
+++ b/daemon/build.go
@@ -49,7 +49,8 @@
 	pool      *peer.Pool
 	vms       *vmPoller
 	config    *config.Runner
-	suspects  *suspect.Table
+	suspects  spreadingSuspects
+	exchanger *peer.Exchanger
 	placer    *place.Placer
 	classes   *classCounter
 	poller    *enginePoller
@@ -71,7 +72,6 @@
 		tracer: tracing.provider.Tracer("lagoonhead/caller"), vars: new(expvar.Map),
 		decisions: explain.New(explain.DefaultSize),
 		store:     &store.Client{Platform: platform.Client{BaseURL: d.Settings.Platform.Store}},
-		suspects:  &suspect.Table{Timer: d.Timer},
 	}
 	for _, step := range []func() error{
 		b.buildPeers, b.buildConfig, b.buildPlacement, b.buildLimits,
@@ -103,6 +103,8 @@
 		return err
 	}
 	b.pool = &peer.Pool{Token: token, TLS: client}
+	b.exchanger = &peer.Exchanger{Pool: b.pool, Timer: b.timer, Self: b.settings.VM.ID}
+	b.suspects = spreadingSuspects{&suspect.Table{Timer: b.timer}, b.exchanger.Urge}
 	return nil
 }
 
@@ -192,14 +194,14 @@
 
 func (b *builder) buildHeartbeats() error {
 	b.beats = &heartbeats{
-		config: b.config, admit: b.admit, placer: b.placer, suspects: b.suspects, poller: b.poller,
+		config: b.config, admit: b.admit, placer: b.placer, suspects: b.suspects.Table, poller: b.poller,
 		source: b.config, ready: func() bool { return b.config.Fresh() == nil }, inFlight: b.caller.InFlight,
 		classes: b.classes,
 	}
-	x := &peer.Exchanger{
-		Pool: b.pool, Timer: b.timer, Self: b.settings.VM.ID, Peers: b.vms.VMs, Source: b.beats, Answered: b.beats.Answered,
-	}
-	b.add("heartbeats", x.Run, x.Vars())
+	b.exchanger.Peers = b.vms.VMs
+	b.exchanger.Source = b.beats
+	b.exchanger.Answered = b.beats.Answered
+	b.add("heartbeats", b.exchanger.Run, b.exchanger.Vars())
 	server, _, err := tlsConfigs(b.settings.Peer, b.timer)
 	if err != nil {
 		return err
--- a/peer/exchanger.go
+++ b/peer/exchanger.go
@@ -39,16 +39,32 @@
 	Interval time.Duration
 	Fanout   int
 
-	mu   sync.Mutex
-	busy map[lagoonhead.VMID]bool
-	vars expvar.Map
+	once   sync.Once
+	urgent chan struct{}
+	mu     sync.Mutex
+	busy   map[lagoonhead.VMID]bool
+	vars   expvar.Map
 }
 
-// Vars returns the counters sent, answered and failed.
+// Vars returns the counters sent, answered, failed and urgent.
 func (x *Exchanger) Vars() *expvar.Map { return &x.vars }
 
+func (x *Exchanger) init() {
+	x.once.Do(func() { x.urgent = make(chan struct{}, 1) })
+}
+
+// Urge sends the next heartbeat at once, to every listed peer. It does not wait.
+func (x *Exchanger) Urge() {
+	x.init()
+	select {
+	case x.urgent <- struct{}{}:
+	default:
+	}
+}
+
 // Run exchanges heartbeats until ctx ends.
 func (x *Exchanger) Run(ctx context.Context) error {
+	x.init()
 	if x.Interval == 0 {
 		x.Interval = DefaultInterval
 	}
@@ -63,26 +79,45 @@
 			return nil
 		case <-ticks.C():
 			x.step(ctx)
+		case <-x.urgent:
+			x.vars.Add("urgent", 1)
+			x.toAll(ctx)
 		}
 	}
 }
 
-func (x *Exchanger) step(ctx context.Context) {
-	for _, v := range x.choose() {
-		if x.begin(v.ID()) {
-			go x.exchange(ctx, v)
-		}
+// toAll exchanges with every peer, also with those that are still busy with an
+// earlier exchange: that one does not carry the news.
+func (x *Exchanger) toAll(ctx context.Context) {
+	for _, v := range x.others() {
+		go x.exchange(ctx, v)
 	}
 }
 
-// choose returns Fanout random peers.
-func (x *Exchanger) choose() []lagoonhead.VM {
+func (x *Exchanger) others() []lagoonhead.VM {
 	var peers []lagoonhead.VM
 	for _, v := range x.Peers() {
 		if v.ID() != x.Self {
 			peers = append(peers, v)
 		}
 	}
+	return peers
+}
+
+func (x *Exchanger) step(ctx context.Context) {
+	for _, v := range x.choose() {
+		if x.begin(v.ID()) {
+			go func() {
+				defer x.end(v.ID())
+				x.exchange(ctx, v)
+			}()
+		}
+	}
+}
+
+// choose returns Fanout random peers.
+func (x *Exchanger) choose() []lagoonhead.VM {
+	peers := x.others()
 	if len(peers) <= x.Fanout {
 		return peers
 	}
@@ -112,7 +147,6 @@
 }
 
 func (x *Exchanger) exchange(ctx context.Context, v lagoonhead.VM) {
-	defer x.end(v.ID())
 	ctx, cancel := context.WithTimeout(ctx, exchangeTimeout)
 	defer cancel()
 	sent := x.Timer.Now()
