Answer Explain with the newest decision first

The daemon joins decisions of two records and ordered them by age in one case and by time in the other, while the command line promises the newest first. The server now orders what it is given.

--- a/operator/server.go
+++ b/operator/server.go
@@ -1,11 +1,13 @@
 package operator
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"expvar"
 	"fmt"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/lagoonhead/lagoonhead"
@@ -191,7 +193,7 @@
 	return q.s.Status.Status(), nil
 }
 
-// Explain implements Queries.
+// Explain implements Queries. The newest decision comes first.
 func (q queries) Explain(_ context.Context, r *ExplainRequest) (*ExplainResponse, error) {
 	q.s.vars.Add("queries", 1)
 	limit := int(r.GetLimit())
@@ -203,6 +205,7 @@
 	}
 	now := q.s.Clock.Now()
 	found := q.s.Decisions.Find(explain.Query{Topic: r.GetTopic(), Subject: r.GetSubject(), Limit: limit})
+	slices.SortStableFunc(found, func(a, b lagoonhead.Decision) int { return cmp.Compare(b.At, a.At) })
 	out := &ExplainResponse{Decisions: make([]*Decision, len(found))}
 	for i, d := range found {
 		out.Decisions[i] = &Decision{
