--- /dev/null
+++ b/limit/bench_test.go
@@ -0,0 +1,56 @@
+package limit
+
+import (
+	"runtime"
+	"strconv"
+	"testing"
+	"time"
+
+	"github.com/lagoonhead/lagoonhead"
+)
+
+// BenchmarkTake measures the admission check on the local bucket with the refund
+// at the end.
+func BenchmarkTake(b *testing.B) {
+	q := lagoonhead.Quota{Rate: 1e9, Burst: 1e9}
+	var bucket Bucket
+	bucket.SetShare(0, ShareOf(q, []int{0}, []int{0}))
+	bucket.Take(time.Second, 1)
+	b.ReportAllocs()
+	now := time.Second
+	for b.Loop() {
+		now += time.Microsecond
+		h, ok := bucket.Take(now, 500)
+		if !ok {
+			b.Fatal("empty")
+		}
+		bucket.Refund(now, h, 200)
+	}
+}
+
+// BenchmarkState measures the bytes of a bucket after some use.
+func BenchmarkState(b *testing.B) {
+	for _, n := range []int{100, 1000, 6400} {
+		b.Run(strconv.Itoa(n), func(b *testing.B) {
+			q := lagoonhead.Quota{Rate: 1000, Burst: 6000}
+			share := ShareOf(q, Homes("w", 6), []int{0})
+			var before, after runtime.MemStats
+			for b.Loop() {
+				runtime.GC()
+				runtime.ReadMemStats(&before)
+				buckets := make([]*Bucket, n)
+				for i := range buckets {
+					buckets[i] = new(Bucket)
+					buckets[i].SetShare(0, share)
+					for k := range 8 {
+						buckets[i].Take(time.Minute+time.Duration(k), 10)
+					}
+				}
+				runtime.GC()
+				runtime.ReadMemStats(&after)
+				runtime.KeepAlive(buckets)
+			}
+			b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/float64(n), "B/workspace")
+		})
+	}
+}
--- /dev/null
+++ b/limit/slots_test.go
@@ -0,0 +1,114 @@
+package limit
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/lagoonhead/lagoonhead"
+)
+
+func vms(ids ...lagoonhead.VMID) []lagoonhead.VM {
+	l := make([]lagoonhead.VM, len(ids))
+	for i, id := range ids {
+		l[i] = lagoonhead.NewVM(id, "d", "", false)
+	}
+	return l
+}
+
+func active(s *Slots, now time.Duration) int {
+	n := 0
+	s.Starts(now, func(int, time.Duration) { n++ })
+	return n
+}
+
+// Guards against a daemon that goes on with a slot whose release was written with
+// unknown outcome: the write may still take effect and another daemon take the
+// slot after the short wait.
+func TestReleaseOfUnknownOutcomeBlocksTheSlot(t *testing.T) {
+	s := &Slots{VM: "a", Incarnation: "a1"}
+	table := Table{Slots: []Slot{{VM: "a", Incarnation: "a1", Clean: true}, {VM: "a", Incarnation: "a1", Clean: true}}}
+	s.List(0, vms("a", "b"))
+	s.Observe(0, table, 7)
+	require.Equal(t, 2, active(s, time.Minute))
+	_, want := s.Next(time.Minute)
+	require.True(t, want)
+	require.Equal(t, 1, active(s, time.Minute))
+	s.Observe(2*time.Minute, table, 7)
+	require.Equal(t, 1, active(s, time.Hour))
+	s.List(3*time.Minute, vms("a"))
+	_, want = s.Next(3 * time.Minute)
+	require.True(t, want, "the release must be made to conflict")
+	s.Observe(4*time.Minute, table, 8)
+	require.Equal(t, 2, active(s, time.Hour))
+}
+
+// Guards against slots that are taken from a running daemon, that refill before the
+// former holder's loans have ended, or that are shared out unevenly.
+func TestTakingSlots(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		slot   Slot
+		listed []lagoonhead.VM
+		after  time.Duration // between the first look and the one that decides
+		taken  bool
+		wait   time.Duration
+	}{
+		{"free and clean", Slot{Clean: true}, vms("a", "b"), 0, true, cleanWait},
+		{"free after a kill", Slot{}, vms("a", "b"), 0, true, takenWait},
+		{"held", Slot{VM: "b", Incarnation: "b1"}, vms("a", "b"), time.Hour, false, 0},
+		{"dropped from the list", Slot{VM: "b", Incarnation: "b1", Clean: true}, vms("a"), listLag, false, 0},
+		{"dropped for longer", Slot{VM: "b", Incarnation: "b1", Clean: true}, vms("a"), listLag + 1, true, takenWait},
+		{"former process of the VM", Slot{VM: "a", Incarnation: "a0", Clean: true}, vms("a", "b"), 0, true, takenWait},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			s := &Slots{VM: "a", Incarnation: "a1"}
+			table := Table{Slots: []Slot{c.slot}}
+			s.List(0, c.listed)
+			s.Observe(0, table, 1)
+			next, want := s.Next(c.after)
+			require.Equal(t, c.taken, want)
+			if !want {
+				return
+			}
+			s.Observe(c.after, next, 2)
+			require.Zero(t, active(s, c.after+c.wait-1))
+			require.Equal(t, 1, active(s, c.after+c.wait))
+			s.Hear(3)
+			require.True(t, s.Suspended())
+		})
+	}
+}
+
+// Guards against shares that add up to more or less than the quota.
+func TestSharesAddUp(t *testing.T) {
+	q := lagoonhead.Quota{Rate: 100, Burst: 100_001}
+	for _, n := range []int{1, 3, 6, 7, 12, 390} {
+		homes := Homes("w", n)
+		var burst micro
+		rate := 0.0
+		for slot := range n {
+			s := ShareOf(q, homes, []int{slot})
+			burst += s.capacity
+			rate += s.rate
+		}
+		require.Equal(t, micros(q.Burst), burst)
+		require.InDelta(t, q.Rate, rate, 1e-9)
+	}
+}
+
+// Guards against a fast clock that creates tokens.
+func TestFastClockCreatesNoTokens(t *testing.T) {
+	q := lagoonhead.Quota{Rate: 1000, Burst: 10}
+	var b Bucket
+	b.SetShare(0, ShareOf(q, []int{0}, []int{0}))
+	taken := int64(0)
+	for ms := range time.Duration(100_000) {
+		if h, ok := b.Take(time.Duration(float64(ms*time.Millisecond)*(1+MaxDrift)), 1); ok {
+			taken += h.Charged()
+		}
+	}
+	require.LessOrEqual(t, taken, int64(100_000))
+	require.Greater(t, taken, int64(99_900))
+}
