--- a/daemon/build.go
+++ b/daemon/build.go
@@ -42,6 +42,7 @@
 	timer       timer.Timer
 	log         *zap.Logger
 	incarnation lagoonhead.Incarnation
+	resumeKey   []byte
 	tracer      trace.Tracer
 
 	store     *store.Client
@@ -69,7 +70,7 @@
 func (d *Daemon) build(l net.Listener, tracing tracing) ([]part, error) {
 	b := &builder{
 		settings: d.Settings, timer: d.Timer, log: d.Log, incarnation: d.incarnation,
-		tracer: tracing.provider.Tracer("lagoonhead/caller"), vars: new(expvar.Map),
+		resumeKey: d.ResumeKey, tracer: tracing.provider.Tracer("lagoonhead/caller"), vars: new(expvar.Map),
 		decisions: explain.New(explain.DefaultSize),
 		store:     &store.Client{Platform: platform.Client{BaseURL: d.Settings.Platform.Store}},
 	}
@@ -158,7 +159,7 @@
 
 func (b *builder) buildCaller(l net.Listener) error {
 	s := b.settings
-	sealer, err := newSealer(s.Resume)
+	sealer, err := newSealer(b.resumeKey, s.Resume)
 	if err != nil {
 		return err
 	}
@@ -180,10 +181,14 @@
 	return nil
 }
 
-func newSealer(r settings.Resume) (caller.Sealer, error) {
-	key, err := r.ReadKey()
-	if err != nil {
-		return nil, err
+// newSealer uses the given key, or the one of the settings, or a new one with which
+// streams resume at this daemon only.
+func newSealer(key []byte, r settings.Resume) (caller.Sealer, error) {
+	if key == nil {
+		var err error
+		if key, err = r.ReadKey(); err != nil {
+			return nil, err
+		}
 	}
 	if key == nil {
 		key = make([]byte, resumeKeyBytes)
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -24,6 +24,9 @@
 	Log      *zap.Logger
 	// CallerListener replaces the listener of the settings when it is not nil.
 	CallerListener net.Listener
+	// ResumeKey replaces the key file of the settings when it is not nil. It has 32
+	// bytes.
+	ResumeKey []byte
 	// Started is called with the address of the caller listener once it is open. It
 	// may be nil.
 	Started func(callerAddress string)
