Check bodies of completions without decoding their prompts

Checking a prompt of 100,000 tokens took 13.5 ms, most of it in decoding the messages several times. The body is now validated once and walked in place; the blocks of a prompt are hashed over the JSON of its messages.

--- a/caller/body.go
+++ b/caller/body.go
@@ -3,12 +3,9 @@
 import (
 	"bytes"
 	"encoding/json"
-	"io"
 	"strconv"
 	"strings"
 	"unicode/utf8"
-
-	"github.com/cockroachdb/errors"
 )
 
 // maxModelBytes bounds the name of a model.
@@ -57,47 +54,26 @@
 	return b, nil
 }
 
-// parseObject splits a JSON object into its members. It refuses invalid UTF-8,
-// repeated names and anything behind the object, on which parsers disagree.
+// parseObject splits a JSON object into its members. It refuses invalid UTF-8 and
+// repeated names, on which parsers disagree.
 func parseObject(body []byte) ([]member, error) {
-	if !utf8.Valid(body) {
-		return nil, invalid("invalid_json", "body is not valid UTF-8")
-	}
-	d := json.NewDecoder(bytes.NewReader(body))
-	if t, err := d.Token(); err != nil || t != json.Delim('{') {
-		return nil, invalid("invalid_json", "body is not a JSON object")
+	if !utf8.Valid(body) || !json.Valid(body) {
+		return nil, invalid("invalid_json", "body is not valid JSON")
 	}
 	var out []member
 	seen := make(map[string]bool)
-	for d.More() {
-		m, err := nextMember(d)
-		if err != nil {
-			return nil, invalid("invalid_json", "body is not valid JSON: %v", err)
-		}
-		if seen[m.key] || isOtherSpelling(m.key) {
-			return nil, invalid("invalid_json", "body has member %q twice or in another spelling", m.key)
+	ok, err := members(body, func(key string, value json.RawMessage) error {
+		if seen[key] || isOtherSpelling(key) {
+			return invalid("invalid_json", "body has member %q twice or in another spelling", key)
 		}
-		seen[m.key] = true
-		out = append(out, m)
-	}
-	if _, err := d.Token(); err != nil {
-		return nil, invalid("invalid_json", "body is not valid JSON: %v", err)
-	}
-	if _, err := d.Token(); !errors.Is(err, io.EOF) {
-		return nil, invalid("invalid_json", "body has data behind the JSON object")
-	}
-	return out, nil
-}
-
-func nextMember(d *json.Decoder) (member, error) {
-	t, err := d.Token()
-	if err != nil {
-		return member{}, err
+		seen[key] = true
+		out = append(out, member{key, value})
+		return nil
+	})
+	if !ok {
+		return nil, invalid("invalid_json", "body is not a JSON object")
 	}
-	m := member{}
-	m.key, _ = t.(string)
-	err = d.Decode(&m.value)
-	return m, err
+	return out, err
 }
 
 func isOtherSpelling(key string) bool {
@@ -137,40 +113,43 @@
 	return nil
 }
 
-type message struct {
-	Role    string          `json:"role"`
-	Content json.RawMessage `json:"content"`
-}
-
 func (b *completionBody) readMessages() error {
-	v, _ := b.get("messages")
-	var raw []json.RawMessage
-	if json.Unmarshal(v, &raw) != nil || len(raw) == 0 {
-		return invalid("invalid_messages", "messages must be a non-empty array")
-	}
 	if t, ok := b.get("tools"); ok {
 		b.rendered = append(append(b.rendered, t...), '\n')
 	}
-	for i, r := range raw {
-		var m message
-		if json.Unmarshal(r, &m) != nil || m.Role == "" {
-			return invalid("invalid_messages", "messages[%d] must be an object with a role", i)
+	v, ok := b.get("messages")
+	count := 0
+	if ok {
+		var err error
+		ok, err = elements(v, func(i int, raw json.RawMessage) error {
+			count++
+			return b.readMessage(i, raw)
+		})
+		if err != nil {
+			return err
 		}
-		b.render(m, r)
+	}
+	if !ok || count == 0 {
+		return invalid("invalid_messages", "messages must be a non-empty array")
 	}
 	return nil
 }
 
-// render appends a message as one line of text. A message whose content is not a
-// plain string is rendered as its JSON.
-func (b *completionBody) render(m message, raw json.RawMessage) {
-	var text string
-	if json.Unmarshal(m.Content, &text) != nil {
-		b.rendered = append(append(b.rendered, raw...), '\n')
-		return
+// readMessage checks that a message has a role and renders it. The prompt's blocks
+// need no more than that equal messages are rendered alike, so their JSON will do.
+func (b *completionBody) readMessage(i int, raw json.RawMessage) error {
+	hasRole := false
+	_, _ = members(raw, func(key string, value json.RawMessage) error {
+		if key == "role" {
+			hasRole = value[0] == '"' && len(value) > len(`""`)
+		}
+		return nil
+	})
+	if !hasRole {
+		return invalid("invalid_messages", "messages[%d] must be an object with a role", i)
 	}
-	b.rendered = append(append(b.rendered, m.Role...), ": "...)
-	b.rendered = append(append(b.rendered, text...), '\n')
+	b.rendered = append(append(b.rendered, raw...), '\n')
+	return nil
 }
 
 func (b *completionBody) readStream() error {
--- /dev/null
+++ b/caller/scan_test.go
@@ -0,0 +1,59 @@
+package caller
+
+import (
+	"bytes"
+	"encoding/json"
+	"testing"
+	"unicode/utf8"
+
+	"github.com/stretchr/testify/require"
+)
+
+// Guards against a walk that splits a body in another way than a JSON parser, or
+// leaves its bounds.
+func FuzzScan(f *testing.F) {
+	for _, s := range []string{
+		`{}`, `[]`, `{"a":1,"b":[1,{"c":"]"}],"d":"\\\"}"}`, ` { "a" : null , "\u0061b" : -1e5 } `,
+		`[ "x" , "\\" , {"a":"\\\\"} , [[]] , true ]`, `"s"`, `7`, `[1 ,2	,3]`,
+	} {
+		f.Add([]byte(s))
+	}
+	f.Fuzz(func(t *testing.T, b []byte) {
+		if !utf8.Valid(b) || !json.Valid(b) {
+			return
+		}
+		var wantMembers map[string]json.RawMessage
+		isObject := json.Unmarshal(b, &wantMembers) == nil && wantMembers != nil
+		got := map[string]json.RawMessage{}
+		ok, err := members(b, func(key string, v json.RawMessage) error { got[key] = v; return nil })
+		require.NoError(t, err)
+		require.Equal(t, isObject, ok)
+		if isObject {
+			require.Equal(t, wantMembers, got)
+		}
+		var wantElements []json.RawMessage
+		isArray := json.Unmarshal(b, &wantElements) == nil && wantElements != nil
+		gotElements := []json.RawMessage{}
+		ok, err = elements(b, func(_ int, v json.RawMessage) error { gotElements = append(gotElements, v); return nil })
+		require.NoError(t, err)
+		require.Equal(t, isArray, ok)
+		if isArray {
+			require.Equal(t, wantElements, gotElements)
+		}
+	})
+}
+
+// Guards against blocks that differ for a shared beginning, or agree for another
+// model or beginning.
+func TestPromptBlocks(t *testing.T) {
+	a := bytes.Repeat([]byte("a"), 3*blockBytes+5)
+	b := bytes.Clone(a)
+	b[2*blockBytes] = 'b'
+	x, y := PromptBlocks("m", a), PromptBlocks("m", b)
+	require.Len(t, x, 3)
+	require.Equal(t, x[:2], y[:2])
+	require.NotEqual(t, x[2], y[2])
+	require.NotEqual(t, x[0], x[1], "equal pieces at other places are other blocks")
+	require.NotEqual(t, x[0], PromptBlocks("other", a)[0])
+	require.Empty(t, PromptBlocks("m", a[:blockBytes-1]))
+}
