--- a/engine/stream_test.go
+++ b/engine/stream_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"fmt"
 	"io"
 	"net"
@@ -172,7 +173,10 @@
 			if c.After != nil {
 				after = *c.After
 			}
-			v, err := s.Stream(t.Context(), testEndpoint(url), testCompletion("r1", after))
+			// Ends a wait for ever when a fault is not found; no case is meant to get there.
+			ctx, cancel := context.WithTimeout(t.Context(), 30*time.Second)
+			defer cancel()
+			v, err := s.Stream(ctx, testEndpoint(url), testCompletion("r1", after))
 			var events []string
 			if err == nil {
 				defer v.Close()
