Join the relay of streams with the front

Cause: the front had a simple relay of its own beside package relay, and the usage of a stream was recorded after its end mark had gone out, so that a daemon killed in between lost it.

Change: the front uses package relay and its sealer; the relay calls BeforeEnd when an answer is whole and before its end goes out, and the front records usage there. A token of another workspace has an error of its own.

--- a/caller/completion.go
+++ b/caller/completion.go
@@ -15,6 +15,7 @@
 	"go.uber.org/zap"
 
 	"github.com/lagoonhead/lagoonhead"
+	"github.com/lagoonhead/lagoonhead/relay"
 )
 
 // completion serves POST /v1/chat/completions.
@@ -69,6 +70,8 @@
 	// mayHaveRun is true once an attempt may have reached an engine.
 	mayHaveRun bool
 	attempts   int
+	// accounted is true once the answer was whole and its usage recorded.
+	accounted bool
 }
 
 func newCompletionRun(x *exchange, req *lagoonhead.Request, body *completionBody) *completionRun {
@@ -253,25 +256,27 @@
 }
 
 // deliver carries the answer to the caller and accounts for it. Usage is recorded
-// before the last byte of the answer goes out.
+// before the end of the answer goes out.
 func (c *completionRun) deliver(p lagoonhead.Placement, events lagoonhead.EventStream) error {
-	defer events.Close()
 	p.FirstToken()
 	x := c.x
 	x.run = runYes
 	x.note("first token after %s", x.server.Timer.Now()-c.request.Arrived())
 	x.w.Header().Set(headerRun, string(runYes))
-	a := c.answer(p.Endpoint(), events, -1)
+	j := c.job(p.Endpoint(), events, -1)
+	j.BeforeEnd = func(r relay.Result) { c.finished(p, r) }
 	var joined []byte
-	var res Result
+	var res relay.Result
 	var err error
 	if c.stream {
 		x.streaming = true
-		res, err = x.server.Relay.Stream(c.ctx, x.w, a)
+		res, err = x.server.Relay.Stream(c.ctx, x.w, j)
 	} else {
-		joined, res, err = x.server.Relay.Collect(c.ctx, a)
+		joined, res, err = x.server.Relay.Collect(c.ctx, j)
+	}
+	if !c.accounted {
+		c.broken(p, res, err)
 	}
-	c.account(p, res, err)
 	if err != nil {
 		return fault("caller.deliver", deliveryKind(err), err)
 	}
@@ -298,40 +303,42 @@
 	_, _ = w.Write(b) // a caller that has left needs no answer
 }
 
-func (c *completionRun) answer(e lagoonhead.Endpoint, events lagoonhead.EventStream, after int64) Answer {
-	return Answer{
-		Request: c.request, Endpoint: e, Events: events, After: after, ShowUsage: c.usage,
-		Reopen: func(ctx context.Context, after int64) (lagoonhead.EventStream, error) {
-			return c.open(ctx, e, after)
+// job describes the open answer of an engine to the relay. A break is mended on the
+// same engine only, which holds the rest of the answer.
+func (c *completionRun) job(e lagoonhead.Endpoint, events lagoonhead.EventStream, after int64) relay.Job {
+	return relay.Job{
+		Request: c.request, Endpoint: e.ID(), Stream: events, After: after, IncludeUsage: c.usage,
+		Resume: func(ctx context.Context, after int64) (lagoonhead.EventStream, lagoonhead.EndpointID, error) {
+			v, err := c.open(ctx, e, after)
+			return v, e.ID(), err
 		},
 	}
 }
 
-// account settles the reservation, records the usage and ends the placement.
-func (c *completionRun) account(p lagoonhead.Placement, res Result, err error) {
-	s := c.x.server
-	prompt := int64(c.request.PromptTokens())
+// finished settles the reservation, records the usage and ends the placement of an
+// answer that is whole.
+func (c *completionRun) finished(p lagoonhead.Placement, res relay.Result) {
+	prompt := c.promptTokens(res)
+	c.accounted = true
+	c.settle(prompt + int64(res.OutputTokens))
+	c.x.server.Suspects.Finished(c.request.Fingerprint())
+	p.Done(lagoonhead.Outcome{OutputTokens: res.OutputTokens})
+	c.record(lagoonhead.WorkspaceUsage{PromptTokens: prompt, OutputTokens: int64(res.OutputTokens), Requests: 1})
+}
+
+// promptTokens returns the engine's own count, or the estimate without one.
+func (c *completionRun) promptTokens(res relay.Result) int64 {
 	if res.UsageKnown {
-		prompt = res.PromptTokens
-	} else {
-		s.vars.usageEstimated.Add(1)
-	}
-	if err == nil {
-		c.settle(prompt + res.OutputTokens)
-		s.Suspects.Finished(c.request.Fingerprint())
-		p.Done(lagoonhead.Outcome{OutputTokens: int(res.OutputTokens)})
-	} else {
-		c.broken(p, err)
-	}
-	if err == nil || c.stream {
-		c.record(lagoonhead.WorkspaceUsage{PromptTokens: prompt, OutputTokens: res.OutputTokens, Requests: 1})
+		return int64(res.PromptTokens)
 	}
+	c.x.server.vars.usageEstimated.Add(1)
+	return int64(c.request.PromptTokens())
 }
 
 // broken ends an answer that broke off. A stream may be resumed with a token
 // through any VM, so only other answers are cancelled. The engine may run on in
 // both cases, so the whole charge counts as used.
-func (c *completionRun) broken(p lagoonhead.Placement, err error) {
+func (c *completionRun) broken(p lagoonhead.Placement, res relay.Result, err error) {
 	c.settle(c.request.Charge())
 	k := lagoonhead.KindOf(err)
 	c.crashed(p, k)
@@ -340,7 +347,11 @@
 	} else {
 		p.Done(lagoonhead.Outcome{Failed: true, Kind: k})
 	}
-	if !c.stream && k != lagoonhead.KindCrashed {
+	if c.stream {
+		c.record(lagoonhead.WorkspaceUsage{PromptTokens: c.promptTokens(res), OutputTokens: int64(res.OutputTokens), Requests: 1})
+		return
+	}
+	if k != lagoonhead.KindCrashed {
 		c.cancel(p.Endpoint())
 	}
 }
--- a/caller/input_test.go
+++ b/caller/input_test.go
@@ -15,6 +15,7 @@
 	"go.yaml.in/yaml/v3"
 
 	"github.com/lagoonhead/lagoonhead"
+	"github.com/lagoonhead/lagoonhead/relay"
 )
 
 const validBody = `{"model":"m","messages":[{"role":"user","content":"a"}]}`
@@ -30,7 +31,7 @@
 }
 
 // text returns the request as it goes over the connection.
-func (b badInput) text(t *testing.T, s Sealer) string {
+func (b badInput) text(t *testing.T, s *relay.Sealer) string {
 	method, path, body := "POST", "/v1/chat/completions", validBody
 	if b.Method != "" {
 		method = b.Method
@@ -73,13 +74,15 @@
 	return out.String()
 }
 
-func resumeToken(t *testing.T, s Sealer, kind string) string {
+func resumeToken(t *testing.T, s *relay.Sealer, kind string) string {
 	t.Helper()
-	token := Token{Workspace: "A", Endpoint: "e1", Request: "r1", Offset: 0}
+	w := lagoonhead.WorkspaceID("A")
 	if kind == "foreign" {
-		token.Workspace = "B"
+		w = "B"
 	}
-	sealed := []byte(s.Seal(token))
+	text, err := s.Seal(relay.NewPoint("e1", "r1", w, 0))
+	require.NoError(t, err)
+	sealed := []byte(text)
 	if kind == "altered" {
 		sealed[len(sealed)/2] ^= 1
 	}
@@ -139,15 +142,16 @@
 // Guards against a token that still opens after any one bit was changed.
 func TestTokenBits(t *testing.T) {
 	s, _, _, _ := newFront(t)
-	want := Token{Workspace: "A", Endpoint: "e1", Request: "r1", Offset: 41}
-	sealed := s.Sealer.Seal(want)
-	got, err := s.Sealer.Open(sealed)
+	want := relay.NewPoint("e1", "r1", "A", 41)
+	sealed, err := s.Sealer.Seal(want)
+	require.NoError(t, err)
+	got, err := s.Sealer.Open(sealed, "A")
 	require.NoError(t, err)
 	require.Equal(t, want, got)
 	for i := range len(sealed) * 8 {
 		b := []byte(sealed)
 		b[i/8] ^= 1 << (i % 8)
-		_, err := s.Sealer.Open(string(b))
+		_, err := s.Sealer.Open(string(b), "A")
 		require.True(t, lagoonhead.IsKind(err, lagoonhead.KindInvalid), "bit %d", i)
 	}
 }
--- a/caller/resume.go
+++ b/caller/resume.go
@@ -6,6 +6,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/lagoonhead/lagoonhead"
+	"github.com/lagoonhead/lagoonhead/relay"
 )
 
 // resume continues a stream behind the event that the caller names by its sealed
@@ -17,8 +18,8 @@
 	if err != nil {
 		return err
 	}
-	e, ok := x.findEngine(body.model, token.Endpoint)
-	x.id = token.Request
+	e, ok := x.findEngine(body.model, token.Endpoint())
+	x.id = token.Request()
 	x.w.Header().Set(headerRequestID, string(x.id))
 	x.run = runYes
 	if !ok {
@@ -30,21 +31,22 @@
 	}
 	c := newCompletionRun(x, req, body)
 	defer c.deadline.close()
-	return c.resumeOn(e, token.Offset)
+	return c.resumeOn(e, token.Offset())
 }
 
-func (x *exchange) openToken(body *completionBody, sealed []string) (Token, error) {
+func (x *exchange) openToken(body *completionBody, sealed []string) (relay.Point, error) {
 	if len(sealed) != 1 || !body.stream {
-		return Token{}, invalid("invalid_resume_token", "a resume needs one Last-Event-ID and stream true")
+		return relay.Point{}, invalid("invalid_resume_token", "a resume needs one Last-Event-ID and stream true")
 	}
-	t, err := x.server.Sealer.Open(sealed[0])
-	if err != nil {
-		return t, invalid("invalid_resume_token", "Last-Event-ID is not an event identifier of this service")
-	}
-	if t.Workspace != x.workspace {
-		return t, refusal(http.StatusForbidden, lagoonhead.KindForbidden, "foreign_resume_token", "the stream belongs to another workspace")
+	p, err := x.server.Sealer.Open(sealed[0], x.workspace)
+	switch {
+	case err == nil:
+		return p, nil
+	case lagoonhead.IsKind(err, lagoonhead.KindForbidden):
+		return p, refusal(http.StatusForbidden, lagoonhead.KindForbidden, "foreign_resume_token", "the stream belongs to another workspace")
+	default:
+		return p, invalid("invalid_resume_token", "Last-Event-ID is not an event identifier of this service")
 	}
-	return t, nil
 }
 
 func (x *exchange) findEngine(model string, id lagoonhead.EndpointID) (lagoonhead.Endpoint, bool) {
@@ -69,16 +71,24 @@
 	if err != nil {
 		return fault("caller.resume", deliveryKind(err), deadlineError(c.ctx, err))
 	}
-	defer events.Close()
 	x.w.Header().Set(headerRun, string(runYes))
 	x.streaming = true
-	res, err := s.Relay.Stream(c.ctx, x.w, c.answer(e, events, after))
+	j := c.job(e, events, after)
 	// The daemon that began the stream has recorded the prompt and the events up to
 	// the break; the rest is recorded here.
-	c.record(lagoonhead.WorkspaceUsage{OutputTokens: res.OutputTokens})
+	j.BeforeEnd = func(r relay.Result) { c.recordRest(r) }
+	res, err := s.Relay.Stream(c.ctx, x.w, j)
+	if !c.accounted {
+		c.recordRest(res)
+	}
 	if err != nil {
 		return fault("caller.resume", deliveryKind(err), errors.Wrap(err, "resumed stream"))
 	}
 	x.decide("completed", "resumed on %s after offset %d, %d tokens", e.ID(), after, res.OutputTokens)
 	return nil
 }
+
+func (c *completionRun) recordRest(r relay.Result) {
+	c.accounted = true
+	c.record(lagoonhead.WorkspaceUsage{OutputTokens: int64(r.OutputTokens)})
+}
--- a/caller/resume_test.go
+++ b/caller/resume_test.go
@@ -15,6 +15,7 @@
 	"go.opentelemetry.io/otel/sdk/trace/tracetest"
 
 	"github.com/lagoonhead/lagoonhead"
+	"github.com/lagoonhead/lagoonhead/relay"
 )
 
 const streamBody = `{"model":"m","stream":true,"messages":[{"role":"user","content":"a"}]}`
@@ -60,7 +61,8 @@
 // Guards against a resume on an endpoint that is gone being told as not run.
 func TestResumeOnAnEndpointThatIsGone(t *testing.T) {
 	s, _, srv, _ := newFront(t)
-	sealed := s.Sealer.Seal(Token{Workspace: "A", Endpoint: "old", Request: "r"})
+	sealed, err := s.Sealer.Seal(relay.NewPoint("old", "r", "A", 0))
+	require.NoError(t, err)
 	res, body := ask(t, srv.URL, "kA", streamBody, "Last-Event-ID", sealed)
 	require.Equal(t, http.StatusGone, res.StatusCode, body)
 	require.Equal(t, string(runYes), res.Header.Get(headerRun))
--- a/caller/server.go
+++ b/caller/server.go
@@ -14,6 +14,7 @@
 	"go.uber.org/zap"
 
 	"github.com/lagoonhead/lagoonhead"
+	"github.com/lagoonhead/lagoonhead/relay"
 	"github.com/lagoonhead/lagoonhead/service"
 	"github.com/lagoonhead/lagoonhead/timer"
 )
@@ -86,8 +87,8 @@
 	Decisions   lagoonhead.DecisionRecorder
 	Services    lagoonhead.ServiceCaller
 	Claims      lagoonhead.ClaimKeeper
-	Relay       Relay
-	Sealer      Sealer
+	Relay       *relay.Relay
+	Sealer      *relay.Sealer
 	Timer       timer.Timer
 	// Budget bounds retries. Optional; it is shared with the service client.
 	Budget *service.Budget
--- a/caller/stub_test.go
+++ b/caller/stub_test.go
@@ -14,6 +14,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/lagoonhead/lagoonhead"
+	"github.com/lagoonhead/lagoonhead/relay"
 	"github.com/lagoonhead/lagoonhead/timer"
 )
 
@@ -246,12 +247,12 @@
 			lagoonhead.NewEndpoint("e2", lagoonhead.KindEngine, "m", "", "d2"),
 		},
 	}
-	seal, err := NewSealer(make([]byte, 32))
+	seal, err := relay.NewSealer(make([]byte, relay.KeyBytes))
 	require.NoError(t, err)
 	tm := timer.NewManual(time.Hour, time.Unix(1, 0))
 	s := &Server{
 		Directories: st, Gate: st, Admitter: st, Placer: st, Engines: st, Suspects: st,
-		Usage: st, Decisions: st, Relay: &PlainRelay{Sealer: seal}, Sealer: seal, Timer: tm,
+		Usage: st, Decisions: st, Relay: &relay.Relay{Timer: tm, Sealer: seal, WriteLimit: -1}, Sealer: seal, Timer: tm,
 	}
 	srv := httptest.NewServer(s.Handler())
 	t.Cleanup(srv.Close)
--- a/daemon/build.go
+++ b/daemon/build.go
@@ -25,6 +25,7 @@
 	"github.com/lagoonhead/lagoonhead/peer"
 	"github.com/lagoonhead/lagoonhead/place"
 	"github.com/lagoonhead/lagoonhead/platform"
+	"github.com/lagoonhead/lagoonhead/relay"
 	"github.com/lagoonhead/lagoonhead/service"
 	"github.com/lagoonhead/lagoonhead/settings"
 	"github.com/lagoonhead/lagoonhead/store"
@@ -33,9 +34,6 @@
 	"github.com/lagoonhead/lagoonhead/vmlist"
 )
 
-// resumeKeyBytes is the length of the key that seals resume tokens.
-const resumeKeyBytes = 32
-
 // builder holds the parts while they are joined.
 type builder struct {
 	settings    settings.Settings
@@ -163,6 +161,8 @@
 	if err != nil {
 		return err
 	}
+	carrier := &relay.Relay{Timer: b.timer, Sealer: sealer}
+	b.vars.Set("relay", carrier.Vars())
 	streamer := &engine.Streamer{Timer: b.timer, IdleLimit: s.Limits.IdleTimeout, OnLoad: b.placer.Report}
 	b.add("engines", streamer.Run, streamer.Vars())
 	claims := &claim.Keeper{Store: b.store, Holder: b.incarnation, Timer: b.timer, Log: b.log}
@@ -173,7 +173,7 @@
 	b.caller = &caller.Server{
 		Listener: l, Directories: b.config, Gate: b.config, Admitter: b.admit, Placer: b.classes,
 		Engines: streamer, Suspects: b.suspects, Usage: b.usage, Decisions: b.decisions,
-		Services: services, Claims: claims, Budget: budget, Relay: &caller.PlainRelay{Sealer: sealer}, Sealer: sealer,
+		Services: services, Claims: claims, Budget: budget, Relay: carrier, Sealer: sealer,
 		Timer: b.timer, Log: b.log, Tracer: b.tracer,
 		Limits: caller.Limits{BodyBytes: s.Limits.MaxBodyBytes, DrainDelay: s.Drain.Lag},
 	}
@@ -183,7 +183,7 @@
 
 // newSealer uses the given key, or the one of the settings, or a new one with which
 // streams resume at this daemon only.
-func newSealer(key []byte, r settings.Resume) (caller.Sealer, error) {
+func newSealer(key []byte, r settings.Resume) (*relay.Sealer, error) {
 	if key == nil {
 		var err error
 		if key, err = r.ReadKey(); err != nil {
@@ -191,10 +191,10 @@
 		}
 	}
 	if key == nil {
-		key = make([]byte, resumeKeyBytes)
+		key = make([]byte, relay.KeyBytes)
 		_, _ = rand.Read(key) // it never fails
 	}
-	return caller.NewSealer(key)
+	return relay.NewSealer(key)
 }
 
 func (b *builder) buildHeartbeats() error {
--- a/relay/collect.go
+++ b/relay/collect.go
@@ -58,6 +58,7 @@
 	if err != nil {
 		return nil, fail(op, lagoonhead.KindInternal, err)
 	}
+	s.whole(*u)
 	return b, nil
 }
 
--- a/relay/errors.go
+++ b/relay/errors.go
@@ -18,9 +18,10 @@
 	ErrCallerGone = errors.New("the caller's connection is gone")
 	// ErrEngineFailed means that the engine ended the answer with an error event.
 	ErrEngineFailed = errors.New("the engine ended the answer with an error")
-	// ErrToken means that a resume token was altered, has another key or belongs to
-	// another workspace.
+	// ErrToken means that a resume token was altered or has another key.
 	ErrToken = errors.New("the resume token is not valid")
+	// ErrForeignToken means that a resume token belongs to another workspace.
+	ErrForeignToken = errors.New("the stream belongs to another workspace")
 
 	errOffset   = errors.New("the stream does not go on at the next offset")
 	errTooLarge = errors.New("the answer is too large to be collected")
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -87,6 +87,9 @@
 	Resume func(ctx context.Context, after int64) (lagoonhead.EventStream, lagoonhead.EndpointID, error)
 	// FirstToken is called at the first event. It may be nil.
 	FirstToken func()
+	// BeforeEnd is called when the answer is whole and before its end goes to the
+	// caller, so that its usage is safe by then. It may be nil.
+	BeforeEnd func(Result)
 	// IncludeUsage passes the engine's usage event on to the caller of a stream.
 	IncludeUsage bool
 }
@@ -158,6 +161,7 @@
 			o.start()
 		}
 		if err != nil {
+			s.whole(*u)
 			return o.end()
 		}
 		r.counters.events.Add(1)
@@ -175,6 +179,13 @@
 	}
 }
 
+// whole tells the job that the answer is whole.
+func (s *source) whole(u usage) {
+	if s.job.BeforeEnd != nil {
+		s.job.BeforeEnd(s.result(true, u))
+	}
+}
+
 func (s *source) result(started bool, u usage) Result {
 	v := Result{
 		Started: started, Last: s.last, Endpoint: s.endpoint, Resumes: s.resumes,
--- a/relay/token.go
+++ b/relay/token.go
@@ -137,8 +137,9 @@
 	return string(v.append(nil, p.offset)), nil
 }
 
-// Open returns the point of a token that was sealed for the workspace. Any other
-// token gets KindInvalid with ErrToken.
+// Open returns the point of a token that was sealed for the workspace. The token of
+// another workspace gets KindForbidden with ErrForeignToken, any other one KindInvalid
+// with ErrToken.
 func (s *Sealer) Open(token string, w lagoonhead.WorkspaceID) (Point, error) {
 	b, err := tokenEncoding.DecodeString(token)
 	if err != nil || len(b) < headBytes || b[0] != tokenVersion {
@@ -146,9 +147,13 @@
 	}
 	for _, k := range s.keys {
 		p, ok := open(k, b)
-		if ok && p.workspace == w {
-			return p, nil
+		if !ok {
+			continue
 		}
+		if p.workspace != w {
+			return Point{}, fail("relay.open", lagoonhead.KindForbidden, ErrForeignToken)
+		}
+		return p, nil
 	}
 	return Point{}, badToken()
 }
--- a/timer/manual.go
+++ b/timer/manual.go
@@ -87,9 +87,9 @@
 	if interval <= 0 {
 		panic("timer: interval must be positive")
 	}
-	var sub *Subscription
-	remove := m.add(interval, interval, func(now time.Duration) { sub.deliver(now) })
-	sub = newSubscription(remove)
+	sub := newSubscription(nil)
+	// stop is set after the wait is registered; ticks do not use it.
+	sub.stop = m.add(interval, interval, sub.deliver)
 	return sub
 }
 
