Hold only an endpoint's own failures against it

A caller that left, or whose own short deadline passed, counted as a failure of the endpoint, so that short deadlines could put healthy endpoints out of use. Such attempts now end in a way that the router does not count. A panic within a request no longer leaves a placement or a reservation open. Services get 10 s for the header of an answer in place of 30 s, which was the whole default deadline of a look-up.

--- a/caller/completion.go
+++ b/caller/completion.go
@@ -50,6 +50,7 @@
 	req.SetBlocks(PromptBlocks(body.model, body.rendered))
 	c := newCompletionRun(x, req, body)
 	defer c.deadline.close()
+	defer c.release()
 	s.Budget.Earn()
 	return c.all()
 }
@@ -64,6 +65,8 @@
 	ctx      context.Context
 	deadline *deadline
 	avoid    []lagoonhead.EndpointID
+	// placement is that of the newest attempt, or nil.
+	placement lagoonhead.Placement
 	// reservation is nil when the next attempt needs a new one.
 	reservation lagoonhead.Reservation
 	// mayHaveRun is true once an attempt may have reached an engine.
@@ -135,6 +138,14 @@
 	return guardedPlacer{c.x}.Place(c.ctx, c.request, c.avoid)
 }
 
+// release ends what a panic has left open. Nothing is left otherwise.
+func (c *completionRun) release() {
+	c.settle(c.request.Charge())
+	if c.placement != nil {
+		c.placement.Done(neutral)
+	}
+}
+
 // settle ends the reservation if there is one.
 func (c *completionRun) settle(used int64) {
 	if c.reservation != nil {
@@ -146,6 +157,7 @@
 // start opens the answer of an engine and waits for its first event.
 func (c *completionRun) start(p lagoonhead.Placement) (lagoonhead.EventStream, error) {
 	c.attempts++
+	c.placement = p
 	if c.attempts > 1 {
 		c.x.server.vars.retries.Add(1)
 	}
@@ -198,7 +210,7 @@
 	k := lagoonhead.KindOf(err)
 	c.x.note("attempt %d on %s: %s", c.attempts, p.Endpoint().ID(), k)
 	c.crashed(p, k)
-	p.Done(lagoonhead.Outcome{Failed: true, Kind: k})
+	p.Done(c.outcome(k))
 	if k == lagoonhead.KindUnavailable {
 		if !c.mayHaveRun {
 			c.x.run = runNo
@@ -213,6 +225,14 @@
 	}
 }
 
+// outcome returns how a failed attempt counts for its endpoint.
+func (c *completionRun) outcome(k lagoonhead.Kind) lagoonhead.Outcome {
+	if c.ctx.Err() != nil && k != lagoonhead.KindCrashed {
+		return neutral
+	}
+	return lagoonhead.Outcome{Failed: true, Kind: k}
+}
+
 func (c *completionRun) crashed(p lagoonhead.Placement, k lagoonhead.Kind) {
 	if k == lagoonhead.KindCrashed {
 		c.x.server.vars.crashes.Add(1)
@@ -252,8 +272,8 @@
 	}()
 }
 
-// deliver carries the answer to the caller and accounts for it. Usage is recorded
-// before the last byte of the answer goes out.
+// deliver carries the answer to the caller and accounts for it before the answer
+// ends.
 func (c *completionRun) deliver(p lagoonhead.Placement, events lagoonhead.EventStream) error {
 	defer events.Close()
 	p.FirstToken()
@@ -335,11 +355,7 @@
 	c.settle(c.request.Charge())
 	k := lagoonhead.KindOf(err)
 	c.crashed(p, k)
-	if c.x.r.Context().Err() != nil {
-		p.Done(lagoonhead.Outcome{}) // the caller left; the endpoint has no fault
-	} else {
-		p.Done(lagoonhead.Outcome{Failed: true, Kind: k})
-	}
+	p.Done(c.outcome(k))
 	if !c.stream && k != lagoonhead.KindCrashed {
 		c.cancel(p.Endpoint())
 	}
--- a/caller/place.go
+++ b/caller/place.go
@@ -70,8 +70,10 @@
 	return out
 }
 
-// unused is the end of a placement on which no attempt was made.
-var unused = lagoonhead.Outcome{Failed: true, Kind: lagoonhead.KindStale}
+// neutral is the end of a placement that tells nothing about its endpoint: no
+// attempt was made, the caller left, or the caller's own deadline passed. Short
+// deadlines could otherwise put healthy endpoints out of use.
+var neutral = lagoonhead.Outcome{Failed: true, Kind: lagoonhead.KindStale}
 
 // guardedPlacer places the attempts of one exchange. It keeps suspects apart,
 // counts what is in flight and repeats the checks of freshness and key once a
@@ -101,7 +103,7 @@
 		if suspect {
 			s.suspects.release(p.Endpoint().ID())
 		}
-		p.Done(unused)
+		p.Done(neutral)
 		return nil, err
 	}
 	s.running.add(p.Endpoint().ID(), 1)
@@ -123,7 +125,7 @@
 		if s.suspects.take(id) {
 			return p, nil
 		}
-		p.Done(unused)
+		p.Done(neutral)
 		if slices.Contains(avoid, id) {
 			return nil, fault("caller.placeSuspect", lagoonhead.KindUnavailable, errors.New("all endpoints run other suspects"))
 		}
--- a/caller/services.go
+++ b/caller/services.go
@@ -198,7 +198,7 @@
 		return x.claimedAttempt(ctx, p, call)
 	})
 	if !attempted {
-		p.Done(unused)
+		p.Done(neutral)
 	}
 	if err != nil {
 		return x.claimError(err, attempted)
--- a/caller/truth_test.go
+++ b/caller/truth_test.go
@@ -104,7 +104,8 @@
 		{"crashes two engines", func(_ *Server, st *stub) { st.engine = failing(lagoonhead.KindCrashed) }, 403, runUnknown, "", []int64{-1, -1}},
 		{"breaks before the first token", func(_ *Server, st *stub) { st.engine = brokenAt(0, lagoonhead.KindUnavailable) }, 502, runUnknown, "", []int64{-1, -1, 0}},
 		{"breaks behind the first token", func(_ *Server, st *stub) { st.engine = brokenAt(1, lagoonhead.KindUnavailable) }, 502, runYes, "", []int64{-1}},
-		{"panics", func(s *Server, _ *stub) { s.Placer = nil }, 500, runNo, "", nil},
+		{"panics before the placement", func(s *Server, _ *stub) { s.Placer = nil }, 500, runNo, "", []int64{-1}},
+		{"panics behind the first token", func(s *Server, _ *stub) { s.Relay = nil }, 500, runYes, "", []int64{-1}},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			s, st, srv, _ := newFront(t)
@@ -122,6 +123,7 @@
 			}
 			require.Equal(t, c.settled, st.settled)
 			require.Zero(t, s.InFlight("e1")+s.InFlight("e2"))
+			require.Zero(t, s.tracker.count())
 			require.NotEmpty(t, st.decisions)
 			require.NotContains(t, body, "stub.engine", "the message names operations of the program")
 		})
@@ -219,6 +221,7 @@
 		}
 		require.Equal(t, http.StatusGatewayTimeout, res.StatusCode, body)
 		require.Equal(t, string(runUnknown), res.Header.Get(headerRun))
+		require.Equal(t, []lagoonhead.Outcome{neutral}, st.outcomes, "the caller's deadline was held against the engine")
 	}
 }
 
--- a/service/client.go
+++ b/service/client.go
@@ -25,8 +25,9 @@
 	AnswerBytes int64
 	// DialTimeout bounds the time to connect; 0 means 2 s.
 	DialTimeout time.Duration
-	// HeaderTimeout bounds the time from the call to the header of the answer; 0
-	// means 30 s.
+	// HeaderTimeout bounds the time from the call to the header of the answer, so
+	// that a look-up does not spend its whole deadline on a silent endpoint; 0 means
+	// 10 s.
 	HeaderTimeout time.Duration
 }
 
@@ -182,6 +183,11 @@
 		if k == lagoonhead.KindCrashed && a.client.Suspects != nil {
 			a.client.Suspects.Crashed(a.call.Request.Fingerprint(), p.Endpoint().ID())
 		}
+		if ctx.Err() != nil && k != lagoonhead.KindCrashed {
+			// The caller left or its deadline passed, which tells nothing about the
+			// endpoint.
+			k = lagoonhead.KindStale
+		}
 		p.Done(lagoonhead.Outcome{Failed: true, Kind: k})
 		return nil, err
 	}
--- a/service/client_test.go
+++ b/service/client_test.go
@@ -8,6 +8,7 @@
 	"slices"
 	"sync"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
@@ -132,12 +133,17 @@
 		{"booking closed", fakeservice.FaultCloseAfterRead, false, lagoonhead.KindCrashed, true, 1},
 		{"lookup refused", fakeservice.FaultNotRun, true, 0, false, 2},
 		{"lookup answer dropped", fakeservice.FaultDropAnswer, true, 0, false, 2},
+		{"lookup on a silent endpoint", fakeservice.FaultSilent, true, 0, false, 2},
+		{"booking on a silent endpoint", fakeservice.FaultSilent, false, lagoonhead.KindUnknown, true, 1},
 		{"lookup closed", fakeservice.FaultCloseAfterRead, true, 0, false, 2},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			all, p := newServices(t, 2)
 			all[0].SetPlan(fakeservice.Plan{Fault: c.fault})
 			cl := &Client{}
+			if c.fault == fakeservice.FaultSilent {
+				cl.Limits.HeaderTimeout = 200 * time.Millisecond
+			}
 			t.Cleanup(cl.Close)
 			call := newCall(http.MethodPost, "/bookings", false)
 			if c.idempotent {
--- a/service/transport.go
+++ b/service/transport.go
@@ -13,7 +13,7 @@
 // Timeouts of connections to services.
 const (
 	defaultDialTimeout   = 2 * time.Second
-	defaultHeaderTimeout = 30 * time.Second
+	defaultHeaderTimeout = 10 * time.Second
 	idleTimeout          = 30 * time.Second
 	// userTimeout ends a connection whose peer acknowledges nothing any more.
 	userTimeout      = 10 * time.Second
