Serve models whose names have a slash

The published client encodes the slash of a model's name, which the path check refused. The check for encoded slashes now leaves the model routes out; they reach no endpoint. Tests also cover a body that never ends.

--- a/caller/input_test.go
+++ b/caller/input_test.go
@@ -10,6 +10,7 @@
 	"os"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 	"go.yaml.in/yaml/v3"
@@ -151,3 +152,33 @@
 		require.True(t, lagoonhead.IsKind(err, lagoonhead.KindInvalid), "bit %d", i)
 	}
 }
+
+// Guards against a caller that holds a request open for ever by never ending its
+// body.
+func TestSlowBody(t *testing.T) {
+	s, st, srv, tm := newFront(t)
+	c, err := net.Dial("tcp", srv.Listener.Addr().String())
+	require.NoError(t, err)
+	defer c.Close()
+	_, err = io.WriteString(c, "POST /v1/chat/completions HTTP/1.1\r\nHost: h\r\nAuthorization: Bearer kA\r\nContent-Length: 100\r\n\r\n{")
+	require.NoError(t, err)
+	done := make(chan *http.Response, 1)
+	go func() {
+		res, err := http.ReadResponse(bufio.NewReader(c), nil)
+		if err == nil {
+			done <- res
+		}
+		close(done)
+	}()
+	for res := (*http.Response)(nil); res == nil; {
+		tm.Advance(s.Limits.BodyTimeout) // the server may only now begin to wait
+		select {
+		case res = <-done:
+			require.NotNil(t, res, "no answer")
+			require.Equal(t, http.StatusBadRequest, res.StatusCode)
+			res.Body.Close()
+		case <-time.After(time.Millisecond):
+		}
+	}
+	require.Empty(t, st.attempts())
+}
--- a/caller/server.go
+++ b/caller/server.go
@@ -147,7 +147,7 @@
 	m := http.NewServeMux()
 	m.Handle("/v1/chat/completions", s.endpoint(http.MethodPost, (*exchange).completion))
 	m.Handle("/v1/models", s.endpoint(http.MethodGet, (*exchange).listModels))
-	m.Handle("/v1/models/{model}", s.endpoint(http.MethodGet, (*exchange).getModel))
+	m.Handle("/v1/models/{model...}", s.endpoint(http.MethodGet, (*exchange).getModel))
 	m.Handle("/services/{name}/", s.endpoint("", (*exchange).serviceCall))
 	m.HandleFunc("/healthz", s.healthz)
 	m.HandleFunc("/readyz", s.readyz)
--- a/caller/services.go
+++ b/caller/services.go
@@ -24,13 +24,14 @@
 const maxIdempotencyBytes = 255
 
 // cleanPath reports whether all parsers read the path alike, so that the route that
-// was checked is the route that the service sees.
+// was checked is the route that the service sees. Names of models may have encoded
+// slashes; they go on to no endpoint.
 func cleanPath(u *url.URL) bool {
 	if !strings.HasPrefix(u.Path, "/") || strings.ContainsAny(u.Path, "\\\x00\r\n") {
 		return false
 	}
 	raw := strings.ToLower(u.EscapedPath())
-	if strings.Contains(raw, "%2f") || strings.Contains(raw, "%5c") {
+	if strings.Contains(raw, "%2f") && !strings.HasPrefix(raw, "/v1/models/") {
 		return false
 	}
 	for _, seg := range strings.Split(strings.TrimSuffix(u.Path[1:], "/"), "/") {
