--- a/caller/bench_test.go
+++ b/caller/bench_test.go
@@ -1,6 +1,8 @@
 package caller
 
 import (
+	"io"
+	"net/http"
 	"strings"
 	"testing"
 )
@@ -18,3 +20,23 @@
 		PromptBlocks(p.model, p.rendered)
 	}
 }
+
+// BenchmarkFront measures one short answer from the caller's connection to a stub
+// engine and back.
+func BenchmarkFront(b *testing.B) {
+	_, _, srv, _ := newFront(b)
+	url := srv.URL + "/v1/chat/completions"
+	for b.Loop() {
+		r, err := http.NewRequest(http.MethodPost, url, strings.NewReader(validBody))
+		if err != nil {
+			b.Fatal(err)
+		}
+		r.Header.Set("Authorization", "Bearer kA")
+		res, err := http.DefaultClient.Do(r)
+		if err != nil || res.StatusCode != http.StatusOK {
+			b.Fatal(res, err)
+		}
+		_, _ = io.Copy(io.Discard, res.Body)
+		res.Body.Close()
+	}
+}
--- a/caller/stub_test.go
+++ b/caller/stub_test.go
@@ -235,7 +235,7 @@
 
 // newFront returns a server over stubs, its HTTP address and its clock. Keys kA
 // and kB belong to workspaces A and B; engines e1 and e2 serve model m.
-func newFront(t *testing.T) (*Server, *stub, *httptest.Server, *timer.Manual) {
+func newFront(t testing.TB) (*Server, *stub, *httptest.Server, *timer.Manual) {
 	t.Helper()
 	st := &stub{
 		keys:     map[string]lagoonhead.WorkspaceID{"kA": "A", "kB": "B"},
