--- a/caller/services.go
+++ b/caller/services.go
@@ -126,7 +126,8 @@
 	return [32]byte(h.Sum(nil))
 }
 
-// plainCall makes a call that needs no claim.
+// plainCall makes a call that needs no claim. Its deadline bounds the whole answer,
+// unlike that of a completion, so that no service can stall a call for good.
 func (x *exchange) plainCall(call lagoonhead.ServiceCall) error {
 	parent := x.r.Context()
 	if !call.Idempotent {
