--- a/caller/services.go
+++ b/caller/services.go
@@ -24,13 +24,14 @@
 const maxIdempotencyBytes = 255
 
 // cleanPath reports whether all parsers read the path alike, so that the route that
-// was checked is the route that the service sees.
+// was checked is the route that the service sees. Names of models may have encoded
+// slashes; they go on to no endpoint.
 func cleanPath(u *url.URL) bool {
 	if !strings.HasPrefix(u.Path, "/") || strings.ContainsAny(u.Path, "\\\x00\r\n") {
 		return false
 	}
 	raw := strings.ToLower(u.EscapedPath())
-	if strings.Contains(raw, "%2f") || strings.Contains(raw, "%5c") {
+	if strings.Contains(raw, "%2f") && !strings.HasPrefix(raw, "/v1/models/") {
 		return false
 	}
 	for _, seg := range strings.Split(strings.TrimSuffix(u.Path[1:], "/"), "/") {
@@ -125,7 +126,8 @@
 	return [32]byte(h.Sum(nil))
 }
 
-// plainCall makes a call that needs no claim.
+// plainCall makes a call that needs no claim. Its deadline bounds the whole answer,
+// unlike that of a completion, so that no service can stall a call for good.
 func (x *exchange) plainCall(call lagoonhead.ServiceCall) error {
 	parent := x.r.Context()
 	if !call.Idempotent {
@@ -198,7 +200,7 @@
 		return x.claimedAttempt(ctx, p, call)
 	})
 	if !attempted {
-		p.Done(unused)
+		p.Done(neutral)
 	}
 	if err != nil {
 		return x.claimError(err, attempted)
--- a/caller/stub_test.go
+++ b/caller/stub_test.go
@@ -82,7 +82,7 @@
 
 func (s *stub) Directory() lagoonhead.Directory { return s }
 func (s *stub) Revision() int64                 { return 1 }
-func (s *stub) Models() []string                { return []string{"m", "other"} }
+func (s *stub) Models() []string                { return []string{"m", "org/other"} }
 
 func (s *stub) Authenticate(key string) (lagoonhead.WorkspaceID, error) {
 	s.mu.Lock()
@@ -236,7 +236,7 @@
 
 // newFront returns a server over stubs, its HTTP address and its clock. Keys kA
 // and kB belong to workspaces A and B; engines e1 and e2 serve model m.
-func newFront(t *testing.T) (*Server, *stub, *httptest.Server, *timer.Manual) {
+func newFront(t testing.TB) (*Server, *stub, *httptest.Server, *timer.Manual) {
 	t.Helper()
 	st := &stub{
 		keys:     map[string]lagoonhead.WorkspaceID{"kA": "A", "kB": "B"},
@@ -252,7 +252,7 @@
 	tm := timer.NewManual(time.Hour, time.Unix(1, 0))
 	s := &Server{
 		Directories: st, Gate: st, Admitter: st, Placer: st, Engines: st, Suspects: st,
-		Usage: st, Decisions: st, Relay: &relay.Relay{Timer: tm, Sealer: seal, WriteLimit: -1}, Sealer: seal, Timer: tm,
+		Usage: st, Decisions: st, Relay: &relay.Relay{Timer: &timer.Service{}, Sealer: seal, WriteLimit: -1}, Sealer: seal, Timer: tm,
 	}
 	srv := httptest.NewServer(s.Handler())
 	t.Cleanup(srv.Close)
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -246,7 +246,8 @@
 	_, err = only.Open(token, "w1")
 	require.ErrorIs(t, err, ErrToken)
 	_, err = a.Open(token, "w2")
-	require.ErrorIs(t, err, ErrToken)
+	require.ErrorIs(t, err, ErrForeignToken)
+	require.Equal(t, lagoonhead.KindForbidden, lagoonhead.KindOf(err))
 	for i := range len(token) * 8 {
 		b := []byte(token)
 		b[i/8] ^= 1 << (i % 8)
