--- a/config/doc.go
+++ b/config/doc.go
@@ -11,4 +11,8 @@
 // older than what the daemon knows is ignored and counted. Clocks of two VMs run at
 // the same rate within a few percent; they need not show the same time. The VM list
 // does not lose half of its members within one outage of the store.
+//
+// A store that has lost the manifest is taken for one that answers with old data:
+// daemons go on with what they hold while they hear from a majority, edits are
+// refused, and only a restart of all daemons lets them start afresh.
 package config
