--- a/cmd/lagoonbench/rounds.go
+++ b/cmd/lagoonbench/rounds.go
@@ -35,6 +35,7 @@
 					{"deferrable done", laterDone}, {"deferrable on reclaimable", laterCheap},
 				}},
 		}},
+		{"e", "self-repair", faultParts()},
 	}
 }
 
--- a/cmd/lagoonbench/sim.go
+++ b/cmd/lagoonbench/sim.go
@@ -17,6 +17,8 @@
 	step           = 10 * time.Millisecond
 	reportInterval = 250 * time.Millisecond
 	serveInterval  = 50 * time.Millisecond
+	// refusedAfter is how long a connection to a dead engine takes to fail.
+	refusedAfter = time.Second
 	// maxWaiting bounds the queue of a daemon.
 	maxWaiting = 10000
 	// patience is how many times its deadline a caller waits.
@@ -40,6 +42,8 @@
 	order         fair.Policy
 	// split lets the policy hand requests over after their prefill.
 	split bool
+	// blind hides the health of engines from the policy.
+	blind bool
 	// changeRoles lets the planner change the roles of engines.
 	changeRoles bool
 	// prepare schedules what happens to the engines.
@@ -88,6 +92,9 @@
 	}
 	for i := range c.daemons {
 		p := c.newPolicy(seed*1000 + uint64(i))
+		if c.blind {
+			p = &blind{RoutePolicy: p}
+		}
 		d := &daemon{sim: s, table: route.NewTable(c.lag, prefillRate), index: prefix.New(128, 8192), policy: p,
 			waiting: make(map[*lagoonhead.Request]*call), running: make(map[*call]*job)}
 		d.queue = place.NewQueue(c.order, maxWaiting)
@@ -278,8 +285,7 @@
 	d.order = append(d.order, j)
 	e := s.engines[choice.Engine]
 	if e.down {
-		// A connection is refused at once.
-		s.after(step, func() {
+		s.after(refusedAfter, func() {
 			s.finish(j, lagoonhead.Outcome{Failed: true, Kind: lagoonhead.KindUnavailable})
 		})
 		return true
--- a/route/health.go
+++ b/route/health.go
@@ -23,6 +23,8 @@
 	// slowdownHalfLife halves the excess slowdown of an endpoint without
 	// observations, so that a recovered endpoint is tried again.
 	slowdownHalfLife = 10 * time.Second
+	// commonWeight is the weight of a new observation in the mean of all endpoints.
+	commonWeight = 0.02
 	// mostSlowdown bounds what is learned from one hung request.
 	mostSlowdown = 50
 	// observationNoise is added to observed and predicted times, so that short ones
@@ -47,12 +49,19 @@
 	return 1 + (s.Slowdown-1)*math.Exp2(-max(age, 0))
 }
 
+// What slows all endpoints, as a fuller batch does, says nothing about one of them,
+// so a slowdown is relative to the mean.
+//
 // observe corrects the slowdown by the time that a first token took. An answer
 // that is still due can only raise it.
 func (t *Table) observe(now time.Duration, k *Ticket, arrived bool) {
 	s := &t.states[k.engine]
 	seen := float64(now-k.at+observationNoise) / float64(k.base+observationNoise)
-	seen = min(max(seen, 1), mostSlowdown)
+	common := max(t.common, 1)
+	if arrived {
+		t.common += commonWeight * (min(seen, mostSlowdown) - t.common)
+	}
+	seen = min(max(seen/common, 1), mostSlowdown)
 	old := slowdown(now, s)
 	if !arrived && seen <= old {
 		return
--- a/route/policy.go
+++ b/route/policy.go
@@ -82,7 +82,7 @@
 // saturated is the mean queue of the engines, in seconds of prefill, above which
 // requests wait in the daemon, where the fair order applies. A bound on each engine
 // instead of the mean sends prompts away from their cache.
-const saturated = 0.6
+const saturated = 0.5
 
 // workWeight is the weight of the time to compute the uncached prompt, which also
 // delays the requests that come after it.
--- a/route/route_test.go
+++ b/route/route_test.go
@@ -183,6 +183,21 @@
 	require.InDelta(t, 1, slowdown(at+10*slowdownHalfLife, &b.States()[c.Engine]), 0.01)
 }
 
+// Guards against engines that are avoided although all of them have become slower.
+func TestSlowdownIsRelative(t *testing.T) {
+	b, r := table(4), request(4000)
+	for n := range 400 {
+		at := now + time.Duration(n)*time.Second
+		c := lagoonhead.Choice{Engine: n % 4, Decode: n % 4, Base: time.Second}
+		k := b.Dispatch(at, r, c)
+		b.FirstToken(at+3*time.Second, &k)
+		b.Done(at+3*time.Second, &k, lagoonhead.Outcome{})
+	}
+	for i := range b.States() {
+		require.InDelta(t, 1, b.States()[i].Slowdown, 0.2)
+	}
+}
+
 // Guards against deferrable work on firm engines while reclaimable ones have room.
 func TestDeferrableGoesToReclaimableFirst(t *testing.T) {
 	b, r, p := table(2), request(4000), policy(t, Predicted)
--- a/route/table.go
+++ b/route/table.go
@@ -48,8 +48,10 @@
 // keeps its place for as long as it is in the table. It is not safe for concurrent
 // use.
 type Table struct {
-	lag    time.Duration
-	rate   float64
+	lag  time.Duration
+	rate float64
+	// common is the mean of observed over predicted times of all endpoints.
+	common float64
 	states []lagoonhead.EngineState
 	recent []dispatches
 	places map[lagoonhead.EndpointID]int
