Do not take a large fleet for saturated after one dispatch

The share of this daemon was read from a sample of engines that includes those where it sent the prefix itself, and one own dispatch was counted once for each other daemon: a fleet of 2,500 idle engines looked saturated after one request.

In a sample the share comes from running means over the random candidates, and own dispatches are not scaled. The new test failed before the change.

--- a/route/inflow.go
+++ b/route/inflow.go
@@ -38,18 +38,45 @@
 	longQueue = 4 * saturated
 )
 
-// level sets the backlog and returns the queue, in tokens, up to which the other daemons are expected
-// to have filled the candidates since the reports were made. All daemons see the
-// same short queues, so without it they choose the same engines.
+// sampledWeight is the weight of one sample in the means of a large fleet.
+const sampledWeight = 0.02
+
+// crowd estimates how many times what this daemon does the other daemons do, from
+// the running requests.
+type crowd struct{ own, all float64 }
+
+// others returns the estimate. Sums over the whole fleet are exact. In a sample
+// there are too few own requests to tell from one, so means are kept.
+func (c *crowd) others(own, all int, whole bool) float64 {
+	if whole {
+		c.own, c.all = float64(own), float64(all)
+	} else {
+		c.own += sampledWeight * (float64(own) - c.own)
+		c.all += sampledWeight * (float64(all) - c.all)
+	}
+	if c.own <= 0 {
+		return 0
+	}
+	return (c.all - c.own) / c.own
+}
+
+// level sets the backlog and returns the queue, in tokens, up to which the other
+// daemons are expected to have filled the candidates since the reports were made.
+// All daemons see the same short queues, so without it they choose the same engines.
 func (p *predicted) level(now time.Duration, es []lagoonhead.EngineState, n int) float64 {
+	whole := len(es) <= scanLimit
 	own, all, ages := 0, 0, 0.0
 	reported, sent, rates := 0.0, 0.0, 0.0
 	for i, c := range p.near[:n] {
 		s := &es[c.engine]
-		own += s.InFlight
-		all += max(s.Report.Running, s.InFlight)
 		ages += (now - s.ReportAt).Seconds()
 		p.levels[i] = reportedTokens(now, s)
+		// Holders of a prefix are no random sample: they are where this daemon sent it.
+		if i < p.chosen {
+			continue
+		}
+		own += s.InFlight
+		all += max(s.Report.Running, s.InFlight)
 		if now-s.ReportAt > staleAfter || slowdown(now, s) > slowEngine {
 			continue
 		}
@@ -57,17 +84,18 @@
 		sent += float64(s.SentTokens)
 		rates += s.PrefillRate
 	}
-	others := 0.0
-	if own > 0 {
-		others = float64(all-own) / float64(own)
-	}
+	others := p.crowd.others(own, all, whole)
 	age := min(ages/float64(n), staleAfter.Seconds())
 	tokens := p.inflow.perSecond(now) * others * age * float64(n) / float64(len(es))
-	// The others are taken to send at least what this daemon has sent and its reports
-	// cannot contain yet; otherwise all daemons open at the same time.
 	p.backlog = 0
 	if rates > 0 {
-		p.backlog = max((reported+max(tokens, sent*others))/rates-age, 0) + sent/rates
+		come := tokens
+		if whole {
+			// The others are taken to send at least what this daemon has sent and its reports
+			// cannot contain yet; otherwise all daemons open at the same time.
+			come = max(tokens, sent*others)
+		}
+		p.backlog = max((reported+come)/rates-age, 0) + sent/rates
 	}
 	return fill(p.levels[:n], tokens)
 }
--- a/route/policy.go
+++ b/route/policy.go
@@ -105,6 +105,9 @@
 	// levels holds the sorted queues of the candidates.
 	levels [scanLimit + holders]float64
 	inflow inflow
+	crowd  crowd
+	// chosen is the number of candidates in near that are holders of a prefix.
+	chosen int
 	// backlog is the mean queue of the candidates in seconds.
 	backlog float64
 }
@@ -133,13 +136,13 @@
 		return lagoonhead.Choice{Engine: -1, Decode: -1, Usable: true}
 	}
 	best := p.choose(n)
-	p.inflow.sent(now, best.tokens)
 	decode := best.engine
 	if p.split {
 		if decode = p.decoder(now, r, es, best.engine); decode < 0 {
 			return lagoonhead.Choice{Engine: -1, Decode: -1, Usable: true}
 		}
 	}
+	p.inflow.sent(now, best.tokens)
 	return lagoonhead.Choice{
 		Engine: best.engine, Decode: decode, Cached: best.depth, Uncached: best.tokens,
 		Base: best.base, Predicted: best.time, Usable: true,
@@ -158,6 +161,7 @@
 		p.near[n] = candidate{engine: i}
 		n++
 	}
+	p.chosen = 0
 	if len(es) <= scanLimit {
 		for i := range es {
 			add(i)
@@ -169,6 +173,7 @@
 		for _, i := range p.held[:k] {
 			add(i)
 		}
+		p.chosen = n
 	}
 	for range samples {
 		add(p.random.IntN(len(es)))
--- a/route/route_test.go
+++ b/route/route_test.go
@@ -270,6 +270,26 @@
 	}
 }
 
+// Guards against one own dispatch that, counted once for each of many daemons,
+// makes a large fleet look saturated.
+func TestOneDispatchDoesNotSaturateALargeFleet(t *testing.T) {
+	b, r, p := table(2500), request(4000), policy(t, Predicted)
+	x := prefix.New(64, 64)
+	r.Request.SetBlocks([]uint64{1})
+	r.Prefix = x
+	for i := range 2500 {
+		b.Report(now, report(i, 1, 0, 4))
+	}
+	for range 500 {
+		c := p.Pick(now, r, b.States())
+		require.GreaterOrEqual(t, c.Engine, 0)
+		if b.States()[c.Engine].InFlight == 0 && x.Blocks(c.Engine) == 0 {
+			b.Dispatch(now, r, c)
+			x.Learn(c.Engine, r.Request.Blocks())
+		}
+	}
+}
+
 // Guards against daemons that all choose the engine whose queue was the shortest
 // in reports that are old by now.
 func TestLevelCountsWhatOtherDaemonsSend(t *testing.T) {
