--- /dev/null
+++ b/daemon/operator.go
@@ -0,0 +1,112 @@
+package daemon
+
+import (
+	"cmp"
+	"context"
+	"net/http"
+	"slices"
+
+	"github.com/lagoonhead/lagoonhead"
+	"github.com/lagoonhead/lagoonhead/config"
+	"github.com/lagoonhead/lagoonhead/explain"
+	"github.com/lagoonhead/lagoonhead/inventory"
+	"github.com/lagoonhead/lagoonhead/operator"
+	"github.com/lagoonhead/lagoonhead/place"
+)
+
+// pathVars is where the operator listener serves the counters as JSON.
+const pathVars = "/debug/vars"
+
+// commitEditor makes edits of the duties.
+type commitEditor struct {
+	committer *config.Committer
+	decisions lagoonhead.DecisionRecorder
+	now       func() lagoonhead.Decision
+}
+
+// Edit commits a change of the newest revision.
+func (e commitEditor) Edit(ctx context.Context, what string, change func(*inventory.Inventory) error) error {
+	_, err := e.committer.Commit(ctx, 0, func(inv *inventory.Inventory) (*inventory.Inventory, error) {
+		next := inv.Clone()
+		if err := change(next); err != nil {
+			return nil, err
+		}
+		return next, nil
+	})
+	d := e.now()
+	d.Subject = what
+	d.Result = "committed"
+	if err != nil {
+		d.Result = "not committed"
+		d.Reason = err.Error()
+	}
+	e.decisions.RecordDecision(d)
+	return err
+}
+
+func (b *builder) editor() editor {
+	return commitEditor{
+		committer: b.committer, decisions: b.decisions,
+		now: func() lagoonhead.Decision { return lagoonhead.Decision{At: b.timer.Now(), Topic: "config"} },
+	}
+}
+
+// buildOperator opens the listener for operators.
+func (b *builder) buildOperator() error {
+	server, _, err := tlsConfigs(b.settings.Operator, b.timer)
+	if err != nil {
+		return err
+	}
+	token, err := b.settings.Operator.ReadToken()
+	if err != nil {
+		return err
+	}
+	l, err := listen(b.settings.Listen.Operator, server)
+	if err != nil {
+		return err
+	}
+	guard := &operator.Guard{Token: token, MutualTLS: b.settings.Operator.TLS()}
+	o := &operator.Server{
+		Committer: b.committer, Inventory: b.config, Status: statusSource{b}, Decisions: b.findDecisions(),
+		Recorder: b.decisions, Clock: b.timer, Guard: guard,
+	}
+	b.vars.Set("operator", o.Vars())
+	mux := http.NewServeMux()
+	mux.Handle("/", o.Handler())
+	mux.Handle("GET "+pathVars, guard.Wrap(http.HandlerFunc(b.serveVars)))
+	b.add("", serveHTTP(l, mux), nil)
+	return nil
+}
+
+func (b *builder) serveVars(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Content-Type", "application/json; charset=utf-8")
+	_, _ = w.Write([]byte(b.vars.String()))
+}
+
+// decisionFinder joins the recorded decisions with the placements, whose reasons
+// are built only when they are asked for.
+type decisionFinder struct {
+	record *explain.Record
+	placer *place.Placer
+}
+
+func (b *builder) findDecisions() operator.DecisionSource {
+	return decisionFinder{b.decisions, b.placer}
+}
+
+// Find returns the decisions that match, ordered by time.
+func (f decisionFinder) Find(q explain.Query) []lagoonhead.Decision {
+	list := f.record.Find(q)
+	if q.Topic != "" && q.Topic != topicRequest {
+		return list
+	}
+	list = append(list, f.placer.Explain(lagoonhead.RequestID(q.Subject), max(q.Limit, 1))...)
+	slices.SortStableFunc(list, func(a, b lagoonhead.Decision) int { return cmp.Compare(a.At, b.At) })
+	if q.Limit > 0 && len(list) > q.Limit {
+		list = list[len(list)-q.Limit:]
+	}
+	return list
+}
+
+// topicRequest is the topic of decisions about one request.
+const topicRequest = "request"
--- a/engine/stream.go
+++ b/engine/stream.go
@@ -9,6 +9,7 @@
 	"sync/atomic"
 
 	"github.com/cockroachdb/errors"
+	"go.opentelemetry.io/otel/trace"
 
 	"github.com/lagoonhead/lagoonhead"
 )
@@ -25,6 +26,7 @@
 	ctx      context.Context
 	cancel   context.CancelCauseFunc
 	exchange exchange
+	span     trace.Span
 
 	transport *http.Transport
 	response  *http.Response
@@ -80,7 +82,7 @@
 	const op = "engine.stream"
 	if res.StatusCode != http.StatusOK {
 		s.streamer.counters.refused.Add(1)
-		return statusError(op, res)
+		return s.refused(op, res)
 	}
 	if id := res.Header.Get(HeaderRequestID); id != "" && id != s.request {
 		return s.reject(op, ErrWrongRequest)
@@ -91,6 +93,19 @@
 	return nil
 }
 
+// refused returns the error of an answer without events. An engine that does not
+// have the model for a new request may be in the middle of a change, so another
+// engine can still run it; only a request to be resumed is not found.
+func (s *stream) refused(op string, res *http.Response) error {
+	s.waiting.Store(true)
+	err := statusError(op, res)
+	s.waiting.Store(false)
+	if s.expect == 0 && lagoonhead.IsKind(err, lagoonhead.KindNotFound) && res.Header.Get(HeaderRun) == runNo {
+		return fail(op, lagoonhead.KindUnavailable, err)
+	}
+	return err
+}
+
 // broke returns the error of a failed connection. It ends the use of the pool
 // unless the caller ended the request.
 func (s *stream) broke(op string, err error) error {
@@ -203,6 +218,11 @@
 	s.cancel(errClosed)
 	s.response.Body.Close()
 	s.streamer.remove(s)
+	if errors.Is(s.ended, io.EOF) {
+		endSpan(s.span, nil)
+	} else {
+		endSpan(s.span, s.ended)
+	}
 	if s.ended == nil {
 		s.ended = fail(opNext, lagoonhead.KindInvalid, errClosed)
 	}
--- a/engine/stream_test.go
+++ b/engine/stream_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"fmt"
 	"io"
 	"net"
@@ -26,6 +27,8 @@
 
 type streamCase struct {
 	Name      string
+	After     *int64
+	Sweep     bool
 	Headers   *bool
 	ID        string
 	Type      string
@@ -157,7 +160,7 @@
 			s := newStreamer()
 			url, answered := rawEngine(t, c.text(), c.End == "silence")
 			got := make(chan struct{})
-			if c.Cause == "idle" {
+			if c.Sweep || c.Cause == "idle" {
 				go func() {
 					<-answered
 					if c.Events > 0 {
@@ -166,7 +169,14 @@
 					sweepOften(t, s)
 				}()
 			}
-			v, err := s.Stream(t.Context(), testEndpoint(url), testCompletion("r1", -1))
+			after := int64(-1)
+			if c.After != nil {
+				after = *c.After
+			}
+			// Ends a wait for ever when a fault is not found; no case is meant to get there.
+			ctx, cancel := context.WithTimeout(t.Context(), 30*time.Second)
+			defer cancel()
+			v, err := s.Stream(ctx, testEndpoint(url), testCompletion("r1", after))
 			var events []string
 			if err == nil {
 				defer v.Close()
