Bound what one dispatch says about the other daemons

A daemon with little traffic among busy ones took its own only dispatch for a wave of all daemons and held its next requests back.

What the others are taken to have sent is at most three times their mean. The new test failed before.

--- a/route/inflow.go
+++ b/route/inflow.go
@@ -38,6 +38,9 @@
 	longQueue = 4 * saturated
 )
 
+// burst is how many times their mean the other daemons may send at once.
+const burst = 3
+
 // sampledWeight is the weight of one sample in the means of a large fleet.
 const sampledWeight = 0.02
 
@@ -92,8 +95,9 @@
 		come := tokens
 		if whole {
 			// The others are taken to send at least what this daemon has sent and its reports
-			// cannot contain yet; otherwise all daemons open at the same time.
-			come = max(tokens, sent*others)
+			// cannot contain yet; otherwise all daemons open at the same time. The bound
+			// keeps a single dispatch of a quiet daemon from closing the fleet to it.
+			come = max(tokens, min(sent*others, burst*tokens))
 		}
 		p.backlog = max((reported+come)/rates-age, 0) + sent/rates
 	}
--- a/route/route_test.go
+++ b/route/route_test.go
@@ -270,6 +270,20 @@
 	}
 }
 
+// Guards against a quiet daemon that takes its own only dispatch for a wave of all
+// daemons.
+func TestQuietDaemonIsNotShutOut(t *testing.T) {
+	b, r, p := table(12), request(8000), policy(t, Predicted)
+	for i := range 12 {
+		b.Report(now, report(i, 1, 0, 4))
+	}
+	for range 3 {
+		c := p.Pick(now, r, b.States())
+		require.GreaterOrEqual(t, c.Engine, 0)
+		b.Dispatch(now, r, c)
+	}
+}
+
 // Guards against one own dispatch that, counted once for each of many daemons,
 // makes a large fleet look saturated.
 func TestOneDispatchDoesNotSaturateALargeFleet(t *testing.T) {
