--- a/cmd/lagoonbench/measure.go
+++ b/cmd/lagoonbench/measure.go
@@ -34,17 +34,18 @@
 
 // measure runs each variant of the scenario over the seeds. All variants of a seed
 // see the same arrivals.
-func measure(make func() scenario, vs []variant, fs []figure, o options) *result {
+func measure(start func() scenario, vs []variant, fs []figure, o options) *result {
 	r := &result{variants: vs, figures: fs, values: make3(len(vs), len(fs), o.seeds)}
-	limit := max(min(runtime.GOMAXPROCS(0)/2, 5), 1)
-	tokens := newTokens(limit)
+	// Half of the cores is left to others.
+	limit := max(runtime.GOMAXPROCS(0)/2, 1)
+	free := make(chan struct{}, limit)
 	var running sync.WaitGroup
 	for v := range vs {
 		for seed := range o.seeds {
 			running.Go(func() {
-				tokens <- struct{}{}
-				defer func() { <-tokens }()
-				c := make()
+				free <- struct{}{}
+				defer func() { <-free }()
+				c := start()
 				vs[v].apply(&c)
 				s := newSim(c, uint64(o.first+seed))
 				cs := s.run()
@@ -58,8 +59,7 @@
 	return r
 }
 
-func newTokens(n int) chan struct{} { return make(chan struct{}, n) }
-
+// make3 returns a slice of the given lengths.
 func make3(a, b, c int) [][][]float64 {
 	x := make([][][]float64, a)
 	for i := range x {
--- a/cmd/lagoonbench/page.go
+++ b/cmd/lagoonbench/page.go
@@ -29,7 +29,7 @@
 type part struct {
 	title    string
 	about    string
-	make     func() scenario
+	start    func() scenario
 	variants []variant
 	figures  []figure
 }
@@ -60,7 +60,7 @@
 	var b strings.Builder
 	fmt.Fprintf(&b, "## Round %s: %s\n\n", r.letter, r.title)
 	for i, p := range r.parts {
-		m := measure(p.make, p.variants, p.figures, o)
+		m := measure(p.start, p.variants, p.figures, o)
 		fmt.Fprintf(&b, "### %s\n\n%s\n\n%s\n", p.title, p.about, m.table())
 		if o.plots == "" {
 			continue
--- a/cmd/lagoonbench/sim.go
+++ b/cmd/lagoonbench/sim.go
@@ -115,11 +115,11 @@
 // newPolicy returns the policy of one daemon. The names are constants of this
 // command, so an error is a fault of it.
 func (c *scenario) newPolicy(seed uint64) lagoonhead.RoutePolicy {
-	make := route.New
+	build := route.New
 	if c.split {
-		make = route.NewSplit
+		build = route.NewSplit
 	}
-	p, err := make(c.policy, seed)
+	p, err := build(c.policy, seed)
 	if err != nil {
 		panic(err)
 	}
--- a/place/placer.go
+++ b/place/placer.go
@@ -146,7 +146,7 @@
 	}
 	policy, err := p.newPolicy(k.kind)
 	if err != nil {
-		// Run has checked the name; before Run the default does.
+		// Run refuses a wrong name; a Place before Run gets the default policy.
 		policy, _ = route.New(route.Predicted, p.Seed)
 	}
 	g := &group{
--- a/route/policy.go
+++ b/route/policy.go
@@ -129,6 +129,7 @@
 func (p *predicted) Pick(now time.Duration, r *lagoonhead.RouteRequest, es []lagoonhead.EngineState) lagoonhead.Choice {
 	n, usable := p.collect(now, r, es)
 	if n == 0 {
+		p.backlog = 0
 		return lagoonhead.Choice{Engine: -1, Decode: -1, Usable: usable}
 	}
 	p.weighAll(now, r, es, n)
