--- a/cmd/lagoonbench/engine.go
+++ b/cmd/lagoonbench/engine.go
@@ -54,8 +54,10 @@
 	changing bool
 	// gone engines are never back.
 	gone bool
-	// silent reports repeat the load of an idle engine.
-	silent  bool
+	// silent engines report that they are idle, whatever they run.
+	silent bool
+	// mute engines send no reports.
+	mute    bool
 	prefill []*job
 	decode  []*job
 	cache   *cache
--- a/cmd/lagoonbench/faults.go
+++ b/cmd/lagoonbench/faults.go
@@ -42,6 +42,7 @@
 		{"An engine crashes again and again", "One engine of twelve crashes every 12 s for two minutes and is away for 6 s each time.", crashing},
 		{"An engine slows to a tenth", "One engine of twelve runs at a tenth of its speed for two minutes.", slowing},
 		{"An engine reports stale load", "One engine of twelve reports that it is idle for two minutes, whatever it runs.", lying},
+		{"An engine hangs", "One engine of twelve takes requests, computes nothing and sends no reports for two minutes.", hanging},
 	}
 	parts := make([]part, 0, len(faults))
 	for _, f := range faults {
@@ -82,6 +83,11 @@
 	s.after(faultEnd, func() { s.engines[0].silent = false })
 }
 
+func hanging(s *sim) {
+	s.after(faultAt, func() { s.engines[0].speed, s.engines[0].mute = 0, true })
+	s.after(faultEnd, func() { s.engines[0].speed, s.engines[0].mute = 1, false })
+}
+
 // faultGoodput is the goodput of the calls that arrived during the fault.
 func faultGoodput(_ *sim, cs []*call) float64 {
 	return goodput(nil, slices.DeleteFunc(slices.Clone(cs), func(c *call) bool {
--- a/cmd/lagoonbench/sim.go
+++ b/cmd/lagoonbench/sim.go
@@ -168,7 +168,7 @@
 func (s *sim) sendReport(e *engine) {
 	s.after(reportInterval, func() { s.sendReport(e) })
 	vs := e.cache.take()
-	if e.down {
+	if e.down || e.mute {
 		return
 	}
 	r := e.report()
--- a/route/health.go
+++ b/route/health.go
@@ -27,6 +27,9 @@
 	commonWeight = 0.02
 	// mostSlowdown bounds what is learned from one hung request.
 	mostSlowdown = 50
+	// leastSlowdown is the slowdown from which predictions count it. Below it, chance
+	// dominates.
+	leastSlowdown = 4
 	// observationNoise is added to observed and predicted times, so that short ones
 	// say little.
 	observationNoise = 100 * time.Millisecond
@@ -40,8 +43,16 @@
 	return s.Failures > toleratedTimeouts && (now < s.RetryAt || s.Probing)
 }
 
-// slowdown returns the endpoint's slowdown, which fades without observations.
+// slowdown returns the slowdown that counts in predictions.
 func slowdown(now time.Duration, s *lagoonhead.EngineState) float64 {
+	if v := learned(now, s); v >= leastSlowdown {
+		return v
+	}
+	return 1
+}
+
+// learned returns the endpoint's slowdown, which fades without observations.
+func learned(now time.Duration, s *lagoonhead.EngineState) float64 {
 	if s.Slowdown <= 1 {
 		return 1
 	}
@@ -62,7 +73,7 @@
 		t.common += commonWeight * (min(seen, mostSlowdown) - t.common)
 	}
 	seen = min(max(seen/common, 1), mostSlowdown)
-	old := slowdown(now, s)
+	old := learned(now, s)
 	if !arrived && seen <= old {
 		return
 	}
--- a/route/inflow.go
+++ b/route/inflow.go
@@ -29,14 +29,10 @@
 	return f.rate * math.Exp(-max(age, 0))
 }
 
-// One engine that is slow, hangs or has stopped reporting must not make the whole
-// fleet look saturated.
-const (
-	// slowEngine is the slowdown from which an engine does not count.
-	slowEngine = 3
-	// longQueue is the longest queue, in seconds, that one engine counts with.
-	longQueue = 4 * saturated
-)
+// longQueue is the longest queue, in seconds, that one engine counts with. One that
+// is slow, hangs or has stopped reporting does not count at all. None of them must
+// make the whole fleet look saturated.
+const longQueue = 4 * saturated
 
 // burst is how many times their mean the other daemons may send at once.
 const burst = 3
@@ -80,7 +76,7 @@
 		}
 		own += s.InFlight
 		all += max(s.Report.Running, s.InFlight)
-		if now-s.ReportAt > staleAfter || slowdown(now, s) > slowEngine {
+		if now-s.ReportAt > staleAfter || slowdown(now, s) > 1 {
 			continue
 		}
 		reported += min(float64(s.Report.QueuedPrefillTokens), longQueue*s.PrefillRate)
--- a/route/policy.go
+++ b/route/policy.go
@@ -201,12 +201,21 @@
 		if p.split {
 			c.base = time.Duration(float64(c.base) / prefillPace(s))
 		}
-		c.time = time.Duration(float64(c.base) * slowdown(now, s))
+		c.time = time.Duration(float64(c.base) * p.slowdown(now, s))
 		delay := time.Duration(workWeight * float64(c.tokens) / s.PrefillRate * float64(time.Second))
 		c.score = c.time + delay + supplyCost(r.Request, s)
 	}
 }
 
+// slowdown returns the factor on the predicted time. With roles, the pace of an
+// engine is known only roughly, and the learned factor corrects it.
+func (p *predicted) slowdown(now time.Duration, s *lagoonhead.EngineState) float64 {
+	if p.split {
+		return learned(now, s)
+	}
+	return slowdown(now, s)
+}
+
 // choose returns a random one among the candidates whose score is close to the
 // best.
 func (p *predicted) choose(n int) *candidate {
--- a/route/roles.go
+++ b/route/roles.go
@@ -94,7 +94,7 @@
 			return
 		}
 		busy := float64(max(occupied(s), s.InFlight)) / float64(max(s.Endpoint.Slots(), 1))
-		pace := float64(typicalOutput*tokenTime) * (1 + busy) * slowdown(now, s) / decodePace(now, s)
+		pace := float64(typicalOutput*tokenTime) * (1 + busy) * p.slowdown(now, s) / decodePace(now, s)
 		t := time.Duration(pace)
 		if i != prefill {
 			t += transferTime * time.Duration(r.Request.PromptTokens()/BlockTokens+1)
