Take the speed of engines from the directory

Routing assumed one speed for all engines; where it is too low, requests wait without need, since saturation is counted in seconds of prefill.

place reads the rates of the inventory through lagoonhead.TokenRater, and uses Placer.PrefillRate for engines whose rate is not stated.

--- a/place/group.go
+++ b/place/group.go
@@ -56,11 +56,19 @@
 
 // update takes the endpoints in the directory. One that is gone keeps its place
 // until nothing runs on it.
-func (g *group) update(es []lagoonhead.Endpoint) {
+func (g *group) update(d lagoonhead.Directory) {
+	es := d.Endpoints(g.key.kind, g.key.serves)
+	rates, _ := d.(lagoonhead.TokenRater)
 	g.listed = make(map[lagoonhead.EndpointID]bool, len(es))
 	for _, e := range es {
 		g.listed[e.ID()] = true
-		g.table.Put(e)
+		i := g.table.Put(e)
+		if rates == nil {
+			continue
+		}
+		if r, _ := rates.TokenRates(e.ID()); r > 0 {
+			g.table.SetPrefillRate(i, r)
+		}
 	}
 	for i := range g.table.States() {
 		if g.gone(i) {
--- a/place/place_test.go
+++ b/place/place_test.go
@@ -35,6 +35,8 @@
 	return lagoonhead.WorkRule{CostCeiling: d.ceiling}
 }
 
+func (d *directory) TokenRates(lagoonhead.EndpointID) (prefill, decode float64) { return 5000, 0 }
+
 func (d *directory) Endpoints(k lagoonhead.EndpointKind, serves string) []lagoonhead.Endpoint {
 	switch {
 	case k == lagoonhead.KindEngine && serves == "m":
@@ -265,4 +267,7 @@
 	require.Equal(t, "placed on loan", ds[0].Result)
 	require.Contains(t, ds[0].Reason, "fewest outstanding")
 	require.Equal(t, "1", p.Vars().Get("placed").String())
+	for _, s := range p.States() {
+		require.InDelta(t, 5000, s.PrefillRate, 0, "the directory's rate")
+	}
 }
--- a/place/placer.go
+++ b/place/placer.go
@@ -39,8 +39,9 @@
 	// ReportLag is how old the state in a load report is when it arrives; 0 means
 	// route.ReportLag.
 	ReportLag time.Duration
-	// PrefillRate is the speed of an engine in prompt tokens per second; 0 means
-	// route.DefaultPrefillRate. Too low a rate makes requests wait without need.
+	// PrefillRate is the speed, in prompt tokens per second, of an engine whose speed
+	// the directory does not know; 0 means route.DefaultPrefillRate. Too low a rate makes
+	// requests wait without need.
 	PrefillRate float64
 	// Order is the order of the requests that wait; the zero value is the fair one.
 	Order fair.Policy
@@ -124,8 +125,8 @@
 	for _, m := range d.Models() {
 		p.group(d, groupKey{lagoonhead.KindEngine, m})
 	}
-	for k, g := range p.groups {
-		g.update(d.Endpoints(k.kind, k.serves))
+	for _, g := range p.groups {
+		g.update(d)
 		p.serve(now, g)
 	}
 	return d
@@ -140,8 +141,7 @@
 		}
 		return g
 	}
-	es := d.Endpoints(k.kind, k.serves)
-	if len(es) == 0 {
+	if len(d.Endpoints(k.kind, k.serves)) == 0 {
 		return nil
 	}
 	policy, err := p.newPolicy(k.kind)
@@ -156,7 +156,7 @@
 	if k.kind == lagoonhead.KindEngine {
 		g.prefix = prefix.New(blocksPerEngine, blocksPerModel)
 	}
-	g.update(es)
+	g.update(d)
 	p.groups[k] = g
 	return g
 }
--- a/route/table.go
+++ b/route/table.go
@@ -116,6 +116,10 @@
 	return i
 }
 
+// SetPrefillRate sets the speed of the endpoint in prompt tokens per second. It must
+// be positive.
+func (t *Table) SetPrefillRate(i int, rate float64) { t.states[i].PrefillRate = rate }
+
 // Leave bars the endpoint from new work. Remove may follow once nothing runs on
 // it.
 func (t *Table) Leave(i int) {
--- a/routing.go
+++ b/routing.go
@@ -44,6 +44,13 @@
 	Depth(engine int, blocks []uint64) int
 }
 
+// TokenRater is a Directory that also knows the speed of engines.
+type TokenRater interface {
+	// TokenRates returns what an engine prefills and decodes in tokens per second; 0
+	// means that it is not known.
+	TokenRates(e EndpointID) (prefill, decode float64)
+}
+
 // RouteRequest is an attempt that needs an endpoint.
 type RouteRequest struct {
 	Request *Request
