--- a/route/health.go
+++ b/route/health.go
@@ -23,8 +23,13 @@
 	// slowdownHalfLife halves the excess slowdown of an endpoint without
 	// observations, so that a recovered endpoint is tried again.
 	slowdownHalfLife = 10 * time.Second
+	// commonWeight is the weight of a new observation in the mean of all endpoints.
+	commonWeight = 0.02
 	// mostSlowdown bounds what is learned from one hung request.
 	mostSlowdown = 50
+	// leastSlowdown is the slowdown from which predictions count it. Below it, chance
+	// dominates.
+	leastSlowdown = 4
 	// observationNoise is added to observed and predicted times, so that short ones
 	// say little.
 	observationNoise = 100 * time.Millisecond
@@ -38,8 +43,16 @@
 	return s.Failures > toleratedTimeouts && (now < s.RetryAt || s.Probing)
 }
 
-// slowdown returns the endpoint's slowdown, which fades without observations.
+// slowdown returns the slowdown that counts in predictions.
 func slowdown(now time.Duration, s *lagoonhead.EngineState) float64 {
+	if v := learned(now, s); v >= leastSlowdown {
+		return v
+	}
+	return 1
+}
+
+// learned returns the endpoint's slowdown, which fades without observations.
+func learned(now time.Duration, s *lagoonhead.EngineState) float64 {
 	if s.Slowdown <= 1 {
 		return 1
 	}
@@ -47,13 +60,20 @@
 	return 1 + (s.Slowdown-1)*math.Exp2(-max(age, 0))
 }
 
+// What slows all endpoints, as a fuller batch does, says nothing about one of them,
+// so a slowdown is relative to the mean.
+//
 // observe corrects the slowdown by the time that a first token took. An answer
 // that is still due can only raise it.
 func (t *Table) observe(now time.Duration, k *Ticket, arrived bool) {
 	s := &t.states[k.engine]
 	seen := float64(now-k.at+observationNoise) / float64(k.base+observationNoise)
-	seen = min(max(seen, 1), mostSlowdown)
-	old := slowdown(now, s)
+	common := max(t.common, 1)
+	if arrived {
+		t.common += commonWeight * (min(seen, mostSlowdown) - t.common)
+	}
+	seen = min(max(seen/common, 1), mostSlowdown)
+	old := learned(now, s)
 	if !arrived && seen <= old {
 		return
 	}
--- a/route/inflow.go
+++ b/route/inflow.go
@@ -29,45 +29,73 @@
 	return f.rate * math.Exp(-max(age, 0))
 }
 
-// One engine that is slow, hangs or has stopped reporting must not make the whole
-// fleet look saturated.
-const (
-	// slowEngine is the slowdown from which an engine does not count.
-	slowEngine = 3
-	// longQueue is the longest queue, in seconds, that one engine counts with.
-	longQueue = 4 * saturated
-)
+// longQueue is the longest queue, in seconds, that one engine counts with. One that
+// is slow, hangs or has stopped reporting does not count at all. None of them must
+// make the whole fleet look saturated.
+const longQueue = 4 * saturated
+
+// burst is how many times their mean the other daemons may send at once.
+const burst = 3
+
+// sampledWeight is the weight of one sample in the means of a large fleet.
+const sampledWeight = 0.02
+
+// crowd estimates how many times what this daemon does the other daemons do, from
+// the running requests.
+type crowd struct{ own, all float64 }
+
+// others returns the estimate. Sums over the whole fleet are exact. In a sample
+// there are too few own requests to tell from one, so means are kept.
+func (c *crowd) others(own, all int, whole bool) float64 {
+	if whole {
+		c.own, c.all = float64(own), float64(all)
+	} else {
+		c.own += sampledWeight * (float64(own) - c.own)
+		c.all += sampledWeight * (float64(all) - c.all)
+	}
+	if c.own <= 0 {
+		return 0
+	}
+	return (c.all - c.own) / c.own
+}
 
-// level sets the backlog and returns the queue, in tokens, up to which the other daemons are expected
-// to have filled the candidates since the reports were made. All daemons see the
-// same short queues, so without it they choose the same engines.
+// level sets the backlog and returns the queue, in tokens, up to which the other
+// daemons are expected to have filled the candidates since the reports were made.
+// All daemons see the same short queues, so without it they choose the same engines.
 func (p *predicted) level(now time.Duration, es []lagoonhead.EngineState, n int) float64 {
+	whole := len(es) <= scanLimit
 	own, all, ages := 0, 0, 0.0
 	reported, sent, rates := 0.0, 0.0, 0.0
 	for i, c := range p.near[:n] {
 		s := &es[c.engine]
-		own += s.InFlight
-		all += max(s.Report.Running, s.InFlight)
 		ages += (now - s.ReportAt).Seconds()
 		p.levels[i] = reportedTokens(now, s)
-		if now-s.ReportAt > staleAfter || slowdown(now, s) > slowEngine {
+		// Holders of a prefix are no random sample: they are where this daemon sent it.
+		if i < p.chosen {
+			continue
+		}
+		own += s.InFlight
+		all += max(s.Report.Running, s.InFlight)
+		if now-s.ReportAt > staleAfter || slowdown(now, s) > 1 {
 			continue
 		}
 		reported += min(float64(s.Report.QueuedPrefillTokens), longQueue*s.PrefillRate)
 		sent += float64(s.SentTokens)
 		rates += s.PrefillRate
 	}
-	others := 0.0
-	if own > 0 {
-		others = float64(all-own) / float64(own)
-	}
+	others := p.crowd.others(own, all, whole)
 	age := min(ages/float64(n), staleAfter.Seconds())
 	tokens := p.inflow.perSecond(now) * others * age * float64(n) / float64(len(es))
-	// The others are taken to send at least what this daemon has sent and its reports
-	// cannot contain yet; otherwise all daemons open at the same time.
 	p.backlog = 0
 	if rates > 0 {
-		p.backlog = max((reported+max(tokens, sent*others))/rates-age, 0) + sent/rates
+		come := tokens
+		if whole {
+			// The others are taken to send at least what this daemon has sent and its reports
+			// cannot contain yet; otherwise all daemons open at the same time. The bound
+			// keeps a single dispatch of a quiet daemon from closing the fleet to it.
+			come = max(tokens, min(sent*others, burst*tokens))
+		}
+		p.backlog = max((reported+come)/rates-age, 0) + sent/rates
 	}
 	return fill(p.levels[:n], tokens)
 }
--- a/route/policy.go
+++ b/route/policy.go
@@ -82,7 +82,7 @@
 // saturated is the mean queue of the engines, in seconds of prefill, above which
 // requests wait in the daemon, where the fair order applies. A bound on each engine
 // instead of the mean sends prompts away from their cache.
-const saturated = 0.6
+const saturated = 0.5
 
 // workWeight is the weight of the time to compute the uncached prompt, which also
 // delays the requests that come after it.
@@ -105,6 +105,9 @@
 	// levels holds the sorted queues of the candidates.
 	levels [scanLimit + holders]float64
 	inflow inflow
+	crowd  crowd
+	// chosen is the number of candidates in near that are holders of a prefix.
+	chosen int
 	// backlog is the mean queue of the candidates in seconds.
 	backlog float64
 }
@@ -126,6 +129,7 @@
 func (p *predicted) Pick(now time.Duration, r *lagoonhead.RouteRequest, es []lagoonhead.EngineState) lagoonhead.Choice {
 	n, usable := p.collect(now, r, es)
 	if n == 0 {
+		p.backlog = 0
 		return lagoonhead.Choice{Engine: -1, Decode: -1, Usable: usable}
 	}
 	p.weighAll(now, r, es, n)
@@ -133,13 +137,13 @@
 		return lagoonhead.Choice{Engine: -1, Decode: -1, Usable: true}
 	}
 	best := p.choose(n)
-	p.inflow.sent(now, best.tokens)
 	decode := best.engine
 	if p.split {
 		if decode = p.decoder(now, r, es, best.engine); decode < 0 {
 			return lagoonhead.Choice{Engine: -1, Decode: -1, Usable: true}
 		}
 	}
+	p.inflow.sent(now, best.tokens)
 	return lagoonhead.Choice{
 		Engine: best.engine, Decode: decode, Cached: best.depth, Uncached: best.tokens,
 		Base: best.base, Predicted: best.time, Usable: true,
@@ -158,6 +162,7 @@
 		p.near[n] = candidate{engine: i}
 		n++
 	}
+	p.chosen = 0
 	if len(es) <= scanLimit {
 		for i := range es {
 			add(i)
@@ -169,6 +174,7 @@
 		for _, i := range p.held[:k] {
 			add(i)
 		}
+		p.chosen = n
 	}
 	for range samples {
 		add(p.random.IntN(len(es)))
@@ -195,12 +201,21 @@
 		if p.split {
 			c.base = time.Duration(float64(c.base) / prefillPace(s))
 		}
-		c.time = time.Duration(float64(c.base) * slowdown(now, s))
+		c.time = time.Duration(float64(c.base) * p.slowdown(now, s))
 		delay := time.Duration(workWeight * float64(c.tokens) / s.PrefillRate * float64(time.Second))
 		c.score = c.time + delay + supplyCost(r.Request, s)
 	}
 }
 
+// slowdown returns the factor on the predicted time. With roles, the pace of an
+// engine is known only roughly, and the learned factor corrects it.
+func (p *predicted) slowdown(now time.Duration, s *lagoonhead.EngineState) float64 {
+	if p.split {
+		return learned(now, s)
+	}
+	return slowdown(now, s)
+}
+
 // choose returns a random one among the candidates whose score is close to the
 // best.
 func (p *predicted) choose(n int) *candidate {
--- a/route/route_test.go
+++ b/route/route_test.go
@@ -183,6 +183,21 @@
 	require.InDelta(t, 1, slowdown(at+10*slowdownHalfLife, &b.States()[c.Engine]), 0.01)
 }
 
+// Guards against engines that are avoided although all of them have become slower.
+func TestSlowdownIsRelative(t *testing.T) {
+	b, r := table(4), request(4000)
+	for n := range 400 {
+		at := now + time.Duration(n)*time.Second
+		c := lagoonhead.Choice{Engine: n % 4, Decode: n % 4, Base: time.Second}
+		k := b.Dispatch(at, r, c)
+		b.FirstToken(at+3*time.Second, &k)
+		b.Done(at+3*time.Second, &k, lagoonhead.Outcome{})
+	}
+	for i := range b.States() {
+		require.InDelta(t, 1, b.States()[i].Slowdown, 0.2)
+	}
+}
+
 // Guards against deferrable work on firm engines while reclaimable ones have room.
 func TestDeferrableGoesToReclaimableFirst(t *testing.T) {
 	b, r, p := table(2), request(4000), policy(t, Predicted)
@@ -255,6 +270,40 @@
 	}
 }
 
+// Guards against a quiet daemon that takes its own only dispatch for a wave of all
+// daemons.
+func TestQuietDaemonIsNotShutOut(t *testing.T) {
+	b, r, p := table(12), request(8000), policy(t, Predicted)
+	for i := range 12 {
+		b.Report(now, report(i, 1, 0, 4))
+	}
+	for range 3 {
+		c := p.Pick(now, r, b.States())
+		require.GreaterOrEqual(t, c.Engine, 0)
+		b.Dispatch(now, r, c)
+	}
+}
+
+// Guards against one own dispatch that, counted once for each of many daemons,
+// makes a large fleet look saturated.
+func TestOneDispatchDoesNotSaturateALargeFleet(t *testing.T) {
+	b, r, p := table(2500), request(4000), policy(t, Predicted)
+	x := prefix.New(64, 64)
+	r.Request.SetBlocks([]uint64{1})
+	r.Prefix = x
+	for i := range 2500 {
+		b.Report(now, report(i, 1, 0, 4))
+	}
+	for range 500 {
+		c := p.Pick(now, r, b.States())
+		require.GreaterOrEqual(t, c.Engine, 0)
+		if b.States()[c.Engine].InFlight == 0 && x.Blocks(c.Engine) == 0 {
+			b.Dispatch(now, r, c)
+			x.Learn(c.Engine, r.Request.Blocks())
+		}
+	}
+}
+
 // Guards against daemons that all choose the engine whose queue was the shortest
 // in reports that are old by now.
 func TestLevelCountsWhatOtherDaemonsSend(t *testing.T) {
--- a/route/table.go
+++ b/route/table.go
@@ -48,8 +48,10 @@
 // keeps its place for as long as it is in the table. It is not safe for concurrent
 // use.
 type Table struct {
-	lag    time.Duration
-	rate   float64
+	lag  time.Duration
+	rate float64
+	// common is the mean of observed over predicted times of all endpoints.
+	common float64
 	states []lagoonhead.EngineState
 	recent []dispatches
 	places map[lagoonhead.EndpointID]int
@@ -114,6 +116,10 @@
 	return i
 }
 
+// SetPrefillRate sets the speed of the endpoint in prompt tokens per second. It must
+// be positive.
+func (t *Table) SetPrefillRate(i int, rate float64) { t.states[i].PrefillRate = rate }
+
 // Leave bars the endpoint from new work. Remove may follow once nothing runs on
 // it.
 func (t *Table) Leave(i int) {
