Number loans across buckets and restart the wait of a slot while not fresh

A bucket that was dropped from memory while idle counted its loans from 1 again, so that a late return of a former loan could be credited to a new one. Each bucket of a process now has its own range of numbers.

A daemon that took a slot and was then not fresh may not have told its peers; the wait of the slot starts again. The revision of the slot table is kept outside the runner's lock, so that the heartbeat and the gate can use it under their own locks.

--- a/admit/book.go
+++ b/admit/book.go
@@ -143,6 +143,8 @@
 			return nil
 		}
 		b = &book{workspace: w, usedPart: 1}
+		r.made++
+		b.bucket.NumberLoansAfter(r.made << 32)
 		r.books[w] = b
 		r.replay(b, dir)
 	}
--- a/admit/borrow.go
+++ b/admit/borrow.go
@@ -136,8 +136,7 @@
 	if err != nil {
 		return
 	}
-	r.slots.Observe(now, t, resp.GetSlotsRevision())
-	r.applySlots(now)
+	r.observeTable(now, t, resp.GetSlotsRevision())
 }
 
 // Borrow handles a peer's request for tokens of a workspace.
@@ -150,7 +149,8 @@
 	if t, revision := r.slots.Table(); revision > req.GetSlotsRevision() {
 		resp.SlotTable, resp.SlotsRevision = t.Encode(), revision
 	}
-	if req.GetTokens() <= 0 || req.GetTtlMs() > limit.LoanLife.Milliseconds() || r.slots.Suspended() || r.fresh(now) != nil {
+	if req.GetTokens() <= 0 || req.GetTtlMs() > limit.LoanLife.Milliseconds() ||
+		r.fresh(now) != nil || r.slots.Suspended() {
 		return resp, nil
 	}
 	b := r.book(now, lagoonhead.WorkspaceID(req.GetWorkspace()))
--- a/admit/cluster_test.go
+++ b/admit/cluster_test.go
@@ -50,12 +50,13 @@
 }
 
 type node struct {
-	c        *cluster
-	vm       lagoonhead.VMID
-	runner   *Runner
-	stop     context.CancelFunc
-	dead     bool
-	cutSince time.Duration // 0: connected
+	c         *cluster
+	vm        lagoonhead.VMID
+	runner    *Runner
+	directory directory
+	stop      context.CancelFunc
+	dead      bool
+	cutSince  time.Duration // 0: connected
 }
 
 func newCluster(n int, q lagoonhead.Quota) *cluster {
@@ -78,7 +79,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.started++
-	n := &node{c: c, vm: lagoonhead.VMID(strconv.Itoa(i))}
+	n := &node{c: c, vm: lagoonhead.VMID(strconv.Itoa(i)), directory: directory{quota: c.quota}}
 	n.runner = &Runner{
 		VM: n.vm, Incarnation: lagoonhead.Incarnation(strconv.Itoa(c.started)), Timer: c.clock,
 		Store: n, VMs: n, Directory: n, Gate: n, Peers: n, SlotCount: c.slots,
@@ -164,15 +165,15 @@
 	return l
 }
 
-func (n *node) Directory() lagoonhead.Directory { return directory{quota: n.c.quota} }
+func (n *node) Directory() lagoonhead.Directory { return &n.directory }
 
 type directory struct {
 	lagoonhead.Directory
 	quota lagoonhead.Quota
 }
 
-func (directory) Revision() int64 { return 1 }
-func (d directory) Quota(w lagoonhead.WorkspaceID) (lagoonhead.Quota, bool) {
+func (*directory) Revision() int64 { return 1 }
+func (d *directory) Quota(w lagoonhead.WorkspaceID) (lagoonhead.Quota, bool) {
 	return d.quota, w != "unknown"
 }
 
--- a/admit/runner.go
+++ b/admit/runner.go
@@ -5,6 +5,7 @@
 	"expvar"
 	"math"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
@@ -60,8 +61,10 @@
 	Store       lagoonhead.Store
 	VMs         lagoonhead.VMLister
 	Directory   lagoonhead.DirectorySource
-	Gate        lagoonhead.Gate
-	Peers       Peers
+	// Gate is asked while the Runner's lock is held; it must not call the Runner,
+	// except SlotsRevision and HeardSlotsRevision.
+	Gate  lagoonhead.Gate
+	Peers Peers
 	// Decisions gets refusals with their reasons. It may be nil.
 	Decisions lagoonhead.DecisionRecorder
 	Log       *zap.Logger
@@ -80,6 +83,8 @@
 	wake     chan struct{}
 	reread   chan struct{}
 	backs    *ring.Ring[giveBack]
+	heard    atomic.Int64 // newest revision of the slot table at any peer
+	read     atomic.Int64 // revision of the slot table read last
 
 	mu        sync.Mutex
 	closed    bool
@@ -87,6 +92,7 @@
 	lastFresh time.Duration // time of the last check that passed
 	everFresh bool
 	starts    []start // slots in use
+	made      uint64  // number of the newest book
 	books     map[lagoonhead.WorkspaceID]*book
 	wanting   []*book // books that may need to borrow
 	queue     *fair.Queue[*waiter]
@@ -243,12 +249,14 @@
 		return errClosed
 	}
 	err := r.Gate.Fresh()
+	r.slots.Hear(r.heard.Load())
 	if r.everFresh && now-r.lastFresh > dropAfter && len(r.starts) > 0 {
 		r.Log.Warn("gave up limit slots after too long without a fresh view", zap.Duration("since", now-r.lastFresh))
 		r.slots.Drop()
 		r.applySlots(now)
 	}
 	if err != nil {
+		r.slots.Postpone(now)
 		return err
 	}
 	r.everFresh, r.lastFresh = true, now
--- a/admit/slots.go
+++ b/admit/slots.go
@@ -26,23 +26,24 @@
 )
 
 // SlotsRevision returns the newest revision of the slot table that this daemon
-// has read or heard of. The heartbeat carries it.
-func (r *Runner) SlotsRevision() int64 {
-	r.init()
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return r.slots.Revision()
-}
+// has read or heard of. The heartbeat carries it. It takes no lock.
+func (r *Runner) SlotsRevision() int64 { return max(r.read.Load(), r.heard.Load()) }
 
 // HeardSlotsRevision takes in the revision that a peer's heartbeat carried. It
-// must be called before what the same heartbeat says makes the daemon fresh.
+// must be called before what the same heartbeat says makes the daemon fresh. It
+// takes no lock.
 func (r *Runner) HeardSlotsRevision(revision int64) {
 	r.init()
-	r.mu.Lock()
-	r.slots.Hear(revision)
-	suspended := r.slots.Suspended()
-	r.mu.Unlock()
-	if suspended {
+	for {
+		heard := r.heard.Load()
+		if heard >= revision {
+			return
+		}
+		if r.heard.CompareAndSwap(heard, revision) {
+			break
+		}
+	}
+	if revision > r.read.Load() {
 		select {
 		case r.reread <- struct{}{}:
 		default:
@@ -136,7 +137,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	before := len(r.starts)
-	r.slots.Observe(now, t, e.Revision)
+	r.observeTable(now, t, e.Revision)
 	next, want := r.slots.Next(now)
 	r.applySlots(now)
 	if len(r.starts) != before {
@@ -145,6 +146,14 @@
 	return next, want
 }
 
+// observeTable takes in a table. The caller holds the lock.
+func (r *Runner) observeTable(now time.Duration, t limit.Table, revision int64) {
+	r.slots.Observe(now, t, revision)
+	_, revision = r.slots.Table()
+	r.read.Store(revision)
+	r.applySlots(now)
+}
+
 func (r *Runner) writeTable(ctx context.Context, t limit.Table, revision int64) error {
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
--- a/limit/loan.go
+++ b/limit/loan.go
@@ -55,6 +55,11 @@
 	return GiveBack{l.lender, l.id, l.returned}
 }
 
+// NumberLoansAfter sets the number after which loans are counted. A process that
+// makes a bucket anew must not give a number twice, since a message about the
+// former loan may still be on its way.
+func (b *Bucket) NumberLoansAfter(n uint64) { b.lastLoan = n }
+
 // Lend takes up to tokens off the bucket for a borrower and returns the number of
 // the loan and what it took, which may be zero. The caller must take the answer
 // as sent at now. The capacity is lowered by the loan until no borrower can spend
--- a/limit/sim_test.go
+++ b/limit/sim_test.go
@@ -224,6 +224,8 @@
 	}
 	if d.fresh() {
 		d.lastFresh = now
+	} else {
+		d.slots.Postpone(now)
 	}
 	d.applySlots()
 }
--- a/limit/slots.go
+++ b/limit/slots.go
@@ -18,9 +18,10 @@
 	// so long.
 	cleanWait = LoanLife + LoanMargin
 	// takenWait is the same when the former holder did not give the slot up. That
-	// one may still run. It stops when it is not fresh or hears of the new table.
-	// Word of the table travels with the heartbeats that keep it fresh, which are at
-	// most 3 s old at each of two hops; then come the loans that it made until then.
+	// one may still run. It spends only while it is fresh, by word that is at most
+	// 3 s old from a daemon that read the slot table at most 3 s before, and the
+	// revision of the table travels with that word. The loans that it made until
+	// then live for cleanWait. The sum is 7.1 s.
 	takenWait = 10 * time.Second
 	// listLag is how long a VM must be missing from the platform's list before its
 	// slots are free. It is the longest time that the list lags.
@@ -185,6 +186,16 @@
 	}
 }
 
+// Postpone starts the waits again that have not ended. It is called while the
+// daemon is not fresh, since its peers may not have heard that it took a slot.
+func (s *Slots) Postpone(now time.Duration) {
+	for i, h := range s.held {
+		if h.from > now {
+			s.held[i].from = now + slotWait(s.table.Slots[h.slot])
+		}
+	}
+}
+
 // Drop stops the use of all slots at once. A slot that the table still names for
 // this daemon is taken up again by the next Observe, empty and after the wait.
 func (s *Slots) Drop() { s.held = s.held[:0] }
