Lend to the request that has waited longest

Requests larger than a share wait at several daemons, each of which kept a part of what one of them needs. Borrow now says how long the request has waited, and a lender keeps its tokens only from a request that has waited less than its own. Borrowed tokens go into the bucket at once as far as they fit, so that they can be lent on.

--- a/admit/book.go
+++ b/admit/book.go
@@ -51,10 +51,11 @@
 	share     limit.Share
 	bucket    limit.Bucket
 
-	open     int    // reservations that were not settled
-	waiting  int64  // tokens that requests wait for
-	heldBack uint64 // round in which a request was short of tokens
-	spent    meter  // tokens charged, less what was not used
+	open     int     // reservations that were not settled
+	waiting  int64   // tokens that requests wait for
+	heldBack uint64  // round in which a request was short of tokens
+	head     *waiter // the request that was short of tokens last
+	spent    meter   // tokens charged, less what was not used
 	// demand is the tokens that requests would have used, the refused ones included.
 	demand   meter
 	usedPart float64 // recent share of a charge that is really used
@@ -101,10 +102,25 @@
 	return min(need, b.quota.Burst-max(0, have))
 }
 
-// spare returns the tokens that may be lent.
-func (b *book) spare(now time.Duration) int64 {
-	keep := b.waiting + int64(b.spent.rate(now)*prefetchBelow.Seconds())
-	return b.bucket.Own(now) - keep
+// spare returns the tokens that may be lent for a request that has waited as long
+// as given. A request that waits here keeps its tokens from one that has waited
+// less. Without this order, requests that are larger than a share would each hold a
+// part of what one of them needs, at several daemons.
+func (b *book) spare(now, waited time.Duration) int64 {
+	own := b.bucket.Own(now)
+	if waited > b.waited(now) {
+		return own
+	}
+	return own - b.waiting - int64(b.spent.rate(now)*prefetchBelow.Seconds())
+}
+
+// waited returns how long the next request has waited; 0 when none waits or when
+// it is deferrable.
+func (b *book) waited(now time.Duration) time.Duration {
+	if b.waiting == 0 || b.head == nil || b.head.request.Priority() >= lagoonhead.PriorityDeferrable {
+		return 0
+	}
+	return now - b.head.since
 }
 
 // expect returns the tokens that a request with this charge is expected to use.
--- a/admit/borrow.go
+++ b/admit/borrow.go
@@ -16,10 +16,9 @@
 	askTimeout = 200 * time.Millisecond
 	// silentTime is how long a peer that did not answer is asked after the others.
 	silentTime = 2 * time.Second
-	// askAgain is the pause after a round that did not get enough, unless the lenders
-	// said that it takes longer.
-	askAgain = 50 * time.Millisecond
-	// askAgainMost bounds that pause.
+	// askAgain and askAgainMost bound the pause after a round that did not get enough.
+	// Between them it is the time in which the workspace's rate covers the need.
+	askAgain     = 50 * time.Millisecond
 	askAgainMost = 500 * time.Millisecond
 
 	giveBackSenders = 4
@@ -49,7 +48,6 @@
 // borrow asks the lenders one after another, those that had most first, until the
 // need of the workspace is covered.
 func (r *Runner) borrow(ctx context.Context, b *book) {
-	pause := askAgain
 	for _, l := range r.order(b) {
 		r.mu.Lock()
 		need := b.need(r.Timer.Now())
@@ -57,15 +55,14 @@
 		if need <= 0 || ctx.Err() != nil {
 			break
 		}
-		if hint := r.ask(ctx, b, l, need); hint > 0 {
-			pause = max(pause, min(hint, askAgainMost))
-		}
+		r.ask(ctx, b, l, need)
 	}
 	now := r.Timer.Now()
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	b.asking = false
-	b.askNext = now + pause
+	pause := time.Duration(float64(b.need(now)) / max(1, b.quota.Rate) * float64(time.Second))
+	b.askNext = now + min(max(pause, askAgain), askAgainMost)
 	if b.waiting == 0 {
 		r.sendBack(b, b.bucket.Pour(now, 0))
 	}
@@ -92,18 +89,20 @@
 	return lenders
 }
 
-// ask borrows from one lender and returns when that one expects to have more.
-func (r *Runner) ask(ctx context.Context, b *book, l Lender, need int64) time.Duration {
+// ask borrows from one lender.
+func (r *Runner) ask(ctx context.Context, b *book, l Lender, need int64) {
 	r.counters.asks.Add(1)
 	r.mu.Lock()
 	_, revision := r.slots.Table()
-	r.mu.Unlock()
 	asked := r.Timer.Now()
+	waited := b.waited(asked)
+	r.mu.Unlock()
 	ctx, cancel := context.WithTimeout(ctx, askTimeout)
 	defer cancel()
 	resp, err := l.Commands.Borrow(ctx, &peer.BorrowRequest{
 		Vm: string(r.VM), Incarnation: string(r.Incarnation), Workspace: string(b.workspace),
 		Tokens: need, TtlMs: limit.LoanLife.Milliseconds(), SlotsRevision: revision,
+		WaitedUs: waited.Microseconds(),
 	})
 	now := r.Timer.Now()
 	r.mu.Lock()
@@ -111,7 +110,7 @@
 	if err != nil {
 		r.counters.failedAsks.Add(1)
 		r.silent[l.VM] = now + silentTime
-		return 0
+		return
 	}
 	delete(r.silent, l.VM)
 	r.learnTable(now, resp)
@@ -123,7 +122,6 @@
 		r.counters.borrowed.Add(resp.GetTokens())
 	}
 	r.pump(now)
-	return time.Duration(resp.GetWaitMs()) * time.Millisecond
 }
 
 // learnTable takes in a slot table that a peer had read. It is how a daemon that
@@ -157,15 +155,12 @@
 	if b == nil {
 		return resp, nil
 	}
-	want := min(req.GetTokens(), b.spare(now))
+	want := min(req.GetTokens(), b.spare(now, time.Duration(req.GetWaitedUs())*time.Microsecond))
 	if want > 0 {
 		resp.Loan, resp.Tokens = b.bucket.Lend(now, want)
 		r.counters.lent.Add(resp.Tokens)
 	}
 	resp.RecentRate = b.demand.rate(now)
-	if short := req.GetTokens() - resp.Tokens; short > 0 && b.share.Rate() > 0 {
-		resp.WaitMs = int64(float64(short) / b.share.Rate() * 1000)
-	}
 	return resp, nil
 }
 
--- a/admit/runner.go
+++ b/admit/runner.go
@@ -338,7 +338,7 @@
 	}
 	res, ok := r.take(now, b, w.request, w.expected)
 	if !ok {
-		b.heldBack = r.round
+		b.heldBack, b.head = r.round, w
 		return false
 	}
 	w.reservation = res
--- a/limit/loan.go
+++ b/limit/loan.go
@@ -82,7 +82,7 @@
 }
 
 // Receive adds a loan that was asked for at asked, by the clock of this daemon.
-// It returns false when the loan has run out before it arrived. One answer must
+// What fits into the bucket goes there, where it lasts. It returns false when the loan has run out before it arrived. One answer must
 // not be received twice.
 func (b *Bucket) Receive(now, asked time.Duration, vm lagoonhead.VMID, in lagoonhead.Incarnation, loan uint64, tokens int64) bool {
 	b.advance(now)
@@ -90,6 +90,10 @@
 		return false
 	}
 	l := &Loan{lender: lenderID{vm, in}, id: loan, left: micros(tokens), expires: asked + LoanLife}
+	b.pour(l)
+	if l.left == 0 {
+		return true
+	}
 	b.received = append(b.received, l)
 	for i := len(b.received) - 1; i > 0 && b.received[i-1].expires > l.expires; i-- {
 		b.received[i-1], b.received[i] = b.received[i], b.received[i-1]
@@ -109,9 +113,7 @@
 			break
 		}
 		n++
-		fits := min(l.left, max(0, b.headroom()))
-		b.level += fits
-		l.left -= fits
+		b.pour(l)
 		if rest := micros(l.left.tokens()); rest > 0 {
 			back = append(back, l.giveBack(rest))
 		}
@@ -121,10 +123,17 @@
 		return nil
 	}
 	b.received = slices.Delete(b.received, 0, n)
-	b.note()
 	return back
 }
 
+// pour moves what fits of a loan into the bucket.
+func (b *Bucket) pour(l *Loan) {
+	fits := min(l.left, max(0, b.headroom()))
+	b.level += fits
+	l.left -= fits
+	b.note()
+}
+
 // TakeBack handles a GiveBack at the lender and returns the tokens credited. A
 // loan that is not remembered credits nothing.
 func (b *Bucket) TakeBack(now time.Duration, loan uint64, returned int64) int64 {
--- a/limit/sim_test.go
+++ b/limit/sim_test.go
@@ -422,7 +422,7 @@
 			if !d.bucket.Receive(d.local(), asked, vmID(p.vm), p.slots.Incarnation, loan, lent) {
 				return
 			}
-			if d.sim.broken.loanLife {
+			if d.sim.broken.loanLife && len(d.bucket.received) > 0 {
 				d.bucket.received[len(d.bucket.received)-1].expires += time.Hour
 			}
 			d.serve()
