End loans as soon as they are spent and borrow less at once

A lender's capacity stayed lowered for 1.1 s after tokens had been spent, so that a lender whose whole bucket was lent did not refill. GiveBack now tells when nothing is left of a loan. A daemon borrows for as long as the rate needs 0.4 s to cover, and at least for its next request. Borrowed tokens go into the bucket only when they wait for 0.5 s or are lent on: in the bucket they took the room of refunds.

--- a/admit/admit.go
+++ b/admit/admit.go
@@ -164,7 +164,8 @@
 	if s.priority < lagoonhead.PriorityDeferrable {
 		b.prompt.add(now, -unused)
 	}
-	r.sendBack(b, b.bucket.Refund(now, s.hold, used))
+	b.bucket.Refund(now, s.hold, used)
+	r.sendBack(b)
 	r.pump(now)
 }
 
--- a/admit/book.go
+++ b/admit/book.go
@@ -91,15 +91,20 @@
 	return rate > b.share.Rate() && float64(b.bucket.Available(now)) < rate*prefetchBelow.Seconds()
 }
 
-// need returns the tokens to borrow now, at most the burst.
+// need returns the tokens to borrow now: for the requests that wait, as far as the
+// rate covers them in prefetchFor, but at least for the next one. Tokens on the way
+// keep their lender from refilling, so that it does not pay to borrow more at once.
 func (b *book) need(now time.Duration) int64 {
-	have := b.bucket.Available(now)
-	need := b.waiting - have
+	ahead := int64(b.quota.Rate * prefetchFor.Seconds())
+	need := min(b.waiting, ahead)
+	if b.waiting > 0 && b.head != nil {
+		need = max(need, b.head.request.Charge())
+	}
 	if b.short(now) {
-		ahead := int64(b.spent.rate(now) * prefetchFor.Seconds())
-		need = b.waiting + min(ahead, b.bucket.Own(now)+b.bucket.Room(now)) - have
+		stock := int64(b.spent.rate(now) * prefetchFor.Seconds())
+		need = max(need, min(stock, b.bucket.Own(now)+b.bucket.Room(now)))
 	}
-	return min(need, b.quota.Burst-max(0, have))
+	return min(need, b.quota.Burst) - b.bucket.Available(now)
 }
 
 // spare returns the tokens that may be lent for a request that has waited as long
@@ -107,11 +112,11 @@
 // less. Without this order, requests that are larger than a share would each hold a
 // part of what one of them needs, at several daemons.
 func (b *book) spare(now, waited time.Duration) int64 {
-	own := b.bucket.Own(now)
 	if waited > b.waited(now) {
-		return own
+		b.bucket.Pour(now, 0)
+		return b.bucket.Own(now)
 	}
-	return own - b.waiting - int64(b.spent.rate(now)*prefetchBelow.Seconds())
+	return b.bucket.Own(now) - b.waiting - int64(b.spent.rate(now)*prefetchBelow.Seconds())
 }
 
 // waited returns how long the next request has waited; 0 when none waits or when
--- a/admit/borrow.go
+++ b/admit/borrow.go
@@ -64,7 +64,8 @@
 	pause := time.Duration(float64(b.need(now)) / max(1, b.quota.Rate) * float64(time.Second))
 	b.askNext = now + min(max(pause, askAgain), askAgainMost)
 	if b.waiting == 0 {
-		r.sendBack(b, b.bucket.Pour(now, 0))
+		b.bucket.Pour(now, 0)
+		r.sendBack(b)
 	}
 }
 
@@ -121,6 +122,7 @@
 	if b.bucket.Receive(now, asked, l.VM, lagoonhead.Incarnation(resp.GetIncarnation()), resp.GetLoan(), resp.GetTokens()) {
 		r.counters.borrowed.Add(resp.GetTokens())
 	}
+	r.sendBack(b)
 	r.pump(now)
 }
 
@@ -160,6 +162,7 @@
 		resp.Loan, resp.Tokens = b.bucket.Lend(now, want)
 		r.counters.lent.Add(resp.Tokens)
 	}
+	r.sendBack(b)
 	resp.RecentRate = b.demand.rate(now)
 	return resp, nil
 }
@@ -172,7 +175,7 @@
 	defer r.mu.Unlock()
 	b := r.books[lagoonhead.WorkspaceID(req.GetWorkspace())]
 	if b != nil && req.GetIncarnation() == string(r.Incarnation) {
-		r.counters.takenBack.Add(b.bucket.TakeBack(now, req.GetLoan(), req.GetReturned()))
+		r.counters.takenBack.Add(b.bucket.TakeBack(now, req.GetLoan(), req.GetReturned(), req.GetDone()))
 		r.pump(now)
 	}
 	return &peer.GiveBackResponse{}, nil
@@ -202,7 +205,7 @@
 	defer cancel()
 	_, err := lenders[i].Commands.GiveBack(ctx, &peer.GiveBackRequest{
 		Vm: string(r.VM), Workspace: string(g.workspace), Incarnation: string(g.Incarnation()),
-		Loan: g.Loan(), Returned: g.Returned(),
+		Loan: g.Loan(), Returned: g.Returned(), Done: g.Done(),
 	})
 	if err != nil {
 		r.counters.lostBacks.Add(1)
--- a/admit/cluster_test.go
+++ b/admit/cluster_test.go
@@ -406,36 +406,38 @@
 // rate and burst admits. Inside the rate these are the wrongful refusals; over the
 // rate the two choose different requests, and usedPart compares their throughput.
 func TestFleetScenarios(t *testing.T) {
-	quota := lagoonhead.Quota{Rate: 6000, Burst: 30000}
-	const n = 6
+	const n, rate = 6, 6000.0
 	for _, s := range []struct {
 		name       string
+		burst      int64
 		share, hot float64
 		script     func(*cluster)
 	}{
-		{"even", 0.85, 0, nil},
-		{"uneven", 0.85, 0.7, nil},
-		{"oneDaemon", 0.85, 1, nil},
-		{"oneDead", 0.85, 0, func(c *cluster) { time.Sleep(10 * time.Second); c.kill(2) }},
-		{"oneCutOff", 0.85, 0, func(c *cluster) {
+		{"even", 30000, 0.85, 0, nil},
+		{"uneven", 30000, 0.85, 0.7, nil},
+		{"largeRequests", 12000, 0.8, 0, nil}, // all but the smallest are larger than a share
+		{"oneDaemon", 30000, 0.85, 1, nil},
+		{"oneDead", 30000, 0.85, 0, func(c *cluster) { time.Sleep(10 * time.Second); c.kill(2) }},
+		{"oneCutOff", 30000, 0.85, 0, func(c *cluster) {
 			time.Sleep(10 * time.Second)
 			c.mu.Lock()
 			c.nodes[2].cutSince = c.clock.Now()
 			c.mu.Unlock()
 		}},
-		{"storeDown", 0.85, 0.7, func(c *cluster) {
+		{"storeDown", 30000, 0.85, 0.7, func(c *cluster) {
 			c.mu.Lock()
 			defer c.mu.Unlock()
 			c.storeDown = true
 		}},
-		{"rollingRestart", 0.85, 0, restartAll},
-		{"fiveTimesTheRate", 5, 0.7, nil},
+		{"rollingRestart", 30000, 0.85, 0, restartAll},
+		{"fiveTimesTheRate", 30000, 5, 0.7, nil},
 	} {
 		t.Run(s.name, func(t *testing.T) {
 			var sum tally
+			quota := lagoonhead.Quota{Rate: rate, Burst: s.burst}
 			for seed := range uint64(3) {
 				synctest.Test(t, func(t *testing.T) {
-					l := load(seed, n, quota.Rate, s.share, s.hot)
+					l := load(seed, n, rate, s.share, s.hot)
 					fleet := play(l, n, quota, s.script)
 					sum.add(l, fleet, play(l, 1, quota, nil))
 					require.LessOrEqual(t, fleet.excess, quota.Rate*clockStep.Seconds())
--- a/admit/runner.go
+++ b/admit/runner.go
@@ -356,6 +356,7 @@
 	if !ok {
 		return nil, false
 	}
+	r.sendBack(b)
 	b.open++
 	b.spent.add(now, float64(charge))
 	if q.Priority() < lagoonhead.PriorityDeferrable {
@@ -370,12 +371,14 @@
 
 func (r *Runner) pourOld(now time.Duration) {
 	for _, b := range r.wanting {
-		r.sendBack(b, b.bucket.Pour(now, pourAge))
+		b.bucket.Pour(now, pourAge)
+		r.sendBack(b)
 	}
 }
 
-func (r *Runner) sendBack(b *book, backs []limit.GiveBack) {
-	for _, g := range backs {
+// sendBack passes the bucket's messages to the senders.
+func (r *Runner) sendBack(b *book) {
+	for _, g := range b.bucket.Messages() {
 		if !r.backs.Push(giveBack{b.workspace, g}) {
 			r.counters.lostBacks.Add(1)
 		}
--- a/limit/bucket.go
+++ b/limit/bucket.go
@@ -61,9 +61,10 @@
 	marks []lowMark
 
 	made     []loanMade // in order of their ends
-	live     int        // index of the first loan in made that has not ended
+	live     int        // index of the first loan in made whose time has not run out
 	lastLoan uint64
 	received []*Loan // in order of their ends
+	messages []GiveBack
 }
 
 // Share is the part of a quota that falls to a daemon's slots.
@@ -96,7 +97,10 @@
 // ends and drops received loans that have run out.
 func (b *Bucket) advance(now time.Duration) {
 	for b.live < len(b.made) && b.made[b.live].ends <= now {
-		b.endLoan()
+		m := &b.made[b.live]
+		b.refill(m.ends)
+		b.endLoan(m)
+		b.live++
 	}
 	b.refill(now)
 	if len(b.received) > 0 {
@@ -225,6 +229,7 @@
 		l.left -= used
 		if l.left == 0 {
 			b.received = slices.Delete(b.received, 0, 1)
+			b.tell(l)
 		}
 	}
 	b.level -= need
@@ -282,27 +287,26 @@
 
 // Refund ends a hold of which used tokens were really used. The rest is credited
 // to this bucket as far as it would have fitted since the dispatch. What did not
-// fit goes back to the lenders of the hold by the messages returned. A request
-// that used more than its charge leaves a debt.
-func (b *Bucket) Refund(now time.Duration, h Hold, used int64) []GiveBack {
+// fit goes back to the lenders of the hold. A request that used more than its
+// charge leaves a debt.
+func (b *Bucket) Refund(now time.Duration, h Hold, used int64) {
 	b.advance(now)
 	rest := micros(h.charged - max(0, used))
 	if rest < 0 {
 		b.level += rest
 		b.nextPoint()
-		return nil
+		return
 	}
 	rest -= b.credit(h.point, rest)
-	var back []GiveBack
 	for _, p := range h.parts {
 		part := micros(min(rest, p.amount).tokens())
 		if part <= 0 {
 			continue
 		}
 		rest -= part
-		back = append(back, p.loan.giveBack(part))
+		p.loan.returned += part.tokens()
+		b.tell(p.loan)
 	}
-	return back
 }
 
 // lenderID names the process that lent.
--- a/limit/bucket_test.go
+++ b/limit/bucket_test.go
@@ -12,10 +12,10 @@
 )
 
 type simLoan struct {
-	id         uint64
-	lent, used int64
-	until      time.Duration
-	spent      bool
+	id               uint64
+	lent, used, back int64
+	until            time.Duration
+	spent            bool
 }
 
 // playBucket draws a history of one bucket that has the whole rate and burst, with
@@ -62,15 +62,20 @@
 			if n := len(loans); n > 0 {
 				l := &loans[d("loan", 0, n-1)]
 				if !l.spent && now < l.until {
-					l.spent, l.used = true, min(l.lent, int64(d("used", 0, 100)))
+					l.spent, l.used = true, min(l.lent-l.back, int64(d("used", 0, 100)))
 					log = append(log, use{now, l.used})
 				}
 			}
 		case 5:
 			if n := len(loans); n > 0 {
 				l := &loans[d("loan", 0, n-1)]
+				if !l.spent && d("partly", 0, 1) == 1 {
+					l.back = max(l.back, int64(d("part", 0, int(l.lent))))
+					takeBack(&b, now, l.id, l.back, false, v)
+					continue
+				}
 				l.spent = true // what is given back unspent is not spent later
-				takeBack(&b, now, l.id, l.lent-l.used, v)
+				takeBack(&b, now, l.id, l.lent-l.used, d("done", 0, 1) == 1, v)
 			}
 		}
 	}
@@ -107,11 +112,12 @@
 		first, last uint64 // seeds of the histories; the first ones are known to catch it
 	}{
 		{"lentCapacity", bucket, broken{lentCapacity: true}, 0, 1_000_000},
-		{"oldHeadroom", bucket, broken{oldHeadroom: true}, 205_000, 1_000_000},
+		{"oldHeadroom", bucket, broken{oldHeadroom: true}, 361_000, 1_000_000},
 		{"anyHeadroom", bucket, broken{anyHeadroom: true}, 0, 1_000_000},
 		{"loanLife", bucket, broken{loanLife: true}, 0, 1_000_000},
-		{"repeats", bucket, broken{repeats: true}, 17_400, 1_000_000},
-		{"fleetLentCapacity", fleet, broken{lentCapacity: true}, 33, 400},
+		{"repeats", bucket, broken{repeats: true}, 19_300, 1_000_000},
+		{"done", bucket, broken{done: true}, 7_100, 1_000_000},
+		{"fleetLentCapacity", fleet, broken{lentCapacity: true}, 4_049, 4_449},
 		{"fleetLoanLife", fleet, broken{loanLife: true}, 186, 400},
 		{"fleetSlotWait", fleet, broken{slotWait: true}, 12, 400},
 		{"fleetFreshness", fleet, broken{freshness: true}, 12, 400},
--- a/limit/doc.go
+++ b/limit/doc.go
@@ -25,8 +25,10 @@
 // A loan moves tokens from a lender's bucket to a borrower. While they are on the
 // way, the lender's capacity is lowered by the loan, so that the total cannot
 // exceed the burst. The borrower may spend them, or pour them into its own bucket
-// within its capacity, until the loan ends. What a borrower gives back is counted
-// per loan as a total, so that a repeated or late message credits nothing twice.
+// within its capacity, until the loan ends. It tells the lender when nothing is
+// left of the loan, and the lender's capacity is whole again. What a borrower gives
+// back is counted per loan as a total, so that a repeated or late message credits
+// nothing twice.
 //
 // # Clocks
 //
--- a/limit/loan.go
+++ b/limit/loan.go
@@ -14,8 +14,8 @@
 	amount   micro
 	returned int64 // tokens given back so far
 	ends     time.Duration
-	// point is set when the loan has ended; from there on a credit is bounded by
-	// the headroom.
+	// point is set when the loan has ended, by time or by word of the borrower; from
+	// there on a credit is bounded by the headroom.
 	point uint64
 }
 
@@ -28,13 +28,14 @@
 	returned int64 // tokens given back so far
 }
 
-// GiveBack is the message that returns tokens of a loan to its lender. It carries
-// the total given back over the life of the loan, so that it may be lost, late or
-// repeated.
+// GiveBack is the message that returns tokens of a loan to its lender, or tells
+// that the loan has ended. It carries the total given back over the life of the
+// loan, so that it may be lost, late or repeated.
 type GiveBack struct {
 	lender   lenderID
 	loan     uint64
 	returned int64
+	done     bool
 }
 
 // Lender returns the VM that lent.
@@ -50,9 +51,28 @@
 // included.
 func (g GiveBack) Returned() int64 { return g.returned }
 
-func (l *Loan) giveBack(amount micro) GiveBack {
-	l.returned += amount.tokens()
-	return GiveBack{l.lender, l.id, l.returned}
+// Done reports whether all tokens of the loan have been spent, poured into the
+// borrower's bucket or given back. The lender need not lower its capacity for them
+// any longer.
+func (g GiveBack) Done() bool { return g.done }
+
+// tell prepares the message about the present state of a received loan.
+func (b *Bucket) tell(l *Loan) {
+	g := GiveBack{l.lender, l.id, l.returned, l.left == 0}
+	for i, former := range b.messages {
+		if former.lender == g.lender && former.loan == g.loan {
+			b.messages[i] = g
+			return
+		}
+	}
+	b.messages = append(b.messages, g)
+}
+
+// Messages returns the messages to lenders that arose since the last call.
+func (b *Bucket) Messages() []GiveBack {
+	m := b.messages
+	b.messages = nil
+	return m
 }
 
 // NumberLoansAfter sets the number after which loans are counted. A process that
@@ -82,7 +102,7 @@
 }
 
 // Receive adds a loan that was asked for at asked, by the clock of this daemon.
-// What fits into the bucket goes there, where it lasts. It returns false when the loan has run out before it arrived. One answer must
+// It returns false when the loan has run out before it arrived. One answer must
 // not be received twice.
 func (b *Bucket) Receive(now, asked time.Duration, vm lagoonhead.VMID, in lagoonhead.Incarnation, loan uint64, tokens int64) bool {
 	b.advance(now)
@@ -90,10 +110,6 @@
 		return false
 	}
 	l := &Loan{lender: lenderID{vm, in}, id: loan, left: micros(tokens), expires: asked + LoanLife}
-	b.pour(l)
-	if l.left == 0 {
-		return true
-	}
 	b.received = append(b.received, l)
 	for i := len(b.received) - 1; i > 0 && b.received[i-1].expires > l.expires; i-- {
 		b.received[i-1], b.received[i] = b.received[i], b.received[i-1]
@@ -102,48 +118,40 @@
 }
 
 // Pour moves borrowed tokens that were asked for at least age ago into the
-// bucket, where they last. What does not fit goes back to the lenders by the
-// messages returned.
-func (b *Bucket) Pour(now, age time.Duration) []GiveBack {
+// bucket, where they last and can be lent. What does not fit goes back to the
+// lenders. Tokens that will be spent soon are better left as loans: they take no
+// room that a refund may need.
+func (b *Bucket) Pour(now, age time.Duration) {
 	b.advance(now)
-	var back []GiveBack
 	n := 0
 	for _, l := range b.received {
 		if l.expires-LoanLife+age > now {
 			break
 		}
 		n++
-		b.pour(l)
-		if rest := micros(l.left.tokens()); rest > 0 {
-			back = append(back, l.giveBack(rest))
-		}
+		fits := min(l.left, max(0, b.headroom()))
+		b.level += fits
+		l.returned += (l.left - fits).tokens()
 		l.left = 0
-	}
-	if n == 0 {
-		return nil
+		b.note()
+		b.tell(l)
 	}
 	b.received = slices.Delete(b.received, 0, n)
-	return back
-}
-
-// pour moves what fits of a loan into the bucket.
-func (b *Bucket) pour(l *Loan) {
-	fits := min(l.left, max(0, b.headroom()))
-	b.level += fits
-	l.left -= fits
-	b.note()
 }
 
 // TakeBack handles a GiveBack at the lender and returns the tokens credited. A
-// loan that is not remembered credits nothing.
-func (b *Bucket) TakeBack(now time.Duration, loan uint64, returned int64) int64 {
+// loan that is not remembered credits nothing. done ends the loan early.
+func (b *Bucket) TakeBack(now time.Duration, loan uint64, returned int64, done bool) int64 {
 	b.advance(now)
-	for i := range b.made {
-		if b.made[i].id == loan {
-			return b.takeBack(&b.made[i], returned).tokens()
-		}
+	i := slices.IndexFunc(b.made, func(m loanMade) bool { return m.id == loan })
+	if i < 0 {
+		return 0
 	}
-	return 0
+	credited := b.takeBack(&b.made[i], returned)
+	if done {
+		b.endLoan(&b.made[i])
+	}
+	return credited.tokens()
 }
 
 func (b *Bucket) takeBack(m *loanMade, returned int64) micro {
@@ -164,11 +172,11 @@
 	return b.level - before
 }
 
-// endLoan restores the capacity that the first live loan had lowered.
-func (b *Bucket) endLoan() {
-	m := &b.made[b.live]
-	b.refill(m.ends)
-	b.live++
+// endLoan restores the capacity that a loan had lowered.
+func (b *Bucket) endLoan(m *loanMade) {
+	if m.point != 0 {
+		return
+	}
 	b.lent -= m.amount
 	m.point = b.nextPoint()
 }
--- a/limit/sim_test.go
+++ b/limit/sim_test.go
@@ -19,6 +19,7 @@
 	anyHeadroom  bool // refunds are not bounded by past headroom
 	loanLife     bool // borrowed tokens do not run out
 	repeats      bool // a repeated GiveBack is credited again
+	done         bool // a loan counts as ended while tokens of it are left
 	slotWait     bool // a new holder of a slot refills at once
 	freshness    bool // a daemon spends although it is not fresh or its table is old
 }
@@ -358,10 +359,12 @@
 		d.waiting = d.waiting[1:]
 	}
 	if len(d.waiting) == 0 {
-		d.giveBack(d.bucket.Pour(now, 0))
+		d.bucket.Pour(now, 0)
+		d.giveBack()
 		return
 	}
-	d.giveBack(d.bucket.Pour(now, LoanLife/2))
+	d.bucket.Pour(now, LoanLife/2)
+	d.giveBack()
 	need := d.waiting[0].charge - d.bucket.Available(now)
 	if d.asks < 3 && need > 0 {
 		d.asks++
@@ -383,31 +386,27 @@
 	s.log = append(s.log, use{s.now, used})
 	length := time.Duration(s.rng.Int64N(int64(s.length)))
 	s.at(length, d, func() {
-		d.giveBack(d.refund(h, used))
+		refund(&d.bucket, d.local(), h, used, s.broken)
+		d.giveBack()
 		d.serve()
 	})
 }
 
-func (d *simDaemon) refund(h Hold, used int64) []GiveBack {
-	return refund(&d.bucket, d.local(), h, used, d.sim.broken)
-}
-
 // refund is Refund, or a broken variant of it.
-func refund(b *Bucket, now time.Duration, h Hold, used int64, v broken) []GiveBack {
+func refund(b *Bucket, now time.Duration, h Hold, used int64, v broken) {
 	b.advance(now)
 	if v.anyHeadroom {
 		b.level = min(b.level+micros(h.charged-used), max(0, b.capacity-b.lent))
-		return nil
+		return
 	}
 	marks := slices.Clone(b.marks)
-	back := b.Refund(now, h, used)
+	b.Refund(now, h, used)
 	if v.oldHeadroom {
 		for i := range marks {
 			marks[i].least = min(marks[i].least, max(0, b.headroom()))
 		}
 		b.marks = marks
 	}
-	return back
 }
 
 func (d *simDaemon) ask(to int, need int64) {
@@ -425,6 +424,7 @@
 			if d.sim.broken.loanLife && len(d.bucket.received) > 0 {
 				d.bucket.received[len(d.bucket.received)-1].expires += time.Hour
 			}
+			d.giveBack()
 			d.serve()
 		})
 	})
@@ -448,24 +448,24 @@
 }
 
 // takeBack is TakeBack, or a broken variant of it.
-func takeBack(b *Bucket, now time.Duration, loan uint64, returned int64, v broken) {
+func takeBack(b *Bucket, now time.Duration, loan uint64, returned int64, done bool, v broken) {
 	if v.repeats {
 		for i := range b.made {
 			b.made[i].returned = 0
 		}
 	}
-	b.TakeBack(now, loan, returned)
+	b.TakeBack(now, loan, returned, done || v.done)
 }
 
-func (d *simDaemon) giveBack(backs []GiveBack) {
-	for _, g := range backs {
+func (d *simDaemon) giveBack() {
+	for _, g := range d.bucket.Messages() {
 		var to int
 		fmt.Sscanf(string(g.Lender()), "vm%d", &to)
 		d.sim.send(d, to, func(p *simDaemon) {
 			if p.slots.Incarnation != g.Incarnation() {
 				return
 			}
-			takeBack(&p.bucket, p.local(), g.Loan(), g.Returned(), p.sim.broken)
+			takeBack(&p.bucket, p.local(), g.Loan(), g.Returned(), g.Done(), p.sim.broken)
 			p.serve()
 		})
 	}
