Test the wait for the buddy's copy; visit the buckets only for a new revision

Each tick looked at all buckets for a new revision of the directory: at 6,400 workspaces 320,000 looks per second.

--- a/admit/runner.go
+++ b/admit/runner.go
@@ -93,6 +93,7 @@
 	everFresh bool
 	starts    []start // slots in use
 	made      uint64  // number of the newest book
+	revision  int64   // of the directory whose quotas all books have
 	books     map[lagoonhead.WorkspaceID]*book
 	wanting   []*book // books that may need to borrow
 	queue     *fair.Queue[*waiter]
@@ -269,13 +270,12 @@
 	_ = r.fresh(now)
 	r.applySlots(now)
 	dir := r.Directory.Directory()
-	if dir == nil {
+	if dir == nil || dir.Revision() == r.revision {
 		return
 	}
+	r.revision = dir.Revision()
 	for _, b := range r.books {
-		if b.revision != dir.Revision() {
-			r.setQuota(now, b, dir)
-		}
+		r.setQuota(now, b, dir)
 	}
 }
 
--- a/billing/billing_test.go
+++ b/billing/billing_test.go
@@ -8,7 +8,10 @@
 	"slices"
 	"strconv"
 	"strings"
+	"sync"
+	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -395,3 +398,60 @@
 	present["x"] = use
 	require.Empty(t, seal(third, present, nil, time.Unix(300, 0)).Usage)
 }
+
+// pacedBuddy is a buddy that takes its time.
+type pacedBuddy struct {
+	recorder *Recorder
+	delay    time.Duration
+	calls    atomic.Int64
+}
+
+func (p *pacedBuddy) Buddy() (Buddy, bool) {
+	return Buddy{VM: "b", Incarnation: "b1", Commands: p}, true
+}
+
+func (p *pacedBuddy) HandUsage(ctx context.Context, r *peer.HandUsageRequest) (*peer.HandUsageResponse, error) {
+	p.calls.Add(1)
+	select {
+	case <-time.After(p.delay):
+		return p.recorder.HandUsage(ctx, r)
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+}
+
+// Guards against answers that end before the buddy has the copy, that wait for a
+// silent buddy, and against a call for each request.
+func TestRecordWaitsForTheCopy(t *testing.T) {
+	for _, c := range []struct {
+		delay, wait time.Duration
+		copies      int64
+	}{
+		{5 * time.Millisecond, 10 * time.Millisecond, 100},
+		{time.Minute, copyWait, 0},
+	} {
+		synctest.Test(t, func(t *testing.T) {
+			clock := timer.NewManual(0, time.Unix(0, 0))
+			p := &pacedBuddy{recorder: &Recorder{Timer: clock}, delay: c.delay}
+			r := &Recorder{VM: "a", Incarnation: "a1", Timer: clock, Buddies: p}
+			r.init()
+			ctx, cancel := context.WithCancel(context.Background())
+			var w sync.WaitGroup
+			w.Go(func() { r.runHand(ctx) })
+			began := time.Now()
+			var requests sync.WaitGroup
+			for range 100 {
+				requests.Go(func() { r.Record(ctx, lagoonhead.WorkspaceUsage{Workspace: "w", Requests: 1}) })
+			}
+			requests.Wait()
+			require.LessOrEqual(t, time.Since(began), c.wait) // the clock of the bubble
+			require.Equal(t, c.copies, r.counters.copied.Value())
+			require.LessOrEqual(t, p.calls.Load(), int64(2))
+			if c.copies > 0 {
+				require.EqualValues(t, 100, p.recorder.copies["a1"].totals["w"].Requests)
+			}
+			cancel()
+			w.Wait()
+		})
+	}
+}
