Share slots out without passing them on; admit requests without tokens

A daemon that gave a second slot up for a VM without one took it again at once, since it may hold two. It now waits while a listed VM holds none. A request without tokens is admitted at once, an unknown workspace is not found even while its bucket is still kept, and the refusal names the demand, since it may be inside the rate.

--- a/admit/admit.go
+++ b/admit/admit.go
@@ -47,7 +47,7 @@
 var _ lagoonhead.Reservation = (*reservation)(nil)
 
 // Admit reserves the charge of q, waiting for tokens until the deadline of q, but
-// at most MaxWait. Errors: KindInvalid when the charge is larger than the burst,
+// at most MaxWait. A charge of zero is admitted at once. Errors: KindInvalid when the charge is larger than the burst,
 // KindExhausted with the time to wait when the workspace is over its rate,
 // KindNotFound when the workspace is unknown, KindUnavailable when the daemon is
 // not fresh, and KindTimeout when ctx ends first.
@@ -73,7 +73,7 @@
 		return nil, nil, err
 	}
 	b := r.book(now, q.Workspace())
-	if b == nil {
+	if b == nil || !b.known {
 		return nil, nil, faultf("admit.admit", lagoonhead.KindNotFound, "workspace %s is unknown", q.Workspace())
 	}
 	charge := q.Charge()
@@ -84,6 +84,10 @@
 	}
 	expected := b.expect(charge)
 	b.demand.add(now, expected)
+	if charge == 0 {
+		b.open++
+		return &reservation{runner: r, book: b, priority: q.Priority()}, nil, nil
+	}
 	if b.waiting == 0 && !r.slots.Suspended() {
 		if res, ok := r.take(now, b, q, expected); ok {
 			r.counters.admitted.Add(1)
--- a/admit/book.go
+++ b/admit/book.go
@@ -46,6 +46,7 @@
 type book struct {
 	workspace lagoonhead.WorkspaceID
 	quota     lagoonhead.Quota
+	known     bool  // the directory has the workspace
 	revision  int64 // of the directory that the quota is from
 	homes     []int
 	share     limit.Share
@@ -178,7 +179,7 @@
 // replay sets a new bucket's shares at the times at which its slots came into
 // use, so that it holds what it would hold had it been kept since then.
 func (r *Runner) replay(b *book, dir lagoonhead.Directory) {
-	b.quota, _ = dir.Quota(b.workspace)
+	b.quota, b.known = dir.Quota(b.workspace)
 	b.revision = dir.Revision()
 	slots := make([]int, 0, len(r.starts))
 	for _, s := range r.starts {
@@ -200,7 +201,8 @@
 // keeps its bucket, without refill, until its requests have ended.
 func (r *Runner) setQuota(now time.Duration, b *book, dir lagoonhead.Directory) {
 	b.revision = dir.Revision()
-	q, _ := dir.Quota(b.workspace)
+	q, ok := dir.Quota(b.workspace)
+	b.known = ok
 	if q == b.quota {
 		return
 	}
--- a/admit/runner.go
+++ b/admit/runner.go
@@ -243,8 +243,8 @@
 }
 
 // fresh tells whether the daemon may start work. Spending and lending also need a
-// slot table that is not suspended. A daemon that was not fresh
-// for dropAfter stops using its slots first, even if it is fresh again.
+// slot table that is not suspended. A daemon that was not fresh for dropAfter stops
+// using its slots first, even if it is fresh again.
 func (r *Runner) fresh(now time.Duration) error {
 	if r.closed {
 		return errClosed
@@ -402,8 +402,8 @@
 		after = time.Duration(min(seconds, maxRetryAfter.Seconds())) * time.Second
 	}
 	e := faultf("admit.admit", lagoonhead.KindExhausted,
-		"workspace %s is over its rate of %.0f tokens/s: %d tokens were not free within %s",
-		b.workspace, b.quota.Rate, charge, (now - w.since).Round(time.Millisecond))
+		"%d tokens were not free within %s; workspace %s has a rate of %.0f tokens/s and asked for %.0f lately",
+		charge, (now - w.since).Round(time.Millisecond), b.workspace, b.quota.Rate, rate)
 	e.after = max(after, time.Second)
 	r.explain(now, w, rate, wrongful)
 	return e
--- a/limit/slots.go
+++ b/limit/slots.go
@@ -219,10 +219,11 @@
 		return t, s.release(t, len(t.Slots)) > 0
 	}
 	mine, want := s.count(s.VM, s.Incarnation), s.want()
-	if mine < want {
+	othersFirst := mine > 0 && s.someoneHasNone()
+	if mine < want && !othersFirst {
 		return t, s.take(now, t)
 	}
-	if mine > want || mine > 1 && s.someoneHasNone(now) {
+	if mine > want || mine > 1 && othersFirst && !s.anyFree(now) {
 		return t, s.release(t, 1) > 0
 	}
 	// A slot whose release is no longer wanted comes back with a new revision, which
@@ -252,18 +253,15 @@
 	return n
 }
 
-func (s *Slots) someoneHasNone(now time.Duration) bool {
-	for i := range s.table.Slots {
-		if s.free(now, s.table.Slots[i]) {
-			return false
-		}
-	}
-	for _, v := range s.listed {
-		if !v.Leaving() && s.count(v.ID(), "") == 0 {
-			return true
-		}
-	}
-	return false
+// someoneHasNone reports whether a listed VM that stays holds no slot.
+func (s *Slots) someoneHasNone() bool {
+	return slices.ContainsFunc(s.listed, func(v lagoonhead.VM) bool {
+		return !v.Leaving() && v.ID() != s.VM && s.count(v.ID(), "") == 0
+	})
+}
+
+func (s *Slots) anyFree(now time.Duration) bool {
+	return slices.ContainsFunc(s.table.Slots, func(slot Slot) bool { return s.free(now, slot) })
 }
 
 func (s *Slots) free(now time.Duration, slot Slot) bool {
--- a/limit/slots_test.go
+++ b/limit/slots_test.go
@@ -112,3 +112,31 @@
 	require.LessOrEqual(t, taken, int64(100_000))
 	require.Greater(t, taken, int64(99_900))
 }
+
+// Guards against daemons that pass slots on without end, or a VM left without one
+// while another has several.
+func TestSlotsSettle(t *testing.T) {
+	ids := []lagoonhead.VMID{"a", "b", "c", "d"}
+	table, revision := NewTable(6), int64(1)
+	var ds []*Slots
+	writes := 0
+	for n := 1; n <= len(ids); n++ { // the VMs join one by one
+		ds = append(ds, &Slots{VM: ids[n-1], Incarnation: lagoonhead.Incarnation(ids[n-1])})
+		for range 20 {
+			for _, d := range ds {
+				d.List(0, vms(ids[:n]...))
+				d.Observe(0, table, revision)
+				if next, want := d.Next(0); want {
+					table, revision = next, revision+1
+					writes++
+				}
+			}
+		}
+	}
+	for _, d := range ds {
+		require.Positive(t, active(d, time.Hour))
+		_, want := d.Next(0)
+		require.False(t, want)
+	}
+	require.Less(t, writes, 20)
+}
