--- a/admit/book.go
+++ b/admit/book.go
@@ -57,10 +57,10 @@
 	heldBack uint64  // round in which a request was short of tokens
 	head     *waiter // the request that was short of tokens last
 	spent    meter   // tokens charged, less what was not used
+	prompt   meter   // the same without deferrable work
 	// demand is the tokens that requests would have used, the refused ones included.
 	demand   meter
 	usedPart float64 // recent share of a charge that is really used
-	prompt   meter   // the same without deferrable work
 
 	wanting bool // listed in Runner.wanting
 	asking  bool // a round of borrowing runs
@@ -126,7 +126,7 @@
 	if b.waiting == 0 || b.head == nil || b.head.request.Priority() >= lagoonhead.PriorityDeferrable {
 		return 0
 	}
-	return now - b.head.since
+	return max(time.Microsecond, now-b.head.since) // the smallest that a message carries
 }
 
 // expect returns the tokens that a request with this charge is expected to use.
@@ -191,7 +191,7 @@
 
 func (r *Runner) homes(b *book) []int {
 	t, _ := r.slots.Table()
-	if n := len(t.Slots); b.homes == nil || n <= limit.MaxHomes && len(b.homes) != n {
+	if n := len(t.Slots); len(b.homes) != min(n, limit.MaxHomes) {
 		b.homes = limit.Homes(b.workspace, n)
 	}
 	return b.homes
--- a/admit/borrow.go
+++ b/admit/borrow.go
@@ -69,14 +69,19 @@
 	}
 }
 
-// order returns the lenders by what they lent last for this workspace. A lender
-// that was not asked lately counts as well stocked; one that did not answer goes
-// last.
+// order returns the lenders that hold a home slot of the workspace, by what they
+// lent last for it. A lender that was not asked lately counts as well stocked; one
+// that did not answer goes last.
 func (r *Runner) order(b *book) []Lender {
 	lenders := slices.Clone(r.Peers.Lenders())
 	now := r.Timer.Now()
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if t, _ := r.slots.Table(); len(t.Slots) > 0 {
+		lenders = slices.DeleteFunc(lenders, func(l Lender) bool {
+			return !slices.ContainsFunc(r.homes(b), func(h int) bool { return t.Slots[h].VM == l.VM })
+		})
+	}
 	score := func(l Lender) int64 {
 		if until, ok := r.silent[l.VM]; ok && now < until {
 			return -1
