--- a/admit/book.go
+++ b/admit/book.go
@@ -46,20 +46,22 @@
 type book struct {
 	workspace lagoonhead.WorkspaceID
 	quota     lagoonhead.Quota
+	known     bool  // the directory has the workspace
 	revision  int64 // of the directory that the quota is from
 	homes     []int
 	share     limit.Share
 	bucket    limit.Bucket
 
 	refused, wronglyRefused int64
-	open                    int    // reservations that were not settled
-	waiting                 int64  // tokens that requests wait for
-	heldBack                uint64 // round in which a request was short of tokens
-	spent                   meter  // tokens charged, less what was not used
+	open                    int     // reservations that were not settled
+	waiting                 int64   // tokens that requests wait for
+	heldBack                uint64  // round in which a request was short of tokens
+	head                    *waiter // the request that was short of tokens last
+	spent                   meter   // tokens charged, less what was not used
+	prompt                  meter   // the same without deferrable work
 	// demand is the tokens that requests would have used, the refused ones included.
 	demand   meter
 	usedPart float64 // recent share of a charge that is really used
-	prompt   meter   // the same without deferrable work
 
 	wanting bool // listed in Runner.wanting
 	asking  bool // a round of borrowing runs
@@ -91,21 +93,41 @@
 	return rate > b.share.Rate() && float64(b.bucket.Available(now)) < rate*prefetchBelow.Seconds()
 }
 
-// need returns the tokens to borrow now, at most the burst.
+// need returns the tokens to borrow now: for the requests that wait, as far as the
+// rate covers them in prefetchFor, but at least for the next one. Tokens on the way
+// keep their lender from refilling, so that it does not pay to borrow more at once.
 func (b *book) need(now time.Duration) int64 {
-	have := b.bucket.Available(now)
-	need := b.waiting - have
+	ahead := int64(b.quota.Rate * prefetchFor.Seconds())
+	need := min(b.waiting, ahead)
+	if b.waiting > 0 && b.head != nil {
+		need = max(need, b.head.request.Charge())
+	}
 	if b.short(now) {
-		ahead := int64(b.spent.rate(now) * prefetchFor.Seconds())
-		need = b.waiting + min(ahead, b.bucket.Own(now)+b.bucket.Room(now)) - have
+		stock := int64(b.spent.rate(now) * prefetchFor.Seconds())
+		need = max(need, min(stock, b.bucket.Own(now)+b.bucket.Room(now)))
 	}
-	return min(need, b.quota.Burst-max(0, have))
+	return min(need, b.quota.Burst) - b.bucket.Available(now)
 }
 
-// spare returns the tokens that may be lent.
-func (b *book) spare(now time.Duration) int64 {
-	keep := b.waiting + int64(b.spent.rate(now)*prefetchBelow.Seconds())
-	return b.bucket.Own(now) - keep
+// spare returns the tokens that may be lent for a request that has waited as long
+// as given. A request that waits here keeps its tokens from one that has waited
+// less. Without this order, requests that are larger than a share would each hold a
+// part of what one of them needs, at several daemons.
+func (b *book) spare(now, waited time.Duration) int64 {
+	if waited > b.waited(now) {
+		b.bucket.Pour(now, 0)
+		return b.bucket.Own(now)
+	}
+	return b.bucket.Own(now) - b.waiting - int64(b.spent.rate(now)*prefetchBelow.Seconds())
+}
+
+// waited returns how long the next request has waited; 0 when none waits or when
+// it is deferrable.
+func (b *book) waited(now time.Duration) time.Duration {
+	if b.waiting == 0 || b.head == nil || b.head.request.Priority() >= lagoonhead.PriorityDeferrable {
+		return 0
+	}
+	return max(time.Microsecond, now-b.head.since) // the smallest that a message carries
 }
 
 // expect returns the tokens that a request with this charge is expected to use.
@@ -144,6 +166,8 @@
 			return nil
 		}
 		b = &book{workspace: w, usedPart: 1}
+		r.made++
+		b.bucket.NumberLoansAfter(r.made << 32)
 		r.books[w] = b
 		r.replay(b, dir)
 	}
@@ -156,7 +180,7 @@
 // replay sets a new bucket's shares at the times at which its slots came into
 // use, so that it holds what it would hold had it been kept since then.
 func (r *Runner) replay(b *book, dir lagoonhead.Directory) {
-	b.quota, _ = dir.Quota(b.workspace)
+	b.quota, b.known = dir.Quota(b.workspace)
 	b.revision = dir.Revision()
 	slots := make([]int, 0, len(r.starts))
 	for _, s := range r.starts {
@@ -168,7 +192,7 @@
 
 func (r *Runner) homes(b *book) []int {
 	t, _ := r.slots.Table()
-	if n := len(t.Slots); b.homes == nil || n <= limit.MaxHomes && len(b.homes) != n {
+	if n := len(t.Slots); len(b.homes) != min(n, limit.MaxHomes) {
 		b.homes = limit.Homes(b.workspace, n)
 	}
 	return b.homes
@@ -178,7 +202,8 @@
 // keeps its bucket, without refill, until its requests have ended.
 func (r *Runner) setQuota(now time.Duration, b *book, dir lagoonhead.Directory) {
 	b.revision = dir.Revision()
-	q, _ := dir.Quota(b.workspace)
+	q, ok := dir.Quota(b.workspace)
+	b.known = ok
 	if q == b.quota {
 		return
 	}
--- a/admit/runner.go
+++ b/admit/runner.go
@@ -5,6 +5,7 @@
 	"expvar"
 	"math"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
@@ -60,8 +61,10 @@
 	Store       lagoonhead.Store
 	VMs         lagoonhead.VMLister
 	Directory   lagoonhead.DirectorySource
-	Gate        lagoonhead.Gate
-	Peers       Peers
+	// Gate is asked while the Runner's lock is held; it must not call the Runner,
+	// except SlotsRevision and HeardSlotsRevision.
+	Gate  lagoonhead.Gate
+	Peers Peers
 	// Decisions gets refusals with their reasons. It may be nil.
 	Decisions lagoonhead.DecisionRecorder
 	Log       *zap.Logger
@@ -80,6 +83,8 @@
 	wake     chan struct{}
 	reread   chan struct{}
 	backs    *ring.Ring[giveBack]
+	heard    atomic.Int64 // newest revision of the slot table at any peer
+	read     atomic.Int64 // revision of the slot table read last
 
 	mu        sync.Mutex
 	closed    bool
@@ -87,6 +92,8 @@
 	lastFresh time.Duration // time of the last check that passed
 	everFresh bool
 	starts    []start // slots in use
+	made      uint64  // number of the newest book
+	revision  int64   // of the directory whose quotas all books have
 	books     map[lagoonhead.WorkspaceID]*book
 	wanting   []*book // books that may need to borrow
 	queue     *fair.Queue[*waiter]
@@ -236,19 +243,21 @@
 }
 
 // fresh tells whether the daemon may start work. Spending and lending also need a
-// slot table that is not suspended. A daemon that was not fresh
-// for dropAfter stops using its slots first, even if it is fresh again.
+// slot table that is not suspended. A daemon that was not fresh for dropAfter stops
+// using its slots first, even if it is fresh again.
 func (r *Runner) fresh(now time.Duration) error {
 	if r.closed {
 		return errClosed
 	}
 	err := r.Gate.Fresh()
+	r.slots.Hear(r.heard.Load())
 	if r.everFresh && now-r.lastFresh > dropAfter && len(r.starts) > 0 {
 		r.Log.Warn("gave up limit slots after too long without a fresh view", zap.Duration("since", now-r.lastFresh))
 		r.slots.Drop()
 		r.applySlots(now)
 	}
 	if err != nil {
+		r.slots.Postpone(now)
 		return err
 	}
 	r.everFresh, r.lastFresh = true, now
@@ -261,13 +270,12 @@
 	_ = r.fresh(now)
 	r.applySlots(now)
 	dir := r.Directory.Directory()
-	if dir == nil {
+	if dir == nil || dir.Revision() == r.revision {
 		return
 	}
+	r.revision = dir.Revision()
 	for _, b := range r.books {
-		if b.revision != dir.Revision() {
-			r.setQuota(now, b, dir)
-		}
+		r.setQuota(now, b, dir)
 	}
 }
 
@@ -330,7 +338,7 @@
 	}
 	res, ok := r.take(now, b, w.request, w.expected)
 	if !ok {
-		b.heldBack = r.round
+		b.heldBack, b.head = r.round, w
 		return false
 	}
 	w.reservation = res
@@ -348,6 +356,7 @@
 	if !ok {
 		return nil, false
 	}
+	r.sendBack(b)
 	b.open++
 	b.spent.add(now, float64(charge))
 	if q.Priority() < lagoonhead.PriorityDeferrable {
@@ -362,12 +371,14 @@
 
 func (r *Runner) pourOld(now time.Duration) {
 	for _, b := range r.wanting {
-		r.sendBack(b, b.bucket.Pour(now, pourAge))
+		b.bucket.Pour(now, pourAge)
+		r.sendBack(b)
 	}
 }
 
-func (r *Runner) sendBack(b *book, backs []limit.GiveBack) {
-	for _, g := range backs {
+// sendBack passes the bucket's messages to the senders.
+func (r *Runner) sendBack(b *book) {
+	for _, g := range b.bucket.Messages() {
 		if !r.backs.Push(giveBack{b.workspace, g}) {
 			r.counters.lostBacks.Add(1)
 		}
@@ -393,8 +404,8 @@
 		after = time.Duration(min(seconds, maxRetryAfter.Seconds())) * time.Second
 	}
 	e := faultf("admit.admit", lagoonhead.KindExhausted,
-		"workspace %s is over its rate of %.0f tokens/s: %d tokens were not free within %s",
-		b.workspace, b.quota.Rate, charge, (now - w.since).Round(time.Millisecond))
+		"%d tokens were not free within %s; workspace %s has a rate of %.0f tokens/s and asked for %.0f lately",
+		charge, (now - w.since).Round(time.Millisecond), b.workspace, b.quota.Rate, rate)
 	e.after = max(after, time.Second)
 	r.explain(now, w, rate, wrongful)
 	return e
--- a/limit/loan.go
+++ b/limit/loan.go
@@ -14,8 +14,8 @@
 	amount   micro
 	returned int64 // tokens given back so far
 	ends     time.Duration
-	// point is set when the loan has ended; from there on a credit is bounded by
-	// the headroom.
+	// point is set when the loan has ended, by time or by word of the borrower; from
+	// there on a credit is bounded by the headroom.
 	point uint64
 }
 
@@ -28,13 +28,14 @@
 	returned int64 // tokens given back so far
 }
 
-// GiveBack is the message that returns tokens of a loan to its lender. It carries
-// the total given back over the life of the loan, so that it may be lost, late or
-// repeated.
+// GiveBack is the message that returns tokens of a loan to its lender, or tells
+// that the loan has ended. It carries the total given back over the life of the
+// loan, so that it may be lost, late or repeated.
 type GiveBack struct {
 	lender   lenderID
 	loan     uint64
 	returned int64
+	done     bool
 }
 
 // Lender returns the VM that lent.
@@ -50,11 +51,35 @@
 // included.
 func (g GiveBack) Returned() int64 { return g.returned }
 
-func (l *Loan) giveBack(amount micro) GiveBack {
-	l.returned += amount.tokens()
-	return GiveBack{l.lender, l.id, l.returned}
+// Done reports whether all tokens of the loan have been spent, poured into the
+// borrower's bucket or given back. The lender need not lower its capacity for them
+// any longer.
+func (g GiveBack) Done() bool { return g.done }
+
+// tell prepares the message about the present state of a received loan.
+func (b *Bucket) tell(l *Loan) {
+	g := GiveBack{l.lender, l.id, l.returned, l.left == 0}
+	for i, former := range b.messages {
+		if former.lender == g.lender && former.loan == g.loan {
+			b.messages[i] = g
+			return
+		}
+	}
+	b.messages = append(b.messages, g)
+}
+
+// Messages returns the messages to lenders that arose since the last call.
+func (b *Bucket) Messages() []GiveBack {
+	m := b.messages
+	b.messages = nil
+	return m
 }
 
+// NumberLoansAfter sets the number after which loans are counted. A process that
+// makes a bucket anew must not give a number twice, since a message about the
+// former loan may still be on its way.
+func (b *Bucket) NumberLoansAfter(n uint64) { b.lastLoan = n }
+
 // Lend takes up to tokens off the bucket for a borrower and returns the number of
 // the loan and what it took, which may be zero. The caller must take the answer
 // as sent at now. The capacity is lowered by the loan until no borrower can spend
@@ -93,11 +118,11 @@
 }
 
 // Pour moves borrowed tokens that were asked for at least age ago into the
-// bucket, where they last. What does not fit goes back to the lenders by the
-// messages returned.
-func (b *Bucket) Pour(now, age time.Duration) []GiveBack {
+// bucket, where they last and can be lent. What does not fit goes back to the
+// lenders. Tokens that will be spent soon are better left as loans: they take no
+// room that a refund may need.
+func (b *Bucket) Pour(now, age time.Duration) {
 	b.advance(now)
-	var back []GiveBack
 	n := 0
 	for _, l := range b.received {
 		if l.expires-LoanLife+age > now {
@@ -106,30 +131,27 @@
 		n++
 		fits := min(l.left, max(0, b.headroom()))
 		b.level += fits
-		l.left -= fits
-		if rest := micros(l.left.tokens()); rest > 0 {
-			back = append(back, l.giveBack(rest))
-		}
+		l.returned += (l.left - fits).tokens()
 		l.left = 0
-	}
-	if n == 0 {
-		return nil
+		b.note()
+		b.tell(l)
 	}
 	b.received = slices.Delete(b.received, 0, n)
-	b.note()
-	return back
 }
 
 // TakeBack handles a GiveBack at the lender and returns the tokens credited. A
-// loan that is not remembered credits nothing.
-func (b *Bucket) TakeBack(now time.Duration, loan uint64, returned int64) int64 {
+// loan that is not remembered credits nothing. done ends the loan early.
+func (b *Bucket) TakeBack(now time.Duration, loan uint64, returned int64, done bool) int64 {
 	b.advance(now)
-	for i := range b.made {
-		if b.made[i].id == loan {
-			return b.takeBack(&b.made[i], returned).tokens()
-		}
+	i := slices.IndexFunc(b.made, func(m loanMade) bool { return m.id == loan })
+	if i < 0 {
+		return 0
+	}
+	credited := b.takeBack(&b.made[i], returned)
+	if done {
+		b.endLoan(&b.made[i])
 	}
-	return 0
+	return credited.tokens()
 }
 
 func (b *Bucket) takeBack(m *loanMade, returned int64) micro {
@@ -150,11 +172,11 @@
 	return b.level - before
 }
 
-// endLoan restores the capacity that the first live loan had lowered.
-func (b *Bucket) endLoan() {
-	m := &b.made[b.live]
-	b.refill(m.ends)
-	b.live++
+// endLoan restores the capacity that a loan had lowered.
+func (b *Bucket) endLoan(m *loanMade) {
+	if m.point != 0 {
+		return
+	}
 	b.lent -= m.amount
 	m.point = b.nextPoint()
 }
--- a/limit/slots.go
+++ b/limit/slots.go
@@ -18,9 +18,10 @@
 	// so long.
 	cleanWait = LoanLife + LoanMargin
 	// takenWait is the same when the former holder did not give the slot up. That
-	// one may still run. It stops when it is not fresh or hears of the new table.
-	// Word of the table travels with the heartbeats that keep it fresh, which are at
-	// most 3 s old at each of two hops; then come the loans that it made until then.
+	// one may still run. It spends only while it is fresh, by word that is at most
+	// 3 s old from a daemon that read the slot table at most 3 s before, and the
+	// revision of the table travels with that word. The loans that it made until
+	// then live for cleanWait. The sum is 7.1 s.
 	takenWait = 10 * time.Second
 	// listLag is how long a VM must be missing from the platform's list before its
 	// slots are free. It is the longest time that the list lags.
@@ -185,6 +186,16 @@
 	}
 }
 
+// Postpone starts the waits again that have not ended. It is called while the
+// daemon is not fresh, since its peers may not have heard that it took a slot.
+func (s *Slots) Postpone(now time.Duration) {
+	for i, h := range s.held {
+		if h.from > now {
+			s.held[i].from = now + slotWait(s.table.Slots[h.slot])
+		}
+	}
+}
+
 // Drop stops the use of all slots at once. A slot that the table still names for
 // this daemon is taken up again by the next Observe, empty and after the wait.
 func (s *Slots) Drop() { s.held = s.held[:0] }
@@ -208,10 +219,11 @@
 		return t, s.release(t, len(t.Slots)) > 0
 	}
 	mine, want := s.count(s.VM, s.Incarnation), s.want()
-	if mine < want {
+	othersFirst := mine > 0 && s.someoneHasNone()
+	if mine < want && !othersFirst {
 		return t, s.take(now, t)
 	}
-	if mine > want || mine > 1 && s.someoneHasNone(now) {
+	if mine > want || mine > 1 && othersFirst && !s.anyFree(now) {
 		return t, s.release(t, 1) > 0
 	}
 	// A slot whose release is no longer wanted comes back with a new revision, which
@@ -246,18 +258,15 @@
 	return n
 }
 
-func (s *Slots) someoneHasNone(now time.Duration) bool {
-	for i := range s.table.Slots {
-		if s.free(now, s.table.Slots[i]) {
-			return false
-		}
-	}
-	for _, v := range s.listed {
-		if !v.Leaving() && s.count(v.ID(), "") == 0 {
-			return true
-		}
-	}
-	return false
+// someoneHasNone reports whether a listed VM that stays holds no slot.
+func (s *Slots) someoneHasNone() bool {
+	return slices.ContainsFunc(s.listed, func(v lagoonhead.VM) bool {
+		return !v.Leaving() && v.ID() != s.VM && s.count(v.ID(), "") == 0
+	})
+}
+
+func (s *Slots) anyFree(now time.Duration) bool {
+	return slices.ContainsFunc(s.table.Slots, func(slot Slot) bool { return s.free(now, slot) })
 }
 
 func (s *Slots) free(now time.Duration, slot Slot) bool {
