--- a/caller/completion.go
+++ b/caller/completion.go
@@ -138,7 +138,8 @@
 		c.reservation = r
 		c.x.note("admitted after %s", s.Timer.Now()-c.request.Arrived())
 	}
-	return guardedPlacer{c.x}.Place(c.ctx, c.request, c.avoid)
+	avoid := append(s.Suspects.Avoid(c.request.Fingerprint()), c.avoid...)
+	return guardedPlacer{c.x}.Place(c.ctx, c.request, avoid)
 }
 
 // release ends what a panic has left open. Nothing is left otherwise.
--- a/caller/stub_test.go
+++ b/caller/stub_test.go
@@ -210,6 +210,8 @@
 	s.suspects[f] = append(s.suspects[f], e)
 }
 
+func (s *stub) Avoid(uint64) []lagoonhead.EndpointID { return nil }
+
 func (s *stub) Finished(f uint64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/daemon/operator.go
+++ b/daemon/operator.go
@@ -94,16 +94,16 @@
 	return decisionFinder{b.decisions, b.placer}
 }
 
-// Find returns the decisions that match, ordered by time.
+// Find returns the decisions that match, the newest first.
 func (f decisionFinder) Find(q explain.Query) []lagoonhead.Decision {
 	list := f.record.Find(q)
 	if q.Topic != "" && q.Topic != topicRequest {
 		return list
 	}
 	list = append(list, f.placer.Explain(lagoonhead.RequestID(q.Subject), max(q.Limit, 1))...)
-	slices.SortStableFunc(list, func(a, b lagoonhead.Decision) int { return cmp.Compare(a.At, b.At) })
+	slices.SortStableFunc(list, func(a, b lagoonhead.Decision) int { return cmp.Compare(b.At, a.At) })
 	if q.Limit > 0 && len(list) > q.Limit {
-		list = list[len(list)-q.Limit:]
+		list = list[:q.Limit]
 	}
 	return list
 }
--- a/directory.go
+++ b/directory.go
@@ -76,6 +76,10 @@
 	// endpoints. suspect is true when it has crashed one and must run apart from
 	// other suspects.
 	Check(fingerprint uint64) (suspect bool, err error)
+	// Avoid returns the endpoints that crashed while they ran the request. The next
+	// run must go elsewhere, since a second crash of the same endpoint tells nothing
+	// about the request.
+	Avoid(fingerprint uint64) []EndpointID
 	// Crashed tells that the endpoint crashed while it ran the request.
 	Crashed(fingerprint uint64, e EndpointID)
 	// Finished tells that the request ended without a crash of its endpoint.
--- a/place/place_test.go
+++ b/place/place_test.go
@@ -235,6 +235,7 @@
 
 func (w *watch) Check(h uint64) (bool, error)              { return w.suspect[h], nil }
 func (w *watch) Crashed(_ uint64, _ lagoonhead.EndpointID) { w.told++ }
+func (w *watch) Avoid(uint64) []lagoonhead.EndpointID      { return nil }
 func (w *watch) Finished(_ uint64)                         { w.told++ }
 
 // Guards against two suspects on one endpoint, where a crash accuses both.
