Send the buddy a beat instead of all totals every 10 s

At 6,400 workspaces all totals are some 380 KB, more than the 11 KB/s that a daemon may use for control. What changes is handed over as before; the beat only shows that the daemon is not silent.

--- a/billing/billing_test.go
+++ b/billing/billing_test.go
@@ -233,7 +233,7 @@
 		n.safe()
 	}
 	n.recorder.rescue(context.Background(), copyAge)
-	n.recorder.markAll()
+	n.recorder.sendBeat()
 	if n.recorder.hand(context.Background()) {
 		n.safe()
 	}
--- a/billing/recorder.go
+++ b/billing/recorder.go
@@ -23,7 +23,8 @@
 	handTimeout = 200 * time.Millisecond
 	// handPause is the pause after a call that failed.
 	handPause = 100 * time.Millisecond
-	// storeInterval is how often totals go to the store and whole to the buddy.
+	// storeInterval is how often totals go to the store and the buddy hears from this
+	// daemon at least.
 	storeInterval = 10 * time.Second
 	// storeTimeout bounds one call of the store, which answers in milliseconds.
 	storeTimeout = 2 * time.Second
@@ -32,8 +33,8 @@
 	// touchInterval is how often totals are written even if they did not change. It
 	// is far below retireAfter.
 	touchInterval = time.Hour
-	// copyAge is how old a copy must be before the buddy writes it. The owner sends
-	// all its totals every storeInterval.
+	// copyAge is how long the owner of a copy must be silent before the buddy writes
+	// it.
 	copyAge = 15 * time.Second
 	// copyMemory is how long a copy is kept after the last news from its owner.
 	copyMemory = 10 * time.Minute
@@ -75,6 +76,7 @@
 	mu      sync.Mutex
 	totals  totals
 	dirty   map[lagoonhead.WorkspaceID]bool // not yet at the buddy
+	beat    bool                            // send even if nothing is dirty
 	next    chan struct{}                   // closed when what is dirty now is at the buddy
 	buddyVM lagoonhead.VMID
 	buddyIn lagoonhead.Incarnation
@@ -186,7 +188,7 @@
 		case <-ticks.C():
 			r.save(ctx)
 			r.rescue(ctx, copyAge)
-			r.markAll()
+			r.sendBeat()
 		}
 	}
 }
@@ -206,12 +208,11 @@
 	}
 }
 
-// markAll makes the next hand-over carry all totals.
-func (r *Recorder) markAll() {
+// sendBeat makes the next hand-over take place even if the buddy lacks nothing, so
+// that it does not take this daemon for silent.
+func (r *Recorder) sendBeat() {
 	r.mu.Lock()
-	for w := range r.totals {
-		r.dirty[w] = true
-	}
+	r.beat = true
 	r.mu.Unlock()
 	r.signal()
 }
@@ -224,7 +225,7 @@
 		return true
 	}
 	req, done := r.batch(b)
-	if len(req.GetTotals()) == 0 {
+	if req == nil {
 		return true
 	}
 	ctx, cancel := context.WithTimeout(ctx, handTimeout)
@@ -242,7 +243,7 @@
 	return true
 }
 
-// batch takes what the buddy lacks. Those who wait for it and see the call fail
+// batch takes what the buddy lacks, or nil when nothing is to be sent. Those who wait for it and see the call fail
 // stop waiting after copyWait, before it is repeated.
 func (r *Recorder) batch(b Buddy) (*peer.HandUsageRequest, chan struct{}) {
 	r.mu.Lock()
@@ -253,10 +254,10 @@
 			r.dirty[w] = true
 		}
 	}
-	req := &peer.HandUsageRequest{Vm: string(r.VM), Incarnation: string(r.Incarnation)}
-	if len(r.dirty) == 0 {
-		return req, nil
+	if len(r.dirty) == 0 && !r.beat {
+		return nil, nil
 	}
+	req := &peer.HandUsageRequest{Vm: string(r.VM), Incarnation: string(r.Incarnation)}
 	for w := range r.dirty {
 		u := r.totals[w]
 		req.Totals = append(req.Totals, &peer.UsageTotal{
@@ -264,6 +265,7 @@
 		})
 	}
 	clear(r.dirty)
+	r.beat = false
 	done := r.next
 	r.next = make(chan struct{})
 	return req, done
