Bound the requests at once, and fail process tests on data races

Cause: two process tests failed because a drained daemon exited with the race detector's code: the maps of the engine poller were made in Run while heartbeats already read them. Other tests had the same race and did not notice, because they kill their daemons. limits.maxInFlight and limits.headerTimeout were checked and not used.

Change: the maps are made before the poller runs; a process test fails when a child reports a race. The front refuses requests over the bound as not run.

--- a/caller/drain.go
+++ b/caller/drain.go
@@ -64,15 +64,24 @@
 	return t.n
 }
 
-// enter counts a request. It reports false when no more are accepted.
-func (t *tracker) enter() bool {
+var (
+	errClosed = errors.New("the daemon is shutting down")
+	errFull   = errors.New("the daemon has as many requests as it takes at once")
+)
+
+// enter counts a request, or returns why it is not accepted. There are at most most
+// requests at once.
+func (t *tracker) enter(most int) error {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if t.closed {
-		return false
+	switch {
+	case t.closed:
+		return errClosed
+	case t.n >= most:
+		return errFull
 	}
 	t.n++
-	return true
+	return nil
 }
 
 func (t *tracker) leave() {
--- a/caller/exchange.go
+++ b/caller/exchange.go
@@ -46,9 +46,10 @@
 // endpoint returns a handler for one method; an empty one means any.
 func (s *Server) endpoint(method string, f func(*exchange) error) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if !s.tracker.enter() {
+		if err := s.tracker.enter(s.Limits.InFlight); err != nil {
 			w.Header().Set("Connection", "close")
-			writeError(w, fault("caller.accept", lagoonhead.KindUnavailable, errors.New("the daemon is shutting down")), runNo)
+			s.vars.notAccepted.Add(1)
+			writeError(w, fault("caller.accept", lagoonhead.KindUnavailable, err), runNo)
 			return
 		}
 		defer s.tracker.leave()
--- a/caller/server.go
+++ b/caller/server.go
@@ -25,6 +25,10 @@
 	BodyBytes int64
 	// HeaderBytes is the largest total of header names and values: 16 KiB.
 	HeaderBytes int
+	// HeaderTimeout bounds the time in which the headers must arrive: 10 s.
+	HeaderTimeout time.Duration
+	// InFlight is the largest number of requests at once: 20,000.
+	InFlight int
 	// BodyTimeout bounds the time in which a body must arrive: 30 s.
 	BodyTimeout time.Duration
 	// DefaultDeadline is the time to the first token when neither the caller nor the
@@ -47,6 +51,8 @@
 func (l *Limits) setDefaults() {
 	setDefault(&l.BodyBytes, 4<<20)
 	setDefault(&l.HeaderBytes, 16<<10)
+	setDefault(&l.HeaderTimeout, 10*time.Second)
+	setDefault(&l.InFlight, 20_000)
 	setDefault(&l.BodyTimeout, 30*time.Second)
 	setDefault(&l.DefaultDeadline, 30*time.Second)
 	setDefault(&l.LongestDeadline, 12*time.Hour)
@@ -65,8 +71,7 @@
 // Timeouts of the connections of callers. A stream may take any time, so there is
 // no write timeout and no read timeout for whole requests.
 const (
-	readHeaderTimeout = 10 * time.Second
-	idleTimeout       = 2 * time.Minute
+	idleTimeout = 2 * time.Minute
 	// headerSlack lets headers that are over Limits.HeaderBytes reach the handler,
 	// which answers them with an error object; net/http itself cannot.
 	headerSlack = 48 << 10
@@ -119,7 +124,7 @@
 	}
 	s.http = &http.Server{
 		Handler:           s.mux(),
-		ReadHeaderTimeout: readHeaderTimeout,
+		ReadHeaderTimeout: s.Limits.HeaderTimeout,
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    s.Limits.HeaderBytes + headerSlack,
 		ErrorLog:          zap.NewStdLog(s.Log.Named("http")),
--- a/caller/truth_test.go
+++ b/caller/truth_test.go
@@ -253,3 +253,18 @@
 	}
 	return lagoonhead.StreamEvent{}, g.ctx.Err()
 }
+
+// Guards against a daemon that takes requests without bound, and against a refusal
+// for that reason that is not told as "not run".
+func TestInFlightIsBounded(t *testing.T) {
+	s, st, srv, _ := newFront(t)
+	s.tracker.n = s.Limits.InFlight
+	res, body := ask(t, srv.URL, "kA", validBody)
+	require.Equal(t, http.StatusServiceUnavailable, res.StatusCode, body)
+	require.Equal(t, string(runNo), res.Header.Get(headerRun))
+	require.NotEmpty(t, res.Header.Get(headerRetryAfter))
+	require.Empty(t, st.attempts())
+	s.tracker.n = 0
+	res, body = ask(t, srv.URL, "kA", validBody)
+	require.Equal(t, http.StatusOK, res.StatusCode, body)
+}
--- a/cmd/lagoondemo/main.go
+++ b/cmd/lagoondemo/main.go
@@ -68,7 +68,7 @@
 
   curl -N %s/v1/chat/completions -H 'Authorization: Bearer %s' \
     -d '{"model":"reader","stream":true,"max_tokens":40,"messages":[{"role":"user","content":"hello"}]}'
-  go run ./cmd/lagoonctl -address %s status
+  go run ./cmd/lagoonctl status -address http://%s
 `, l.daemons[1].url(), frontDeskKey, l.daemons[1].operator)
 	<-ctx.Done()
 	return exitDone
--- a/cmd/lagoonheadd/process_test.go
+++ b/cmd/lagoonheadd/process_test.go
@@ -133,6 +133,9 @@
 		_ = p.cmd.Process.Kill()
 		_ = p.cmd.Wait()
 	}
+	if strings.Contains(p.output.String(), "DATA RACE") {
+		t.Errorf("%s has a data race", p.name)
+	}
 	if t.Failed() {
 		t.Logf("%s:\n%s", p.name, p.output)
 	}
--- a/daemon/build.go
+++ b/daemon/build.go
@@ -133,6 +133,7 @@
 	b.poller = &enginePoller{
 		querier: &engine.Querier{Timer: b.timer}, source: b.config, placer: b.placer, timer: b.timer,
 		self: b.settings.VM.ID, vms: b.vms.VMs,
+		after: make(map[lagoonhead.EndpointID]int64), fresh: make(map[lagoonhead.EndpointID]seenReport),
 		all: func() bool { return b.keeper.Tenure(dutyEngineOrders) != nil },
 	}
 	b.add("enginePolls", b.poller.Run, &b.poller.vars)
@@ -175,7 +176,10 @@
 		Engines: streamer, Suspects: b.suspects, Usage: b.usage, Decisions: b.decisions,
 		Services: services, Claims: claims, Budget: budget, Relay: carrier, Sealer: sealer,
 		Timer: b.timer, Log: b.log, Tracer: b.tracer,
-		Limits: caller.Limits{BodyBytes: s.Limits.MaxBodyBytes, DrainDelay: s.Drain.Lag},
+		Limits: caller.Limits{
+			BodyBytes: s.Limits.MaxBodyBytes, HeaderTimeout: s.Limits.HeaderTimeout,
+			InFlight: s.Limits.MaxInFlight, DrainDelay: s.Drain.Lag,
+		},
 	}
 	b.add("callers", b.caller.Run, b.caller.Vars())
 	return nil
--- a/daemon/engines.go
+++ b/daemon/engines.go
@@ -54,8 +54,6 @@
 
 // Run polls until ctx ends.
 func (p *enginePoller) Run(ctx context.Context) error {
-	p.after = make(map[lagoonhead.EndpointID]int64)
-	p.fresh = make(map[lagoonhead.EndpointID]seenReport)
 	ticks := p.timer.Subscribe(pollInterval)
 	defer ticks.Stop()
 	for {
@@ -126,10 +124,8 @@
 // report takes a report that was asked for at a time since boot.
 func (p *enginePoller) report(r lagoonhead.LoadReport, asked time.Duration) {
 	p.mu.Lock()
-	if p.fresh != nil {
-		if have := p.fresh[r.Endpoint]; have.asked <= asked {
-			p.fresh[r.Endpoint] = seenReport{report: r, asked: asked}
-		}
+	if have := p.fresh[r.Endpoint]; have.asked <= asked {
+		p.fresh[r.Endpoint] = seenReport{report: r, asked: asked}
 	}
 	p.mu.Unlock()
 	p.placer.Report(r)
