Send engine orders through httponce

Cause: the adapter to engines had its own dial, check and write beside httponce, and httponce wrote a request in several pieces after the check.

Change: httponce encodes the request before it checks the authority and writes it in one call; a write that passed on no byte is unavailable and not unknown. The commander of engines uses it.

--- a/engine/commander.go
+++ b/engine/commander.go
@@ -1,20 +1,16 @@
 package engine
 
 import (
-	"bufio"
 	"bytes"
 	"context"
 	"encoding/json"
 	"expvar"
-	"io"
-	"net"
 	"net/http"
 	"sync"
 	"time"
 
-	"github.com/cockroachdb/errors"
-
 	"github.com/lagoonhead/lagoonhead"
+	"github.com/lagoonhead/lagoonhead/httponce"
 	"github.com/lagoonhead/lagoonhead/timer"
 )
 
@@ -67,7 +63,7 @@
 }
 
 func (c *Commander) send(ctx context.Context, e lagoonhead.Endpoint, o lagoonhead.EngineOrder) error {
-	r, text, err := orderRequest(ctx, e, o)
+	r, err := orderRequest(ctx, e, o)
 	if err != nil {
 		return fail(opOrder, lagoonhead.KindInvalid, err)
 	}
@@ -77,80 +73,51 @@
 	}
 	ctx, stop := withLimit(ctx, c.Timer, limit)
 	defer stop()
-	conn, err := dialer(c.DialTimeout, limit).DialContext(ctx, "tcp", hostPort(r))
+	client := httponce.Client{Dialer: *dialer(c.DialTimeout, limit)}
+	res, err := client.Do(ctx, r, c.Authority)
 	if err != nil {
-		return fail(opOrder, lagoonhead.KindUnavailable, err)
+		return c.notSent(err)
 	}
-	defer context.AfterFunc(ctx, func() { _ = conn.Close() })()
-	defer func() { _ = conn.Close() }()
-	if err := c.write(conn, text); err != nil {
-		return err
+	defer res.Body.Close()
+	c.sent.Add(1)
+	return c.answer(res)
+}
+
+// notSent counts an order without an answer and returns its error.
+func (c *Commander) notSent(err error) error {
+	k := lagoonhead.KindOf(err)
+	switch k {
+	case lagoonhead.KindStale:
+		c.withheld.Add(1)
+	case lagoonhead.KindUnknown:
+		c.unknown.Add(1)
 	}
-	return c.answer(conn, r)
+	return fail(opOrder, k, err)
 }
 
-// orderRequest returns the request and its bytes on the wire.
-func orderRequest(ctx context.Context, e lagoonhead.Endpoint, o lagoonhead.EngineOrder) (*http.Request, []byte, error) {
+// orderRequest returns the request of an order.
+func orderRequest(ctx context.Context, e lagoonhead.Endpoint, o lagoonhead.EngineOrder) (*http.Request, error) {
 	b, err := json.Marshal(o)
 	if err != nil {
-		return nil, nil, err
+		return nil, err
 	}
 	r, err := http.NewRequestWithContext(ctx, http.MethodPost, e.Address()+pathOrders, bytes.NewReader(b))
 	if err != nil {
-		return nil, nil, err
-	}
-	if r.URL.Scheme != "http" {
-		return nil, nil, errors.Newf("scheme %q is not supported for orders", r.URL.Scheme)
+		return nil, err
 	}
 	r.Header.Set("Content-Type", contentJSON)
 	passSpan(ctx, r.Header)
-	r.Close = true
-	var text bytes.Buffer
-	if err := r.Write(&text); err != nil {
-		return nil, nil, err
-	}
-	return r, text.Bytes(), nil
-}
-
-func hostPort(r *http.Request) string {
-	if r.URL.Port() != "" {
-		return r.URL.Host
-	}
-	return net.JoinHostPort(r.URL.Hostname(), "80")
+	return r, nil
 }
 
-// write checks the authority and writes the order at once.
-func (c *Commander) write(conn net.Conn, text []byte) error {
-	if err := c.Authority(); err != nil {
-		c.withheld.Add(1)
-		return fail(opOrder, lagoonhead.KindStale, err)
-	}
-	n, err := conn.Write(text)
-	if err == nil {
-		c.sent.Add(1)
-		return nil
-	}
-	if n == 0 {
-		return fail(opOrder, lagoonhead.KindUnavailable, err)
-	}
-	c.unknown.Add(1)
-	return fail(opOrder, lagoonhead.KindUnknown, err)
-}
-
-func (c *Commander) answer(conn net.Conn, r *http.Request) error {
-	res, err := http.ReadResponse(bufio.NewReader(io.LimitReader(conn, maxAnswerBytes)), r)
-	if err != nil {
-		c.unknown.Add(1)
-		return fail(opOrder, lagoonhead.KindUnknown, err)
-	}
-	defer res.Body.Close()
+func (c *Commander) answer(res *http.Response) error {
 	if res.StatusCode/100 == 2 {
 		return nil
 	}
 	if res.StatusCode == http.StatusConflict {
 		return fail(opOrder, lagoonhead.KindStale, statusError(opOrder, res))
 	}
-	err = statusError(opOrder, res)
+	err := statusError(opOrder, res)
 	if lagoonhead.IsKind(err, lagoonhead.KindUnknown) {
 		c.unknown.Add(1)
 	}
--- a/httponce/client.go
+++ b/httponce/client.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"crypto/tls"
 	"io"
@@ -34,13 +35,21 @@
 // Do dials, calls authority, writes the request and reads the answer, all within
 // the deadline of ctx. A nil authority means that none is needed. The body of the
 // answer must be closed; that closes the connection too.
+//
+// The request is encoded before authority is called, so that a single write follows
+// the check.
 func (c *Client) Do(ctx context.Context, r *http.Request, authority func() error) (*http.Response, error) {
+	r.Close = true
+	var text bytes.Buffer
+	if err := r.Write(&text); err != nil {
+		return nil, fail("encode", lagoonhead.KindInvalid, err)
+	}
 	conn, err := c.dial(ctx, r)
 	if err != nil {
 		return nil, fail("dial", lagoonhead.KindUnavailable, err)
 	}
 	stop := context.AfterFunc(ctx, func() { _ = conn.SetDeadline(time.Unix(1, 0)) })
-	resp, err := exchange(conn, r, authority)
+	resp, err := exchange(conn, r, text.Bytes(), authority)
 	if err != nil {
 		stop()
 		conn.Close()
@@ -50,15 +59,18 @@
 	return resp, nil
 }
 
-func exchange(conn net.Conn, r *http.Request, authority func() error) (*http.Response, error) {
+func exchange(conn net.Conn, r *http.Request, text []byte, authority func() error) (*http.Response, error) {
 	if authority != nil {
 		if err := authority(); err != nil {
 			return nil, fail("authority", lagoonhead.KindStale, err)
 		}
 	}
-	r.Close = true
-	if err := r.Write(conn); err != nil {
-		return nil, fail("write", lagoonhead.KindUnknown, err)
+	if n, err := conn.Write(text); err != nil {
+		k := lagoonhead.KindUnknown
+		if n == 0 {
+			k = lagoonhead.KindUnavailable
+		}
+		return nil, fail("write", k, err)
 	}
 	resp, err := http.ReadResponse(bufio.NewReader(conn), r)
 	if err != nil {
