Ask peers for the slot table when the store answers with an old one

Cause: with a store that answers with the state before the newest write, a completion was refused after 10 s. A daemon that had heard of a newer slot table suspends its limits until it has that table; it asked its peers only when the store failed, and a store with old answers does not fail.

Change: after each look at the store the daemon asks its peers if it is still suspended.

--- a/admit/runner.go
+++ b/admit/runner.go
@@ -120,6 +120,7 @@
 	admitted, waited, refused, wronglyRefused       expvar.Int
 	borrowed, lent, givenBack, takenBack, lostBacks expvar.Int
 	asks, failedAsks, slotWrites, slotConflicts     expvar.Int
+	slotFailures                                    expvar.Int
 }
 
 func (r *Runner) init() {
@@ -158,7 +159,7 @@
 		{"borrowed", &c.borrowed}, {"lent", &c.lent},
 		{"givenBack", &c.givenBack}, {"takenBack", &c.takenBack}, {"lostGiveBacks", &c.lostBacks},
 		{"asks", &c.asks}, {"failedAsks", &c.failedAsks},
-		{"slotWrites", &c.slotWrites}, {"slotConflicts", &c.slotConflicts},
+		{"slotWrites", &c.slotWrites}, {"slotConflicts", &c.slotConflicts}, {"slotFailures", &c.slotFailures},
 	} {
 		c.vars.Set(v.name, v.value)
 	}
--- a/admit/slots.go
+++ b/admit/slots.go
@@ -69,8 +69,11 @@
 	for {
 		r.listVMs(ctx)
 		if err := r.settleSlots(ctx); err != nil {
-			r.askForTable(ctx)
+			r.counters.slotFailures.Add(1)
 		}
+		// A store that answers with an old table must not keep this daemon suspended
+		// either.
+		r.askForTable(ctx)
 		select {
 		case <-ctx.Done():
 			r.giveUp(context.WithoutCancel(ctx))
@@ -166,7 +169,8 @@
 	return err
 }
 
-// askForTable asks the peers for a newer table while the store does not answer.
+// askForTable asks the peers for the newer table that this daemon has heard of and
+// not got from the store.
 func (r *Runner) askForTable(ctx context.Context) {
 	for _, l := range r.Peers.Lenders() {
 		r.mu.Lock()
--- a/cmd/lagoonheadd/fleet_test.go
+++ b/cmd/lagoonheadd/fleet_test.go
@@ -215,3 +215,10 @@
 	t.Helper()
 	post(t, f.platform.url()+fakeplatform.PathFaults, fakeplatform.FaultRequest{Interface: name, Outage: on}, nil)
 }
+
+// oldReads makes the store answer with the state before the newest write of each key,
+// or ends that.
+func (f *fleet) oldReads(t *testing.T, on bool) {
+	t.Helper()
+	post(t, f.platform.url()+fakeplatform.PathFaults, fakeplatform.FaultRequest{Interface: "kv", OldReads: on}, nil)
+}
