--- a/caller/bench_test.go
+++ b/caller/bench_test.go
@@ -3,21 +3,26 @@
 import (
 	"io"
 	"net/http"
+	"strconv"
 	"strings"
 	"testing"
 )
 
 // BenchmarkParseCompletion measures the checks of a prompt of 100,000 tokens.
 func BenchmarkParseCompletion(b *testing.B) {
-	body := []byte(`{"model":"m","messages":[{"role":"user","content":"` + strings.Repeat("word ", 80000) + `"}]}`)
-	b.SetBytes(int64(len(body)))
-	for b.Loop() {
-		p, err := parseCompletion(body, 1024, 4096)
-		if err != nil {
-			b.Fatal(err)
-		}
-		p.forEngine()
-		PromptBlocks(p.model, p.rendered)
+	for _, words := range []int{800, 8000, 80000} {
+		b.Run(strconv.Itoa(words), func(b *testing.B) {
+			body := []byte(`{"model":"m","messages":[{"role":"user","content":"` + strings.Repeat("word ", words) + `"}]}`)
+			b.SetBytes(int64(len(body)))
+			for b.Loop() {
+				p, err := parseCompletion(body, 1024, 4096)
+				if err != nil {
+					b.Fatal(err)
+				}
+				p.forEngine()
+				PromptBlocks(p.model, p.rendered)
+			}
+		})
 	}
 }
 
--- a/prefix/index_test.go
+++ b/prefix/index_test.go
@@ -1,6 +1,7 @@
 package prefix
 
 import (
+	"fmt"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -72,17 +73,22 @@
 }
 
 func BenchmarkMemory(b *testing.B) {
-	const engines, per = 500, 512
-	for b.Loop() {
-		x := New(per, 16384)
-		for i := range engines {
-			x.Learn(i, chain(i*per, per))
-		}
-		b.ReportMetric(float64(len(x.caches[0].sets)*ways*16), "B/engine")
-		held := 0
-		for i := range engines {
-			held += x.Blocks(i)
-		}
-		b.ReportMetric(float64(engines*len(x.caches[0].sets)*ways*16)/float64(held), "B/block")
+	const per = 512
+	for _, engines := range []int{12, 500, 2500} {
+		b.Run(fmt.Sprintf("engines=%d", engines), func(b *testing.B) {
+			b.ReportAllocs()
+			for b.Loop() {
+				x := New(per, 16384)
+				for i := range engines {
+					x.Learn(i, chain(i*per, per))
+				}
+				b.ReportMetric(float64(len(x.caches[0].sets)*ways*16), "B/engine")
+				held := 0
+				for i := range engines {
+					held += x.Blocks(i)
+				}
+				b.ReportMetric(float64(engines*len(x.caches[0].sets)*ways*16)/float64(held), "B/block")
+			}
+		})
 	}
 }
