--- a/caller/bench_test.go
+++ b/caller/bench_test.go
@@ -8,7 +8,8 @@
 	"testing"
 )
 
-// BenchmarkParseCompletion measures the checks of a prompt of 100,000 tokens.
+// BenchmarkParseCompletion measures the checks of prompts of about 1,000, 10,000 and
+// 100,000 tokens.
 func BenchmarkParseCompletion(b *testing.B) {
 	for _, words := range []int{800, 8000, 80000} {
 		b.Run(strconv.Itoa(words), func(b *testing.B) {
