--- a/daemon/engines.go
+++ b/daemon/engines.go
@@ -139,12 +139,19 @@
 	return s, ok
 }
 
-// reports returns the newest reports, ordered by engine.
+// reports returns the reports that are new enough to pass on, ordered by engine, and
+// forgets the others: this daemon polls those engines no longer, or they do not
+// answer.
 func (p *enginePoller) reports() []lagoonhead.LoadReport {
+	now := p.timer.Now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	list := make([]lagoonhead.LoadReport, 0, len(p.fresh))
-	for _, s := range p.fresh {
+	for id, s := range p.fresh {
+		if now-s.asked > reportAge {
+			delete(p.fresh, id)
+			continue
+		}
 		list = append(list, s.report)
 	}
 	slices.SortFunc(list, func(a, b lagoonhead.LoadReport) int { return cmp.Compare(a.Endpoint, b.Endpoint) })
--- a/daemon/planning.go
+++ b/daemon/planning.go
@@ -33,22 +33,30 @@
 	listTimeout = 2 * time.Second
 )
 
-// demand estimates the work on a model, in engines, from the newest load reports: an
-// engine with a second of prompts in its queue is busy with prefill, one with a full
-// batch is busy with decode.
+// demandAge is the oldest load report that counts. Reports of engines that other
+// daemons poll come with heartbeats.
+const demandAge = 10 * time.Second
+
+// demand estimates the work on a model, in engines, from the newest load reports of
+// all daemons: an engine with a second of prompts in its queue is busy with prefill,
+// one with a full batch is busy with decode.
 func (b *builder) demand(d *inventory.Directory, model string) plan.Work {
+	return demandOf(b.timer.Now(), d, model, b.placer.States())
+}
+
+func demandOf(now time.Duration, d *inventory.Directory, model string, states []lagoonhead.EngineState) plan.Work {
 	var w plan.Work
-	for _, e := range d.Endpoints(lagoonhead.KindEngine, model) {
-		s, ok := b.poller.last(e.ID())
-		if !ok {
+	for _, s := range states {
+		e := s.Endpoint
+		if e.Serves() != model || s.Report.Number == 0 || now-s.ReportAt > demandAge {
 			continue
 		}
 		rate, _ := d.TokenRates(e.ID())
 		if rate <= 0 {
 			rate = defaultPrefillRate
 		}
-		w.Prefill += float64(s.report.QueuedPrefillTokens) / rate
-		w.Decode += float64(s.report.Running) / float64(max(1, e.Slots()))
+		w.Prefill += float64(s.Report.QueuedPrefillTokens) / rate
+		w.Decode += float64(s.Report.Running) / float64(max(1, e.Slots()))
 	}
 	return w
 }
