Prove that a reclaim and a role change reach no running request

Cause: the tests of drains looked at the running count only, which is zero between streams, and no test withdrew a whole failure domain.

Change: the tests wait until every daemon shows the mark and then compare what reached the engines; a reclaim of one failure domain is announced by the platform's list; the orders recorded by the engines must have cut nothing.

--- a/cmd/lagoonheadd/roles_test.go
+++ b/cmd/lagoonheadd/roles_test.go
@@ -4,24 +4,27 @@
 	"encoding/json"
 	"fmt"
 	"net/http"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
 	"github.com/lagoonhead/lagoonhead"
+	"github.com/lagoonhead/lagoonhead/fakeengine"
+	"github.com/lagoonhead/lagoonhead/fakeplatform"
 	"github.com/lagoonhead/lagoonhead/inventory"
+	"github.com/lagoonhead/lagoonhead/operator"
+	"github.com/lagoonhead/lagoonhead/ordering"
 )
 
 // role returns the role that an engine reports.
 func role(t *testing.T, p *process) lagoonhead.Role {
 	t.Helper()
-	resp, err := http.Get(p.url() + "/lagoonhead/load") //nolint:noctx // The address is a child process on loopback.
-	require.NoError(t, err)
-	defer resp.Body.Close()
 	var r lagoonhead.LoadReport
-	require.NoError(t, json.NewDecoder(resp.Body).Decode(&r))
+	fetch(t, p.url()+"/lagoonhead/load", &r)
 	return r.Role
 }
 
@@ -89,6 +92,12 @@
 	eventually(t, "e1 has changed back", func() bool { return role(t, f.engines[0]) == lagoonhead.RoleMixed })
 	require.Equal(t, lagoonhead.RolePrefill, role(t, f.engines[2]), "an engine without fencing gets one order only")
 	tr.end(t)
+	for _, e := range f.engines {
+		for _, o := range orders(t, e) {
+			require.Zero(t, o.Cut, "order %d of %s cut requests off", o.Order.Sequence, e.name)
+		}
+	}
+	require.Len(t, orders(t, f.engines[2]), 1)
 }
 
 // want commits a wanted role as an operator does.
@@ -111,19 +120,79 @@
 		require.NoError(t, next.SetLeaving("e1", true))
 		return next
 	})
-	eventually(t, "the drained engine is idle", func() bool { return running(t, f.engines[0]) == 0 })
-	for range 50 {
-		require.Zero(t, running(t, f.engines[0]))
-	}
+	f.awaitLeaving(t, "e1")
+	before := served(t, f.engines[0])
+	elsewhere := served(t, f.engines[1])
+	eventually(t, "the other engine has served more", func() bool { return served(t, f.engines[1]) > elsewhere+20 })
+	require.Equal(t, before, served(t, f.engines[0]))
 	tr.end(t)
 }
 
-func running(t *testing.T, p *process) int {
+// awaitLeaving waits until every daemon shows the engines as leaving, and a little
+// longer for requests that were placed before.
+func (f *fleet) awaitLeaving(t *testing.T, ids ...string) {
 	t.Helper()
-	resp, err := http.Get(p.url() + "/lagoonhead/load") //nolint:noctx // The address is a child process on loopback.
+	for i, d := range f.daemons {
+		eventually(t, d.name+" has the mark", func() bool {
+			s, err := f.queries(i).Status(t.Context(), &operator.StatusRequest{})
+			require.NoError(t, err)
+			n := 0
+			for _, e := range s.GetEndpoints() {
+				if e.GetState() == "leaving" && slices.Contains(ids, e.GetEndpoint()) {
+					n++
+				}
+			}
+			return n == len(ids)
+		})
+	}
+	time.Sleep(300 * time.Millisecond)
+}
+
+// orders returns the orders that have reached an engine.
+func orders(t *testing.T, p *process) []fakeengine.OrderRecord {
+	t.Helper()
+	var list []fakeengine.OrderRecord
+	fetch(t, p.url()+"/fake/orders", &list)
+	return list
+}
+
+// fetch reads JSON from a child process.
+func fetch(t *testing.T, url string, out any) {
+	t.Helper()
+	resp, err := http.Get(url) //nolint:noctx // The address is a child process on loopback.
 	require.NoError(t, err)
 	defer resp.Body.Close()
-	var r lagoonhead.LoadReport
-	require.NoError(t, json.NewDecoder(resp.Body).Decode(&r))
-	return r.Running
+	require.NoError(t, json.NewDecoder(resp.Body).Decode(out))
+}
+
+// served returns how many completions have reached an engine.
+func served(t *testing.T, p *process) int {
+	t.Helper()
+	var list []fakeengine.Record
+	fetch(t, p.url()+"/fake/records", &list)
+	return len(list)
+}
+
+// Guards against work that goes on at engines which the platform reclaims, a whole
+// failure domain at a time, and against streams that the reclaim's notice cuts.
+func TestReclaimOfAFailureDomainCutsNoRequest(t *testing.T) {
+	f := newFleet(t, 4, 3)
+	f.apply(t, f.inventory(defaultQuota)+"planner: {orderEndpoints: true}\n")
+	tr := f.traffic(t, 6)
+	var list ordering.EndpointsResponse
+	for i, e := range f.engines {
+		list.Endpoints = append(list.Endpoints, lagoonhead.PlatformEndpoint{
+			ID: lagoonhead.EndpointID(e.name), Serves: "reader", Supply: lagoonhead.SupplyReclaimable, Ready: true,
+			FailureDomain: lagoonhead.FailureDomain(domain(i)), Leaving: domain(i) == "a",
+		})
+	}
+	post(t, f.platform.url()+fakeplatform.PathSetEndpoints, list, nil)
+	f.awaitLeaving(t, "e1", "e4")
+	before := served(t, f.engines[0]) + served(t, f.engines[3])
+	elsewhere := served(t, f.engines[1]) + served(t, f.engines[2])
+	eventually(t, "the other engines have served more", func() bool {
+		return served(t, f.engines[1])+served(t, f.engines[2]) > elsewhere+20
+	})
+	require.Equal(t, before, served(t, f.engines[0])+served(t, f.engines[3]))
+	tr.end(t)
 }
--- a/fakeplatform/handler.go
+++ b/fakeplatform/handler.go
@@ -25,6 +25,9 @@
 // PathFaults is the path of the fault switches.
 const PathFaults = "/faults"
 
+// PathSetEndpoints is the path that sets what the ordering interface lists.
+const PathSetEndpoints = "/ordering/set"
+
 // PathReports is the path that lists the usage reports received.
 const PathReports = "/usage/reports"
 
@@ -67,6 +70,10 @@
 		l, err := p.Ordering.Endpoints(ctx)
 		return ordering.EndpointsResponse{Endpoints: l}, err
 	})
+	handle(mux, PathSetEndpoints, func(_ context.Context, r ordering.EndpointsResponse) (struct{}, error) {
+		p.Ordering.SetEndpoints(r.Endpoints)
+		return struct{}{}, nil
+	})
 	handle(mux, usage.PathReport, func(ctx context.Context, w lagoonhead.UsageWindow) (struct{}, error) {
 		return struct{}{}, p.Usage.Report(ctx, w)
 	})
