--- a/billing/billing_test.go
+++ b/billing/billing_test.go
@@ -382,6 +382,28 @@
 	})
 }
 
+// Guards against a report by a daemon that has lost the duty and has not been told
+// so yet.
+func TestNoReportWithoutAuthority(t *testing.T) {
+	clock := timer.NewManual(0, time.Unix(1e9, 0))
+	none := func() int { return 0 }
+	p := &platform{windows: map[string]lagoonhead.UsageWindow{}, fate: none}
+	r := &Reporter{
+		Incarnation: "a", Timer: clock, Usage: p, Window: 20 * time.Second,
+		Store: &memoryStore{entries: map[string]lagoonhead.Entry{}, fate: none},
+	}
+	r.init()
+	r.Gain(func() error { return storeFault(lagoonhead.KindStale) })
+	for range 3 {
+		require.True(t, lagoonhead.IsKind(r.step(context.Background()), lagoonhead.KindStale))
+		clock.Advance(30 * time.Second)
+	}
+	require.Empty(t, p.windows)
+	r.Gain(func() error { return nil })
+	require.NoError(t, r.step(context.Background()))
+	require.NotEmpty(t, p.windows)
+}
+
 // Guards against totals of an ended process that are counted again, or taken off
 // the bill, when they are folded into the sealed windows.
 func TestRetiredTotalsAreKept(t *testing.T) {
--- a/caller/services_test.go
+++ b/caller/services_test.go
@@ -131,6 +131,38 @@
 	}
 }
 
+// Guards against a closed route that serves callers without a key.
+func TestClosedRouteNeedsAKey(t *testing.T) {
+	_, _, all, url := newBookings(t)
+	for _, key := range []string{"", "unknown"} {
+		res, body := post(t, url+"/bookings", key, `{"crates":3}`)
+		require.Equal(t, http.StatusUnauthorized, res.StatusCode, body)
+		require.Equal(t, string(runNo), res.Header.Get(headerRun))
+	}
+	require.Zero(t, all[0].Ran()+all[1].Ran())
+}
+
+// headerRecorder keeps the headers of service calls and makes none.
+type headerRecorder struct{ seen []http.Header }
+
+func (r *headerRecorder) Call(_ context.Context, _ lagoonhead.Placer, c lagoonhead.ServiceCall) (*lagoonhead.ServiceAnswer, error) {
+	r.seen = append(r.seen, c.Header)
+	return nil, fault("recorder", lagoonhead.KindUnavailable, nil)
+}
+
+// Guards against a key that is handed on beyond this package: the clients of
+// engines and services would be the last to hold it back.
+func TestKeyIsNotHandedOn(t *testing.T) {
+	s, st, srv, _ := newFront(t)
+	r := &headerRecorder{}
+	s.Services = r
+	st.routes["bookings POST /bookings"] = lagoonhead.Route{}
+	post(t, srv.URL+"/services/bookings/bookings", "kA", `{"crates":3}`, "Accept", "text/plain")
+	require.Len(t, r.seen, 1)
+	require.Equal(t, "text/plain", r.seen[0].Get("Accept"))
+	require.NotContains(t, r.seen[0], headerAuth)
+}
+
 // Guards against a look-up that is lost while another service could answer it.
 func TestLookups(t *testing.T) {
 	for _, f := range []fakeservice.Fault{
--- a/lease/lease_test.go
+++ b/lease/lease_test.go
@@ -49,6 +49,22 @@
 	require.False(t, valid)
 }
 
+// Guards against a renewal that is counted from its answer.
+func TestRenewalCountsFromBeforeTheRequest(t *testing.T) {
+	clock := timer.NewManual(time.Hour, time.Unix(0, 0))
+	s := newSession(clock, &slowStore{Store: fakeplatform.NewKV(clock), clock: clock, delay: 4 * time.Second})
+	s.Step(context.Background())
+	clock.Advance(DefaultRenew)
+	s.Step(context.Background())
+	require.EqualValues(t, "1", s.Vars().Get("renewed").String())
+	clock.Advance(DefaultTTL - DefaultMargin - 4*time.Second - time.Millisecond)
+	_, valid := s.Lease()
+	require.True(t, valid)
+	clock.Advance(time.Millisecond)
+	_, valid = s.Lease()
+	require.False(t, valid)
+}
+
 // Guards against a duty that two daemons hold, one that goes on after its lease has
 // lapsed, and an epoch that does not grow.
 func TestDutyPassesToTheNextHolder(t *testing.T) {
