Let the role-change test notice a change that does not wait

Cause: with both waits of control.Next taken away the test still passed: its streams ended within the second between two steps.

Change: its streams run for four seconds.

Before: the mutated tree passed. After: it fails with six streams cut; the tree as it is passes.

--- a/cmd/lagoonheadd/roles_test.go
+++ b/cmd/lagoonheadd/roles_test.go
@@ -28,6 +28,13 @@
 	return r.Role
 }
 
+// Lengths of streams in tokens; the stand-in engines send 400 tokens a second. A long
+// stream outlasts the steps of a role change, which are a second apart.
+const (
+	shortStream = 200
+	longStream  = 1600
+)
+
 // traffic streams completions through all daemons until the test has seen enough,
 // and fails the test for each one that is not whole.
 type traffic struct {
@@ -38,7 +45,7 @@
 	bad   []string
 }
 
-func (f *fleet) traffic(t *testing.T, streams int) *traffic {
+func (f *fleet) traffic(t *testing.T, streams, tokens int) *traffic {
 	t.Helper()
 	tr := &traffic{stop: make(chan struct{})}
 	for i := range streams {
@@ -50,8 +57,8 @@
 				default:
 				}
 				text := fmt.Sprintf("stream %d %d", i, n)
-				e := read(t.Context(), f.daemons[i%len(f.daemons)], frontDeskKey, streamBody(text, 200), "", nil)
-				tr.check(e, expected(t, text, 200))
+				e := read(t.Context(), f.daemons[i%len(f.daemons)], frontDeskKey, streamBody(text, tokens), "", nil)
+				tr.check(e, expected(t, text, int64(tokens)))
 			}
 		})
 	}
@@ -80,7 +87,7 @@
 // and a second order to an engine without fencing (e3).
 func TestRoleChangesCutNoRequest(t *testing.T) {
 	f := newFleet(t, 3, 3)
-	tr := f.traffic(t, 9)
+	tr := f.traffic(t, 9, longStream)
 	for _, i := range []int{0, 2} {
 		f.want(t, f.engines[i].name, lagoonhead.RolePrefill)
 	}
@@ -114,7 +121,7 @@
 // drain cuts.
 func TestDrainedEngineGetsNoNewWork(t *testing.T) {
 	f := newFleet(t, 2, 3)
-	tr := f.traffic(t, 6)
+	tr := f.traffic(t, 6, shortStream)
 	f.commitRetry(t, func(inv *inventory.Inventory) *inventory.Inventory {
 		next := inv.Clone()
 		require.NoError(t, next.SetLeaving("e1", true))
@@ -178,7 +185,7 @@
 func TestReclaimOfAFailureDomainCutsNoRequest(t *testing.T) {
 	f := newFleet(t, 4, 3)
 	f.apply(t, f.inventory(defaultQuota)+"planner: {orderEndpoints: true}\n")
-	tr := f.traffic(t, 6)
+	tr := f.traffic(t, 6, shortStream)
 	var list ordering.EndpointsResponse
 	for i, e := range f.engines {
 		list.Endpoints = append(list.Endpoints, lagoonhead.PlatformEndpoint{
