--- a/cmd/lagoonheadd/operator_test.go
+++ b/cmd/lagoonheadd/operator_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net/http"
+	"strconv"
 	"sync"
 	"testing"
 
@@ -55,8 +56,8 @@
 		var e twirp.Error
 		require.ErrorAs(t, err, &e)
 		require.Equal(t, twirp.Aborted, e.Code(), "%v", err)
-		require.Contains(t, e.Msg(), fmt.Sprint(now.GetRevision()), "the conflict names the base")
-		require.Contains(t, e.Msg(), fmt.Sprint(now.GetRevision()+1), "the conflict names the newest revision")
+		require.Contains(t, e.Msg(), strconv.FormatInt(now.GetRevision(), 10), "the conflict names the base")
+		require.Contains(t, e.Msg(), strconv.FormatInt(now.GetRevision()+1, 10), "the conflict names the newest revision")
 	}
 	require.Equal(t, 1, won)
 	for i := range f.daemons {
