--- a/claim/late.go
+++ b/claim/late.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"time"
 
 	"go.uber.org/zap"
 
 	"github.com/lagoonhead/lagoonhead"
+	"github.com/lagoonhead/lagoonhead/timer"
 )
 
 // lateWrite is the last word of a holder on its claim, which the store did not
@@ -32,16 +34,8 @@
 // them stay without an outcome.
 func (k *Keeper) Run(ctx context.Context) error {
 	k.once.Do(k.setUp)
-	ticks := k.Timer.Subscribe(k.LateEvery)
-	defer ticks.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-ticks.C():
-			k.writeLate(ctx)
-		}
-	}
+	timer.Every(ctx, k.Timer, k.LateEvery, func(time.Duration) { k.writeLate(ctx) })
+	return nil
 }
 
 // writeLate tries each waiting write once.
--- a/daemon/engines.go
+++ b/daemon/engines.go
@@ -54,16 +54,8 @@
 
 // Run polls until ctx ends.
 func (p *enginePoller) Run(ctx context.Context) error {
-	ticks := p.timer.Subscribe(pollInterval)
-	defer ticks.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-ticks.C():
-			p.step(ctx)
-		}
-	}
+	timer.Every(ctx, p.timer, pollInterval, func(time.Duration) { p.step(ctx) })
+	return nil
 }
 
 func (p *enginePoller) step(ctx context.Context) {
--- a/daemon/planning.go
+++ b/daemon/planning.go
@@ -13,6 +13,7 @@
 	"github.com/lagoonhead/lagoonhead/ordering"
 	"github.com/lagoonhead/lagoonhead/plan"
 	"github.com/lagoonhead/lagoonhead/platform"
+	"github.com/lagoonhead/lagoonhead/timer"
 )
 
 const (
@@ -71,16 +72,8 @@
 // Run samples the demand and commits planned roles until ctx ends.
 func (p *rolePlanner) Run(ctx context.Context) error {
 	p.models = make(map[string]*plan.Roles)
-	ticks := p.b.timer.Subscribe(demandInterval)
-	defer ticks.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case now := <-ticks.C():
-			p.step(ctx, now)
-		}
-	}
+	timer.Every(ctx, p.b.timer, demandInterval, func(now time.Duration) { p.step(ctx, now) })
+	return nil
 }
 
 func (p *rolePlanner) step(ctx context.Context, now time.Duration) {
--- a/daemon/vms.go
+++ b/daemon/vms.go
@@ -54,17 +54,9 @@
 
 // Run reads the list until ctx ends.
 func (p *vmPoller) Run(ctx context.Context) error {
-	ticks := p.timer.Subscribe(vmListInterval)
-	defer ticks.Stop()
 	p.step(ctx)
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-ticks.C():
-			p.step(ctx)
-		}
-	}
+	timer.Every(ctx, p.timer, vmListInterval, func(time.Duration) { p.step(ctx) })
+	return nil
 }
 
 func (p *vmPoller) step(ctx context.Context) {
--- a/lease/duty.go
+++ b/lease/duty.go
@@ -117,16 +117,8 @@
 // Run looks for free duties until ctx ends.
 func (k *Keeper) Run(ctx context.Context) error {
 	k.setDefaults()
-	ticks := k.Timer.Subscribe(k.Attempt)
-	defer ticks.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-ticks.C():
-			k.Step(ctx)
-		}
-	}
+	timer.Every(ctx, k.Timer, k.Attempt, func(time.Duration) { k.Step(ctx) })
+	return nil
 }
 
 func (k *Keeper) setDefaults() {
--- a/lease/session.go
+++ b/lease/session.go
@@ -43,18 +43,10 @@
 // Run keeps a lease until ctx ends, then revokes it.
 func (s *Session) Run(ctx context.Context) error {
 	s.setDefaults()
-	ticks := s.Timer.Subscribe(s.Renew)
-	defer ticks.Stop()
 	s.Step(ctx)
-	for {
-		select {
-		case <-ctx.Done():
-			s.release()
-			return nil
-		case <-ticks.C():
-			s.Step(ctx)
-		}
-	}
+	timer.Every(ctx, s.Timer, s.Renew, func(time.Duration) { s.Step(ctx) })
+	s.release()
+	return nil
 }
 
 func (s *Session) setDefaults() {
--- a/timer/timer_test.go
+++ b/timer/timer_test.go
@@ -51,3 +51,24 @@
 	require.NoError(t, s.Sleep(context.Background(), time.Millisecond))
 	require.Greater(t, s.Now(), a)
 }
+
+// Guards against a loop that misses its end or a tick.
+func TestEvery(t *testing.T) {
+	m := NewManual(0, time.Unix(0, 0))
+	ctx, cancel := context.WithCancel(context.Background())
+	calls := make(chan time.Duration)
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		Every(ctx, m, time.Second, func(now time.Duration) { calls <- now })
+	}()
+	for want := time.Duration(0); want == 0; {
+		m.Advance(time.Second)
+		select {
+		case want = <-calls:
+		default:
+		}
+	}
+	cancel()
+	<-done
+}
