Join the spans of hops to engines to the trace of the request

Cause: the adapter to engines took its spans from the global provider, which the daemon does not set, so the hop to the engine had none (TestEachHopHasASpan).

Change: the span comes from the provider of the span in its context.

--- a/cmd/lagoonheadd/fleet_test.go
+++ b/cmd/lagoonheadd/fleet_test.go
@@ -40,6 +40,8 @@
 	network  *network
 	// listeners are the addresses of the peer and then of the operator listeners.
 	listeners []string
+	// extra is added to the settings of daemons.
+	extra string
 	// resumeKey is the file of the key that all daemons share.
 	resumeKey string
 }
@@ -94,8 +96,9 @@
 drain: {lag: 200ms, max: 1m}
 limits: {idleTimeout: %[8]s}
 usage: {window: 2s}
+%[9]s
 `, vmName(i), domain(i), f.listeners[i], f.listeners[n+i], "http://"+f.network.platform[i].address(),
-		f.network.lists[i].URL, f.resumeKey, idleLimit))
+		f.network.lists[i].URL, f.resumeKey, idleLimit, f.extra))
 	return start(t, "daemon", vmName(i), "-settings", file)
 }
 
--- a/cmd/lagoonheadd/path_test.go
+++ b/cmd/lagoonheadd/path_test.go
@@ -1,13 +1,16 @@
 package main
 
 import (
+	"encoding/json"
 	"errors"
 	"fmt"
 	"net/http"
 	"strings"
+	"syscall"
 	"testing"
 
 	"github.com/openai/openai-go/v3"
+	"github.com/openai/openai-go/v3/option"
 	"github.com/stretchr/testify/require"
 
 	"github.com/lagoonhead/lagoonhead/fakeengine"
@@ -46,6 +49,49 @@
 	}
 }
 
+// Guards against hops without a span, and against spans that do not join the trace of
+// the caller.
+func TestEachHopHasASpan(t *testing.T) {
+	f := newPlatform(t, 1, 1)
+	f.extra = `trace: {exporter: stdout, sampleRatio: "100%"}`
+	f.daemons = append(f.daemons, f.startDaemon(t, 0))
+	f.awaitReady(t)
+	const trace = "0af7651916cd43dd8448eb211c80319c"
+	c := client(f.daemons[0], frontDeskKey)
+	_, err := c.Chat.Completions.New(t.Context(), question("trace me", 5),
+		option.WithHeader("traceparent", "00-"+trace+"-b7ad6b7169203331-01"))
+	require.NoError(t, err)
+	d := f.daemons[0]
+	d.signal(t, syscall.SIGTERM)
+	require.NoError(t, d.cmd.Wait())
+	names := make(map[string]bool)
+	dec := json.NewDecoder(strings.NewReader(withoutLog(d.output.String())))
+	for dec.More() {
+		var s struct {
+			Name        string
+			SpanContext struct{ TraceID string }
+		}
+		require.NoError(t, dec.Decode(&s))
+		if s.SpanContext.TraceID == trace {
+			names[s.Name] = true
+		}
+	}
+	for _, n := range []string{"caller.request", "caller.attempt", "engine.stream"} {
+		require.True(t, names[n], "%s is not among %v", n, names)
+	}
+}
+
+// withoutLog drops the log lines from the output of a daemon.
+func withoutLog(text string) string {
+	var b strings.Builder
+	for line := range strings.Lines(text) {
+		if !strings.HasPrefix(line, `{"level"`) {
+			b.WriteString(line)
+		}
+	}
+	return b.String()
+}
+
 // Guards against a request that runs without the key of a workspace.
 func TestWrongKeyIsRefused(t *testing.T) {
 	f := newFleet(t, 1, 1)
--- a/engine/span.go
+++ b/engine/span.go
@@ -4,7 +4,6 @@
 	"context"
 	"net/http"
 
-	"go.opentelemetry.io/otel"
 	"go.opentelemetry.io/otel/attribute"
 	"go.opentelemetry.io/otel/codes"
 	"go.opentelemetry.io/otel/propagation"
@@ -15,9 +14,10 @@
 
 const tracerName = "github.com/lagoonhead/lagoonhead/engine"
 
-// startSpan starts the span of one hop to an engine.
+// startSpan starts the span of one hop to an engine, with the provider of the span in
+// ctx; without one it records nothing.
 func startSpan(ctx context.Context, op string, e lagoonhead.Endpoint) (context.Context, trace.Span) {
-	return otel.Tracer(tracerName).Start(ctx, op, trace.WithSpanKind(trace.SpanKindClient),
+	return trace.SpanFromContext(ctx).TracerProvider().Tracer(tracerName).Start(ctx, op, trace.WithSpanKind(trace.SpanKindClient),
 		trace.WithAttributes(attribute.String("lagoonhead.endpoint", string(e.ID()))))
 }
 
