Pause the holder of the usage duty before reads too

Cause: a seal that is read and then overwritten survived the model, which paused only before writes.

Change: the model pauses before any call of the store.

Before: the mutation passed.

--- a/billing/billing_test.go
+++ b/billing/billing_test.go
@@ -46,10 +46,17 @@
 	down     bool
 	fate     func() int // 0: in order, 1: answer lost, 2: write delayed, 3: write lost
 	delayed  []lagoonhead.PutRequest
-	before   func(key string) // runs before each write
+	before   func(key string) // runs before each call
+}
+
+func (s *memoryStore) begin(key string) {
+	if s.before != nil {
+		s.before(key)
+	}
 }
 
 func (s *memoryStore) Get(_ context.Context, key string) (lagoonhead.Entry, error) {
+	s.begin(key)
 	e, ok := s.entries[key]
 	if s.down {
 		return e, storeFault(lagoonhead.KindUnavailable)
@@ -61,6 +68,7 @@
 }
 
 func (s *memoryStore) List(_ context.Context, prefix string) ([]lagoonhead.Entry, error) {
+	s.begin(prefix)
 	if s.down {
 		return nil, storeFault(lagoonhead.KindUnavailable)
 	}
@@ -84,9 +92,7 @@
 }
 
 func (s *memoryStore) Put(_ context.Context, r lagoonhead.PutRequest) (int64, error) {
-	if s.before != nil {
-		s.before(r.Key)
-	}
+	s.begin(r.Key)
 	if s.down {
 		return 0, storeFault(lagoonhead.KindUnavailable)
 	}
@@ -275,13 +281,21 @@
 
 func (w *world) duty(n *node) { _ = n.reporter.step(context.Background()) }
 
-// pause stops the holder before its next write of a window. Another daemon takes
-// the duty, works, and then the former one goes on.
+// maxPause bounds the calls that a holder makes before it is paused.
+const maxPause = 4
+
+// pause stops the holder before one of its next calls of the store, reads included.
+// Another daemon takes the duty, works, and then the former one goes on.
 func (w *world) pause(next *node) {
 	n := w.holder
 	w.clock.Advance(20 * time.Second)
+	left := w.draw("calls before the pause", maxPause)
 	w.store.before = func(key string) {
-		if !strings.HasPrefix(key, SealedPrefix) {
+		if !strings.HasPrefix(key, SealedPrefix) && !strings.HasPrefix(key, TotalsPrefix) {
+			return
+		}
+		if left > 0 {
+			left--
 			return
 		}
 		w.store.before = nil
