--- a/daemon/operator.go
+++ b/daemon/operator.go
@@ -21,7 +21,7 @@
 type commitEditor struct {
 	committer *config.Committer
 	decisions lagoonhead.DecisionRecorder
-	now       func() lagoonhead.Decision
+	clock     lagoonhead.Clock
 }
 
 // Edit commits a change of the newest revision.
@@ -33,9 +33,7 @@
 		}
 		return next, nil
 	})
-	d := e.now()
-	d.Subject = what
-	d.Result = "committed"
+	d := lagoonhead.Decision{At: e.clock.Now(), Topic: "config", Subject: what, Result: "committed"}
 	if err != nil {
 		d.Result = "not committed"
 		d.Reason = err.Error()
@@ -45,10 +43,7 @@
 }
 
 func (b *builder) editor() editor {
-	return commitEditor{
-		committer: b.committer, decisions: b.decisions,
-		now: func() lagoonhead.Decision { return lagoonhead.Decision{At: b.timer.Now(), Topic: "config"} },
-	}
+	return commitEditor{committer: b.committer, decisions: b.decisions, clock: b.timer}
 }
 
 // buildOperator opens the listener for operators.
