Reserve the tokens of a request when it is sent

Cause: a request was admitted and then waited for its endpoint, up to its deadline of hours. Many such requests sent at once used more than the rate and burst of that moment allow, though each had reserved its tokens in time.

Change: a request that has waited for its endpoint longer than 10 ms gives its tokens back and reserves them anew before it is sent; freshness and key are checked once more after that.

Before: TestTokensAreReservedWhenTheRequestIsSent failed with one settled reservation in place of two. After: it passes.

--- a/caller/completion.go
+++ b/caller/completion.go
@@ -5,6 +5,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/cockroachdb/errors"
@@ -70,6 +71,8 @@
 	placement lagoonhead.Placement
 	// reservation is nil when the next attempt needs a new one.
 	reservation lagoonhead.Reservation
+	// admitted is when the reservation was made.
+	admitted time.Duration
 	// mayHaveRun is true once an attempt may have reached an engine.
 	mayHaveRun bool
 	attempts   int
@@ -131,15 +134,54 @@
 		return nil, fault("caller.suspect", lagoonhead.KindOf(err), err)
 	}
 	if c.reservation == nil {
-		r, err := s.Admitter.Admit(c.ctx, c.request)
-		if err != nil {
-			return nil, fault("caller.admit", lagoonhead.KindOf(deadlineError(c.ctx, err)), err)
+		if err := c.admit(); err != nil {
+			return nil, err
 		}
-		c.reservation = r
-		c.x.note("admitted after %s", s.Timer.Now()-c.request.Arrived())
 	}
 	avoid := append(s.Suspects.Avoid(c.request.Fingerprint()), c.avoid...)
-	return guardedPlacer{c.x}.Place(c.ctx, c.request, avoid)
+	p, err := guardedPlacer{c.x}.Place(c.ctx, c.request, avoid)
+	if err != nil {
+		return nil, err
+	}
+	if err := c.renew(); err != nil {
+		p.Done(neutral)
+		if !c.mayHaveRun {
+			c.x.run = runNo
+		}
+		return nil, err
+	}
+	return p, nil
+}
+
+// maxAdmissionAge is how long tokens may be reserved before the request is sent. A
+// request that may wait can stand in the queue for hours; many of them sent at once
+// on tokens of different times would exceed the rate and burst of that moment.
+const maxAdmissionAge = 10 * time.Millisecond
+
+// admit reserves the tokens of the request.
+func (c *completionRun) admit() error {
+	s := c.x.server
+	r, err := s.Admitter.Admit(c.ctx, c.request)
+	if err != nil {
+		return fault("caller.admit", lagoonhead.KindOf(deadlineError(c.ctx, err)), err)
+	}
+	c.reservation = r
+	c.admitted = s.Timer.Now()
+	c.x.note("admitted after %s", c.admitted-c.request.Arrived())
+	return nil
+}
+
+// renew reserves the tokens anew when the request has waited for its endpoint, and
+// checks once more what may have changed while it waited for tokens.
+func (c *completionRun) renew() error {
+	if c.x.server.Timer.Now()-c.admitted <= maxAdmissionAge {
+		return nil
+	}
+	c.settle(0)
+	if err := c.admit(); err != nil {
+		return err
+	}
+	return c.x.stillAllowed()
 }
 
 // release ends what a panic has left open. Nothing is left otherwise.
--- a/caller/stub_test.go
+++ b/caller/stub_test.go
@@ -25,6 +25,7 @@
 	endpoints []lagoonhead.Endpoint
 	routes    map[string]lagoonhead.Route
 	stale     error
+	onPlace   func() // runs while a request waits for its endpoint
 	admitErr  error
 	suspects  map[uint64][]lagoonhead.EndpointID
 	// engine runs one attempt; nil is an engine that answers "one two three".
@@ -148,6 +149,9 @@
 }
 
 func (s *stub) Place(_ context.Context, r *lagoonhead.Request, avoid []lagoonhead.EndpointID) (lagoonhead.Placement, error) {
+	if s.onPlace != nil {
+		s.onPlace()
+	}
 	for _, e := range s.endpoints {
 		if e.Serves() == r.Serves() && !slices.Contains(avoid, e.ID()) {
 			return &stubPlacement{s, e}, nil
--- a/caller/truth_test.go
+++ b/caller/truth_test.go
@@ -268,3 +268,24 @@
 	res, body = ask(t, srv.URL, "kA", validBody)
 	require.Equal(t, http.StatusOK, res.StatusCode, body)
 }
+
+// Guards against requests that wait for an endpoint and are then all sent at once on
+// tokens that were reserved at different times before: the tokens must be reserved
+// when the request is sent. A refusal at that point has run nothing.
+func TestTokensAreReservedWhenTheRequestIsSent(t *testing.T) {
+	_, st, srv, tm := newFront(t)
+	st.onPlace = func() { tm.Advance(time.Second) }
+	res, body := ask(t, srv.URL, "kA", validBody)
+	require.Equal(t, http.StatusOK, res.StatusCode, body)
+	require.Len(t, st.settled, 2)
+	require.Zero(t, st.settled[0], "the first reservation is given back whole")
+	sent := len(st.attempts())
+	st.onPlace = func() {
+		tm.Advance(time.Second)
+		st.admitErr = fault("stub.admit", lagoonhead.KindExhausted, errors.New("over the rate"))
+	}
+	res, body = ask(t, srv.URL, "kA", validBody)
+	require.Equal(t, http.StatusTooManyRequests, res.StatusCode, body)
+	require.Equal(t, string(runNo), res.Header.Get(headerRun))
+	require.Len(t, st.attempts(), sent)
+}
