Test that peer and operator listeners need their tokens

Cause: no test ran daemons with tokens set.

Change: a process test sets both tokens, is refused without them and sees that the daemons hear each other. The daemon's usage text names the right page.

--- a/cmd/lagoonheadd/main.go
+++ b/cmd/lagoonheadd/main.go
@@ -30,7 +30,7 @@
 Usage: lagoonheadd -settings FILE [-check]
 
 SIGTERM drains the daemon: it turns unready, keeps accepting until the balancer has
-noticed, finishes all requests and exits. docs/settings.md lists the settings.
+noticed, finishes all requests and exits. docs/operators.md lists the settings.
 
 Exit codes: 0 done, 1 the daemon failed, 2 wrong arguments or settings.
 
--- a/cmd/lagoonheadd/operator_test.go
+++ b/cmd/lagoonheadd/operator_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net/http"
 	"strconv"
+	"strings"
 	"sync"
 	"testing"
 
@@ -12,6 +13,7 @@
 	"github.com/twitchtv/twirp"
 
 	"github.com/lagoonhead/lagoonhead/operator"
+	"github.com/lagoonhead/lagoonhead/peer"
 )
 
 func (f *fleet) commands(i int) operator.Commands {
@@ -117,3 +119,31 @@
 	}
 	f.oldReads(t, false)
 }
+
+// Guards against peer and operator listeners that take anyone's calls, and against
+// daemons that cannot talk to each other once a token is set.
+func TestListenersNeedTheirTokens(t *testing.T) {
+	f := newPlatform(t, 1, 2)
+	peerToken := writeFile(t, "peer.token", strings.Repeat("p", 40))
+	operatorToken := writeFile(t, "operator.token", strings.Repeat("o", 40))
+	f.extra = fmt.Sprintf("peer: {tokenFile: %q}\noperator: {tokenFile: %q}", peerToken, operatorToken)
+	for i := range 2 {
+		f.daemons = append(f.daemons, f.startDaemon(t, i))
+	}
+	f.awaitReady(t)
+	var e twirp.Error
+	_, err := f.queries(0).Status(t.Context(), &operator.StatusRequest{})
+	require.ErrorAs(t, err, &e)
+	require.Equal(t, twirp.Unauthenticated, e.Code())
+	_, err = peer.NewCommandsProtobufClient("http://"+f.listeners[0], http.DefaultClient).Borrow(t.Context(), &peer.BorrowRequest{Tokens: 1, Workspace: "crates"})
+	require.ErrorAs(t, err, &e)
+	require.Equal(t, twirp.Unauthenticated, e.Code())
+	require.Equal(t, http.StatusUnauthorized, status(t, f.operatorURL(0)+"/debug/vars"))
+	require.Equal(t, http.StatusNotFound, status(t, f.daemons[0].url()+"/debug/vars"), "a caller reaches no operator route")
+
+	pool := &peer.Pool{Token: strings.Repeat("p", 40)}
+	eventually(t, "the daemons hear each other", func() bool {
+		b, err := pool.Commands(f.listeners[0]).Exchange(t.Context(), &peer.Heartbeat{Vm: "test"})
+		return err == nil && len(b.GetHeard()) == 1
+	})
+}
