Add contract cases of the peer protocol and tests of the exchange

Cause: the peer protocol had no tests of its own.

Change: the calls and their refusals are a data file; an answer counts from its request; one exchange at a time with a peer, but for urgent news.

--- /dev/null
+++ b/peer/contract_test.go
@@ -0,0 +1,181 @@
+package peer
+
+import (
+	"context"
+	"net/http/httptest"
+	"os"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/stretchr/testify/require"
+	"github.com/twitchtv/twirp"
+	"go.yaml.in/yaml/v3"
+
+	"github.com/lagoonhead/lagoonhead"
+	"github.com/lagoonhead/lagoonhead/timer"
+)
+
+// daemon is what a server needs; it notes what it was told.
+type daemon struct {
+	mu    sync.Mutex
+	notes []string
+	fail  bool
+	// during runs while a heartbeat is answered.
+	during func()
+}
+
+func (d *daemon) note(s string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.notes = append(d.notes, s)
+}
+
+func (d *daemon) Told(h *Heartbeat) {
+	d.note("told " + h.GetVm())
+	if d.during != nil {
+		d.during()
+	}
+}
+
+func (d *daemon) Local() *Heartbeat { return &Heartbeat{Vm: "vm1"} }
+
+func (d *daemon) PullConfig(*PullConfigRequest) *PullConfigResponse {
+	return &PullConfigResponse{Revision: 9}
+}
+
+func (d *daemon) RevisionState() *RevisionStateResponse { return &RevisionStateResponse{Revision: 9} }
+
+func (d *daemon) Borrow(context.Context, *BorrowRequest) (*BorrowResponse, error) {
+	if d.fail {
+		return nil, errors.New("no table yet")
+	}
+	return &BorrowResponse{Tokens: 7}, nil
+}
+
+func (d *daemon) GiveBack(_ context.Context, r *GiveBackRequest) (*GiveBackResponse, error) {
+	d.note("given back " + strconv.FormatInt(r.GetReturned(), 10))
+	return &GiveBackResponse{}, nil
+}
+
+func (d *daemon) HandUsage(_ context.Context, r *HandUsageRequest) (*HandUsageResponse, error) {
+	d.note("usage of " + r.GetVm())
+	return &HandUsageResponse{}, nil
+}
+
+func serve(t *testing.T, d *daemon, token string) string {
+	t.Helper()
+	s := &Server{Config: d, Lender: d, Usage: d, Heartbeats: d, Token: token}
+	srv := httptest.NewServer(s.Handler())
+	t.Cleanup(srv.Close)
+	return strings.TrimPrefix(srv.URL, "http://")
+}
+
+// call makes one call and returns the part of the answer that a case compares.
+func call(ctx context.Context, p *Pool, address, name string) (string, error) {
+	c, q := p.Commands(address), p.Queries(address)
+	switch name {
+	case "exchange":
+		h, err := c.Exchange(ctx, &Heartbeat{Vm: "vm2"})
+		return h.GetVm(), err
+	case "borrow":
+		b, err := c.Borrow(ctx, &BorrowRequest{Tokens: 10})
+		return strconv.FormatInt(b.GetTokens(), 10), err
+	case "giveBack":
+		_, err := c.GiveBack(ctx, &GiveBackRequest{Returned: 3})
+		return "", err
+	case "handUsage":
+		_, err := c.HandUsage(ctx, &HandUsageRequest{Vm: "vm2"})
+		return "", err
+	case "pullConfig":
+		r, err := q.PullConfig(ctx, &PullConfigRequest{})
+		return strconv.FormatInt(r.GetRevision(), 10), err
+	case "revisionState":
+		r, err := q.RevisionState(ctx, &RevisionStateRequest{})
+		return strconv.FormatInt(r.GetRevision(), 10), err
+	case "tooLarge":
+		_, err := c.Exchange(ctx, &Heartbeat{Vm: strings.Repeat("x", maxRequestBytes)})
+		return "", err
+	}
+	panic("unknown call " + name)
+}
+
+// Guards against a peer listener that takes calls without the token, or whose calls
+// do not reach the part that they are for.
+func TestContract(t *testing.T) {
+	raw, err := os.ReadFile("testdata/contract.yaml")
+	require.NoError(t, err)
+	var cases []struct {
+		Name, Call, Token, Code, Want, Answer string
+		Fail                                  bool
+	}
+	require.NoError(t, yaml.Unmarshal(raw, &cases))
+	for _, c := range cases {
+		t.Run(c.Name, func(t *testing.T) {
+			d := &daemon{fail: c.Fail}
+			got, err := call(t.Context(), &Pool{Token: c.Token}, serve(t, d, "secret"), c.Call)
+			if c.Code != "" {
+				var e twirp.Error
+				require.ErrorAs(t, err, &e)
+				require.EqualValues(t, c.Code, e.Code())
+				require.Empty(t, d.notes, "a refused call has no effect")
+				return
+			}
+			require.NoError(t, err)
+			require.Equal(t, c.Answer, got)
+			if c.Want != "" {
+				require.Equal(t, []string{c.Want}, d.notes)
+			}
+		})
+	}
+}
+
+// exchanger returns an exchanger with one peer.
+func exchanger(clock timer.Timer, address string, answered func(*Heartbeat, time.Duration)) *Exchanger {
+	return &Exchanger{
+		Pool: &Pool{}, Timer: clock, Self: "vm2", Source: &daemon{}, Answered: answered,
+		Peers: func() []lagoonhead.VM {
+			return []lagoonhead.VM{lagoonhead.NewVM("vm2", "a", "127.0.0.1:1", false), lagoonhead.NewVM("vm1", "a", address, false)}
+		},
+		Fanout: DefaultFanout,
+	}
+}
+
+// Guards against ages that count from the answer: a heartbeat may be as old as its
+// request.
+func TestAnswerCountsFromItsRequest(t *testing.T) {
+	clock := timer.NewManual(time.Hour, time.Unix(0, 0))
+	d := &daemon{during: func() { clock.Advance(time.Minute) }}
+	sent := make(chan time.Duration, 1)
+	x := exchanger(clock, serve(t, d, ""), func(_ *Heartbeat, at time.Duration) { sent <- at })
+	x.step(t.Context())
+	require.Equal(t, time.Hour, <-sent)
+}
+
+// Guards against requests that pile up at a peer that does not answer, and against
+// urgent news that waits behind such a request.
+func TestOneExchangeAtATimeButForUrgentNews(t *testing.T) {
+	clock := timer.NewManual(time.Hour, time.Unix(0, 0))
+	arrived := make(chan struct{}, 10)
+	release := make(chan struct{})
+	d := &daemon{during: func() {
+		arrived <- struct{}{}
+		<-release
+	}}
+	answered := make(chan struct{}, 10)
+	x := exchanger(clock, serve(t, d, ""), func(*Heartbeat, time.Duration) { answered <- struct{}{} })
+	for range 5 {
+		x.step(t.Context())
+	}
+	<-arrived
+	x.toAll(t.Context())
+	<-arrived
+	require.Empty(t, arrived)
+	close(release)
+	<-answered
+	<-answered
+	require.EqualValues(t, "2", x.Vars().Get("sent").String())
+}
