Measure the calls of the store by kind against its rates

Change: a process test of six daemons counts them and holds them to their share of 2,000 reads and 300 writes a second among 390 daemons.

--- a/cmd/lagoonheadd/faults_test.go
+++ b/cmd/lagoonheadd/faults_test.go
@@ -257,3 +257,47 @@
 	require.NoError(t, json.NewDecoder(resp.Body).Decode(&v))
 	return v.UsageReports.Reported > 0
 }
+
+// The store's rates and the number of daemons that share them at the size that the
+// system is designed for.
+const (
+	storeReads    = 2000
+	storeWrites   = 300
+	largestFleet  = 390
+	measuredFleet = 6
+)
+
+// Guards against daemons that ask more of the store than their share of its rates.
+func TestStoreCallsStayWithinTheShare(t *testing.T) {
+	f := newFleet(t, 2, measuredFleet)
+	eventually(t, "the duties are held and reported", func() bool { return len(f.reports(t)) > 1 })
+	before := f.storeCalls(t)
+	began := time.Now()
+	for i := 0; time.Since(began) < 12*time.Second; i++ {
+		require.True(t, ask(t.Context(), f.daemons[i%measuredFleet], frontDeskKey).done)
+		time.Sleep(50 * time.Millisecond)
+	}
+	elapsed := time.Since(began).Seconds()
+	var reads, writes float64
+	for op, n := range f.storeCalls(t) {
+		rate := float64(n-before[op]) / elapsed
+		t.Logf("%-12s %6.2f/s", op, rate)
+		switch op {
+		case "get", "list", "watch":
+			reads += rate
+		default:
+			writes += rate
+		}
+	}
+	t.Logf("%d daemons: %.1f reads/s, %.1f writes/s", measuredFleet, reads, writes)
+	require.Less(t, reads, float64(storeReads*measuredFleet)/largestFleet)
+	require.Less(t, writes, float64(storeWrites*measuredFleet)/largestFleet)
+}
+
+// storeCalls returns the number of calls of the store by operation.
+func (f *fleet) storeCalls(t *testing.T) map[string]int64 {
+	t.Helper()
+	var a fakeplatform.CallsResponse
+	post(t, f.platform.url()+fakeplatform.PathCalls, struct{}{}, &a)
+	return a.Calls
+}
--- a/fakeplatform/handler.go
+++ b/fakeplatform/handler.go
@@ -28,6 +28,14 @@
 // PathSetEndpoints is the path that sets what the ordering interface lists.
 const PathSetEndpoints = "/ordering/set"
 
+// PathCalls is the path that tells how often the key-value service was called.
+const PathCalls = "/kv/calls"
+
+// CallsResponse holds the number of calls by operation.
+type CallsResponse struct {
+	Calls map[string]int64 `json:"calls"`
+}
+
 // PathReports is the path that lists the usage reports received.
 const PathReports = "/usage/reports"
 
@@ -77,6 +85,9 @@
 	handle(mux, usage.PathReport, func(ctx context.Context, w lagoonhead.UsageWindow) (struct{}, error) {
 		return struct{}{}, p.Usage.Report(ctx, w)
 	})
+	handle(mux, PathCalls, func(context.Context, struct{}) (CallsResponse, error) {
+		return CallsResponse{Calls: p.KV.Faults.AllCalls()}, nil
+	})
 	handle(mux, PathReports, func(context.Context, struct{}) (ReportsResponse, error) {
 		return ReportsResponse{Reports: p.Usage.Reports()}, nil
 	})
