Define the commands that commit a change in one place

Cause: drain, undrain and keys withdraw had the same body twice.

Change: commitCommand. The commands behave as before; their tests are unchanged.

--- a/cmd/lagoonctl/commands.go
+++ b/cmd/lagoonctl/commands.go
@@ -35,6 +35,15 @@
 }
 
 func leavingCommand(leaving bool) func(k *call) func(context.Context) error {
+	return commitCommand(func(ctx context.Context, c *operator.Client, endpoint string, waitMs int64) (*operator.CommitResponse, error) {
+		return c.SetLeaving(ctx, &operator.SetLeavingRequest{Endpoint: endpoint, Leaving: leaving, WaitMs: waitMs})
+	})
+}
+
+// commitCommand defines a command with one argument that commits a change by send.
+func commitCommand(
+	send func(ctx context.Context, c *operator.Client, argument string, waitMs int64) (*operator.CommitResponse, error),
+) func(k *call) func(context.Context) error {
 	return func(k *call) func(context.Context) error {
 		r, w := k.remoteFlags(), k.waitFlags()
 		return func(ctx context.Context) error {
@@ -44,9 +53,7 @@
 			}
 			ctx, cancel := r.context(ctx, w.duration())
 			defer cancel()
-			out, err := client.SetLeaving(ctx, &operator.SetLeavingRequest{
-				Endpoint: k.args[0], Leaving: leaving, WaitMs: w.duration().Milliseconds(),
-			})
+			out, err := send(ctx, client, k.args[0], w.duration().Milliseconds())
 			if err != nil {
 				return err
 			}
@@ -100,24 +107,9 @@
 	name: "keys withdraw", arguments: "KEY-ID", short: "end a key",
 	long: `Ends a key. It stops working at each VM within seconds, on open connections too.
 "get" shows the identifiers and labels of the keys.`,
-	define: func(k *call) func(context.Context) error {
-		r, w := k.remoteFlags(), k.waitFlags()
-		return func(ctx context.Context) error {
-			client, err := k.prepare(r, 1)
-			if err != nil {
-				return err
-			}
-			ctx, cancel := r.context(ctx, w.duration())
-			defer cancel()
-			out, err := client.WithdrawKey(ctx, &operator.WithdrawKeyRequest{
-				KeyId: k.args[0], WaitMs: w.duration().Milliseconds(),
-			})
-			if err != nil {
-				return err
-			}
-			return k.committed(out, w, k.messagePrinter(out))
-		}
-	},
+	define: commitCommand(func(ctx context.Context, c *operator.Client, keyID string, waitMs int64) (*operator.CommitResponse, error) {
+		return c.WithdrawKey(ctx, &operator.WithdrawKeyRequest{KeyId: keyID, WaitMs: waitMs})
+	}),
 }
 
 var explainCommand = command{
