Drop the counts of VMs that are gone

Cause: the counts that peers tell were kept for ever, so the share of requests that may wait included VMs that had been replaced, and the map grew by one entry for each of them.

Change: a count is dropped when its VM has not answered for two minutes.

Before: TestCountsOfGoneVMsAreDropped failed with a share of 0.5. After: it passes.

--- a/daemon/heartbeats.go
+++ b/daemon/heartbeats.go
@@ -1,6 +1,7 @@
 package daemon
 
 import (
+	"maps"
 	"sync"
 	"time"
 
@@ -17,6 +18,10 @@
 // fleet needs.
 const maxLoadsPerHeartbeat = 16
 
+// countAge is how long the counts of a VM that answers no more are kept. In the
+// largest fleet a daemon asks each of the others about every 20 s.
+const countAge = 2 * time.Minute
+
 // heartbeats builds this daemon's heartbeat and takes those of the peers.
 type heartbeats struct {
 	config   *config.Runner
@@ -157,6 +162,7 @@
 	if b.counts == nil {
 		b.counts = make(map[lagoonhead.VMID]peerCounts)
 	}
+	maps.DeleteFunc(b.counts, func(_ lagoonhead.VMID, c peerCounts) bool { return c.asked < asked-countAge })
 	vm := lagoonhead.VMID(h.GetVm())
 	if b.counts[vm].asked <= asked {
 		b.counts[vm] = c
--- a/daemon/planning_test.go
+++ b/daemon/planning_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/lagoonhead/lagoonhead"
 	"github.com/lagoonhead/lagoonhead/inventory"
+	"github.com/lagoonhead/lagoonhead/peer"
 	"github.com/lagoonhead/lagoonhead/plan"
 	"github.com/lagoonhead/lagoonhead/timer"
 )
@@ -52,3 +53,14 @@
 	_, ok := p.last("e1")
 	require.False(t, ok)
 }
+
+// Guards against the requests of VMs that are gone, which would be counted for ever.
+func TestCountsOfGoneVMsAreDropped(t *testing.T) {
+	b := &heartbeats{classes: &classCounter{}}
+	b.count(&peer.Heartbeat{Vm: "gone", EngineRequests: 10, DeferrableRequests: 10}, time.Hour)
+	b.count(&peer.Heartbeat{Vm: "here", EngineRequests: 10}, time.Hour)
+	require.InDelta(t, 0.5, b.deferrableShare(), 1e-9)
+	b.count(&peer.Heartbeat{Vm: "here", EngineRequests: 10}, time.Hour+countAge+time.Millisecond)
+	require.Zero(t, b.deferrableShare())
+	require.Len(t, b.counts, 1)
+}
