--- a/timer/timer_test.go
+++ b/timer/timer_test.go
@@ -60,7 +60,12 @@
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
-		Every(ctx, m, time.Second, func(now time.Duration) { calls <- now })
+		Every(ctx, m, time.Second, func(now time.Duration) {
+			select {
+			case calls <- now:
+			case <-ctx.Done():
+			}
+		})
 	}()
 	for want := time.Duration(0); want == 0; {
 		m.Advance(time.Second)
