--- a/admit/cluster_test.go
+++ b/admit/cluster_test.go
@@ -239,7 +239,9 @@
 	return n.c.entry.Revision, nil
 }
 
-func (n *node) List(context.Context, string) ([]lagoonhead.Entry, error) { return nil, nil }
+func (n *node) List(context.Context, string) ([]lagoonhead.Entry, int64, error) {
+	return nil, 0, nil
+}
 func (n *node) Watch(context.Context, string, int64) ([]lagoonhead.Event, int64, error) {
 	return nil, 0, nil
 }
--- a/billing/billing_test.go
+++ b/billing/billing_test.go
@@ -67,10 +67,10 @@
 	return e, nil
 }
 
-func (s *memoryStore) List(_ context.Context, prefix string) ([]lagoonhead.Entry, error) {
+func (s *memoryStore) List(_ context.Context, prefix string) ([]lagoonhead.Entry, int64, error) {
 	s.begin(prefix)
 	if s.down {
-		return nil, storeFault(lagoonhead.KindUnavailable)
+		return nil, 0, storeFault(lagoonhead.KindUnavailable)
 	}
 	var l []lagoonhead.Entry
 	for k, e := range s.entries {
@@ -79,7 +79,7 @@
 		}
 	}
 	slices.SortFunc(l, func(a, b lagoonhead.Entry) int { return strings.Compare(a.Key, b.Key) })
-	return l, nil
+	return l, s.revision, nil
 }
 
 func (s *memoryStore) apply(r lagoonhead.PutRequest) (int64, error) {
--- a/billing/reporter.go
+++ b/billing/reporter.go
@@ -180,7 +180,7 @@
 func (r *Reporter) lastSealed(ctx context.Context) (last Sealed, old []lagoonhead.Entry, err error) {
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
-	entries, err := r.Store.List(ctx, SealedPrefix)
+	entries, _, err := r.Store.List(ctx, SealedPrefix)
 	if err != nil || len(entries) == 0 {
 		return Sealed{}, nil, err
 	}
@@ -193,7 +193,7 @@
 func (r *Reporter) seal(ctx context.Context, last Sealed) (Sealed, error) {
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
-	entries, err := r.Store.List(ctx, TotalsPrefix)
+	entries, _, err := r.Store.List(ctx, TotalsPrefix)
 	if err != nil {
 		return Sealed{}, err
 	}
--- a/cmd/lagoonheadd/fleet_test.go
+++ b/cmd/lagoonheadd/fleet_test.go
@@ -17,7 +17,7 @@
 	"github.com/lagoonhead/lagoonhead/config"
 	"github.com/lagoonhead/lagoonhead/fakeplatform"
 	"github.com/lagoonhead/lagoonhead/inventory"
-	"github.com/lagoonhead/lagoonhead/platform"
+	"github.com/lagoonhead/lagoonhead/jsoncall"
 	"github.com/lagoonhead/lagoonhead/store"
 )
 
@@ -165,7 +165,7 @@
 
 func (f *fleet) tryCommit(t *testing.T, edit func(*inventory.Inventory) *inventory.Inventory) error {
 	t.Helper()
-	kv := &store.Client{Platform: platform.Client{BaseURL: f.platform.url()}}
+	kv := &store.Client{Platform: jsoncall.Client{BaseURL: f.platform.url()}}
 	var before *inventory.Manifest
 	now := &inventory.Inventory{}
 	e, err := kv.Get(t.Context(), config.ManifestKey)
--- a/cmd/lagoonheadd/main.go
+++ b/cmd/lagoonheadd/main.go
@@ -28,6 +28,10 @@
 const usageText = `lagoonheadd runs the daemon of one entry VM.
 
 Usage: lagoonheadd -settings FILE [-check]
+       lagoonheadd -platform [-check]
+
+With -platform the daemon runs on the platform that package platform speaks with, and
+reads the settings file that the platform names in the environment.
 
 SIGTERM drains the daemon: it turns unready, keeps accepting until the balancer has
 noticed, finishes all requests and exits. docs/operators.md lists the settings.
@@ -49,6 +53,7 @@
 		f.PrintDefaults()
 	}
 	file := f.String("settings", "", "settings file (YAML)")
+	onPlatform := f.Bool("platform", false, "run on the platform with the settings file that it names")
 	check := f.Bool("check", false, "check the settings and exit")
 	switch err := f.Parse(args); {
 	case err == flag.ErrHelp: //nolint:errorlint // Parse returns it as it is.
@@ -56,10 +61,13 @@
 	case err != nil:
 		return exitUsage
 	}
-	if *file == "" || f.NArg() > 0 {
+	if (*file == "") != *onPlatform || f.NArg() > 0 {
 		f.Usage()
 		return exitUsage
 	}
+	if *onPlatform {
+		return runOnPlatform(*check, out, errOut)
+	}
 	s, err := settings.Load(*file)
 	if err != nil {
 		fmt.Fprintln(errOut, err)
--- a/config/runner_test.go
+++ b/config/runner_test.go
@@ -285,7 +285,7 @@
 			delete(sure, string(w.ID))
 		}
 		require.Empty(t, sure, "committed and not there")
-		parts, err := c.store.List(ctx, PartPrefix)
+		parts, _, err := c.store.List(ctx, PartPrefix)
 		require.NoError(t, err)
 		keys := make([]string, len(parts))
 		for i, p := range parts {
--- a/daemon/build.go
+++ b/daemon/build.go
@@ -20,11 +20,11 @@
 	"github.com/lagoonhead/lagoonhead/control"
 	"github.com/lagoonhead/lagoonhead/engine"
 	"github.com/lagoonhead/lagoonhead/explain"
+	"github.com/lagoonhead/lagoonhead/jsoncall"
 	"github.com/lagoonhead/lagoonhead/lease"
 	"github.com/lagoonhead/lagoonhead/order"
 	"github.com/lagoonhead/lagoonhead/peer"
 	"github.com/lagoonhead/lagoonhead/place"
-	"github.com/lagoonhead/lagoonhead/platform"
 	"github.com/lagoonhead/lagoonhead/relay"
 	"github.com/lagoonhead/lagoonhead/service"
 	"github.com/lagoonhead/lagoonhead/settings"
@@ -70,7 +70,7 @@
 		settings: d.Settings, timer: d.Timer, log: d.Log, incarnation: d.incarnation,
 		resumeKey: d.ResumeKey, tracer: tracing.provider.Tracer("lagoonhead/caller"), vars: new(expvar.Map),
 		decisions: explain.New(explain.DefaultSize),
-		store:     &store.Client{Platform: platform.Client{BaseURL: d.Settings.Platform.Store}},
+		store:     &store.Client{Platform: jsoncall.Client{BaseURL: d.Settings.Platform.Store}},
 	}
 	for _, step := range []func() error{
 		b.buildPeers, b.buildConfig, b.buildPlacement, b.buildLimits,
@@ -116,7 +116,7 @@
 	b.committer = &config.Committer{Store: b.store, Runner: b.config, Peers: b.config.Peers, Timer: b.timer}
 	b.vars.Set("commits", b.committer.Vars())
 	b.vms = &vmPoller{
-		lister: &vmlist.Client{Platform: platform.Client{BaseURL: b.settings.Platform.VMs}},
+		lister: &vmlist.Client{Platform: jsoncall.Client{BaseURL: b.settings.Platform.VMs}},
 		timer:  b.timer, changed: b.config.SetVMs,
 	}
 	b.add("vmList", b.vms.Run, &b.vms.vars)
--- a/daemon/planning.go
+++ b/daemon/planning.go
@@ -9,10 +9,10 @@
 	"github.com/lagoonhead/lagoonhead"
 	"github.com/lagoonhead/lagoonhead/control"
 	"github.com/lagoonhead/lagoonhead/inventory"
+	"github.com/lagoonhead/lagoonhead/jsoncall"
 	"github.com/lagoonhead/lagoonhead/lease"
 	"github.com/lagoonhead/lagoonhead/ordering"
 	"github.com/lagoonhead/lagoonhead/plan"
-	"github.com/lagoonhead/lagoonhead/platform"
 	"github.com/lagoonhead/lagoonhead/timer"
 )
 
@@ -259,7 +259,7 @@
 
 // endpointOrders returns the work of the duty of endpoint orders.
 func (b *builder) endpointOrders(t *lease.Tenure) part {
-	c := &ordering.Client{Platform: platform.Client{BaseURL: b.settings.Platform.Ordering}, Authority: t.Check}
+	c := &ordering.Client{Platform: jsoncall.Client{BaseURL: b.settings.Platform.Ordering}, Authority: t.Check}
 	g := &control.Ordering{
 		Planner: &supplyPlanner{b: b, lister: c, models: make(map[string]*plan.Supplies)},
 		Ledger:  b.ledger(t), Orderer: c, Timer: b.timer, Decisions: b.decisions,
--- a/daemon/usage.go
+++ b/daemon/usage.go
@@ -7,9 +7,9 @@
 	"github.com/lagoonhead/lagoonhead"
 	"github.com/lagoonhead/lagoonhead/billing"
 	"github.com/lagoonhead/lagoonhead/config"
+	"github.com/lagoonhead/lagoonhead/jsoncall"
 	"github.com/lagoonhead/lagoonhead/lease"
 	"github.com/lagoonhead/lagoonhead/peer"
-	"github.com/lagoonhead/lagoonhead/platform"
 	"github.com/lagoonhead/lagoonhead/timer"
 	"github.com/lagoonhead/lagoonhead/usage"
 )
@@ -74,7 +74,7 @@
 	r := &billing.Reporter{
 		Incarnation: b.incarnation, Timer: b.timer, Store: b.store, Log: b.log,
 		Window: b.settings.Usage.Window,
-		Usage:  &usage.Client{Platform: platform.Client{BaseURL: b.settings.Platform.Usage}, Authority: t.Check},
+		Usage:  &usage.Client{Platform: jsoncall.Client{BaseURL: b.settings.Platform.Usage}, Authority: t.Check},
 	}
 	r.Gain(t.Check)
 	b.vars.Set("usageReports", r.Vars())
--- a/engine/querier.go
+++ b/engine/querier.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/lagoonhead/lagoonhead"
+	"github.com/lagoonhead/lagoonhead/httppool"
 	"github.com/lagoonhead/lagoonhead/timer"
 )
 
@@ -24,7 +25,7 @@
 	DialTimeout time.Duration
 
 	once  sync.Once
-	pools pools
+	pools httppool.Pools
 }
 
 var _ lagoonhead.EngineQuerier = (*Querier)(nil)
@@ -50,23 +51,23 @@
 }
 
 func (q *Querier) get(ctx context.Context, op string, e lagoonhead.Endpoint, path string, v any) error {
-	q.once.Do(func() { q.pools.dialer = dialer(q.DialTimeout, 0) })
+	q.once.Do(func() { q.pools.Dialer, q.pools.IdleTimeout = dialer(q.DialTimeout, 0), idleConnTimeout })
 	limit := q.Timeout
 	if limit <= 0 {
 		limit = defaultCallTimeout
 	}
 	ctx, stop := withLimit(ctx, q.Timer, limit)
 	defer stop()
-	var x exchange
-	r, err := http.NewRequestWithContext(x.trace(ctx), http.MethodGet, e.Address()+path, nil)
+	var x httppool.Exchange
+	r, err := http.NewRequestWithContext(x.Trace(ctx), http.MethodGet, e.Address()+path, nil)
 	if err != nil {
 		return fail(op, lagoonhead.KindInvalid, err)
 	}
-	t := q.pools.get(e.Address())
+	t := q.pools.Get(e.Address())
 	res, err := t.RoundTrip(r)
 	if err != nil {
-		q.pools.drop(e.Address(), t)
-		return fail(op, kindOfFailure(ctx, err, x.written()), err)
+		q.pools.Drop(e.Address(), t)
+		return fail(op, kindOfFailure(ctx, err, x.Written()), err)
 	}
 	defer res.Body.Close()
 	if res.StatusCode != http.StatusOK {
@@ -74,7 +75,7 @@
 	}
 	b, err := io.ReadAll(io.LimitReader(res.Body, maxAnswerBytes))
 	if err != nil {
-		q.pools.drop(e.Address(), t)
+		q.pools.Drop(e.Address(), t)
 		return fail(op, kindOfFailure(ctx, err, true), err)
 	}
 	if err := json.Unmarshal(b, v); err != nil {
--- a/engine/stream.go
+++ b/engine/stream.go
@@ -12,6 +12,7 @@
 	"go.opentelemetry.io/otel/trace"
 
 	"github.com/lagoonhead/lagoonhead"
+	"github.com/lagoonhead/lagoonhead/httppool"
 )
 
 const opNext = "engine.next"
@@ -25,7 +26,7 @@
 	request  string
 	ctx      context.Context
 	cancel   context.CancelCauseFunc
-	exchange exchange
+	exchange httppool.Exchange
 	span     trace.Span
 
 	transport *http.Transport
@@ -60,7 +61,7 @@
 
 // start sends the request and reads the headers of the answer.
 func (s *stream) start(r *http.Request) error {
-	s.transport = s.streamer.pools.get(s.endpoint.Address())
+	s.transport = s.streamer.pools.Get(s.endpoint.Address())
 	s.waiting.Store(true)
 	res, err := s.transport.RoundTrip(r)
 	s.waiting.Store(false)
@@ -109,7 +110,7 @@
 // broke returns the error of a failed connection. It ends the use of the pool
 // unless the caller ended the request.
 func (s *stream) broke(op string, err error) error {
-	kind := kindOfFailure(s.ctx, err, s.response != nil || s.exchange.written())
+	kind := kindOfFailure(s.ctx, err, s.response != nil || s.exchange.Written())
 	cause := context.Cause(s.ctx)
 	if cause != nil {
 		err = cause
--- a/engine/streamer.go
+++ b/engine/streamer.go
@@ -15,6 +15,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/lagoonhead/lagoonhead"
+	"github.com/lagoonhead/lagoonhead/httppool"
 	"github.com/lagoonhead/lagoonhead/timer"
 )
 
@@ -46,7 +47,7 @@
 	OnLoad func(lagoonhead.LoadReport)
 
 	once  sync.Once
-	pools pools
+	pools httppool.Pools
 	mu    sync.Mutex
 	open  map[*stream]struct{}
 
@@ -65,7 +66,7 @@
 
 func (s *Streamer) init() {
 	s.once.Do(func() {
-		s.pools.dialer = dialer(s.DialTimeout, s.UserTimeout)
+		s.pools.Dialer, s.pools.IdleTimeout = dialer(s.DialTimeout, s.UserTimeout), idleConnTimeout
 		s.open = make(map[*stream]struct{})
 		c := &s.counters
 		for _, v := range []struct {
@@ -140,7 +141,7 @@
 		streamer: s, endpoint: e, request: string(c.Request.ID()),
 		expect: c.ResumeOffset + 1, ctx: ctx, cancel: cancel, span: span,
 	}
-	r, err := http.NewRequestWithContext(v.exchange.trace(ctx), http.MethodPost, e.Address()+pathCompletions, nil)
+	r, err := http.NewRequestWithContext(v.exchange.Trace(ctx), http.MethodPost, e.Address()+pathCompletions, nil)
 	if err == nil {
 		err = setStreamingBody(r, c.Body)
 	}
@@ -177,7 +178,7 @@
 // drop ends the use of the connections that a failed exchange used.
 func (s *Streamer) drop(e lagoonhead.Endpoint, t *http.Transport) {
 	s.counters.dropped.Add(1)
-	s.pools.drop(e.Address(), t)
+	s.pools.Drop(e.Address(), t)
 }
 
 // Cancel tells the engine to stop the request. KindNotFound means that the engine
@@ -193,17 +194,17 @@
 	if err != nil {
 		return fail(op, lagoonhead.KindInternal, err)
 	}
-	var x exchange
-	r, err := http.NewRequestWithContext(x.trace(ctx), http.MethodPost, e.Address()+pathCancel, bytes.NewReader(b))
+	var x httppool.Exchange
+	r, err := http.NewRequestWithContext(x.Trace(ctx), http.MethodPost, e.Address()+pathCancel, bytes.NewReader(b))
 	if err != nil {
 		return fail(op, lagoonhead.KindInvalid, err)
 	}
 	r.Header.Set("Content-Type", contentJSON)
-	t := s.pools.get(e.Address())
+	t := s.pools.Get(e.Address())
 	res, err := t.RoundTrip(r)
 	if err != nil {
 		s.drop(e, t)
-		return fail(op, kindOfFailure(ctx, err, x.written()), err)
+		return fail(op, kindOfFailure(ctx, err, x.Written()), err)
 	}
 	defer res.Body.Close()
 	if res.StatusCode != http.StatusOK {
--- a/entities.go
+++ b/entities.go
@@ -121,6 +121,7 @@
 	price         float64
 	fenced        bool
 	leaving       bool
+	incarnation   Incarnation
 }
 
 // NewEndpoint returns an endpoint that serves a model (an engine) or a service
@@ -152,6 +153,10 @@
 // WithLeaving returns a copy that takes no new work, or does.
 func (e Endpoint) WithLeaving(b bool) Endpoint { e.leaving = b; return e }
 
+// WithIncarnation returns a copy that is the given process. Empty means that the
+// processes of this endpoint cannot be told apart.
+func (e Endpoint) WithIncarnation(i Incarnation) Endpoint { e.incarnation = i; return e }
+
 // ID returns the identifier of the endpoint.
 func (e Endpoint) ID() EndpointID { return e.id }
 
@@ -185,6 +190,9 @@
 // Leaving reports whether the endpoint must get no new work.
 func (e Endpoint) Leaving() bool { return e.leaving }
 
+// Incarnation tells this process of the endpoint from earlier ones, or is empty.
+func (e Endpoint) Incarnation() Incarnation { return e.incarnation }
+
 // Request is what the decisions know of one request. It holds no body and no
 // key.
 type Request struct {
--- /dev/null
+++ b/entry/daemon.go
@@ -0,0 +1,292 @@
+package entry
+
+import (
+	"context"
+	"expvar"
+	"net"
+	"net/http"
+	"runtime/debug"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/google/uuid"
+	"go.uber.org/zap"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/lagoonhead/lagoonhead"
+	"github.com/lagoonhead/lagoonhead/admit"
+	"github.com/lagoonhead/lagoonhead/billing"
+	"github.com/lagoonhead/lagoonhead/catalog"
+	"github.com/lagoonhead/lagoonhead/dispatch"
+	"github.com/lagoonhead/lagoonhead/lease"
+	"github.com/lagoonhead/lagoonhead/mirror"
+	"github.com/lagoonhead/lagoonhead/peer"
+	"github.com/lagoonhead/lagoonhead/roster"
+	"github.com/lagoonhead/lagoonhead/steer"
+	"github.com/lagoonhead/lagoonhead/suspect"
+	"github.com/lagoonhead/lagoonhead/timer"
+)
+
+const (
+	// drainLag is how long a daemon that stops goes on accepting connections: the
+	// balancer asks once a second and takes it out after two misses.
+	drainLag = 2500 * time.Millisecond
+	// killMargin is left of the grace time when the last requests are cut.
+	killMargin = 700 * time.Millisecond
+	// maxAdmitWait is how long a request waits for tokens that a peer may lend.
+	maxAdmitWait = 250 * time.Millisecond
+	// memoryShare is the part of the memory limit that the heap may take.
+	memoryShare = 0.75
+	// gcPercent trades processor time, which is plentiful on an entry VM, for memory.
+	gcPercent = 50
+	// defaultBodyLimit bounds bodies until the configuration says how long they may be.
+	defaultBodyLimit = 4 << 20
+	// settleInterval is how often lapsed endpoints are looked at.
+	settleInterval = 250 * time.Millisecond
+)
+
+// Orderer sends the orders of a duty.
+type Orderer interface {
+	lagoonhead.EndpointOrderer
+	lagoonhead.EngineCommander
+}
+
+// Platform is what a daemon needs of the platform that it runs on.
+type Platform struct {
+	Store  lagoonhead.Store
+	Sender lagoonhead.Sender
+	// ConfigurationKey is the store's key of the configuration, EndpointPrefix begins
+	// the keys of registrations.
+	ConfigurationKey, EndpointPrefix string
+	DecodeConfiguration              func(value []byte) (*catalog.Catalog, error)
+	DecodeRegistration               func(key string, value []byte) (lagoonhead.Endpoint, error)
+	// Callers returns the server of callers.
+	Callers func(d *dispatch.Dispatcher, leaving func() bool, bodyLimit func() int64) *http.Server
+	// Ready returns the handler that the balancer asks.
+	Ready func(ready func() error) http.Handler
+	// Usage and Orders return what reports and orders under a tenure.
+	Usage  func(t *lease.Tenure) lagoonhead.UsageReporter
+	Orders func(t *lease.Tenure) Orderer
+}
+
+// Daemon is one process. Set the exported fields before Run.
+type Daemon struct {
+	Settings Settings
+	Platform Platform
+	Timer    timer.Timer
+	Log      *zap.Logger
+
+	incarnation lagoonhead.Incarnation
+	leaving     atomic.Bool
+	vars        *expvar.Map
+
+	config     *configuration
+	endpoints  *endpoints
+	members    *members
+	store      *observedStore
+	session    *lease.Session
+	keeper     *lease.Keeper
+	exchanger  *peer.Exchanger
+	pool       *peer.Pool
+	suspects   *suspect.Table
+	admit      *admit.Runner
+	tally      *billing.Tally
+	dispatcher *dispatch.Dispatcher
+	beats      *beats
+}
+
+// part runs until its context ends.
+type part func(context.Context) error
+
+// Run runs the daemon until ctx ends, then drains it: it turns unready, goes on
+// accepting until the balancer has noticed, and finishes its requests.
+func (d *Daemon) Run(ctx context.Context) error {
+	debug.SetMemoryLimit(int64(memoryShare * float64(d.Settings.MemoryBytes)))
+	debug.SetGCPercent(gcPercent)
+	d.incarnation = lagoonhead.Incarnation(string(d.Settings.VM) + "/" + uuid.NewString())
+	d.vars = new(expvar.Map)
+	d.buildState()
+	d.buildWork()
+	servers, err := d.listen()
+	if err != nil {
+		return err
+	}
+	d.Log.Info("started", zap.String("vm", string(d.Settings.VM)), zap.String("incarnation", string(d.incarnation)))
+	err = d.run(ctx, servers)
+	d.Log.Info("stopped", zap.Error(err))
+	return err
+}
+
+func (d *Daemon) run(ctx context.Context, s *servers) error {
+	inner, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	defer cancel()
+	group, inner := errgroup.WithContext(inner)
+	for _, p := range append(d.parts(), s.parts()...) {
+		group.Go(func() error { return p(inner) })
+	}
+	group.Go(func() error {
+		select {
+		case <-ctx.Done():
+			d.drain(s)
+		case <-inner.Done():
+		}
+		cancel()
+		return nil
+	})
+	return group.Wait()
+}
+
+// drain ends the service of callers within the grace time.
+func (d *Daemon) drain(s *servers) {
+	d.leaving.Store(true)
+	d.Log.Info("draining")
+	end, cancel := context.WithTimeout(context.Background(), d.Settings.Grace-killMargin)
+	defer cancel()
+	_ = d.Timer.Sleep(end, min(drainLag, d.Settings.Grace/2)) // it ends early only with the grace time
+	if err := s.callers.Shutdown(end); err != nil {
+		d.Log.Warn("drain ended with requests still running", zap.Error(err))
+	}
+}
+
+// ready returns why the daemon cannot serve yet, or nil.
+func (d *Daemon) ready() error {
+	if d.leaving.Load() {
+		return failf("ready", lagoonhead.KindUnavailable, "the daemon is draining")
+	}
+	if d.config.Catalog() == nil {
+		return failf("ready", lagoonhead.KindUnavailable, "there is no configuration yet")
+	}
+	if list, _ := d.endpoints.roster.Endpoints(); len(list) == 0 {
+		return failf("ready", lagoonhead.KindUnavailable, "no endpoint is known yet")
+	}
+	return nil
+}
+
+// buildState builds what the daemon knows.
+func (d *Daemon) buildState() {
+	s := d.Settings
+	d.config = &configuration{decode: d.Platform.DecodeConfiguration, log: d.Log, changed: func(*catalog.Catalog) { d.follow() }}
+	d.endpoints = &endpoints{
+		decode: d.Platform.DecodeRegistration, timer: d.Timer, log: d.Log, roster: roster.New(), raw: make(map[string][]byte),
+		changed: func([]lagoonhead.Endpoint) { d.follow() },
+	}
+	d.members = &members{log: d.Log, vms: make(map[string]lagoonhead.VM)}
+	for _, a := range s.Seeds {
+		if a != s.Listen.Peers {
+			d.members.seeds = append(d.members.seeds, lagoonhead.NewVM(lagoonhead.VMID("seed "+a), "", a, false))
+		}
+	}
+	d.store = &observedStore{Store: d.Platform.Store, timer: d.Timer, roster: d.endpoints.roster}
+}
+
+// follow passes the living endpoints to the board.
+func (d *Daemon) follow() {
+	list, _ := d.endpoints.roster.Endpoints()
+	cat := d.config.Catalog()
+	room := func(service string) int {
+		if cat == nil || cat.Service(service) == nil || cat.Service(service).Engine == nil {
+			return 0
+		}
+		return cat.Service(service).Engine.CacheTokens
+	}
+	d.dispatcher.Board(func(b *steer.Board) { b.Follow(list, room) })
+}
+
+// buildWork builds what the daemon does.
+func (d *Daemon) buildWork() {
+	s := d.Settings
+	d.pool = &peer.Pool{}
+	d.suspects = &suspect.Table{Timer: d.Timer}
+	d.exchanger = &peer.Exchanger{Pool: d.pool, Timer: d.Timer, Self: s.VM, Peers: d.members.VMs}
+	d.session = &lease.Session{Store: d.store, Timer: d.Timer, Log: d.Log, TTL: leaseTime(s), Renew: leaseTime(s) / 4, Margin: leaseTime(s) / 6}
+	d.admit = &admit.Runner{
+		VM: s.VM, Incarnation: d.incarnation, Timer: d.Timer, Store: d.store, VMs: listed{d.members, d.Timer},
+		Directory: quotas{d.config}, Gate: gate{d.config}, Peers: lenders{d.members, d.pool, s.VM}, Log: d.Log, MaxWait: maxAdmitWait,
+	}
+	d.tally = &billing.Tally{Incarnation: d.incarnation, Timer: d.Timer, Window: s.UsageWindow}
+	d.dispatcher = &dispatch.Dispatcher{
+		Catalogs: d.config, Admitter: d.admit, Suspects: spreading{d.suspects, d.exchanger.Urge}, Sender: d.Platform.Sender,
+		Usage: d.tally, Retries: newRetries(s, d.members, d.Timer), Timer: d.Timer, Log: d.Log, Domain: s.FailureDomain,
+	}
+	d.beats = &beats{
+		self: s.VM, incarnation: d.incarnation, timer: d.Timer, log: d.Log, config: d.config, endpoints: d.endpoints,
+		members: d.members, admit: d.admit, suspects: d.suspects, dispatcher: d.dispatcher, tally: d.tally, pool: d.pool,
+		ready: d.ready, behind: make(chan lagoonhead.VMID, 1),
+	}
+	d.exchanger.Source, d.exchanger.Answered = d.beats, d.beats.answered
+	d.buildDuties()
+}
+
+// leaseTime is the time to live of the daemon's lease. It is as short as turns allow, so
+// that the duties of a VM that died are taken over within the time of a usage report.
+func leaseTime(s Settings) time.Duration { return max(s.LeaseLeast, s.TurnTime) }
+
+func (d *Daemon) parts() []part {
+	follow := func(prefix string, f mirror.Follower) part {
+		m := &mirror.Mirror{Store: d.store, Timer: d.Timer, Prefix: prefix, Follower: f, Log: d.Log}
+		d.vars.Set("mirror "+prefix, m.Vars())
+		return m.Run
+	}
+	d.vars.Set("dispatch", d.dispatcher.Vars())
+	d.vars.Set("limits", d.admit.Vars())
+	d.vars.Set("lease", d.session.Vars())
+	d.vars.Set("duties", d.keeper.Vars())
+	d.vars.Set("heartbeats", d.exchanger.Vars())
+	d.vars.Set("suspects", d.suspects.Vars())
+	return []part{
+		follow(d.Platform.ConfigurationKey, d.config),
+		follow(d.Platform.EndpointPrefix, d.endpoints),
+		follow(memberPrefix, d.members),
+		d.session.Run, d.keepPresence, d.keeper.Run, d.exchanger.Run, d.admit.Run, d.beats.runPulls,
+		func(ctx context.Context) error {
+			timer.Every(ctx, d.Timer, settleInterval, func(time.Duration) { d.endpoints.settle() })
+			return nil
+		},
+	}
+}
+
+// servers are the listeners with their handlers.
+type servers struct {
+	callers, ready, peers *http.Server
+	listeners             [3]net.Listener
+}
+
+func (d *Daemon) listen() (*servers, error) {
+	s := &servers{
+		callers: d.Platform.Callers(d.dispatcher, d.leaving.Load, d.bodyLimit),
+		ready:   &http.Server{Handler: d.Platform.Ready(d.ready), ReadHeaderTimeout: time.Second},
+	}
+	p := &peer.Server{Config: d.beats, Lender: d.admit, Usage: noCopies{}, Heartbeats: d.beats}
+	s.peers = &http.Server{Handler: p.Handler(), ReadHeaderTimeout: time.Second}
+	l := d.Settings.Listen
+	for i, address := range []string{l.Callers, l.Ready, l.Peers} {
+		listener, err := net.Listen("tcp", address)
+		if err != nil {
+			return nil, &Error{lagoonhead.Fault{Op: "entry.listen", Kind: lagoonhead.KindUnavailable, Err: err}}
+		}
+		s.listeners[i] = listener
+	}
+	return s, nil
+}
+
+func (d *Daemon) bodyLimit() int64 {
+	if c := d.config.Catalog(); c != nil && c.Limits().BodyBytes > 0 {
+		return c.Limits().BodyBytes
+	}
+	return defaultBodyLimit
+}
+
+func (s *servers) parts() []part {
+	serve := func(h *http.Server, l net.Listener) part {
+		return func(ctx context.Context) error {
+			stop := context.AfterFunc(ctx, func() { _ = h.Close() }) // the process ends anyway
+			defer stop()
+			if err := h.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+				return &Error{lagoonhead.Fault{Op: "entry.serve", Kind: lagoonhead.KindUnavailable, Err: err}}
+			}
+			return nil
+		}
+	}
+	return []part{serve(s.callers, s.listeners[0]), serve(s.ready, s.listeners[1]), serve(s.peers, s.listeners[2])}
+}
--- /dev/null
+++ b/entry/follow.go
@@ -0,0 +1,232 @@
+package entry
+
+import (
+	"encoding/json"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/lagoonhead/lagoonhead"
+	"github.com/lagoonhead/lagoonhead/catalog"
+	"github.com/lagoonhead/lagoonhead/mirror"
+	"github.com/lagoonhead/lagoonhead/roster"
+	"github.com/lagoonhead/lagoonhead/timer"
+)
+
+var (
+	_ mirror.Follower = (*configuration)(nil)
+	_ mirror.Follower = (*endpoints)(nil)
+	_ mirror.Follower = (*members)(nil)
+)
+
+// configuration holds the newest configuration. An older one never replaces it.
+type configuration struct {
+	decode func([]byte) (*catalog.Catalog, error)
+	log    *zap.Logger
+	// changed is called with each new catalogue.
+	changed func(*catalog.Catalog)
+
+	mu      sync.Mutex
+	raw     []byte
+	current atomic.Pointer[catalog.Catalog]
+}
+
+// Catalog returns the newest catalogue, or nil before the first.
+func (c *configuration) Catalog() *catalog.Catalog { return c.current.Load() }
+
+// version returns the version in force, or 0.
+func (c *configuration) version() int64 {
+	if cat := c.Catalog(); cat != nil {
+		return cat.Version()
+	}
+	return 0
+}
+
+// value returns the newest configuration as operators wrote it.
+func (c *configuration) value() ([]byte, int64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.raw, c.version()
+}
+
+// take puts a configuration in force that the store or a peer has told.
+func (c *configuration) take(raw []byte, source string) {
+	cat, err := c.decode(raw)
+	if err != nil {
+		c.log.Error("configuration cannot be read", zap.String("source", source), zap.Error(err))
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	old := c.version()
+	if cat.Version() <= old {
+		return
+	}
+	c.raw = raw
+	c.current.Store(cat)
+	c.log.Info("configuration in force", zap.Int64("version", cat.Version()), zap.Int64("former", old), zap.String("source", source))
+	c.changed(cat)
+}
+
+// Put takes the entry of the configuration.
+func (c *configuration) Put(e lagoonhead.Entry) { c.take(e.Value, "store") }
+
+// Removed keeps the configuration: operators never withdraw the last one.
+func (c *configuration) Removed(string) {}
+
+// Contact does nothing; the configuration has no age.
+func (c *configuration) Contact(time.Duration) {}
+
+// Lost does nothing; the last configuration stays in force.
+func (c *configuration) Lost(time.Duration, error) {}
+
+// endpoints keeps the living endpoints.
+type endpoints struct {
+	decode func(key string, value []byte) (lagoonhead.Endpoint, error)
+	timer  timer.Timer
+	log    *zap.Logger
+	roster *roster.Roster
+	// changed is called after changes.
+	changed func([]lagoonhead.Endpoint)
+
+	listed atomic.Bool
+	mu     sync.Mutex
+	raw    map[string][]byte
+	shown  int64
+}
+
+func (p *endpoints) Put(e lagoonhead.Entry) {
+	v, err := p.decode(e.Key, e.Value)
+	if err != nil {
+		p.roster.Unreadable(e.Key)
+		p.log.Warn("registration cannot be used", zap.Error(err))
+		return
+	}
+	p.mu.Lock()
+	p.raw[e.Key] = e.Value
+	p.mu.Unlock()
+	p.roster.Put(e.Key, v)
+	p.log.Info("endpoint registered", zap.String("endpoint", string(v.ID())), zap.String("service", v.Serves()),
+		zap.String("role", string(v.Role())), zap.Bool("leaving", v.Leaving()), zap.String("supply", string(v.Supply())),
+		zap.String("failureDomain", string(v.FailureDomain())), zap.String("address", v.Address()))
+}
+
+func (p *endpoints) Removed(key string) {
+	p.roster.Removed(p.timer.Now(), key)
+	p.mu.Lock()
+	delete(p.raw, key)
+	p.mu.Unlock()
+	p.log.Info("registration removed", zap.String("key", key))
+}
+
+func (p *endpoints) Contact(at time.Duration) {
+	p.roster.Contact(at)
+	p.listed.Store(true)
+	p.show()
+}
+
+func (p *endpoints) Lost(time.Duration, error) { p.roster.Lost() }
+
+// seed takes an endpoint that a peer knows.
+func (p *endpoints) seed(key string, value []byte) {
+	v, err := p.decode(key, value)
+	if err != nil {
+		return // the peer's own log says so
+	}
+	p.roster.Seed(key, v)
+}
+
+// values returns the registrations as the endpoints wrote them.
+func (p *endpoints) values() map[string][]byte {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	out := make(map[string][]byte, len(p.raw))
+	for k, v := range p.raw {
+		out[k] = v
+	}
+	return out
+}
+
+// show passes the list on if it has changed.
+func (p *endpoints) show() {
+	list, version := p.roster.Endpoints()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if version == p.shown {
+		return
+	}
+	p.shown = version
+	p.changed(list)
+}
+
+// settle takes out endpoints that did not come back with the store.
+func (p *endpoints) settle() {
+	if n := p.roster.Settle(p.timer.Now()); n > 0 {
+		p.log.Info("endpoints did not come back with the store", zap.Int("count", n))
+		p.show()
+	}
+}
+
+// presence is the entry by which a daemon shows itself to its peers.
+type presence struct {
+	FailureDomain lagoonhead.FailureDomain `json:"failureDomain"`
+	PeerAddress   string                   `json:"peerAddress"`
+	Incarnation   lagoonhead.Incarnation   `json:"incarnation"`
+}
+
+// memberPrefix begins the keys of presences.
+const memberPrefix = "vm/"
+
+// members keeps the daemons that show themselves in the store.
+type members struct {
+	log   *zap.Logger
+	seeds []lagoonhead.VM
+
+	mu   sync.Mutex
+	vms  map[string]lagoonhead.VM
+	list atomic.Pointer[[]lagoonhead.VM]
+	// asked is when the store last confirmed the list, or 0.
+	asked atomic.Int64
+}
+
+// VMs returns the newest list. Before the first one it holds the seeds.
+func (m *members) VMs() []lagoonhead.VM {
+	if l := m.list.Load(); l != nil {
+		return *l
+	}
+	return m.seeds
+}
+
+func (m *members) Put(e lagoonhead.Entry) {
+	var p presence
+	if err := json.Unmarshal(e.Value, &p); err != nil {
+		m.log.Error("presence cannot be read", zap.String("key", e.Key), zap.Error(err))
+		return
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.vms[e.Key] = lagoonhead.NewVM(lagoonhead.VMID(e.Key[len(memberPrefix):]), p.FailureDomain, p.PeerAddress, false)
+	m.log.Info("peer seen", zap.String("vm", e.Key[len(memberPrefix):]), zap.String("address", p.PeerAddress))
+}
+
+func (m *members) Removed(key string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	delete(m.vms, key)
+	m.log.Info("peer gone", zap.String("vm", key[len(memberPrefix):]))
+}
+
+func (m *members) Contact(at time.Duration) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	list := make([]lagoonhead.VM, 0, len(m.vms))
+	for _, v := range m.vms {
+		list = append(list, v)
+	}
+	m.list.Store(&list)
+	m.asked.Store(int64(at))
+}
+
+func (m *members) Lost(time.Duration, error) {}
--- /dev/null
+++ b/entry/settings.go
@@ -0,0 +1,42 @@
+package entry
+
+import (
+	"time"
+
+	"github.com/lagoonhead/lagoonhead"
+)
+
+// Settings are what a daemon has to know before it can talk to anyone.
+type Settings struct {
+	VM            lagoonhead.VMID
+	FailureDomain lagoonhead.FailureDomain
+	Region        lagoonhead.Region
+	// FailureDomains are all domains of the fleet.
+	FailureDomains []lagoonhead.FailureDomain
+	Listen         Listen
+	// Seeds are addresses of peers (host:port) that may be stale.
+	Seeds []string
+	// MemoryBytes is the memory above which the process is killed.
+	MemoryBytes int64
+	// Grace is the time from SIGTERM to SIGKILL.
+	Grace time.Duration
+	// DrainLimit is how long a leaving endpoint may still get requests.
+	DrainLimit time.Duration
+	// TurnTime is the time within which a duty must not go to another daemon and back.
+	TurnTime time.Duration
+	// LeaseLeast is the shortest time to live of a lease.
+	LeaseLeast time.Duration
+	// UsageWindow is the length of a usage window, UsageDue the time after its end in
+	// which the report is due.
+	UsageWindow, UsageDue time.Duration
+	// RetryRatio and RetrySlack bound the sends beyond the first of each request, over
+	// RetryWindow and the whole fleet.
+	RetryRatio  float64
+	RetryWindow time.Duration
+	RetrySlack  float64
+}
+
+// Listen holds the addresses (IP:port) of the listeners.
+type Listen struct {
+	Callers, Ready, Peers string
+}
--- a/fakeplatform/contract_test.go
+++ b/fakeplatform/contract_test.go
@@ -15,8 +15,8 @@
 	"go.yaml.in/yaml/v3"
 
 	"github.com/lagoonhead/lagoonhead"
+	"github.com/lagoonhead/lagoonhead/jsoncall"
 	"github.com/lagoonhead/lagoonhead/ordering"
-	"github.com/lagoonhead/lagoonhead/platform"
 	"github.com/lagoonhead/lagoonhead/timer"
 	"github.com/lagoonhead/lagoonhead/usage"
 	"github.com/lagoonhead/lagoonhead/vmlist"
@@ -84,7 +84,7 @@
 	s := &script{fake: New(clock, listLag), clock: clock}
 	srv := httptest.NewServer(s.fake.Handler())
 	t.Cleanup(srv.Close)
-	c := platform.Client{BaseURL: srv.URL, Timeout: time.Minute}
+	c := jsoncall.Client{BaseURL: srv.URL, Timeout: time.Minute}
 	authority := func() error { return s.authority }
 	o := &ordering.Client{Platform: c, Authority: authority}
 	s.orderer, s.lister = o, o
--- a/fakeplatform/handler.go
+++ b/fakeplatform/handler.go
@@ -7,8 +7,8 @@
 	"time"
 
 	"github.com/lagoonhead/lagoonhead"
+	"github.com/lagoonhead/lagoonhead/jsoncall"
 	"github.com/lagoonhead/lagoonhead/ordering"
-	"github.com/lagoonhead/lagoonhead/platform"
 	"github.com/lagoonhead/lagoonhead/store"
 	"github.com/lagoonhead/lagoonhead/timer"
 	"github.com/lagoonhead/lagoonhead/usage"
@@ -115,8 +115,8 @@
 		return kv.Get(ctx, r.Key)
 	})
 	handle(mux, store.PathList, func(ctx context.Context, r store.KeyRequest) (store.ListResponse, error) {
-		l, err := kv.List(ctx, r.Key)
-		return store.ListResponse{Entries: l}, err
+		l, revision, err := kv.List(ctx, r.Key)
+		return store.ListResponse{Entries: l, Revision: revision}, err
 	})
 	handle(mux, store.PathWatch, func(ctx context.Context, r store.WatchRequest) (store.WatchResponse, error) {
 		ctx, cancel := context.WithTimeout(ctx, time.Duration(r.WaitMs)*time.Millisecond)
@@ -196,7 +196,7 @@
 	k := lagoonhead.KindOf(err)
 	w.Header().Set("Content-Type", "application/json")
 	w.WriteHeader(statusOf(k))
-	_ = json.NewEncoder(w).Encode(platform.ErrorBody{Kind: k.String(), Message: err.Error()})
+	_ = json.NewEncoder(w).Encode(jsoncall.ErrorBody{Kind: k.String(), Message: err.Error()})
 }
 
 func statusOf(k lagoonhead.Kind) int {
--- a/fakeplatform/kv.go
+++ b/fakeplatform/kv.go
@@ -73,10 +73,11 @@
 	return e, ok
 }
 
-// List returns the entries under prefix, ordered by key.
-func (k *KV) List(ctx context.Context, prefix string) ([]lagoonhead.Entry, error) {
+// List returns the entries under prefix, ordered by key, and the revision of the
+// store.
+func (k *KV) List(ctx context.Context, prefix string) ([]lagoonhead.Entry, int64, error) {
 	if err := k.Faults.begin(ctx, k.tm, "list"); err != nil {
-		return nil, err
+		return nil, 0, err
 	}
 	k.mu.Lock()
 	defer k.mu.Unlock()
@@ -91,7 +92,7 @@
 		}
 	}
 	sort.Slice(list, func(i, j int) bool { return list[i].Key < list[j].Key })
-	return list, nil
+	return list, k.revision, nil
 }
 
 // Watch waits for changes under prefix.
--- /dev/null
+++ b/jsoncall/client.go
@@ -0,0 +1,163 @@
+package jsoncall
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/lagoonhead/lagoonhead"
+	"github.com/lagoonhead/lagoonhead/httponce"
+)
+
+// maxAnswerBytes bounds an answer of the platform. A list of the largest values
+// of the store is the longest one.
+const maxAnswerBytes = 64 << 20
+
+// Error is the error type of the package.
+type Error struct{ lagoonhead.Fault }
+
+func fail(op string, k lagoonhead.Kind, err error) error {
+	return &Error{lagoonhead.Fault{Op: op, Kind: k, Err: err}}
+}
+
+// ErrorBody is the wire form of an error.
+type ErrorBody struct {
+	// Kind is the camelCase name of a lagoonhead.Kind.
+	Kind    string `json:"kind"`
+	Message string `json:"message"`
+}
+
+// Client calls one platform interface.
+type Client struct {
+	// BaseURL is the address of the interface, without a slash at its end.
+	BaseURL string
+	// HTTP sends ordinary calls. Nil means a client with keep-alive.
+	HTTP *http.Client
+	// Once sends calls that need authority.
+	Once httponce.Client
+	// Timeout bounds each call but watches. Zero means DefaultTimeout.
+	Timeout time.Duration
+	// Token is sent as a bearer token when it is not empty.
+	Token string
+}
+
+// DefaultTimeout bounds a call to the platform, which answers in milliseconds.
+const DefaultTimeout = 2 * time.Second
+
+// Read calls a query: a failure is KindUnavailable or KindTimeout, because nothing
+// can have changed.
+func (c *Client) Read(ctx context.Context, path string, in, out any) error {
+	ctx, cancel := context.WithTimeout(ctx, c.timeout())
+	defer cancel()
+	return c.query(ctx, path, in, out)
+}
+
+// Wait calls a query that may take as long as ctx allows.
+func (c *Client) Wait(ctx context.Context, path string, in, out any) error {
+	return c.query(ctx, path, in, out)
+}
+
+func (c *Client) query(ctx context.Context, path string, in, out any) error {
+	err := c.call(ctx, path, in, out, c.client().Do)
+	if lagoonhead.IsKind(err, lagoonhead.KindUnknown) {
+		k := lagoonhead.KindUnavailable
+		if ctx.Err() != nil {
+			k = lagoonhead.KindTimeout
+		}
+		return fail(path, k, err)
+	}
+	return err
+}
+
+// Write calls a command. A failure after the request may have been sent is
+// KindUnknown.
+func (c *Client) Write(ctx context.Context, path string, in, out any) error {
+	ctx, cancel := context.WithTimeout(ctx, c.timeout())
+	defer cancel()
+	return c.call(ctx, path, in, out, c.client().Do)
+}
+
+// Order calls a command on a connection of its own, and checks authority after
+// the dial and before the write.
+func (c *Client) Order(ctx context.Context, path string, in, out any, authority func() error) error {
+	ctx, cancel := context.WithTimeout(ctx, c.timeout())
+	defer cancel()
+	return c.call(ctx, path, in, out, func(r *http.Request) (*http.Response, error) {
+		return c.Once.Do(ctx, r, authority)
+	})
+}
+
+func (c *Client) timeout() time.Duration {
+	if c.Timeout > 0 {
+		return c.Timeout
+	}
+	return DefaultTimeout
+}
+
+func (c *Client) client() *http.Client {
+	if c.HTTP != nil {
+		return c.HTTP
+	}
+	return http.DefaultClient
+}
+
+func (c *Client) call(ctx context.Context, path string, in, out any, do func(*http.Request) (*http.Response, error)) error {
+	body, err := json.Marshal(in)
+	if err != nil {
+		return fail(path, lagoonhead.KindInvalid, err)
+	}
+	r, err := http.NewRequestWithContext(ctx, http.MethodPost, c.BaseURL+path, bytes.NewReader(body))
+	if err != nil {
+		return fail(path, lagoonhead.KindInvalid, err)
+	}
+	r.Header.Set("Content-Type", "application/json")
+	if c.Token != "" {
+		r.Header.Set("Authorization", "Bearer "+c.Token)
+	}
+	resp, err := do(r)
+	if err != nil {
+		return fail(path, sendKind(err), err)
+	}
+	defer resp.Body.Close()
+	return readAnswer(path, resp, out)
+}
+
+// sendKind tells whether a request that failed can have reached the platform.
+func sendKind(err error) lagoonhead.Kind {
+	var once *httponce.Error
+	if errors.As(err, &once) {
+		return once.Kind
+	}
+	var op *net.OpError
+	if errors.As(err, &op) && op.Op == "dial" {
+		return lagoonhead.KindUnavailable
+	}
+	return lagoonhead.KindUnknown
+}
+
+func readAnswer(path string, resp *http.Response, out any) error {
+	body, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswerBytes))
+	if err != nil {
+		return fail(path, lagoonhead.KindUnknown, err)
+	}
+	if resp.StatusCode == http.StatusOK {
+		if out == nil {
+			return nil
+		}
+		if err := json.Unmarshal(body, out); err != nil {
+			return fail(path, lagoonhead.KindUnknown, err)
+		}
+		return nil
+	}
+	var e ErrorBody
+	if err := json.Unmarshal(body, &e); err != nil {
+		return fail(path, lagoonhead.KindUnknown, errors.Newf("status %d", resp.StatusCode))
+	}
+	return fail(path, lagoonhead.ParseKind(e.Kind), errors.Newf("%s", e.Message))
+}
--- a/lease/duty.go
+++ b/lease/duty.go
@@ -103,6 +103,9 @@
 	Eligible func(Duty) bool
 	// Gained is called with each new tenure. Nil means nobody is told.
 	Gained func(*Tenure)
+	// FirstAtOnce lets the first holder of a duty begin at once, since no order of a
+	// former one can be in flight. It is set where epochs are never lost.
+	FirstAtOnce bool
 	// OrderFlight and Attempt default to the constants of the package.
 	OrderFlight, Attempt time.Duration
 
@@ -183,6 +186,9 @@
 		duty: d, epoch: epoch, lease: id, session: k.Session, timer: k.Timer,
 		from: k.Timer.Now() + k.OrderFlight,
 	}
+	if k.FirstAtOnce && epoch == 1 {
+		t.from = k.Timer.Now()
+	}
 	k.mu.Lock()
 	if k.held == nil {
 		k.held = make(map[Duty]*Tenure)
--- a/order/ledger.go
+++ b/order/ledger.go
@@ -93,7 +93,7 @@
 	if err := l.Authority.Check(); err != nil {
 		return nil, err
 	}
-	entries, err := l.Store.List(ctx, keyPrefix+prefix)
+	entries, _, err := l.Store.List(ctx, keyPrefix+prefix)
 	if err != nil {
 		return nil, err
 	}
--- a/order/model_test.go
+++ b/order/model_test.go
@@ -288,9 +288,9 @@
 	return e, err
 }
 
-func (p *process) List(ctx context.Context, prefix string) (l []lagoonhead.Entry, err error) {
-	err = p.read(func() (err error) { l, err = p.m.kv.List(ctx, prefix); return err })
-	return l, err
+func (p *process) List(ctx context.Context, prefix string) (l []lagoonhead.Entry, revision int64, err error) {
+	err = p.read(func() (err error) { l, revision, err = p.m.kv.List(ctx, prefix); return err })
+	return l, revision, err
 }
 
 func (p *process) Watch(context.Context, string, int64) ([]lagoonhead.Event, int64, error) {
--- a/ordering/client.go
+++ b/ordering/client.go
@@ -4,7 +4,7 @@
 	"context"
 
 	"github.com/lagoonhead/lagoonhead"
-	"github.com/lagoonhead/lagoonhead/platform"
+	"github.com/lagoonhead/lagoonhead/jsoncall"
 )
 
 // The paths of the protocol.
@@ -21,7 +21,7 @@
 // Client speaks the interface's JSON protocol.
 type Client struct {
 	// Platform is where the interface is.
-	Platform platform.Client
+	Platform jsoncall.Client
 	// Authority is checked right before an order is written. Nil refuses nothing.
 	Authority func() error
 }
--- a/platform.go
+++ b/platform.go
@@ -46,8 +46,10 @@
 type StoreReader interface {
 	// Get returns the entry, or KindNotFound.
 	Get(ctx context.Context, key string) (Entry, error)
-	// List returns the entries whose keys begin with prefix, ordered by key.
-	List(ctx context.Context, prefix string) ([]Entry, error)
+	// List returns the entries whose keys begin with prefix, ordered by key, and the
+	// revision of the store from which a Watch sees every change that the entries
+	// lack.
+	List(ctx context.Context, prefix string) (entries []Entry, revision int64, err error)
 	// Watch waits until a key that begins with prefix changes after the revision
 	// after, or until ctx ends. It returns the changes and the revision to pass
 	// next. KindStale means that the history is gone: list again.
--- a/service/transport.go
+++ b/service/transport.go
@@ -1,13 +1,10 @@
 package service
 
 import (
-	"context"
-	"net"
 	"net/http"
-	"syscall"
 	"time"
 
-	"golang.org/x/sys/unix"
+	"github.com/lagoonhead/lagoonhead/httppool"
 )
 
 // Timeouts of connections to services.
@@ -26,7 +23,7 @@
 // after a failure on a connection that was used before.
 func newTransport(dial, header time.Duration, keepAlive bool) *http.Transport {
 	return &http.Transport{
-		DialContext:            dialer(dial),
+		DialContext:            httppool.NewDialer(dial, userTimeout).DialContext,
 		DisableKeepAlives:      !keepAlive,
 		DisableCompression:     true,
 		MaxIdleConnsPerHost:    idleConnsPerHost,
@@ -35,20 +32,3 @@
 		MaxResponseHeaderBytes: maxHeaderBytes,
 	}
 }
-
-func dialer(timeout time.Duration) func(context.Context, string, string) (net.Conn, error) {
-	d := net.Dialer{
-		Timeout: timeout,
-		Control: func(_, _ string, c syscall.RawConn) error {
-			var err error
-			set := func(fd uintptr) {
-				err = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(userTimeout.Milliseconds()))
-			}
-			if e := c.Control(set); e != nil {
-				return e
-			}
-			return err
-		},
-	}
-	return d.DialContext
-}
--- /dev/null
+++ b/sse/doc.go
@@ -0,0 +1,3 @@
+// Package sse cuts a stream of server-sent events into whole events without changing
+// a byte of them.
+package sse
--- /dev/null
+++ b/steer/board.go
@@ -0,0 +1,231 @@
+package steer
+
+import (
+	"math/bits"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/lagoonhead/lagoonhead"
+)
+
+const (
+	// firstRate is the speed of prefill, in tokens per millisecond, that is assumed
+	// until one has been measured.
+	firstRate = 20.0
+	// rateWeight is the weight of a new sample of the speed.
+	rateWeight = 0.1
+	// rateTokens is the shortest queue, in tokens, whose time says something about the
+	// speed; below it the fixed cost of a call outweighs the reading.
+	rateTokens = 2000
+	// newsLife is how long the word of a peer on its work counts. Peers tell several
+	// times a second.
+	newsLife = 2 * time.Second
+)
+
+// Part is a piece of a prompt that several requests may share.
+type Part struct {
+	ID     string
+	Tokens int
+}
+
+// Prompt is what a caller declares of a prompt.
+type Prompt struct {
+	Tokens    int
+	MaxOutput int
+	// Parts are in the order of the prompt; the last one belongs to the request or to
+	// its session alone.
+	Parts []Part
+}
+
+// shared returns the identifier of the last shared part and the tokens up to it.
+func (p Prompt) shared() (id string, tokens int) {
+	if len(p.Parts) < 2 {
+		return "", 0
+	}
+	n := len(p.Parts) - 1
+	for _, part := range p.Parts[:n] {
+		tokens += part.Tokens
+	}
+	return p.Parts[n-1].ID, tokens
+}
+
+// Work is what a daemon has under way at one endpoint.
+type Work struct {
+	Endpoint lagoonhead.EndpointID
+	// PrefillTokens are sent for prefill and not done.
+	PrefillTokens int
+	// Running counts the requests that run.
+	Running int
+	// PrefilledTotal counts the tokens sent for prefill since the daemon started.
+	PrefilledTotal int64
+}
+
+type peerWork struct {
+	Work
+	at time.Duration
+}
+
+// target is an endpoint with what is known of it.
+type target struct {
+	endpoint lagoonhead.Endpoint
+	seed     uint64
+	own      Work
+	peers    map[lagoonhead.VMID]peerWork
+	health   health
+	cache    *partCache
+	// rate is the measured speed of prefill in tokens per millisecond, or 0.
+	rate float64
+}
+
+// running returns the requests of all daemons that run on the endpoint.
+func (t *target) running(now time.Duration) int {
+	n := t.own.Running
+	for _, w := range t.peers {
+		if now-w.at < newsLife {
+			n += w.Running
+		}
+	}
+	return n
+}
+
+// backlog returns the tokens of all daemons that wait for prefill.
+func (t *target) backlog(now time.Duration) int {
+	n := t.own.PrefillTokens
+	for _, w := range t.peers {
+		if now-w.at < newsLife {
+			n += w.PrefillTokens
+		}
+	}
+	return n
+}
+
+// Board knows the endpoints and what is under way at them. It is not safe for
+// concurrent use.
+type Board struct {
+	// Domain is the failure domain of this daemon.
+	Domain lagoonhead.FailureDomain
+
+	targets  map[lagoonhead.EndpointID]*target
+	services map[string][]*target
+	// rates are the mean speeds of prefill by service, in tokens per millisecond.
+	rates map[string]float64
+	turn  uint64
+}
+
+// CacheRoom tells the room of the KV cache of a service's engines, in tokens.
+type CacheRoom func(service string) int
+
+// Follow takes the list of living endpoints. What is known of a process is kept; an
+// endpoint that has restarted is a new one.
+func (b *Board) Follow(list []lagoonhead.Endpoint, room CacheRoom) {
+	next := make(map[lagoonhead.EndpointID]*target, len(list))
+	services := make(map[string][]*target)
+	for _, e := range list {
+		t := b.process(e)
+		if t == nil {
+			t = &target{
+				seed:  xxhash.Sum64String(string(e.ID())),
+				own:   Work{Endpoint: e.ID()},
+				peers: make(map[lagoonhead.VMID]peerWork),
+				cache: newPartCache(room(e.Serves())),
+			}
+		}
+		t.endpoint = e
+		next[e.ID()] = t
+		services[e.Serves()] = append(services[e.Serves()], t)
+	}
+	b.targets, b.services = next, services
+}
+
+// Peer takes what a peer has under way. It replaces what the peer said before.
+func (b *Board) Peer(now time.Duration, vm lagoonhead.VMID, works []Work) {
+	for _, t := range b.targets {
+		delete(t.peers, vm)
+	}
+	for _, w := range works {
+		if t := b.targets[w.Endpoint]; t != nil {
+			t.peers[vm] = peerWork{w, now}
+		}
+	}
+}
+
+// Own returns what this daemon has or had under way, for its peers.
+func (b *Board) Own() []Work {
+	var list []Work
+	for _, t := range b.targets {
+		if t.own.PrefilledTotal > 0 || t.own.Running > 0 {
+			list = append(list, t.own)
+		}
+	}
+	return list
+}
+
+// rate returns the speed of prefill of a target.
+func (b *Board) rate(t *target) float64 {
+	if t.rate > 0 {
+		return t.rate
+	}
+	if r := b.rates[t.endpoint.Serves()]; r > 0 {
+		return r
+	}
+	return firstRate
+}
+
+func (b *Board) millis(t *target, tokens int) time.Duration {
+	return time.Duration(float64(tokens) / b.rate(t) * float64(time.Millisecond))
+}
+
+// mix spreads the bits of two hashes over a third one.
+func mix(a, b uint64) uint64 {
+	hi, lo := bits.Mul64(a^0x9e3779b97f4a7c15, b|1)
+	return hi ^ lo
+}
+
+// Running tells that this daemon has begun or ended runs on the endpoint.
+func (b *Board) Running(e lagoonhead.Endpoint, change int) {
+	if t := b.process(e); t != nil {
+		t.own.Running += change
+	}
+}
+
+// process returns the target if it is still the same process of the endpoint.
+func (b *Board) process(e lagoonhead.Endpoint) *target {
+	t := b.targets[e.ID()]
+	if t == nil || t.endpoint.Incarnation() != e.Incarnation() || t.endpoint.Address() != e.Address() {
+		return nil
+	}
+	return t
+}
+
+// Result is how the work on an endpoint went.
+type Result uint8
+
+// The results of work.
+const (
+	// Neutral work says nothing about the endpoint: the caller left, or the endpoint
+	// refused for lack of room.
+	Neutral Result = iota
+	Good
+	// Bad work failed at the endpoint.
+	Bad
+	// Unreachable means that the endpoint took no connection.
+	Unreachable
+)
+
+// Judge notes how the work on an endpoint went.
+func (b *Board) Judge(now time.Duration, e lagoonhead.Endpoint, r Result) {
+	t := b.process(e)
+	if t == nil {
+		return
+	}
+	switch r {
+	case Good:
+		t.health.good()
+	case Bad:
+		t.health.bad(now)
+	case Unreachable:
+		t.health.gone(now)
+	case Neutral:
+	}
+}
--- /dev/null
+++ b/steer/health.go
@@ -0,0 +1,63 @@
+package steer
+
+import "time"
+
+const (
+	// firstBackOff and longestBackOff bound the time for which an endpoint whose work
+	// failed gets none. The longest one lets an endpoint that is back be used again
+	// within the time in which a caller retries.
+	firstBackOff   = 250 * time.Millisecond
+	longestBackOff = 4 * time.Second
+	// mostFailures in a row end the use of an endpoint for a while.
+	mostFailures = 2
+	// failureWeight is the weight of the newest outcome in the failure rate.
+	failureWeight = 0.15
+	// highFailureRate ends the use of an endpoint that fails without failing in a row.
+	// An endpoint that answers at random needs about five failures to reach it.
+	highFailureRate = 0.4
+)
+
+// health is judged by the outcome of real work. A health check says little: an
+// endpoint may pass it and fail its work, or the other way round.
+type health struct {
+	inRow   int
+	rate    float64
+	backOff time.Duration
+	until   time.Duration
+}
+
+func (h *health) usable(now time.Duration) bool { return now >= h.until }
+
+// good notes work that the endpoint did.
+func (h *health) good() {
+	h.inRow = 0
+	h.rate *= 1 - failureWeight
+	if h.rate < highFailureRate/2 {
+		h.backOff = 0
+	}
+}
+
+// bad notes work that the endpoint failed.
+func (h *health) bad(now time.Duration) {
+	h.inRow++
+	h.rate += failureWeight * (1 - h.rate)
+	if h.inRow >= mostFailures || h.rate >= highFailureRate {
+		h.exclude(now)
+	}
+}
+
+// gone notes that the endpoint could not be reached at all.
+func (h *health) gone(now time.Duration) {
+	h.inRow++
+	h.exclude(now)
+}
+
+// exclude ends the use for a time that doubles. Failures of work that was under way
+// when the time began do not prolong it.
+func (h *health) exclude(now time.Duration) {
+	if now < h.until {
+		return
+	}
+	h.backOff = min(max(2*h.backOff, firstBackOff), longestBackOff)
+	h.until = now + h.backOff
+}
--- a/store/client.go
+++ b/store/client.go
@@ -5,7 +5,7 @@
 	"time"
 
 	"github.com/lagoonhead/lagoonhead"
-	"github.com/lagoonhead/lagoonhead/platform"
+	"github.com/lagoonhead/lagoonhead/jsoncall"
 )
 
 // maxWatch bounds one watch call, so that a connection that went silent is
@@ -15,7 +15,7 @@
 // Client speaks the service's JSON protocol.
 type Client struct {
 	// Platform is where the service is.
-	Platform platform.Client
+	Platform jsoncall.Client
 }
 
 var _ lagoonhead.Store = (*Client)(nil)
@@ -26,9 +26,10 @@
 	KeyRequest struct {
 		Key string `json:"key"`
 	}
-	// ListResponse carries entries.
+	// ListResponse carries entries and the revision of the store.
 	ListResponse struct {
-		Entries []lagoonhead.Entry `json:"entries"`
+		Entries  []lagoonhead.Entry `json:"entries"`
+		Revision int64              `json:"revision"`
 	}
 	// WatchRequest waits for changes.
 	WatchRequest struct {
@@ -80,17 +81,18 @@
 	return e, err
 }
 
-// List returns the entries under prefix, ordered by key.
-func (c *Client) List(ctx context.Context, prefix string) ([]lagoonhead.Entry, error) {
+// List returns the entries under prefix, ordered by key, and the revision of the
+// store.
+func (c *Client) List(ctx context.Context, prefix string) ([]lagoonhead.Entry, int64, error) {
 	var l ListResponse
 	err := c.Platform.Read(ctx, PathList, KeyRequest{Key: prefix}, &l)
-	return l.Entries, err
+	return l.Entries, l.Revision, err
 }
 
 // Watch waits for changes under prefix. It returns without events when the
 // longest wait of one call is over.
 func (c *Client) Watch(ctx context.Context, prefix string, after int64) ([]lagoonhead.Event, int64, error) {
-	ctx, cancel := context.WithTimeout(ctx, maxWatch+platform.DefaultTimeout)
+	ctx, cancel := context.WithTimeout(ctx, maxWatch+jsoncall.DefaultTimeout)
 	defer cancel()
 	var w WatchResponse
 	r := WatchRequest{Prefix: prefix, After: after, WaitMs: maxWatch.Milliseconds()}
--- a/store/contract_test.go
+++ b/store/contract_test.go
@@ -13,7 +13,7 @@
 
 	"github.com/lagoonhead/lagoonhead"
 	"github.com/lagoonhead/lagoonhead/fakeplatform"
-	"github.com/lagoonhead/lagoonhead/platform"
+	"github.com/lagoonhead/lagoonhead/jsoncall"
 	"github.com/lagoonhead/lagoonhead/store"
 	"github.com/lagoonhead/lagoonhead/timer"
 )
@@ -80,7 +80,7 @@
 	if overHTTP {
 		srv := httptest.NewServer(p.Handler())
 		t.Cleanup(srv.Close)
-		s.store = &store.Client{Platform: platform.Client{BaseURL: srv.URL, Timeout: time.Minute}}
+		s.store = &store.Client{Platform: jsoncall.Client{BaseURL: srv.URL, Timeout: time.Minute}}
 	}
 	return s
 }
@@ -106,7 +106,8 @@
 		e, err := s.store.Get(ctx, st.Key)
 		return string(e.Value), err
 	case "list":
-		l, err := s.store.List(ctx, st.Key)
+		l, revision, err := s.store.List(ctx, st.Key)
+		s.revisions[st.Save] = revision
 		return describe(l), err
 	case "delete":
 		return "", s.store.Delete(ctx, st.Key, s.condition(st))
--- a/usage/client.go
+++ b/usage/client.go
@@ -4,7 +4,7 @@
 	"context"
 
 	"github.com/lagoonhead/lagoonhead"
-	"github.com/lagoonhead/lagoonhead/platform"
+	"github.com/lagoonhead/lagoonhead/jsoncall"
 )
 
 // PathReport is the path of the protocol.
@@ -13,7 +13,7 @@
 // Client speaks the interface's JSON protocol.
 type Client struct {
 	// Platform is where the interface is.
-	Platform platform.Client
+	Platform jsoncall.Client
 	// Authority is checked right before a report is written. Nil refuses nothing.
 	Authority func() error
 }
--- a/vmlist/client.go
+++ b/vmlist/client.go
@@ -4,7 +4,7 @@
 	"context"
 
 	"github.com/lagoonhead/lagoonhead"
-	"github.com/lagoonhead/lagoonhead/platform"
+	"github.com/lagoonhead/lagoonhead/jsoncall"
 )
 
 // PathVMs is the path of the protocol.
@@ -28,7 +28,7 @@
 // Client speaks the list's JSON protocol.
 type Client struct {
 	// Platform is where the list is.
-	Platform platform.Client
+	Platform jsoncall.Client
 }
 
 var _ lagoonhead.VMLister = (*Client)(nil)
