Order engines and roles for the load

Change: plan.Shape orders reclaimable engines in place of firm ones, with a reserve for the loss of one failure domain, and the roles that the measured demand asks for; control.Shaping runs it under the fleet duty. Changes of role are announced with heartbeats before the order goes out. An endpoint that refuses gets no work for a short, growing time. The budget of repeats is a sliding window (package retry). A prompt that cannot be read in time is refused at once.

--- a/dispatch/request.go
+++ b/dispatch/request.go
@@ -168,6 +168,7 @@
 	case errors.Is(err, lagoonhead.ErrNotReached):
 		result = steer.Unreachable
 	case k == lagoonhead.KindUnavailable:
+		result = steer.Refused
 	default:
 		result = steer.Bad
 	}
@@ -229,7 +230,7 @@
 	}
 	e := fail("serve", k, err)
 	if k == lagoonhead.KindUnavailable {
-		e.after = busyRetry
+		e.after = max(RetryAfter(err), busyRetry)
 	}
 	return e
 }
--- a/dispatch/stream.go
+++ b/dispatch/stream.go
@@ -20,6 +20,9 @@
 	// leastSilence is the shortest silence after which an endpoint is given up on. It
 	// is above the usual pauses of an engine whose batch is full.
 	leastSilence = 500 * time.Millisecond
+	// lateFactor is how many times its expected time the reading of a prompt may take before
+	// the engine is given up on. Less would have prompts read twice that only wait.
+	lateFactor = 3
 	// releaseTimeout bounds the release of a KV cache that nobody takes.
 	releaseTimeout = time.Second
 )
@@ -76,6 +79,12 @@
 		if !ok {
 			return nil, nil
 		}
+		if late := r.Timer.Now() + c.Wait - r.giveUpAt(); late > 0 {
+			r.Board(func(b *steer.Board) { b.EndPrefill(c, r.call.Prompt, 0) })
+			e := failf("forecast", lagoonhead.KindUnavailable, "the prompt would be read in %s", c.Wait)
+			e.after = late + busyRetry
+			return nil, e
+		}
 		h, err := r.prefillAt(ctx, c)
 		if err == nil {
 			return &h, nil
@@ -100,7 +109,7 @@
 	r.sends++
 	r.vars.prefills.Add(1)
 	began := r.Timer.Now()
-	attempt, cancel := context.WithTimeoutCause(ctx, half(began, r.giveUpAt(), leastSilence), errSilent)
+	attempt, cancel := context.WithTimeoutCause(ctx, max(lateFactor*c.Wait, leastSilence), errSilent)
 	defer cancel()
 	h, err := r.Sender.Prefill(attempt, r.attempt(c.Endpoint))
 	now := r.Timer.Now()
--- a/entry/beats.go
+++ b/entry/beats.go
@@ -35,6 +35,8 @@
 	tally       *billing.Tally
 	pool        *peer.Pool
 	ready       func() error
+	// changes returns the engines that this daemon has change their role.
+	changes func() map[lagoonhead.EndpointID]time.Duration
 	// behind has the VM of a peer with a newer configuration.
 	behind chan lagoonhead.VMID
 }
@@ -60,6 +62,12 @@
 			})
 		}
 	})
+	now := b.timer.Now()
+	for id, until := range b.changes() {
+		if until > now {
+			h.Changes = append(h.Changes, &peer.Change{Endpoint: string(id), LeftMs: (until - now).Milliseconds()})
+		}
+	}
 	for _, c := range b.tally.Told() {
 		n := &peer.UsageCount{Window: c.Window, Workspace: string(c.Workspace), Requests: c.Requests}
 		if c.Incarnation != b.incarnation {
@@ -88,7 +96,12 @@
 		})
 	}
 	now := b.timer.Now()
-	b.dispatcher.Board(func(board *steer.Board) { board.Peer(now, vm, works) })
+	b.dispatcher.Board(func(board *steer.Board) {
+		board.Peer(now, vm, works)
+		for _, c := range h.GetChanges() {
+			board.Changing(lagoonhead.EndpointID(c.GetEndpoint()), now+time.Duration(c.GetLeftMs())*time.Millisecond)
+		}
+	})
 	b.tally.Peer(lagoonhead.Incarnation(h.GetIncarnation()), counts(h))
 	if h.GetRevision() > b.config.version() {
 		select {
--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -94,6 +94,7 @@
 	tally      *billing.Tally
 	dispatcher *dispatch.Dispatcher
 	beats      *beats
+	changes    changes
 }
 
 // part runs until its context ends.
@@ -212,7 +213,7 @@
 	d.beats = &beats{
 		self: s.VM, incarnation: d.incarnation, timer: d.Timer, log: d.Log, config: d.config, endpoints: d.endpoints,
 		members: d.members, admit: d.admit, suspects: d.suspects, dispatcher: d.dispatcher, tally: d.tally, pool: d.pool,
-		ready: d.ready, behind: make(chan lagoonhead.VMID, 1),
+		ready: d.ready, changes: d.changes.list, behind: make(chan lagoonhead.VMID, 1),
 	}
 	d.exchanger.Source, d.exchanger.Answered = d.beats, d.beats.answered
 	d.buildDuties()
--- a/entry/duties.go
+++ b/entry/duties.go
@@ -2,12 +2,20 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
+	"sync"
 	"time"
 
 	"go.uber.org/zap"
 
+	"github.com/lagoonhead/lagoonhead"
 	"github.com/lagoonhead/lagoonhead/billing"
+	"github.com/lagoonhead/lagoonhead/catalog"
+	"github.com/lagoonhead/lagoonhead/control"
 	"github.com/lagoonhead/lagoonhead/lease"
+	"github.com/lagoonhead/lagoonhead/plan"
+	"github.com/lagoonhead/lagoonhead/steer"
 )
 
 // The duties of the fleet.
@@ -64,9 +72,63 @@
 }
 
 // fleetOrders orders engines and their roles.
-func (d *Daemon) fleetOrders(*lease.Tenure) part {
-	return func(ctx context.Context) error {
-		<-ctx.Done()
-		return nil
+func (d *Daemon) fleetOrders(t *lease.Tenure) part {
+	o := d.Platform.Orders(t)
+	f := &control.Shaping{
+		View: fleetView{d}, Endpoints: o, Engines: o, Authority: t.Check, Number: t.Epoch(), Timer: d.Timer, Log: d.Log,
+		Announce: d.announce,
 	}
+	d.vars.Set("fleetOrders", f.Vars())
+	return f.Run
+}
+
+// changes holds the engines that this daemon has change their role, with the time until
+// which the change lasts at most.
+type changes struct {
+	mu    sync.Mutex
+	until map[lagoonhead.EndpointID]time.Duration
+}
+
+func (c *changes) list() map[lagoonhead.EndpointID]time.Duration {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return maps.Clone(c.until)
+}
+
+// announce tells this daemon and its peers that an engine takes no work until the given
+// time.
+func (d *Daemon) announce(id lagoonhead.EndpointID, until time.Duration) {
+	now := d.Timer.Now()
+	d.changes.mu.Lock()
+	if d.changes.until == nil {
+		d.changes.until = make(map[lagoonhead.EndpointID]time.Duration)
+	}
+	maps.DeleteFunc(d.changes.until, func(_ lagoonhead.EndpointID, t time.Duration) bool { return t < now })
+	d.changes.until[id] = until
+	d.changes.mu.Unlock()
+	d.dispatcher.Board(func(b *steer.Board) { b.Changing(id, until) })
+}
+
+// fleetView shows the fleet as this daemon and its peers see it.
+type fleetView struct{ d *Daemon }
+
+// Services returns the services in force.
+func (v fleetView) Services() []catalog.Service {
+	if c := v.d.config.Catalog(); c != nil {
+		return c.Services()
+	}
+	return nil
+}
+
+// Engines returns the living endpoints of a service.
+func (v fleetView) Engines(service string) []lagoonhead.Endpoint {
+	list, _ := v.d.endpoints.roster.Endpoints()
+	return slices.DeleteFunc(list, func(e lagoonhead.Endpoint) bool { return e.Serves() != service })
+}
+
+// Work returns the work of all daemons on a service.
+func (v fleetView) Work(now time.Duration, service *catalog.Service) plan.WorkSample {
+	var w steer.Demand
+	v.d.dispatcher.Board(func(b *steer.Board) { w = b.Demand(now, service.Name) })
+	return plan.WorkSample{Sent: w.Sent, Backlog: w.Backlog, Rate: w.Rate, Running: w.Running, Slots: service.Engine.Slots}
 }
--- a/entry/glue.go
+++ b/entry/glue.go
@@ -11,6 +11,7 @@
 	"github.com/lagoonhead/lagoonhead"
 	"github.com/lagoonhead/lagoonhead/admit"
 	"github.com/lagoonhead/lagoonhead/peer"
+	"github.com/lagoonhead/lagoonhead/retry"
 	"github.com/lagoonhead/lagoonhead/roster"
 	"github.com/lagoonhead/lagoonhead/suspect"
 	"github.com/lagoonhead/lagoonhead/timer"
@@ -165,35 +166,19 @@
 	timer    timer.Timer
 
 	mu       sync.Mutex
-	services map[string]*retryBucket
-}
-
-// retryBucket holds the repeats that may be made now.
-type retryBucket struct {
-	level float64
-	at    time.Duration
+	services map[string]*retry.Budget
 }
 
 func newRetries(s Settings, m *members, t timer.Timer) *retries {
-	return &retries{settings: s, members: m, timer: t, services: make(map[string]*retryBucket)}
+	return &retries{settings: s, members: m, timer: t, services: make(map[string]*retry.Budget)}
 }
 
-// slack returns the largest level: this daemon's part of the slack.
-func (r *retries) slack() float64 {
-	return retryShare * r.settings.RetrySlack / float64(max(1, len(r.members.VMs())))
-}
-
-func (r *retries) bucket(service string) *retryBucket {
-	now := r.timer.Now()
-	slack := r.slack()
+func (r *retries) budget(service string) *retry.Budget {
 	b := r.services[service]
 	if b == nil {
-		b = &retryBucket{level: slack, at: now}
+		b = &retry.Budget{Ratio: retryShare * r.settings.RetryRatio, Window: max(r.settings.RetryWindow, time.Second)}
 		r.services[service] = b
 	}
-	// The slack comes back over one window.
-	b.level = min(slack, b.level+slack*float64(now-b.at)/float64(max(r.settings.RetryWindow, time.Second)))
-	b.at = now
 	return b
 }
 
@@ -201,18 +186,13 @@
 func (r *retries) Earn(service string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	b := r.bucket(service)
-	b.level = min(r.slack(), b.level+retryShare*r.settings.RetryRatio)
+	r.budget(service).Request(r.timer.Now())
 }
 
 // Take pays for one more send.
 func (r *retries) Take(service string) bool {
+	slack := retryShare * r.settings.RetrySlack / float64(max(1, len(r.members.VMs())))
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	b := r.bucket(service)
-	if b.level < 1 {
-		return false
-	}
-	b.level--
-	return true
+	return r.budget(service).Repeat(r.timer.Now(), slack)
 }
--- a/steer/board.go
+++ b/steer/board.go
@@ -73,6 +73,9 @@
 	own      Work
 	peers    map[lagoonhead.VMID]peerWork
 	health   health
+	// changing is the time until which the engine takes no work because it changes its
+	// role, unless it registers with the new one before.
+	changing time.Duration
 	cache    *partCache
 	// rate is the measured speed of prefill in tokens per millisecond, or 0.
 	rate float64
@@ -110,7 +113,9 @@
 	services map[string][]*target
 	// rates are the mean speeds of prefill by service, in tokens per millisecond.
 	rates map[string]float64
-	turn  uint64
+	// sent counts the tokens that all daemons sent for prefill, by service.
+	sent map[string]int64
+	turn uint64
 }
 
 // CacheRoom tells the room of the KV cache of a service's engines, in tokens.
@@ -131,6 +136,9 @@
 				cache: newPartCache(room(e.Serves())),
 			}
 		}
+		if t.endpoint.Role() != e.Role() {
+			t.changing = 0
+		}
 		t.endpoint = e
 		next[e.ID()] = t
 		services[e.Serves()] = append(services[e.Serves()], t)
@@ -140,16 +148,59 @@
 
 // Peer takes what a peer has under way. It replaces what the peer said before.
 func (b *Board) Peer(now time.Duration, vm lagoonhead.VMID, works []Work) {
-	for _, t := range b.targets {
-		delete(t.peers, vm)
-	}
+	seen := make(map[lagoonhead.EndpointID]bool, len(works))
 	for _, w := range works {
-		if t := b.targets[w.Endpoint]; t != nil {
-			t.peers[vm] = peerWork{w, now}
+		t := b.targets[w.Endpoint]
+		if t == nil {
+			continue
+		}
+		seen[w.Endpoint] = true
+		if old, ok := t.peers[vm]; ok && w.PrefilledTotal > old.PrefilledTotal {
+			b.count(t.endpoint.Serves(), w.PrefilledTotal-old.PrefilledTotal)
+		}
+		t.peers[vm] = peerWork{w, now}
+	}
+	for id, t := range b.targets {
+		if !seen[id] {
+			delete(t.peers, vm)
 		}
 	}
 }
 
+func (b *Board) count(service string, tokens int64) {
+	if b.sent == nil {
+		b.sent = make(map[string]int64)
+	}
+	b.sent[service] += tokens
+}
+
+// Demand is the work of all daemons on a service.
+type Demand struct {
+	// Sent counts the tokens sent for prefill since this daemon started.
+	Sent int64
+	// Backlog is the tokens that wait for prefill.
+	Backlog int
+	// Running counts the requests that run on engines that do not only prefill.
+	Running int
+	// Rate is the mean speed of prefill in tokens per second.
+	Rate float64
+}
+
+// Demand returns the work on a service.
+func (b *Board) Demand(now time.Duration, service string) Demand {
+	d := Demand{Sent: b.sent[service], Rate: firstRate * 1000}
+	if r := b.rates[service]; r > 0 {
+		d.Rate = r * 1000
+	}
+	for _, t := range b.services[service] {
+		d.Backlog += t.backlog(now)
+		if t.endpoint.Role() != lagoonhead.RolePrefill {
+			d.Running += t.running(now)
+		}
+	}
+	return d
+}
+
 // Own returns what this daemon has or had under way, for its peers.
 func (b *Board) Own() []Work {
 	var list []Work
@@ -198,19 +249,29 @@
 	return t
 }
 
+// Changing tells that an engine takes no work until the given time, or until it
+// registers with another role.
+func (b *Board) Changing(id lagoonhead.EndpointID, until time.Duration) {
+	if t := b.targets[id]; t != nil && until > t.changing {
+		t.changing = until
+	}
+}
+
 // Result is how the work on an endpoint went.
 type Result uint8
 
 // The results of work.
 const (
-	// Neutral work says nothing about the endpoint: the caller left, or the endpoint
-	// refused for lack of room.
+	// Neutral work says nothing about the endpoint: the caller left, or its own
+	// time was up.
 	Neutral Result = iota
 	Good
 	// Bad work failed at the endpoint.
 	Bad
 	// Unreachable means that the endpoint took no connection.
 	Unreachable
+	// Refused means that the endpoint has no room, or is in the middle of a change.
+	Refused
 )
 
 // Judge notes how the work on an endpoint went.
@@ -226,6 +287,8 @@
 		t.health.bad(now)
 	case Unreachable:
 		t.health.gone(now)
+	case Refused:
+		t.health.refused(now)
 	case Neutral:
 	}
 }
--- a/steer/health.go
+++ b/steer/health.go
@@ -8,6 +8,10 @@
 	// within the time in which a caller retries.
 	firstBackOff   = 250 * time.Millisecond
 	longestBackOff = 4 * time.Second
+	// firstRefusal and longestRefusal bound the time for which an endpoint that refused
+	// gets no work.
+	firstRefusal   = 50 * time.Millisecond
+	longestRefusal = 800 * time.Millisecond
 	// mostFailures in a row end the use of an endpoint for a while.
 	mostFailures = 2
 	// failureWeight is the weight of the newest outcome in the failure rate.
@@ -21,6 +25,7 @@
 // endpoint may pass it and fail its work, or the other way round.
 type health struct {
 	inRow   int
+	refusal time.Duration
 	rate    float64
 	backOff time.Duration
 	until   time.Duration
@@ -30,7 +35,7 @@
 
 // good notes work that the endpoint did.
 func (h *health) good() {
-	h.inRow = 0
+	h.inRow, h.refusal = 0, 0
 	h.rate *= 1 - failureWeight
 	if h.rate < highFailureRate/2 {
 		h.backOff = 0
@@ -52,6 +57,16 @@
 	h.exclude(now)
 }
 
+// refused notes that the endpoint has no room. It gets none for a short time, so that an
+// endpoint that refuses quickly does not draw the requests that others would serve.
+func (h *health) refused(now time.Duration) {
+	if now < h.until {
+		return
+	}
+	h.refusal = min(max(2*h.refusal, firstRefusal), longestRefusal)
+	h.until = now + h.refusal
+}
+
 // exclude ends the use for a time that doubles. Failures of work that was under way
 // when the time began do not prolong it.
 func (h *health) exclude(now time.Duration) {
--- a/steer/pick.go
+++ b/steer/pick.go
@@ -83,7 +83,7 @@
 }
 
 func (t *target) allowed(now time.Duration, avoid []lagoonhead.EndpointID, healthy bool) bool {
-	return !t.endpoint.Leaving() && (!healthy || t.health.usable(now)) && !slices.Contains(avoid, t.endpoint.ID())
+	return !t.endpoint.Leaving() && now >= t.changing && (!healthy || t.health.usable(now)) && !slices.Contains(avoid, t.endpoint.ID())
 }
 
 // BeginPrefill counts a prompt that is sent for reading.
@@ -91,6 +91,7 @@
 	if t := b.process(c.Endpoint); t != nil {
 		t.own.PrefillTokens += c.Tokens
 		t.own.PrefilledTotal += int64(c.Tokens)
+		b.count(t.endpoint.Serves(), int64(c.Tokens))
 	}
 }
 
