Read short prompts where they run, and keep roles and engines steady

Change: prompts whose reading takes less than the fixed cost are read where they run. Peers tell which shared parts an engine has read. Engines in change count in their new role; roles change only when one side is short. Until the load is known, as many reclaimable engines run as cost what was found.

--- a/dispatch/stream.go
+++ b/dispatch/stream.go
@@ -23,6 +23,12 @@
 	// lateFactor is how many times its expected time the reading of a prompt may take before
 	// the engine is given up on. Less would have prompts read twice that only wait.
 	lateFactor = 3
+	// readSilence is the shortest time after which a prompt is read elsewhere. An engine
+	// that is gone is noticed sooner, by its connection; this is for one that hangs.
+	readSilence = 1500 * time.Millisecond
+	// firstEventTime is the time from a prompt that has been read apart to the first event
+	// at the caller, with a batch that is half full.
+	firstEventTime = 150 * time.Millisecond
 	// releaseTimeout bounds the release of a KV cache that nobody takes.
 	releaseTimeout = time.Second
 )
@@ -98,18 +104,29 @@
 func (r *request) pickPrefill() (c steer.Prefill, ok bool) {
 	now := r.Timer.Now()
 	r.Board(func(b *steer.Board) {
-		if c, ok = b.PickPrefill(now, r.service, r.call.Prompt, r.avoid); ok {
+		if b.Short(r.service, r.call.Prompt) {
+			return
+		}
+		if c, ok = b.PickPrefill(now, r.service, r.call.Prompt, r.readDue(), r.avoid); ok {
 			b.BeginPrefill(c)
 		}
 	})
 	return c, ok
 }
 
+// readDue returns when the prompt must be read for the first event to be on time.
+func (r *request) readDue() time.Duration {
+	if r.route.Objective == 0 {
+		return r.deadline
+	}
+	return r.arrived + r.route.Objective - firstEventTime
+}
+
 func (r *request) prefillAt(ctx context.Context, c steer.Prefill) (lagoonhead.KVHandle, error) {
 	r.sends++
 	r.vars.prefills.Add(1)
 	began := r.Timer.Now()
-	attempt, cancel := context.WithTimeoutCause(ctx, max(lateFactor*c.Wait, leastSilence), errSilent)
+	attempt, cancel := context.WithTimeoutCause(ctx, max(lateFactor*c.Wait, readSilence), errSilent)
 	defer cancel()
 	h, err := r.Sender.Prefill(attempt, r.attempt(c.Endpoint))
 	now := r.Timer.Now()
@@ -128,11 +145,11 @@
 
 // run has an engine run the request and passes its events on.
 func (r *request) run(ctx context.Context, h *lagoonhead.KVHandle) error {
-	near := r.Domain
+	near, unread := r.Domain, r.call.Prompt.Tokens
 	if h != nil {
-		near = h.Engine.FailureDomain()
+		near, unread = h.Engine.FailureDomain(), 0
 	}
-	e, err := r.pickRun(near)
+	e, err := r.pickRun(near, unread)
 	if err != nil {
 		return err
 	}
--- a/entry/beats.go
+++ b/entry/beats.go
@@ -59,6 +59,7 @@
 		for _, w := range board.Own() {
 			h.Work = append(h.Work, &peer.EndpointWork{
 				Endpoint: string(w.Endpoint), PrefillTokens: int64(w.PrefillTokens), Running: int32(w.Running), PrefilledTotal: w.PrefilledTotal,
+				RunTotal: w.RunTotal, Read: w.Read,
 			})
 		}
 	})
@@ -92,7 +93,7 @@
 	for _, w := range h.GetWork() {
 		works = append(works, steer.Work{
 			Endpoint: lagoonhead.EndpointID(w.GetEndpoint()), PrefillTokens: int(w.GetPrefillTokens()), Running: int(w.GetRunning()),
-			PrefilledTotal: w.GetPrefilledTotal(),
+			PrefilledTotal: w.GetPrefilledTotal(), RunTotal: w.GetRunTotal(), Read: w.GetRead(),
 		})
 	}
 	now := b.timer.Now()
--- a/entry/duties.go
+++ b/entry/duties.go
@@ -130,5 +130,5 @@
 func (v fleetView) Work(now time.Duration, service *catalog.Service) plan.WorkSample {
 	var w steer.Demand
 	v.d.dispatcher.Board(func(b *steer.Board) { w = b.Demand(now, service.Name) })
-	return plan.WorkSample{Sent: w.Sent, Backlog: w.Backlog, Rate: w.Rate, Running: w.Running, Slots: service.Engine.Slots}
+	return plan.WorkSample{Sent: w.Sent, SentToRun: w.SentToRun, Backlog: w.Backlog, Rate: w.Rate, Running: w.Running, Slots: service.Engine.Slots}
 }
--- a/plan/shape.go
+++ b/plan/shape.go
@@ -16,10 +16,13 @@
 	firstPrefillShare = 0.6
 	// demandHorizon smooths the demand. A shorter one would follow swings that are over
 	// before a change of role is done.
-	demandHorizon = 6 * time.Second
+	demandHorizon = 8 * time.Second
 	// fullBatch is the part of its slots at which a decoding engine counts as busy. Above
 	// it each further request slows the others by more than it gains.
 	fullBatch = 0.5
+	// clearTime is the time in which prompts that wait shall be read. It is about the time
+	// in which callers want their first event.
+	clearTime = time.Second
 	// targetUse is the part of the engines' time that the demand may take, so that a
 	// burst of twice the load still fits.
 	targetUse = 0.45
@@ -28,7 +31,10 @@
 	roleRest = 4
 	// calmUse is the use of both roles below which none is changed: a change takes an
 	// engine out, and with it what its cache holds.
-	calmUse = 0.7
+	calmUse = 0.8
+	// changeTime is how long an engine takes to begin a change: the order is announced
+	// first, and what runs there ends.
+	changeTime = 2 * time.Second
 	// mostChanging is the part of the engines that may change their role at a time while
 	// there is load.
 	mostChanging = 0.2
@@ -56,14 +62,16 @@
 type DemandMeter struct {
 	from, at time.Duration
 	sent     int64
+	sentRun  int64
 	demand   ShapeDemand
 	started  bool
 }
 
 // WorkSample is the work on a service at one time.
 type WorkSample struct {
-	// Sent counts the tokens sent for prefill so far.
-	Sent int64
+	// Sent counts the tokens sent for prefill so far, SentToRun the prompt tokens read
+	// where the request runs.
+	Sent, SentToRun int64
 	// Backlog is the tokens that wait for prefill, Rate the speed of prefill in tokens
 	// per second.
 	Backlog int
@@ -77,8 +85,10 @@
 	passed := now - m.at
 	if m.started && passed > 0 && s.Rate > 0 {
 		perSecond := float64(max(0, s.Sent-m.sent)) / passed.Seconds()
-		prefill := perSecond / s.Rate
+		runPerSecond := float64(max(0, s.SentToRun-m.sentRun)) / passed.Seconds()
+		prefill := perSecond/s.Rate + float64(s.Backlog)/s.Rate/clearTime.Seconds()
 		decode := float64(s.Running) / (fullBatch * float64(max(1, s.Slots)))
+		perSecond += runPerSecond
 		if !m.demand.Known && perSecond > 0 {
 			m.demand.Known, m.from = true, m.at
 		}
@@ -87,7 +97,7 @@
 		m.demand.Prefill += w * (prefill - m.demand.Prefill)
 		m.demand.Decode += w * (decode - m.demand.Decode)
 	}
-	m.started, m.at, m.sent = true, now, s.Sent
+	m.started, m.at, m.sent, m.sentRun = true, now, s.Sent, s.SentToRun
 	return m.demand
 }
 
@@ -116,12 +126,18 @@
 	seenFrom time.Duration
 	settled  bool
 	pools    map[pool]*poolState
-	ordered  map[lagoonhead.EndpointID]time.Duration
+	ordered  map[lagoonhead.EndpointID]orderedRole
 	least    int
 	lessFrom time.Duration
 	lessThan int
 }
 
+// orderedRole is the last role that an engine was ordered to take.
+type orderedRole struct {
+	role lagoonhead.Role
+	at   time.Duration
+}
+
 // RoleOrder is an order to an engine to change its role.
 type RoleOrder struct {
 	Engine lagoonhead.Endpoint
@@ -140,7 +156,7 @@
 func (s *Shape) Plan(now time.Duration, service *catalog.Service, engines []lagoonhead.Endpoint, d ShapeDemand) ShapePlan {
 	if s.pools == nil {
 		s.pools = make(map[pool]*poolState)
-		s.ordered = make(map[lagoonhead.EndpointID]time.Duration)
+		s.ordered = make(map[lagoonhead.EndpointID]orderedRole)
 	}
 	var living []lagoonhead.Endpoint
 	for _, e := range engines {
@@ -155,23 +171,10 @@
 	} else {
 		p.Wanted = len(living)
 	}
-	if settled && (d.Known || s.complete(living)) {
-		s.planRoles(now, service, living, d, &p)
-	}
+	s.planRoles(now, service, living, d, settled, &p)
 	return p
 }
 
-// complete reports whether as many engines run as are ordered.
-func (s *Shape) complete(living []lagoonhead.Endpoint) bool {
-	have := countPools(living)
-	for k, st := range s.pools {
-		if st.ordered >= 0 && have[k] != st.ordered {
-			return false
-		}
-	}
-	return true
-}
-
 func countPools(living []lagoonhead.Endpoint) map[pool]int {
 	have := make(map[pool]int)
 	for _, e := range living {
@@ -203,15 +206,25 @@
 	return s.settled
 }
 
+// affordable returns the number of engines that cost no more than those that were found:
+// as long as the load is not known, the money that operators spend is kept.
+func (s *Shape) affordable(sc *catalog.Scaling) int {
+	if sc.ReclaimablePrice <= 0 {
+		return s.found
+	}
+	firm := sc.Min * len(sc.DomainPrices)
+	return firm + int(float64(max(0, s.found-firm))/sc.ReclaimablePrice)
+}
+
 // wanted returns the number of engines that must be left after the loss of the
 // reclaimable ones of one failure domain.
-func (s *Shape) wanted(now time.Duration, d ShapeDemand) int {
+func (s *Shape) wanted(now time.Duration, sc *catalog.Scaling, d ShapeDemand) int {
 	if !d.Known {
-		return s.found
+		return s.affordable(sc)
 	}
 	need := max(2, int(math.Ceil((d.Prefill+d.Decode)/targetUse)))
 	if s.least == 0 {
-		s.least = max(need, s.found)
+		s.least = max(need, s.affordable(sc))
 	}
 	if need >= s.least {
 		s.least, s.lessFrom = need, 0
@@ -237,7 +250,7 @@
 	})
 	have := countPools(living)
 	n := len(domains)
-	want := s.wanted(now, d)
+	want := s.wanted(now, sc, d)
 	if n > 1 && sc.ReclaimablePrice > 0 {
 		want = int(math.Ceil(float64(want) * float64(n) / float64(n-1)))
 	}
@@ -334,11 +347,13 @@
 	}
 }
 
-// planRoles orders engines into the roles that the demand asks for.
-func (s *Shape) planRoles(now time.Duration, service *catalog.Service, living []lagoonhead.Endpoint, d ShapeDemand, p *ShapePlan) {
-	var staged []lagoonhead.Endpoint
-	prefill := 0
+// staged returns the engines that have a role, in that role or in the one that they are
+// about to take.
+func (s *Shape) staged(now time.Duration, service *catalog.Service, living []lagoonhead.Endpoint) (list []lagoonhead.Endpoint, prefill int) {
 	for _, e := range living {
+		if o, ok := s.ordered[e.ID()]; ok && now-o.at < changeTime+service.Engine.SwitchTime {
+			e = e.WithRole(o.role)
+		}
 		switch e.Role() {
 		case lagoonhead.RolePrefill:
 			prefill++
@@ -346,10 +361,25 @@
 		default:
 			continue
 		}
-		staged = append(staged, e)
+		list = append(list, e)
+	}
+	return list, prefill
+}
+
+// planRoles orders engines into the roles that the demand asks for.
+func (s *Shape) planRoles(now time.Duration, service *catalog.Service, living []lagoonhead.Endpoint, d ShapeDemand, settled bool, p *ShapePlan) {
+	if service.Engine == nil {
+		return
+	}
+	if !d.Known && service.Scaling != nil && service.Scaling.ReclaimablePrice > 0 {
+		// Firm engines are about to be given back; what they become does not matter.
+		living = slices.DeleteFunc(slices.Clone(living), func(e lagoonhead.Endpoint) bool { return e.Supply() == lagoonhead.SupplyFirm })
+	} else if !settled {
+		return
 	}
+	staged, prefill := s.staged(now, service, living)
 	n := len(staged)
-	if n < 2 || service.Engine == nil {
+	if n < 2 {
 		return
 	}
 	share := firstPrefillShare
@@ -377,7 +407,7 @@
 			return
 		}
 		p.Roles = append(p.Roles, RoleOrder{Engine: staged[i], Role: to})
-		s.ordered[staged[i].ID()] = now
+		s.ordered[staged[i].ID()] = orderedRole{to, now}
 		staged[i] = staged[i].WithRole(to)
 	}
 }
@@ -393,7 +423,7 @@
 	}
 	best := -1
 	for i, e := range staged {
-		if at, ok := s.ordered[e.ID()]; e.Role() != role || (ok && now-at < rest) {
+		if o, ok := s.ordered[e.ID()]; e.Role() != role || (ok && now-o.at < rest) {
 			continue
 		}
 		if best < 0 || cmp.Or(cmp.Compare(count[e.FailureDomain()], count[staged[best].FailureDomain()]), cmp.Compare(staged[best].ID(), e.ID())) > 0 {
--- a/steer/board.go
+++ b/steer/board.go
@@ -57,8 +57,11 @@
 	PrefillTokens int
 	// Running counts the requests that run.
 	Running int
-	// PrefilledTotal counts the tokens sent for prefill since the daemon started.
-	PrefilledTotal int64
+	// PrefilledTotal counts the tokens sent for prefill since the daemon started, and
+	// RunTotal the prompt tokens that the endpoint had to read to run requests.
+	PrefilledTotal, RunTotal int64
+	// Read are the shared parts that were read last, as hashes.
+	Read []uint64
 }
 
 type peerWork struct {
@@ -114,7 +117,7 @@
 	// rates are the mean speeds of prefill by service, in tokens per millisecond.
 	rates map[string]float64
 	// sent counts the tokens that all daemons sent for prefill, by service.
-	sent map[string]int64
+	sent map[string]sentTokens
 	turn uint64
 }
 
@@ -155,8 +158,11 @@
 			continue
 		}
 		seen[w.Endpoint] = true
-		if old, ok := t.peers[vm]; ok && w.PrefilledTotal > old.PrefilledTotal {
-			b.count(t.endpoint.Serves(), w.PrefilledTotal-old.PrefilledTotal)
+		if old, ok := t.peers[vm]; ok {
+			b.count(t.endpoint.Serves(), w.PrefilledTotal-old.PrefilledTotal, w.RunTotal-old.RunTotal)
+		}
+		for _, part := range w.Read {
+			t.cache.readElsewhere(part)
 		}
 		t.peers[vm] = peerWork{w, now}
 	}
@@ -167,17 +173,32 @@
 	}
 }
 
-func (b *Board) count(service string, tokens int64) {
+// count adds to the tokens that were sent. A peer that has restarted counts anew.
+func (b *Board) count(service string, prefill, run int64) {
 	if b.sent == nil {
-		b.sent = make(map[string]int64)
+		b.sent = make(map[string]sentTokens)
+	}
+	n := b.sent[service]
+	n.prefill += max(0, prefill)
+	n.run += max(0, run)
+	b.sent[service] = n
+}
+
+type sentTokens struct{ prefill, run int64 }
+
+// ReadWhereRun counts prompt tokens that an endpoint reads to run a request.
+func (b *Board) ReadWhereRun(e lagoonhead.Endpoint, tokens int) {
+	if t := b.process(e); t != nil {
+		t.own.RunTotal += int64(tokens)
+		b.count(e.Serves(), 0, int64(tokens))
 	}
-	b.sent[service] += tokens
 }
 
 // Demand is the work of all daemons on a service.
 type Demand struct {
-	// Sent counts the tokens sent for prefill since this daemon started.
-	Sent int64
+	// Sent counts the tokens sent for prefill since this daemon started, and SentToRun
+	// the prompt tokens read where the request runs.
+	Sent, SentToRun int64
 	// Backlog is the tokens that wait for prefill.
 	Backlog int
 	// Running counts the requests that run on engines that do not only prefill.
@@ -188,7 +209,7 @@
 
 // Demand returns the work on a service.
 func (b *Board) Demand(now time.Duration, service string) Demand {
-	d := Demand{Sent: b.sent[service], Rate: firstRate * 1000}
+	d := Demand{Sent: b.sent[service].prefill, SentToRun: b.sent[service].run, Rate: firstRate * 1000}
 	if r := b.rates[service]; r > 0 {
 		d.Rate = r * 1000
 	}
@@ -205,8 +226,10 @@
 func (b *Board) Own() []Work {
 	var list []Work
 	for _, t := range b.targets {
-		if t.own.PrefilledTotal > 0 || t.own.Running > 0 {
-			list = append(list, t.own)
+		if t.own.PrefilledTotal > 0 || t.own.RunTotal > 0 || t.own.Running > 0 {
+			w := t.own
+			w.Read = t.cache.newest()
+			list = append(list, w)
 		}
 	}
 	return list
--- a/steer/cache.go
+++ b/steer/cache.go
@@ -2,31 +2,57 @@
 
 import "container/list"
 
-// partCache is what is known of the prompt parts that an engine has read: the shared
-// parts, the newest first, as many as fit its memory.
+const (
+	// cacheUse is the part of an engine's memory that is taken to hold shared parts; the
+	// rest holds running requests and what belongs to one request only.
+	cacheUse = 0.7
+	// newestParts is how many parts a daemon tells its peers with each heartbeat. It is
+	// above the readings of one daemon at one engine between two heartbeats, so that a
+	// lost heartbeat loses nothing.
+	newestParts = 8
+)
+
+// partCache is what is known of the shared parts that an engine has read, the newest
+// first, as many as fit its memory. Parts are named by their hash.
 type partCache struct {
 	room  int
 	used  int
+	mean  int
 	order *list.List
-	byID  map[string]*list.Element
+	byID  map[uint64]*list.Element
+	// own are the parts that this daemon had the engine read last.
+	own []uint64
 }
 
 type cachedPart struct {
-	id     string
+	id     uint64
 	tokens int
 }
 
-// cacheUse is the part of an engine's memory that is taken to hold shared parts; the
-// rest holds running requests and what belongs to one request only.
-const cacheUse = 0.7
-
 func newPartCache(room int) *partCache {
-	return &partCache{room: int(cacheUse * float64(room)), order: list.New(), byID: make(map[string]*list.Element)}
+	return &partCache{room: int(cacheUse * float64(room)), order: list.New(), byID: make(map[uint64]*list.Element)}
+}
+
+func (c *partCache) has(id uint64) bool { return c.byID[id] != nil }
+
+// newest returns the parts that this daemon had the engine read last.
+func (c *partCache) newest() []uint64 { return c.own }
+
+// read notes a part that this daemon had the engine read.
+func (c *partCache) read(id uint64, tokens int) {
+	c.mean = tokens
+	c.note(id, tokens)
+	if len(c.own) == newestParts {
+		c.own = append(c.own[:0:0], c.own[1:]...)
+	}
+	c.own = append(c.own, id)
 }
 
-func (c *partCache) has(id string) bool { return c.byID[id] != nil }
+// readElsewhere notes a part that a peer had the engine read. It is taken to be as long
+// as the last one of this daemon.
+func (c *partCache) readElsewhere(id uint64) { c.note(id, c.mean) }
 
-func (c *partCache) read(id string, tokens int) {
+func (c *partCache) note(id uint64, tokens int) {
 	if e := c.byID[id]; e != nil {
 		c.order.MoveToFront(e)
 		return
@@ -34,8 +60,7 @@
 	c.byID[id] = c.order.PushFront(cachedPart{id, tokens})
 	c.used += tokens
 	for c.used > c.room && c.order.Len() > 1 {
-		last := c.order.Back()
-		p := c.order.Remove(last).(cachedPart)
+		p := c.order.Remove(c.order.Back()).(cachedPart)
 		delete(c.byID, p.id)
 		c.used -= p.tokens
 	}
--- a/steer/pick.go
+++ b/steer/pick.go
@@ -10,9 +10,17 @@
 )
 
 const (
-	// strayCost is what it costs later to read a shared part on a second engine: room
-	// in its cache, and the part read again.
+	// strayCost is what it costs later to read a shared part on one more engine, besides
+	// the time that the reading takes from others: room in its cache.
 	strayCost = 15 * time.Millisecond
+	// lateCost is what a prompt that is read after it is due costs. It is above the cost of
+	// reading the shared part of a long prompt again, so that an idle engine reads it in
+	// time; where all are late, it changes nothing.
+	lateCost = time.Second
+	// handOverCost is what a prompt costs that is read apart, whatever its length: the fixed
+	// cost of a reading, one more call, and the transfer of the KV cache. The shortest
+	// prompts took 20 ms to read apart on an idle engine.
+	handOverCost = 20 * time.Millisecond
 	// domainCost is the part of a full batch for which a run stays in the failure
 	// domain of its KV cache or its daemon.
 	domainCost = 0.15
@@ -25,61 +33,85 @@
 	Tokens int
 	// Wait is the expected time until the prompt is read.
 	Wait time.Duration
-	// queued is the backlog at the time of the choice, in tokens.
-	queued int
+	// Queued is the backlog at the time of the choice, in tokens.
+	Queued int
 }
 
-// PickPrefill chooses the engine with role prefill that has read the prompt first. An
-// engine whose work failed lately is chosen only if there is no other. ok is false when
+// PickPrefill chooses the engine with role prefill that has read the prompt first, and
+// rather one that is done when the prompt is due than one that costs less. An engine whose work failed lately is chosen only if there is no other. ok is false when
 // there is none.
-func (b *Board) PickPrefill(now time.Duration, service string, p Prompt, avoid []lagoonhead.EndpointID) (c Prefill, ok bool) {
-	if c, ok = b.pickPrefill(now, service, p, avoid, true); ok {
+func (b *Board) PickPrefill(now time.Duration, service string, p Prompt, due time.Duration, avoid []lagoonhead.EndpointID) (c Prefill, ok bool) {
+	if c, ok = b.pickPrefill(now, service, p, due, avoid, true); ok {
 		return c, true
 	}
-	return b.pickPrefill(now, service, p, avoid, false)
+	return b.pickPrefill(now, service, p, due, avoid, false)
 }
 
-func (b *Board) pickPrefill(now time.Duration, service string, p Prompt, avoid []lagoonhead.EndpointID, healthy bool) (c Prefill, ok bool) {
+func (b *Board) pickPrefill(now time.Duration, service string, p Prompt, due time.Duration, avoid []lagoonhead.EndpointID, healthy bool) (c Prefill, ok bool) {
 	id, shared := p.shared()
-	home := b.home(service, id)
+	part := xxhash.Sum64String(id)
+	homes := b.homes(service, part)
 	var best time.Duration
 	for _, t := range b.services[service] {
 		if t.endpoint.Role() != lagoonhead.RolePrefill || !t.allowed(now, avoid, healthy) {
 			continue
 		}
 		tokens := p.Tokens
-		extra := strayCost
-		if id != "" && (t == home || t.cache.has(id)) {
+		var extra time.Duration
+		switch {
+		case id == "":
+		case t.cache.has(part):
 			tokens -= shared
-			extra = 0
+		case t == homes[0]:
+			// Nobody has read the part yet, or a daemon that has just started does not know.
+			tokens -= shared / 2
+		default:
+			extra = strayCost + b.millis(t, shared)
+			if t != homes[1] {
+				extra += strayCost + b.millis(t, shared)
+			}
 		}
 		queued := t.backlog(now)
-		wait := b.millis(t, queued+tokens)
+		wait := handOverCost + b.millis(t, queued+tokens)
+		if now+wait > due {
+			extra += lateCost
+		}
 		if !ok || wait+extra < best {
 			best, ok = wait+extra, true
-			c = Prefill{Endpoint: t.endpoint, Tokens: tokens, Wait: wait, queued: queued}
+			c = Prefill{Endpoint: t.endpoint, Tokens: tokens, Wait: wait, Queued: queued}
 		}
 	}
 	return c, ok
 }
 
-// home returns the engine where the part lives as long as no engine is overloaded.
-func (b *Board) home(service, id string) *target {
-	if id == "" {
-		return nil
-	}
-	seed := xxhash.Sum64String(id)
-	var best *target
-	var highest uint64
+// homes returns the engine where a part is read first, and the one where it is read when
+// the first has too much to do.
+func (b *Board) homes(service string, part uint64) (homes [2]*target) {
+	var highest [2]uint64
 	for _, t := range b.services[service] {
 		if t.endpoint.Role() != lagoonhead.RolePrefill || t.endpoint.Leaving() {
 			continue
 		}
-		if h := mix(seed, t.seed); best == nil || h > highest {
-			best, highest = t, h
+		h := mix(part, t.seed)
+		switch {
+		case homes[0] == nil || h > highest[0]:
+			homes[1], highest[1] = homes[0], highest[0]
+			homes[0], highest[0] = t, h
+		case homes[1] == nil || h > highest[1]:
+			homes[1], highest[1] = t, h
 		}
 	}
-	return best
+	return homes
+}
+
+// Short reports whether a prompt is so short that the engine that runs the request reads
+// it sooner than one that prefills can hand it over, although it reads at half the speed.
+func (b *Board) Short(service string, p Prompt) bool {
+	rate := b.rates[service]
+	if rate == 0 {
+		rate = firstRate
+	}
+	return float64(p.Tokens)/rate*float64(time.Millisecond) < float64(handOverCost)
 }
 
 func (t *target) allowed(now time.Duration, avoid []lagoonhead.EndpointID, healthy bool) bool {
@@ -91,7 +123,7 @@
 	if t := b.process(c.Endpoint); t != nil {
 		t.own.PrefillTokens += c.Tokens
 		t.own.PrefilledTotal += int64(c.Tokens)
-		b.count(t.endpoint.Serves(), int64(c.Tokens))
+		b.count(t.endpoint.Serves(), int64(c.Tokens), 0)
 	}
 }
 
@@ -107,10 +139,10 @@
 		return
 	}
 	if id, shared := p.shared(); id != "" {
-		t.cache.read(id, shared)
+		t.cache.read(xxhash.Sum64String(id), shared)
 	}
-	if c.queued+c.Tokens >= rateTokens {
-		b.learnRate(t, float64(c.queued+c.Tokens)/(float64(took)/float64(time.Millisecond)))
+	if reading := took - handOverCost; c.Queued+c.Tokens >= rateTokens && reading > 0 {
+		b.learnRate(t, float64(c.Queued+c.Tokens)/(float64(reading)/float64(time.Millisecond)))
 	}
 }
 
