Choose who reads a prompt among all engines by the time that it takes

Change: steer.Board weighs each engine's queue, what its cache holds, the time of the reading and what it costs others; an engine that decodes reads prompts that hold up its streams for less than half of the accepted pause. Roles follow peaks and change seldom. One watch of one second covers all keys. A slot of an earlier process of the same VM counts as given up where a VM runs one process only.

--- a/admit/runner.go
+++ b/admit/runner.go
@@ -71,6 +71,8 @@
 	// SlotCount is the number of slots of a new table; 0 means 6. It does not change
 	// a table that exists.
 	SlotCount int
+	// OneProcess tells that an earlier process of this VM cannot run any more.
+	OneProcess bool
 	// MaxWait is the longest time that a request waits for tokens; 0 means 10 s.
 	MaxWait time.Duration
 	// QueueLimit is the largest number of requests that wait; 0 means 10,000.
@@ -140,7 +142,7 @@
 		r.wake = make(chan struct{}, 1)
 		r.reread = make(chan struct{}, 1)
 		r.backs = ring.New[giveBack](1024)
-		r.slots.VM, r.slots.Incarnation = r.VM, r.Incarnation
+		r.slots.VM, r.slots.Incarnation, r.slots.OneProcess = r.VM, r.Incarnation, r.OneProcess
 		r.books = make(map[lagoonhead.WorkspaceID]*book)
 		r.silent = make(map[lagoonhead.VMID]time.Duration)
 		r.queue = fair.New[*waiter](r.Policy, r.QueueLimit)
--- a/control/shaping.go
+++ b/control/shaping.go
@@ -32,8 +32,9 @@
 	Services() []catalog.Service
 	// Engines returns the living endpoints of a service.
 	Engines(service string) []lagoonhead.Endpoint
-	// Work returns the work on a service.
-	Work(now time.Duration, service *catalog.Service) plan.WorkSample
+	// Demand returns the load on a service. It is measured also while this daemon does not
+	// hold the duty, so that a new holder knows it.
+	Demand(service string) plan.ShapeDemand
 }
 
 // Shaping orders the engines of all services and their roles, while this daemon holds the
@@ -65,10 +66,7 @@
 	prefill int
 }
 
-type fleetService struct {
-	meter plan.DemandMeter
-	shape plan.Shape
-}
+type fleetService struct{ shape plan.Shape }
 
 // Vars returns the counters of orders.
 func (g *Shaping) Vars() *expvar.Map { return &g.vars }
@@ -99,7 +97,7 @@
 		s = new(fleetService)
 		g.services[service.Name] = s
 	}
-	demand := s.meter.Observe(now, g.View.Work(now, service))
+	demand := g.View.Demand(service.Name)
 	engines := g.View.Engines(service.Name)
 	if g.Authority() != nil || len(engines) == 0 {
 		return
--- a/dispatch/plain.go
+++ b/dispatch/plain.go
@@ -29,7 +29,7 @@
 	var spare *whole
 	var last error
 	for {
-		e, err := r.pickRun(r.Domain, 0)
+		e, err := r.pickRun(r.Domain)
 		if err != nil {
 			break
 		}
--- a/dispatch/request.go
+++ b/dispatch/request.go
@@ -184,16 +184,14 @@
 	r.Board(func(b *steer.Board) { b.Judge(now, e, result) })
 }
 
-// pickRun chooses the endpoint of the next run and counts it there, with the tokens of
-// the prompt that it has to read itself.
-func (r *request) pickRun(near lagoonhead.FailureDomain, unread int) (lagoonhead.Endpoint, error) {
+// pickRun chooses the endpoint of the next run and counts it there.
+func (r *request) pickRun(near lagoonhead.FailureDomain) (lagoonhead.Endpoint, error) {
 	now := r.Timer.Now()
 	var e lagoonhead.Endpoint
 	var ok bool
 	r.Board(func(b *steer.Board) {
 		if e, ok = b.PickRun(now, r.service, near, r.avoid); ok {
 			b.Running(e, 1)
-			b.ReadWhereRun(e, unread)
 		}
 	})
 	if !ok {
--- a/dispatch/stream.go
+++ b/dispatch/stream.go
@@ -38,13 +38,11 @@
 	var handle *lagoonhead.KVHandle
 	defer func() { r.release(handle) }()
 	for {
-		var err error
-		if handle == nil {
-			if handle, err = r.prefill(ctx); err != nil {
-				return r.verdict(ctx, err)
-			}
+		reading, err := r.readPrompt(ctx, &handle)
+		if err != nil {
+			return r.verdict(ctx, err)
 		}
-		err = r.run(ctx, handle)
+		err = r.run(ctx, reading, handle)
 		if err == nil {
 			handle = nil
 			r.Suspects.Finished(r.demand.Fingerprint())
@@ -74,26 +72,32 @@
 	return min(r.deadline, r.arrived+r.route.Patience)
 }
 
-// prefill has an engine read the prompt. It returns nil when the engine that runs the
-// request is to read it itself.
-func (r *request) prefill(ctx context.Context) (*lagoonhead.KVHandle, error) {
-	if !r.call.Declared {
+// readPrompt finds the engine that reads the prompt. If that one only prefills, it has read the
+// prompt when readPrompt returns, and handle names the KV cache. Otherwise the reading begins
+// with the run. A handle that is left from an attempt that did not reach its engine is
+// used again. The reading is nil when the caller has declared no prompt.
+func (r *request) readPrompt(ctx context.Context, handle **lagoonhead.KVHandle) (*steer.Reading, error) {
+	if !r.call.Declared || *handle != nil {
 		return nil, nil
 	}
 	for {
-		c, ok := r.pickPrefill()
+		v, ok := r.pickReading()
 		if !ok {
-			return nil, nil
+			return nil, r.refuse("no engine of %s can take the prompt", r.service)
 		}
-		if late := r.Timer.Now() + c.Wait - r.giveUpAt(); late > 0 {
-			r.Board(func(b *steer.Board) { b.EndPrefill(c, r.call.Prompt, 0) })
-			e := failf("forecast", lagoonhead.KindUnavailable, "the prompt would be read in %s", c.Wait)
+		if late := r.Timer.Now() + v.Wait - r.giveUpAt(); late > 0 {
+			r.endReading(v, 0)
+			e := failf("forecast", lagoonhead.KindUnavailable, "the prompt would be read in %s", v.Wait)
 			e.after = late + busyRetry
 			return nil, e
 		}
-		h, err := r.prefillAt(ctx, c)
+		if !v.Apart {
+			return &v, nil
+		}
+		h, err := r.readApart(ctx, v)
 		if err == nil {
-			return &h, nil
+			*handle = &h
+			return nil, nil
 		}
 		if ctx.Err() != nil || !r.mayRepeat(ctx, fail("prefill", lagoonhead.KindUnavailable, err)) {
 			return nil, err
@@ -101,17 +105,19 @@
 	}
 }
 
-func (r *request) pickPrefill() (c steer.Prefill, ok bool) {
+func (r *request) pickReading() (v steer.Reading, ok bool) {
 	now := r.Timer.Now()
+	q := steer.ReadRequest{Service: r.service, Prompt: r.call.Prompt, Due: r.readDue(), Pause: r.route.PauseObjective, Avoid: r.avoid}
 	r.Board(func(b *steer.Board) {
-		if b.Short(r.service, r.call.Prompt) {
-			return
-		}
-		if c, ok = b.PickPrefill(now, r.service, r.call.Prompt, r.readDue(), r.avoid); ok {
-			b.BeginPrefill(c)
+		if v, ok = b.PickReading(now, q); ok {
+			b.BeginReading(v)
 		}
 	})
-	return c, ok
+	return v, ok
+}
+
+func (r *request) endReading(v steer.Reading, took time.Duration) {
+	r.Board(func(b *steer.Board) { b.EndReading(v, r.call.Prompt, took) })
 }
 
 // readDue returns when the prompt must be read for the first event to be on time.
@@ -122,38 +128,40 @@
 	return r.arrived + r.route.Objective - firstEventTime
 }
 
-func (r *request) prefillAt(ctx context.Context, c steer.Prefill) (lagoonhead.KVHandle, error) {
+// readApart has an engine that only prefills read the prompt.
+func (r *request) readApart(ctx context.Context, v steer.Reading) (lagoonhead.KVHandle, error) {
 	r.sends++
 	r.vars.prefills.Add(1)
 	began := r.Timer.Now()
-	attempt, cancel := context.WithTimeoutCause(ctx, max(lateFactor*c.Wait, readSilence), errSilent)
+	attempt, cancel := context.WithTimeoutCause(ctx, max(lateFactor*v.Wait, readSilence), errSilent)
 	defer cancel()
-	h, err := r.Sender.Prefill(attempt, r.attempt(c.Endpoint))
-	now := r.Timer.Now()
-	var took time.Duration
-	if err == nil {
-		took = now - began
-	}
-	r.Board(func(b *steer.Board) { b.EndPrefill(c, r.call.Prompt, took) })
+	h, err := r.Sender.Prefill(attempt, r.attempt(v.Endpoint))
 	if err != nil {
-		r.failed(ctx, c.Endpoint, "prefill", err)
+		r.endReading(v, 0)
+		r.failed(ctx, v.Endpoint, "prefill", err)
 		return h, err
 	}
-	r.judge(c.Endpoint, steer.Good)
+	r.endReading(v, r.Timer.Now()-began)
+	r.judge(v.Endpoint, steer.Good)
 	return h, nil
 }
 
-// run has an engine run the request and passes its events on.
-func (r *request) run(ctx context.Context, h *lagoonhead.KVHandle) error {
-	near, unread := r.Domain, r.call.Prompt.Tokens
-	if h != nil {
-		near, unread = h.Engine.FailureDomain(), 0
-	}
-	e, err := r.pickRun(near, unread)
+// run has an engine run the request and passes its events on. The engine is that of the
+// reading, if there is one that has not ended.
+func (r *request) run(ctx context.Context, v *steer.Reading, h *lagoonhead.KVHandle) error {
+	e, err := r.beginRun(v, h)
 	if err != nil {
 		return err
 	}
 	defer r.endRun(e)
+	began := r.Timer.Now()
+	read := func(took time.Duration) {
+		if v != nil {
+			r.endReading(*v, took)
+			v = nil
+		}
+	}
+	defer func() { read(0) }()
 	r.sends++
 	r.vars.sends.Add(1)
 	attempt, cancel := context.WithCancelCause(ctx)
@@ -175,7 +183,12 @@
 	if ans.Status != http.StatusOK {
 		return r.passOn(ctx, e, ans)
 	}
-	err = r.relay(ans, silence)
+	err = r.relay(ans, silence, func() {
+		read(r.Timer.Now() - began)
+		if h != nil {
+			r.Board(func(b *steer.Board) { b.Holds(e, r.call.Prompt) })
+		}
+	})
 	if err != nil {
 		r.failed(ctx, e, "stream", err)
 		return err
@@ -184,6 +197,19 @@
 	return nil
 }
 
+// beginRun chooses the engine that runs the request and counts it there.
+func (r *request) beginRun(v *steer.Reading, h *lagoonhead.KVHandle) (lagoonhead.Endpoint, error) {
+	if v != nil {
+		r.Board(func(b *steer.Board) { b.Running(v.Endpoint, 1) })
+		return v.Endpoint, nil
+	}
+	near := r.Domain
+	if h != nil {
+		near = h.Engine.FailureDomain()
+	}
+	return r.pickRun(near)
+}
+
 // silence returns how long an engine may be silent before another one is asked. An
 // engine whose request cannot go on elsewhere has all the time.
 func (r *request) silence() time.Duration {
@@ -218,10 +244,10 @@
 	return r.deliver(&whole{ans, body})
 }
 
-// relay passes whole events on as they arrive.
-func (r *request) relay(ans *lagoonhead.Answer, silence *time.Timer) error {
+// relay passes whole events on as they arrive. It calls first with the first one.
+func (r *request) relay(ans *lagoonhead.Answer, silence *time.Timer, first func()) error {
 	events := sse.NewReader(ans.Body, maxEventBytes)
-	for {
+	for n := 0; ; n++ {
 		v, err := events.Next()
 		if errors.Is(err, io.EOF) {
 			return r.ended(ans)
@@ -230,6 +256,9 @@
 			return fail("relay", readKind(err), err)
 		}
 		silence.Stop()
+		if n == 0 {
+			first()
+		}
 		r.begin(ans)
 		if err := r.sink.Write(v.Raw); err != nil {
 			return fail("deliver", lagoonhead.KindUnknown, err)
--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -46,6 +46,11 @@
 	settleInterval = 250 * time.Millisecond
 )
 
+// WatchTime bounds a watch of the store. A watch may hear nothing while changes are made,
+// and be silent for good after that; the next one tells that it has missed them. It is
+// half of the time in which a change must be in force.
+const WatchTime = time.Second
+
 // Orderer sends the orders of a duty.
 type Orderer interface {
 	lagoonhead.EndpointOrderer
@@ -95,6 +100,7 @@
 	dispatcher *dispatch.Dispatcher
 	beats      *beats
 	changes    changes
+	meters     meters
 }
 
 // part runs until its context ends.
@@ -204,6 +210,7 @@
 	d.admit = &admit.Runner{
 		VM: s.VM, Incarnation: d.incarnation, Timer: d.Timer, Store: d.store, VMs: listed{d.members, d.Timer},
 		Directory: quotas{d.config}, Gate: gate{d.config}, Peers: lenders{d.members, d.pool, s.VM}, Log: d.Log, MaxWait: maxAdmitWait,
+		OneProcess: true,
 	}
 	d.tally = &billing.Tally{Incarnation: d.incarnation, Timer: d.Timer, Window: s.UsageWindow}
 	d.dispatcher = &dispatch.Dispatcher{
@@ -224,11 +231,11 @@
 func leaseTime(s Settings) time.Duration { return max(s.LeaseLeast, s.TurnTime) }
 
 func (d *Daemon) parts() []part {
-	follow := func(prefix string, f mirror.Follower) part {
-		m := &mirror.Mirror{Store: d.store, Timer: d.Timer, Prefix: prefix, Follower: f, Log: d.Log}
-		d.vars.Set("mirror "+prefix, m.Vars())
-		return m.Run
-	}
+	// One watch of all keys costs a third of the calls of three.
+	m := &mirror.Mirror{Store: d.store, Timer: d.Timer, Log: d.Log, Follower: mirror.Split{
+		d.Platform.ConfigurationKey: d.config, d.Platform.EndpointPrefix: d.endpoints, memberPrefix: d.members,
+	}}
+	d.vars.Set("mirror", m.Vars())
 	d.vars.Set("dispatch", d.dispatcher.Vars())
 	d.vars.Set("limits", d.admit.Vars())
 	d.vars.Set("lease", d.session.Vars())
@@ -236,14 +243,15 @@
 	d.vars.Set("heartbeats", d.exchanger.Vars())
 	d.vars.Set("suspects", d.suspects.Vars())
 	return []part{
-		follow(d.Platform.ConfigurationKey, d.config),
-		follow(d.Platform.EndpointPrefix, d.endpoints),
-		follow(memberPrefix, d.members),
-		d.session.Run, d.keepPresence, d.keeper.Run, d.exchanger.Run, d.admit.Run, d.beats.runPulls,
+		m.Run, d.session.Run, d.keepPresence, d.keeper.Run, d.exchanger.Run, d.admit.Run, d.beats.runPulls,
 		func(ctx context.Context) error {
 			timer.Every(ctx, d.Timer, settleInterval, func(time.Duration) { d.endpoints.settle() })
 			return nil
 		},
+		func(ctx context.Context) error {
+			timer.Every(ctx, d.Timer, measureInterval, d.measure)
+			return nil
+		},
 	}
 }
 
--- a/entry/duties.go
+++ b/entry/duties.go
@@ -31,6 +31,8 @@
 	// attemptInterval is the time between looks at the duties. With the time to live of
 	// a lease it bounds how long a duty is without a holder.
 	attemptInterval = time.Second
+	// measureInterval is the time between two samples of the load.
+	measureInterval = 500 * time.Millisecond
 	// lapseInterval is the time between looks at whether a tenure has lapsed.
 	lapseInterval = 250 * time.Millisecond
 )
@@ -126,9 +128,44 @@
 	return slices.DeleteFunc(list, func(e lagoonhead.Endpoint) bool { return e.Serves() != service })
 }
 
-// Work returns the work of all daemons on a service.
-func (v fleetView) Work(now time.Duration, service *catalog.Service) plan.WorkSample {
-	var w steer.Demand
-	v.d.dispatcher.Board(func(b *steer.Board) { w = b.Demand(now, service.Name) })
-	return plan.WorkSample{Sent: w.Sent, SentToRun: w.SentToRun, Backlog: w.Backlog, Rate: w.Rate, Running: w.Running, Slots: service.Engine.Slots}
+// Demand returns the load on a service.
+func (v fleetView) Demand(service string) plan.ShapeDemand { return v.d.meters.demand(service) }
+
+// meters measures the load on the services, from the work of all daemons.
+type meters struct {
+	mu       sync.Mutex
+	services map[string]*plan.DemandMeter
+}
+
+func (m *meters) demand(service string) plan.ShapeDemand {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if v := m.services[service]; v != nil {
+		return v.Demand()
+	}
+	return plan.ShapeDemand{}
+}
+
+// measure takes a sample of the load on each service.
+func (d *Daemon) measure(now time.Duration) {
+	d.meters.mu.Lock()
+	defer d.meters.mu.Unlock()
+	for _, s := range (fleetView{d}).Services() {
+		if s.Engine == nil {
+			continue
+		}
+		if d.meters.services == nil {
+			d.meters.services = make(map[string]*plan.DemandMeter)
+		}
+		m := d.meters.services[s.Name]
+		if m == nil {
+			m = new(plan.DemandMeter)
+			d.meters.services[s.Name] = m
+		}
+		var w steer.Demand
+		d.dispatcher.Board(func(b *steer.Board) { w = b.Demand(now, s.Name) })
+		m.Observe(now, plan.WorkSample{
+			Sent: w.Sent, SentToRun: w.SentToRun, Backlog: w.Backlog, Rate: w.Rate, Running: w.Running, Slots: s.Engine.Slots,
+		})
+	}
 }
--- a/limit/slots.go
+++ b/limit/slots.go
@@ -84,6 +84,10 @@
 	// VM and Incarnation name the daemon. They are set before use.
 	VM          lagoonhead.VMID
 	Incarnation lagoonhead.Incarnation
+	// OneProcess tells that an earlier process of this VM cannot run any more. A slot that
+	// it held then counts as given up: without this, all buckets of a fleet that lost power
+	// stay empty for takenWait.
+	OneProcess bool
 
 	known    bool // a table was observed; its revision is positive
 	table    Table
@@ -283,13 +287,21 @@
 func (s *Slots) take(now time.Duration, t Table) bool {
 	for i, slot := range t.Slots {
 		if s.free(now, slot) {
-			t.Slots[i] = Slot{VM: s.VM, Incarnation: s.Incarnation, Clean: slot.VM == "" && slot.Clean}
+			t.Slots[i] = Slot{VM: s.VM, Incarnation: s.Incarnation, Clean: s.clean(slot)}
 			return true
 		}
 	}
 	return false
 }
 
+// clean reports whether the former holder of a free slot spends nothing any more.
+func (s *Slots) clean(slot Slot) bool {
+	if slot.VM == s.VM {
+		return s.OneProcess
+	}
+	return slot.VM == "" && slot.Clean
+}
+
 // release frees up to n slots of this daemon, in use or not.
 func (s *Slots) release(t Table, n int) int {
 	released := 0
--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -18,7 +18,7 @@
 	longestPause = 400 * time.Millisecond
 	// gatherPause is the pause after a watch that returned events, so that a series of
 	// changes costs few calls.
-	gatherPause = 50 * time.Millisecond
+	gatherPause = 100 * time.Millisecond
 	// callTimeout bounds a list.
 	callTimeout = 1500 * time.Millisecond
 )
--- a/plan/shape.go
+++ b/plan/shape.go
@@ -11,33 +11,37 @@
 )
 
 const (
-	// firstPrefillShare is the part of the engines that prefill before any load was
-	// seen. Empty caches make the first seconds heavy in prefill.
-	firstPrefillShare = 0.6
-	// demandHorizon smooths the demand. A shorter one would follow swings that are over
-	// before a change of role is done.
-	demandHorizon = 8 * time.Second
+	// firstPrefillShare is the part of the engines that prefill before any load was seen.
+	// It is below a half, since engines that decode read prompts as well when those that
+	// prefill are busy, and the reverse is not possible.
+	firstPrefillShare = 0.4
+	// demandHorizon smooths the demand, so that a few requests at once are no peak.
+	demandHorizon = 1500 * time.Millisecond
+	// peakLife is the time in which a peak of the demand falls to a third. It is some
+	// changes of role long.
+	peakLife = 20 * time.Second
 	// fullBatch is the part of its slots at which a decoding engine counts as busy. Above
 	// it each further request slows the others by more than it gains.
 	fullBatch = 0.5
+	// readSlowly is how many times longer an engine that decodes takes to read a prompt.
+	readSlowly = 2
 	// clearTime is the time in which prompts that wait shall be read. It is about the time
 	// in which callers want their first event.
 	clearTime = time.Second
-	// targetUse is the part of the engines' time that the demand may take, so that a
-	// burst of twice the load still fits.
-	targetUse = 0.45
+	// targetUse is the part of the engines' time that the peak demand may take.
+	targetUse = 0.75
 	// roleRest is how long after its last order an engine keeps its role, in changes of
 	// role.
 	roleRest = 4
 	// calmUse is the use of both roles below which none is changed: a change takes an
 	// engine out, and with it what its cache holds.
-	calmUse = 0.8
+	calmUse = 1.0
 	// changeTime is how long an engine takes to begin a change: the order is announced
 	// first, and what runs there ends.
 	changeTime = 2 * time.Second
 	// mostChanging is the part of the engines that may change their role at a time while
 	// there is load.
-	mostChanging = 0.2
+	mostChanging = 0.1
 	// lookTime is how long the number of engines must stay the same before some are given
 	// back or change their role. Endpoints of a fleet that starts register within it.
 	lookTime = 1200 * time.Millisecond
@@ -50,7 +54,7 @@
 	dryTime = 3 * time.Second
 )
 
-// ShapeDemand is the load on a service, counted in engines.
+// ShapeDemand is the load on a service, counted in engines: the peak of late.
 type ShapeDemand struct {
 	// Prefill and Decode are the engines that the load keeps busy.
 	Prefill, Decode float64
@@ -58,15 +62,6 @@
 	Known bool
 }
 
-// DemandMeter turns samples of the work into a smoothed demand.
-type DemandMeter struct {
-	from, at time.Duration
-	sent     int64
-	sentRun  int64
-	demand   ShapeDemand
-	started  bool
-}
-
 // WorkSample is the work on a service at one time.
 type WorkSample struct {
 	// Sent counts the tokens sent for prefill so far, SentToRun the prompt tokens read
@@ -80,25 +75,42 @@
 	Running, Slots int
 }
 
-// Observe takes a sample and returns the demand.
-func (m *DemandMeter) Observe(now time.Duration, s WorkSample) ShapeDemand {
+// DemandMeter turns samples of the work into the demand. It keeps the peaks of both kinds
+// of work: the load swings faster than an engine changes its role, so the roles must suit
+// each of the mixes that alternate.
+type DemandMeter struct {
+	at      time.Duration
+	sent    int64
+	sentRun int64
+	started bool
+	mean    ShapeDemand
+	peak    ShapeDemand
+}
+
+// Demand returns the newest demand.
+func (m *DemandMeter) Demand() ShapeDemand { return m.peak }
+
+// Observe takes a sample.
+func (m *DemandMeter) Observe(now time.Duration, s WorkSample) {
 	passed := now - m.at
 	if m.started && passed > 0 && s.Rate > 0 {
-		perSecond := float64(max(0, s.Sent-m.sent)) / passed.Seconds()
-		runPerSecond := float64(max(0, s.SentToRun-m.sentRun)) / passed.Seconds()
-		prefill := perSecond/s.Rate + float64(s.Backlog)/s.Rate/clearTime.Seconds()
-		decode := float64(s.Running) / (fullBatch * float64(max(1, s.Slots)))
-		perSecond += runPerSecond
-		if !m.demand.Known && perSecond > 0 {
-			m.demand.Known, m.from = true, m.at
-		}
-		// Until a horizon has passed, the mean of all samples.
-		w := max(1-math.Exp(-float64(passed)/float64(demandHorizon)), float64(passed)/float64(now-m.from))
-		m.demand.Prefill += w * (prefill - m.demand.Prefill)
-		m.demand.Decode += w * (decode - m.demand.Decode)
+		sent := float64(max(0, s.Sent-m.sent)) / passed.Seconds()
+		sentRun := float64(max(0, s.SentToRun-m.sentRun)) / passed.Seconds()
+		prefill := sent/s.Rate + float64(s.Backlog)/s.Rate/clearTime.Seconds()
+		decode := readSlowly*sentRun/s.Rate + float64(s.Running)/(fullBatch*float64(max(1, s.Slots)))
+		m.take(passed, prefill, decode)
+		m.peak.Known = m.peak.Known || sent+sentRun > 0
 	}
 	m.started, m.at, m.sent, m.sentRun = true, now, s.Sent, s.SentToRun
-	return m.demand
+}
+
+func (m *DemandMeter) take(passed time.Duration, prefill, decode float64) {
+	w := 1 - math.Exp(-float64(passed)/float64(demandHorizon))
+	m.mean.Prefill += w * (prefill - m.mean.Prefill)
+	m.mean.Decode += w * (decode - m.mean.Decode)
+	kept := math.Exp(-float64(passed) / float64(peakLife))
+	m.peak.Prefill = max(m.mean.Prefill, kept*m.peak.Prefill)
+	m.peak.Decode = max(m.mean.Decode, kept*m.peak.Decode)
 }
 
 type pool struct {
@@ -394,7 +406,7 @@
 	}
 	most := n
 	if d.Known {
-		most = max(1, int(mostChanging*float64(n)))
+		most = max(1, int(mostChanging*float64(n))) - s.changing(now, service)
 	}
 	from, to := lagoonhead.RoleDecode, lagoonhead.RolePrefill
 	if off < 0 {
@@ -412,6 +424,17 @@
 	}
 }
 
+// changing returns the number of engines that are about to change or in change.
+func (s *Shape) changing(now time.Duration, service *catalog.Service) int {
+	n := 0
+	for _, o := range s.ordered {
+		if now-o.at < changeTime+service.Engine.SwitchTime {
+			n++
+		}
+	}
+	return n
+}
+
 // richest returns an engine with the role in the failure domain that has most of them,
 // or -1. Engines that were ordered lately are left alone.
 func (s *Shape) richest(now time.Duration, staged []lagoonhead.Endpoint, role lagoonhead.Role, rest time.Duration) int {
--- a/steer/board.go
+++ b/steer/board.go
@@ -38,16 +38,20 @@
 	Parts []Part
 }
 
-// shared returns the identifier of the last shared part and the tokens up to it.
-func (p Prompt) shared() (id string, tokens int) {
+// shared returns the hash of the last shared part and the tokens up to its end, or 0 when
+// the prompt shares too little to keep in mind where.
+func (p Prompt) shared() (part uint64, tokens int) {
 	if len(p.Parts) < 2 {
-		return "", 0
+		return 0, 0
 	}
 	n := len(p.Parts) - 1
 	for _, part := range p.Parts[:n] {
 		tokens += part.Tokens
 	}
-	return p.Parts[n-1].ID, tokens
+	if tokens < leastShared {
+		return 0, 0
+	}
+	return max(1, xxhash.Sum64String(p.Parts[n-1].ID)), tokens
 }
 
 // Work is what a daemon has under way at one endpoint.
@@ -186,20 +190,12 @@
 
 type sentTokens struct{ prefill, run int64 }
 
-// ReadWhereRun counts prompt tokens that an endpoint reads to run a request.
-func (b *Board) ReadWhereRun(e lagoonhead.Endpoint, tokens int) {
-	if t := b.process(e); t != nil {
-		t.own.RunTotal += int64(tokens)
-		b.count(e.Serves(), 0, int64(tokens))
-	}
-}
-
 // Demand is the work of all daemons on a service.
 type Demand struct {
 	// Sent counts the tokens sent for prefill since this daemon started, and SentToRun
 	// the prompt tokens read where the request runs.
 	Sent, SentToRun int64
-	// Backlog is the tokens that wait for prefill.
+	// Backlog is the tokens that wait at engines that only prefill.
 	Backlog int
 	// Running counts the requests that run on engines that do not only prefill.
 	Running int
@@ -214,8 +210,9 @@
 		d.Rate = r * 1000
 	}
 	for _, t := range b.services[service] {
-		d.Backlog += t.backlog(now)
-		if t.endpoint.Role() != lagoonhead.RolePrefill {
+		if t.endpoint.Role() == lagoonhead.RolePrefill {
+			d.Backlog += t.backlog(now)
+		} else {
 			d.Running += t.running(now)
 		}
 	}
--- a/steer/pick.go
+++ b/steer/pick.go
@@ -4,8 +4,6 @@
 	"slices"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"github.com/lagoonhead/lagoonhead"
 )
 
@@ -21,72 +19,124 @@
 	// cost of a reading, one more call, and the transfer of the KV cache. The shortest
 	// prompts took 20 ms to read apart on an idle engine.
 	handOverCost = 20 * time.Millisecond
+	// runSlowdown is how many times longer an engine takes to read a prompt that it runs
+	// itself, between the tokens of other requests.
+	runSlowdown = 2
+	// runReadWeight is the weight of the time that such a reading takes from the others.
+	runReadWeight = 0.5
+	// batchCost is how much later the first event comes in a full batch than in an empty
+	// one.
+	batchCost = 100 * time.Millisecond
+	// leastShared is the shortest shared part, in tokens, whose place is kept in mind. A
+	// shorter one is read again in some milliseconds.
+	leastShared = 1024
 	// domainCost is the part of a full batch for which a run stays in the failure
 	// domain of its KV cache or its daemon.
 	domainCost = 0.15
 )
 
-// Prefill is the choice of an engine that reads a prompt.
-type Prefill struct {
+// Reading is the choice of an engine that reads a prompt.
+type Reading struct {
 	Endpoint lagoonhead.Endpoint
+	// Apart tells that the engine only prefills, so that the request runs elsewhere.
+	Apart bool
 	// Tokens is the expected reading.
 	Tokens int
 	// Wait is the expected time until the prompt is read.
 	Wait time.Duration
-	// Queued is the backlog at the time of the choice, in tokens.
-	Queued int
+	// queued is the backlog at the time of the choice, in tokens.
+	queued int
+}
+
+// ReadRequest is what a choice of an engine that reads depends on.
+type ReadRequest struct {
+	Service string
+	Prompt  Prompt
+	// Due is when the prompt must be read for a timely answer.
+	Due time.Duration
+	// Pause is the longest pause between events that callers of the service accept; 0
+	// means any.
+	Pause time.Duration
+	Avoid []lagoonhead.EndpointID
 }
 
-// PickPrefill chooses the engine with role prefill that has read the prompt first, and
-// rather one that is done when the prompt is due than one that costs less. An engine whose work failed lately is chosen only if there is no other. ok is false when
-// there is none.
-func (b *Board) PickPrefill(now time.Duration, service string, p Prompt, due time.Duration, avoid []lagoonhead.EndpointID) (c Prefill, ok bool) {
-	if c, ok = b.pickPrefill(now, service, p, due, avoid, true); ok {
+// PickReading chooses the engine that reads the prompt: one that prefills, or one that
+// runs the request as well. It looks for the earliest end of the reading, and weighs what
+// the choice costs others: a shared part read on one more engine, and the tokens of
+// other requests that wait for a reading among them. An engine that is done when the
+// prompt is due goes before one that costs less. An engine whose work failed lately is
+// chosen only if there is no other. ok is false when there is none.
+func (b *Board) PickReading(now time.Duration, r ReadRequest) (c Reading, ok bool) {
+	if c, ok = b.pickReading(now, r, true); ok {
 		return c, true
 	}
-	return b.pickPrefill(now, service, p, due, avoid, false)
+	return b.pickReading(now, r, false)
 }
 
-func (b *Board) pickPrefill(now time.Duration, service string, p Prompt, due time.Duration, avoid []lagoonhead.EndpointID, healthy bool) (c Prefill, ok bool) {
-	id, shared := p.shared()
-	part := xxhash.Sum64String(id)
-	homes := b.homes(service, part)
+func (b *Board) pickReading(now time.Duration, r ReadRequest, healthy bool) (c Reading, ok bool) {
+	part, shared := r.Prompt.shared()
+	homes := b.homes(r.Service, part)
 	var best time.Duration
-	for _, t := range b.services[service] {
-		if t.endpoint.Role() != lagoonhead.RolePrefill || !t.allowed(now, avoid, healthy) {
-			continue
-		}
-		tokens := p.Tokens
-		var extra time.Duration
-		switch {
-		case id == "":
-		case t.cache.has(part):
-			tokens -= shared
-		case t == homes[0]:
-			// Nobody has read the part yet, or a daemon that has just started does not know.
-			tokens -= shared / 2
-		default:
-			extra = strayCost + b.millis(t, shared)
-			if t != homes[1] {
-				extra += strayCost + b.millis(t, shared)
+	for pass := range 2 {
+		for _, t := range b.services[r.Service] {
+			if !t.allowed(now, r.Avoid, healthy) {
+				continue
+			}
+			v, cost, fits := b.weigh(now, t, r, part, shared, homes)
+			// A prompt that would hold up others for too long runs among them only if
+			// nothing else reads it.
+			if !fits && pass == 0 {
+				continue
+			}
+			if now+v.Wait > r.Due {
+				cost += lateCost
+			}
+			if !ok || cost < best {
+				best, ok, c = cost, true, v
 			}
 		}
-		queued := t.backlog(now)
-		wait := handOverCost + b.millis(t, queued+tokens)
-		if now+wait > due {
-			extra += lateCost
-		}
-		if !ok || wait+extra < best {
-			best, ok = wait+extra, true
-			c = Prefill{Endpoint: t.endpoint, Tokens: tokens, Wait: wait, Queued: queued}
+		if ok {
+			break
 		}
 	}
 	return c, ok
 }
 
+// weigh returns the reading of a prompt at a target with its cost. fits is false when it
+// would hold up the other requests of the target for longer than callers accept.
+func (b *Board) weigh(now time.Duration, t *target, r ReadRequest, part uint64, shared int, homes [2]*target) (v Reading, cost time.Duration, fits bool) {
+	v = Reading{Endpoint: t.endpoint, Apart: t.endpoint.Role() == lagoonhead.RolePrefill, Tokens: r.Prompt.Tokens, queued: t.backlog(now)}
+	known := part != 0 && t.cache.has(part)
+	if known {
+		v.Tokens -= shared
+	}
+	reading := b.millis(t, v.queued+v.Tokens)
+	if !v.Apart {
+		load := float64(t.running(now)) / float64(max(1, t.endpoint.Slots()))
+		v.Wait = runSlowdown*reading + time.Duration(load*float64(batchCost))
+		cost = v.Wait + time.Duration(runReadWeight*float64(b.millis(t, v.Tokens)))
+		if t.endpoint.FailureDomain() != b.Domain {
+			cost += time.Duration(domainCost * float64(batchCost))
+		}
+		return v, cost, r.Pause == 0 || runSlowdown*b.millis(t, v.Tokens) < r.Pause/2
+	}
+	v.Wait = handOverCost + reading
+	cost = v.Wait
+	if part != 0 && !known && t != homes[0] {
+		cost += strayCost + b.millis(t, shared)
+		if t != homes[1] {
+			cost += strayCost + b.millis(t, shared)
+		}
+	}
+	return v, cost, true
+}
+
 // homes returns the engine where a part is read first, and the one where it is read when
 // the first has too much to do.
 func (b *Board) homes(service string, part uint64) (homes [2]*target) {
+	if part == 0 {
+		return homes
+	}
 	var highest [2]uint64
 	for _, t := range b.services[service] {
 		if t.endpoint.Role() != lagoonhead.RolePrefill || t.endpoint.Leaving() {
@@ -104,45 +154,50 @@
 	return homes
 }
 
-// Short reports whether a prompt is so short that the engine that runs the request reads
-// it sooner than one that prefills can hand it over, although it reads at half the speed.
-func (b *Board) Short(service string, p Prompt) bool {
-	rate := b.rates[service]
-	if rate == 0 {
-		rate = firstRate
-	}
-	return float64(p.Tokens)/rate*float64(time.Millisecond) < float64(handOverCost)
-}
-
 func (t *target) allowed(now time.Duration, avoid []lagoonhead.EndpointID, healthy bool) bool {
 	return !t.endpoint.Leaving() && now >= t.changing && (!healthy || t.health.usable(now)) && !slices.Contains(avoid, t.endpoint.ID())
 }
 
-// BeginPrefill counts a prompt that is sent for reading.
-func (b *Board) BeginPrefill(c Prefill) {
-	if t := b.process(c.Endpoint); t != nil {
-		t.own.PrefillTokens += c.Tokens
-		t.own.PrefilledTotal += int64(c.Tokens)
-		b.count(t.endpoint.Serves(), int64(c.Tokens), 0)
+// BeginReading counts a prompt that is sent to be read.
+func (b *Board) BeginReading(v Reading) {
+	t := b.process(v.Endpoint)
+	if t == nil {
+		return
+	}
+	t.own.PrefillTokens += v.Tokens
+	if v.Apart {
+		t.own.PrefilledTotal += int64(v.Tokens)
+		b.count(t.endpoint.Serves(), int64(v.Tokens), 0)
+	} else {
+		t.own.RunTotal += int64(v.Tokens)
+		b.count(t.endpoint.Serves(), 0, int64(v.Tokens))
 	}
 }
 
-// EndPrefill ends what BeginPrefill began. took is the time that it took, or 0 when the
+// EndReading ends what BeginReading began. took is the time that it took, or 0 when the
 // prompt was not read.
-func (b *Board) EndPrefill(c Prefill, p Prompt, took time.Duration) {
-	t := b.process(c.Endpoint)
+func (b *Board) EndReading(v Reading, p Prompt, took time.Duration) {
+	t := b.process(v.Endpoint)
 	if t == nil {
 		return
 	}
-	t.own.PrefillTokens -= c.Tokens
+	t.own.PrefillTokens -= v.Tokens
 	if took <= 0 {
 		return
 	}
-	if id, shared := p.shared(); id != "" {
-		t.cache.read(xxhash.Sum64String(id), shared)
+	b.Holds(v.Endpoint, p)
+	if reading := took - handOverCost; v.Apart && v.queued+v.Tokens >= rateTokens && reading > 0 {
+		b.learnRate(t, float64(v.queued+v.Tokens)/(float64(reading)/float64(time.Millisecond)))
 	}
-	if reading := took - handOverCost; c.Queued+c.Tokens >= rateTokens && reading > 0 {
-		b.learnRate(t, float64(c.Queued+c.Tokens)/(float64(reading)/float64(time.Millisecond)))
+}
+
+// Holds notes that an engine holds the shared part of a prompt, because it has read it or
+// fetched it with the KV cache.
+func (b *Board) Holds(e lagoonhead.Endpoint, p Prompt) {
+	if t := b.process(e); t != nil {
+		if part, shared := p.shared(); part != 0 {
+			t.cache.read(part, shared)
+		}
 	}
 }
 
