Let duties go on at once after a restart

Change: where epochs are checked by all receivers, a new holder begins at once, unless it comes back after another VM; a process takes over the duties of the former process of its VM. Leases last two thirds of the turn time. Shorter readings go first at an engine. Endpoints that fail are left out sooner and longer.

--- a/dispatch/stream.go
+++ b/dispatch/stream.go
@@ -26,6 +26,8 @@
 	// readSilence is the shortest time after which a prompt is read elsewhere. An engine
 	// that is gone is noticed sooner, by its connection; this is for one that hangs.
 	readSilence = 1500 * time.Millisecond
+	// leastUrgent is the last urgency that an attempt can have.
+	leastUrgent = 9
 	// firstEventTime is the time from a prompt that has been read apart to the first event
 	// at the caller, with a batch that is half full.
 	firstEventTime = 150 * time.Millisecond
@@ -33,6 +35,11 @@
 	releaseTimeout = time.Second
 )
 
+// readingClasses are the lengths of readings, in tokens, that bound the classes. A usual
+// own part of a prompt is in the first two, a shared part that has to be read as well in
+// the third.
+var readingClasses = []int{2_000, 6_000, 24_000}
+
 // stream serves a request whose answer is a series of events.
 func (r *request) stream(ctx context.Context) error {
 	var handle *lagoonhead.KVHandle
@@ -135,7 +142,9 @@
 	began := r.Timer.Now()
 	attempt, cancel := context.WithTimeoutCause(ctx, max(lateFactor*v.Wait, readSilence), errSilent)
 	defer cancel()
-	h, err := r.Sender.Prefill(attempt, r.attempt(v.Endpoint))
+	a := r.attempt(v.Endpoint)
+	a.Urgency = min(leastUrgent, a.Urgency+readingClass(v.Tokens))
+	h, err := r.Sender.Prefill(attempt, a)
 	if err != nil {
 		r.endReading(v, 0)
 		r.failed(ctx, v.Endpoint, "prefill", err)
@@ -146,6 +155,18 @@
 	return h, nil
 }
 
+// readingClass returns by how much a reading goes behind shorter ones of the same urgency
+// at an engine. A reading of 40,000 tokens in front of ten of 2,000 would make all of them
+// late to be in time itself.
+func readingClass(tokens int) int {
+	for i, most := range readingClasses {
+		if tokens < most {
+			return i
+		}
+	}
+	return len(readingClasses)
+}
+
 // run has an engine run the request and passes its events on. The engine is that of the
 // reading, if there is one that has not ended.
 func (r *request) run(ctx context.Context, v *steer.Reading, h *lagoonhead.KVHandle) error {
--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -226,9 +226,9 @@
 	d.buildDuties()
 }
 
-// leaseTime is the time to live of the daemon's lease. It is as short as turns allow, so
-// that the duties of a VM that died are taken over within the time of a usage report.
-func leaseTime(s Settings) time.Duration { return max(s.LeaseLeast, s.TurnTime) }
+// leaseTime is the time to live of the daemon's lease. It is short, so that the duties of
+// a VM that died are taken over soon, and long enough for some renewals at a slow store.
+func leaseTime(s Settings) time.Duration { return max(s.LeaseLeast, s.TurnTime*2/3) }
 
 func (d *Daemon) parts() []part {
 	// One watch of all keys costs a third of the calls of three.
--- a/entry/duties.go
+++ b/entry/duties.go
@@ -41,7 +41,7 @@
 	work := map[lease.Duty]func(*lease.Tenure) part{dutyUsage: d.usageReports, dutyFleet: d.fleetOrders}
 	d.keeper = &lease.Keeper{
 		Store: d.store, Session: d.session, Timer: d.Timer, Log: d.Log, VM: d.Settings.VM, Incarnation: d.incarnation,
-		Duties: []lease.Duty{dutyUsage, dutyFleet}, Attempt: attemptInterval, FirstAtOnce: true,
+		Duties: []lease.Duty{dutyUsage, dutyFleet}, Attempt: attemptInterval, Fenced: d.Settings.FencesChecked, OneProcess: true,
 		// Holders must not take turns faster than this.
 		OrderFlight: d.Settings.TurnTime,
 		Eligible: func(v lease.Duty) bool {
--- a/entry/settings.go
+++ b/entry/settings.go
@@ -24,6 +24,9 @@
 	DrainLimit time.Duration
 	// TurnTime is the time within which a duty must not go to another daemon and back.
 	TurnTime time.Duration
+	// FencesChecked tells that the platform and all engines refuse the fence of a former
+	// holder of a duty.
+	FencesChecked bool
 	// LeaseLeast is the shortest time to live of a lease.
 	LeaseLeast time.Duration
 	// UsageWindow is the length of a usage window, UsageDue the time after its end in
--- a/lease/duty.go
+++ b/lease/duty.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"expvar"
+	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -40,6 +41,22 @@
 type epochRecord struct {
 	Epoch int64  `json:"epoch"`
 	Nonce string `json:"nonce"`
+	// Holders are the VMs that held the duty last, the newest first.
+	Holders []lagoonhead.VMID `json:"holders,omitempty"`
+}
+
+// rememberedHolders is how many former holders an epoch record names. Holders that take
+// turns faster than leases lapse are few.
+const rememberedHolders = 4
+
+// returns reports whether vm comes back to a duty that others have held in the meantime.
+func (r epochRecord) returns(vm lagoonhead.VMID) bool {
+	return len(r.Holders) > 1 && r.Holders[0] != vm && slices.Contains(r.Holders[1:], vm)
+}
+
+func (r epochRecord) next(vm lagoonhead.VMID) epochRecord {
+	holders := append([]lagoonhead.VMID{vm}, r.Holders...)
+	return epochRecord{Epoch: r.Epoch + 1, Nonce: uuid.NewString(), Holders: holders[:min(len(holders), rememberedHolders)]}
 }
 
 // Tenure is the authority over a duty. It ends by itself when the lease lapses.
@@ -103,9 +120,13 @@
 	Eligible func(Duty) bool
 	// Gained is called with each new tenure. Nil means nobody is told.
 	Gained func(*Tenure)
-	// FirstAtOnce lets the first holder of a duty begin at once, since no order of a
-	// former one can be in flight. It is set where epochs are never lost.
-	FirstAtOnce bool
+	// Fenced tells that all receivers refuse the epoch of a former holder. A new holder
+	// then begins at once, unless it comes back to the duty after another VM: two holders
+	// must not act in turns faster than OrderFlight.
+	Fenced bool
+	// OneProcess tells that an earlier process of this VM cannot run any more, so that its
+	// duties are taken over before its lease ends.
+	OneProcess bool
 	// OrderFlight and Attempt default to the constants of the package.
 	OrderFlight, Attempt time.Duration
 
@@ -178,7 +199,7 @@
 	if err := k.create(ctx, d, id); err != nil {
 		return err
 	}
-	epoch, err := k.raiseEpoch(ctx, d)
+	epoch, returns, err := k.raiseEpoch(ctx, d)
 	if err != nil {
 		return err
 	}
@@ -186,7 +207,7 @@
 		duty: d, epoch: epoch, lease: id, session: k.Session, timer: k.Timer,
 		from: k.Timer.Now() + k.OrderFlight,
 	}
-	if k.FirstAtOnce && epoch == 1 {
+	if k.Fenced && !returns {
 		t.from = k.Timer.Now()
 	}
 	k.mu.Lock()
@@ -207,10 +228,15 @@
 // by an attempt whose answer was lost.
 func (k *Keeper) create(ctx context.Context, d Duty, id lagoonhead.LeaseID) error {
 	e, err := k.Store.Get(ctx, d.dutyKey())
-	if err == nil {
-		return k.recognise(e, d, id)
-	}
-	if !lagoonhead.IsKind(err, lagoonhead.KindNotFound) {
+	revision := int64(0)
+	switch {
+	case err == nil:
+		own, err := k.recognise(e, d, id)
+		if own || err != nil {
+			return err
+		}
+		revision = e.Revision
+	case !lagoonhead.IsKind(err, lagoonhead.KindNotFound):
 		return err
 	}
 	h := Holder{VM: k.VM, Incarnation: k.Incarnation, Nonce: uuid.NewString()}
@@ -218,40 +244,47 @@
 	if err != nil {
 		return fail("create", lagoonhead.KindInternal, "%v", err)
 	}
-	_, err = k.Store.Put(ctx, lagoonhead.PutRequest{Key: d.dutyKey(), Value: value, Lease: id})
+	_, err = k.Store.Put(ctx, lagoonhead.PutRequest{Key: d.dutyKey(), Value: value, IfRevision: revision, Lease: id})
 	// After a lost answer the next attempt reads the key and recognises it.
 	return err
 }
 
-func (k *Keeper) recognise(e lagoonhead.Entry, d Duty, id lagoonhead.LeaseID) error {
+// recognise reports whether the duty is this process's own already. It returns an error
+// of KindConflict when another process holds it, unless that is an earlier process of
+// this VM that cannot run any more.
+func (k *Keeper) recognise(e lagoonhead.Entry, d Duty, id lagoonhead.LeaseID) (own bool, err error) {
 	var h Holder
 	if err := json.Unmarshal(e.Value, &h); err != nil {
-		return fail("create", lagoonhead.KindInternal, "key %s: %v", d.dutyKey(), err)
+		return false, fail("create", lagoonhead.KindInternal, "key %s: %v", d.dutyKey(), err)
 	}
 	if h.Incarnation == k.Incarnation && e.Lease == id {
-		return nil
+		return true, nil
+	}
+	if k.OneProcess && h.VM == k.VM {
+		return false, nil
 	}
-	return fail("create", lagoonhead.KindConflict, "duty %s is held by VM %s", d, h.VM)
+	return false, fail("create", lagoonhead.KindConflict, "duty %s is held by VM %s", d, h.VM)
 }
 
 // raiseEpoch adds one to the persistent epoch. A lost answer makes the attempt
 // fail; the next one raises the epoch again, which does no harm.
-func (k *Keeper) raiseEpoch(ctx context.Context, d Duty) (int64, error) {
+func (k *Keeper) raiseEpoch(ctx context.Context, d Duty) (epoch int64, returns bool, err error) {
 	var r epochRecord
 	e, err := k.Store.Get(ctx, d.epochKey())
 	if err != nil && !lagoonhead.IsKind(err, lagoonhead.KindNotFound) {
-		return 0, err
+		return 0, false, err
 	}
 	if err == nil {
 		if err := json.Unmarshal(e.Value, &r); err != nil {
-			return 0, fail("epoch", lagoonhead.KindInternal, "key %s: %v", d.epochKey(), err)
+			return 0, false, fail("epoch", lagoonhead.KindInternal, "key %s: %v", d.epochKey(), err)
 		}
 	}
-	r = epochRecord{Epoch: r.Epoch + 1, Nonce: uuid.NewString()}
+	returns = r.returns(k.VM)
+	r = r.next(k.VM)
 	value, err := json.Marshal(r)
 	if err != nil {
-		return 0, fail("epoch", lagoonhead.KindInternal, "%v", err)
+		return 0, false, fail("epoch", lagoonhead.KindInternal, "%v", err)
 	}
 	_, err = k.Store.Put(ctx, lagoonhead.PutRequest{Key: d.epochKey(), Value: value, IfRevision: e.Revision})
-	return r.Epoch, err
+	return r.Epoch, returns, err
 }
--- a/steer/health.go
+++ b/steer/health.go
@@ -6,7 +6,7 @@
 	// firstBackOff and longestBackOff bound the time for which an endpoint whose work
 	// failed gets none. The longest one lets an endpoint that is back be used again
 	// within the time in which a caller retries.
-	firstBackOff   = 250 * time.Millisecond
+	firstBackOff   = 500 * time.Millisecond
 	longestBackOff = 4 * time.Second
 	// firstRefusal and longestRefusal bound the time for which an endpoint that refused
 	// gets no work.
@@ -15,9 +15,9 @@
 	// mostFailures in a row end the use of an endpoint for a while.
 	mostFailures = 2
 	// failureWeight is the weight of the newest outcome in the failure rate.
-	failureWeight = 0.15
+	failureWeight = 0.2
 	// highFailureRate ends the use of an endpoint that fails without failing in a row.
-	// An endpoint that answers at random needs about five failures to reach it.
+	// An endpoint that fails all of its work needs three failures to reach it.
 	highFailureRate = 0.4
 )
 
