--- a/cmd/lagoonheadd/platform.go
+++ b/cmd/lagoonheadd/platform.go
@@ -9,10 +9,14 @@
 	"os/signal"
 	"syscall"
 
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+
 	"github.com/lagoonhead/lagoonhead"
 	"github.com/lagoonhead/lagoonhead/dispatch"
 	"github.com/lagoonhead/lagoonhead/entry"
 	"github.com/lagoonhead/lagoonhead/lease"
+	"github.com/lagoonhead/lagoonhead/outlog"
 	"github.com/lagoonhead/lagoonhead/platform"
 	"github.com/lagoonhead/lagoonhead/timer"
 )
@@ -28,15 +32,22 @@
 		fmt.Fprintln(out, "the settings are valid")
 		return exitDone
 	}
-	log, err := newLogger("info", out)
-	if err != nil {
-		fmt.Fprintln(errOut, err)
-		return exitFault
-	}
+	sink := outlog.New(out)
+	log := sink.Logger(zapcore.InfoLevel).With(zap.String("vm", string(s.Entry.VM)))
+	written := make(chan struct{})
+	logging, end := context.WithCancel(context.Background())
+	defer func() {
+		end()
+		<-written
+	}()
+	go func() {
+		defer close(written)
+		_ = sink.Run(logging) // it never fails
+	}()
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
-	signal.Ignore(syscall.SIGHUP)
-	d := &entry.Daemon{Settings: s.Entry, Platform: platformParts(s), Timer: &timer.Service{}, Log: log}
+	go logReloads(ctx, log)
+	d := &entry.Daemon{Settings: s.Entry, Platform: platformParts(s), Timer: &timer.Service{}, Log: log, LogVars: sink.Vars()}
 	if err := d.Run(ctx); err != nil {
 		fmt.Fprintln(errOut, err)
 		return exitFault
@@ -44,6 +55,23 @@
 	return exitDone
 }
 
+// logReloads reads the settings again when the platform says that they have changed. What
+// a running daemon has to know of them does not change, so that a fault is only logged.
+func logReloads(ctx context.Context, log *zap.Logger) {
+	hup := make(chan os.Signal, 1)
+	signal.Notify(hup, syscall.SIGHUP)
+	defer signal.Stop(hup)
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-hup:
+			_, err := platform.LoadSettings(os.Getenv(platform.SettingsVariable))
+			log.Info("settings read again", zap.Error(err))
+		}
+	}
+}
+
 // platformParts returns what package platform provides.
 func platformParts(s platform.Settings) entry.Platform {
 	orders := platform.NewClient(s.OrdersAddress)
--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -15,6 +15,7 @@
 
 	"github.com/lagoonhead/lagoonhead"
 	"github.com/lagoonhead/lagoonhead/catalog"
+	"github.com/lagoonhead/lagoonhead/metrics"
 	"github.com/lagoonhead/lagoonhead/steer"
 	"github.com/lagoonhead/lagoonhead/timer"
 )
@@ -89,6 +90,11 @@
 	all                                             expvar.Map
 	calls, served, refused, failed, abandoned       expvar.Int
 	sends, repeats, prefills, resumes, wastedHandle expvar.Int
+	// firstEvent is the time from arrival to the first event of a stream, whole to the end
+	// of a served answer.
+	firstEvent, whole *metrics.Latency
+	// refusals counts the calls that were not served, by kind.
+	refusals expvar.Map
 }
 
 func (d *Dispatcher) init() {
@@ -106,6 +112,10 @@
 		} {
 			c.all.Set(name, v)
 		}
+		c.firstEvent, c.whole = metrics.NewLatency(), metrics.NewLatency()
+		c.all.Set("firstEventSeconds", c.firstEvent)
+		c.all.Set("wholeSeconds", c.whole)
+		c.all.Set("notServed", &c.refusals)
 	})
 }
 
@@ -210,12 +220,15 @@
 	return q
 }
 
-// conclude counts the outcome.
+// conclude counts the outcome and logs it with the decisions that led to it.
 func (d *Dispatcher) conclude(ctx context.Context, r *request, c *Call, err error) {
-	switch {
-	case err == nil:
+	if err == nil {
 		d.vars.served.Add(1)
+		d.vars.whole.Record(d.Timer.Now() - r.arrived)
+		d.Log.Info("request served", r.fields()...)
 		return
+	}
+	switch {
 	case ctx.Err() != nil:
 		d.vars.abandoned.Add(1)
 	case NotRun(err):
@@ -223,12 +236,28 @@
 	default:
 		d.vars.failed.Add(1)
 	}
-	fields := []zap.Field{zap.String("request", string(c.ID)), zap.Error(err), zap.Bool("callerLeft", ctx.Err() != nil)}
+	d.vars.refusals.Add(lagoonhead.KindOf(err).String(), 1)
+	fields := []zap.Field{zap.String("request", string(c.ID))}
 	if r != nil {
-		fields = append(fields, zap.String("route", r.route.Name), zap.Int64("version", r.version),
-			zap.Duration("after", d.Timer.Now()-r.arrived), zap.Strings("history", r.history))
+		fields = r.fields()
+	}
+	fields = append(fields, zap.String("kind", lagoonhead.KindOf(err).String()), zap.Bool("notRun", NotRun(err)),
+		zap.Duration("retryAfter", RetryAfter(err)), zap.Bool("callerLeft", ctx.Err() != nil), zap.Error(err))
+	d.Log.Warn("request not served", fields...)
+}
+
+// fields returns what the log says of a request: its identifiers, the version of the
+// configuration that it was handled by, and each decision with what it came from.
+func (r *request) fields() []zap.Field {
+	f := []zap.Field{
+		zap.String("request", string(r.call.ID)), zap.String("route", r.route.Name), zap.Int64("configVersion", r.version),
+		zap.String("service", r.service), zap.Duration("took", r.Timer.Now()-r.arrived), zap.Int("sends", r.sends), zap.Int("runs", r.runs),
+		zap.Strings("steps", r.steps),
+	}
+	if r.holder != nil {
+		f = append(f, zap.String("workspace", string(r.holder.ID)), zap.Int64("tokens", r.demand.Charge()))
 	}
-	d.Log.Info("request not served", fields...)
+	return f
 }
 
 // NotRun reports whether an error of Serve says that the request has not run.
--- a/dispatch/plain.go
+++ b/dispatch/plain.go
@@ -110,6 +110,7 @@
 
 func (r *request) deliver(w *whole) error {
 	r.Suspects.Finished(r.demand.Fingerprint())
+	r.step("answer with status %d", w.Status)
 	r.sink.Start(w.Status, w.Header)
 	r.started = true
 	if err := r.sink.Write(w.body); err != nil {
--- a/dispatch/request.go
+++ b/dispatch/request.go
@@ -35,8 +35,8 @@
 	counted bool
 	// started is true once the sink has the beginning of an answer.
 	started bool
-	// history tells what each attempt came to.
-	history []string
+	// steps tells each decision on the request with its time since the arrival.
+	steps []string
 }
 
 func (r *request) setDeadline() {
@@ -86,6 +86,7 @@
 	}
 	res, err := r.Admitter.Admit(ctx, r.demand)
 	if err == nil {
+		r.step("admitted with %d tokens", r.demand.Charge())
 		return res, nil
 	}
 	k := lagoonhead.KindOf(err)
@@ -138,7 +139,7 @@
 		return false
 	}
 	if !r.Retries.Take(r.service) {
-		r.history = append(r.history, "retry budget is empty")
+		r.step("not repeated: the retry budget of %s is used up", r.service)
 		return false
 	}
 	r.vars.repeats.Add(1)
@@ -157,10 +158,16 @@
 	return r.route.Repeat == catalog.RepeatSafe
 }
 
+// step notes a decision for the log.
+func (r *request) step(format string, args ...any) {
+	at := (r.Timer.Now() - r.arrived).Round(100 * time.Microsecond)
+	r.steps = append(r.steps, at.String()+" "+fmt.Sprintf(format, args...))
+}
+
 // failed notes a failed attempt at an endpoint.
 func (r *request) failed(ctx context.Context, e lagoonhead.Endpoint, step string, err error) {
 	k := lagoonhead.KindOf(err)
-	r.history = append(r.history, fmt.Sprintf("%s at %s after %s: %s", step, e.ID(), (r.Timer.Now()-r.arrived).Round(time.Millisecond), err))
+	r.step("%s at %s failed: %v", step, e.ID(), err)
 	result := steer.Neutral
 	switch {
 	case ctx.Err() != nil && !errors.Is(context.Cause(ctx), errDeadline):
@@ -197,6 +204,7 @@
 	if !ok {
 		return e, r.refuse("no endpoint of %s can take the request", r.service)
 	}
+	r.step("run at %s in %s", e.ID(), e.FailureDomain())
 	return e, nil
 }
 
--- a/dispatch/stream.go
+++ b/dispatch/stream.go
@@ -67,6 +67,7 @@
 		}
 		if r.started {
 			r.vars.resumes.Add(1)
+			r.step("resume behind event %s", r.call.After)
 		}
 	}
 }
@@ -92,6 +93,7 @@
 		if !ok {
 			return nil, r.refuse("no engine of %s can take the prompt", r.service)
 		}
+		r.step("read at %s: apart %t, %d tokens, expected in %s", v.Endpoint.ID(), v.Apart, v.Tokens, v.Wait.Round(time.Millisecond))
 		if late := r.Timer.Now() + v.Wait - r.giveUpAt(); late > 0 {
 			r.endReading(v, 0)
 			e := failf("forecast", lagoonhead.KindUnavailable, "the prompt would be read in %s", v.Wait)
@@ -303,6 +305,8 @@
 		return
 	}
 	r.started = true
+	r.step("first event")
+	r.vars.firstEvent.Record(r.Timer.Now() - r.arrived)
 	r.sink.Start(ans.Status, ans.Header)
 }
 
--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -20,6 +20,7 @@
 	"github.com/lagoonhead/lagoonhead/catalog"
 	"github.com/lagoonhead/lagoonhead/dispatch"
 	"github.com/lagoonhead/lagoonhead/lease"
+	"github.com/lagoonhead/lagoonhead/metrics"
 	"github.com/lagoonhead/lagoonhead/mirror"
 	"github.com/lagoonhead/lagoonhead/peer"
 	"github.com/lagoonhead/lagoonhead/roster"
@@ -81,6 +82,8 @@
 	Platform Platform
 	Timer    timer.Timer
 	Log      *zap.Logger
+	// LogVars are the counters of the log. Optional.
+	LogVars *expvar.Map
 
 	incarnation lagoonhead.Incarnation
 	leaving     atomic.Bool
@@ -113,13 +116,16 @@
 	debug.SetGCPercent(gcPercent)
 	d.incarnation = lagoonhead.Incarnation(string(d.Settings.VM) + "/" + uuid.NewString())
 	d.vars = new(expvar.Map)
+	if d.LogVars != nil {
+		d.vars.Set("log", d.LogVars)
+	}
 	d.buildState()
 	d.buildWork()
 	servers, err := d.listen()
 	if err != nil {
 		return err
 	}
-	d.Log.Info("started", zap.String("vm", string(d.Settings.VM)), zap.String("incarnation", string(d.incarnation)))
+	d.Log.Info("started", zap.String("incarnation", string(d.incarnation)), zap.String("failureDomain", string(d.Settings.FailureDomain)))
 	err = d.run(ctx, servers)
 	d.Log.Info("stopped", zap.Error(err))
 	return err
@@ -257,28 +263,46 @@
 
 // servers are the listeners with their handlers.
 type servers struct {
-	callers, ready, peers *http.Server
-	listeners             [3]net.Listener
+	callers *http.Server
+	all     []server
+}
+
+type server struct {
+	*http.Server
+	listener net.Listener
 }
 
 func (d *Daemon) listen() (*servers, error) {
-	s := &servers{
-		callers: d.Platform.Callers(d.dispatcher, d.leaving.Load, d.bodyLimit),
-		ready:   &http.Server{Handler: d.Platform.Ready(d.ready), ReadHeaderTimeout: time.Second},
-	}
+	plain := func(h http.Handler) *http.Server { return &http.Server{Handler: h, ReadHeaderTimeout: time.Second} }
 	p := &peer.Server{Config: d.beats, Lender: d.admit, Usage: noCopies{}, Heartbeats: d.beats}
-	s.peers = &http.Server{Handler: p.Handler(), ReadHeaderTimeout: time.Second}
+	s := &servers{callers: d.Platform.Callers(d.dispatcher, d.leaving.Load, d.bodyLimit)}
 	l := d.Settings.Listen
-	for i, address := range []string{l.Callers, l.Ready, l.Peers} {
-		listener, err := net.Listen("tcp", address)
+	for _, v := range []struct {
+		address string
+		server  *http.Server
+	}{
+		{l.Callers, s.callers}, {l.Ready, plain(d.Platform.Ready(d.ready))}, {l.Peers, plain(p.Handler())},
+		{l.Metrics, plain(metrics.Handler("lagoonhead", d.vars))},
+	} {
+		if v.address == "" {
+			continue
+		}
+		listener, err := net.Listen("tcp", v.address)
 		if err != nil {
+			s.close()
 			return nil, &Error{lagoonhead.Fault{Op: "entry.listen", Kind: lagoonhead.KindUnavailable, Err: err}}
 		}
-		s.listeners[i] = listener
+		s.all = append(s.all, server{v.server, listener})
 	}
 	return s, nil
 }
 
+func (s *servers) close() {
+	for _, v := range s.all {
+		v.listener.Close()
+	}
+}
+
 func (d *Daemon) bodyLimit() int64 {
 	if c := d.config.Catalog(); c != nil && c.Limits().BodyBytes > 0 {
 		return c.Limits().BodyBytes
@@ -287,15 +311,18 @@
 }
 
 func (s *servers) parts() []part {
-	serve := func(h *http.Server, l net.Listener) part {
-		return func(ctx context.Context) error {
-			stop := context.AfterFunc(ctx, func() { _ = h.Close() }) // the process ends anyway
-			defer stop()
-			if err := h.Serve(l); !errors.Is(err, http.ErrServerClosed) {
-				return &Error{lagoonhead.Fault{Op: "entry.serve", Kind: lagoonhead.KindUnavailable, Err: err}}
-			}
-			return nil
-		}
+	var list []part
+	for _, v := range s.all {
+		list = append(list, v.run)
 	}
-	return []part{serve(s.callers, s.listeners[0]), serve(s.ready, s.listeners[1]), serve(s.peers, s.listeners[2])}
+	return list
+}
+
+func (s server) run(ctx context.Context) error {
+	stop := context.AfterFunc(ctx, func() { _ = s.Close() }) // the process ends anyway
+	defer stop()
+	if err := s.Serve(s.listener); !errors.Is(err, http.ErrServerClosed) {
+		return &Error{lagoonhead.Fault{Op: "entry.serve", Kind: lagoonhead.KindUnavailable, Err: err}}
+	}
+	return nil
 }
--- a/entry/settings.go
+++ b/entry/settings.go
@@ -42,4 +42,6 @@
 // Listen holds the addresses (IP:port) of the listeners.
 type Listen struct {
 	Callers, Ready, Peers string
+	// Metrics is empty when no port is free for it.
+	Metrics string
 }
--- /dev/null
+++ b/metrics/doc.go
@@ -0,0 +1,3 @@
+// Package metrics shows counters and latency histograms as text that common scrapers
+// read.
+package metrics
--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -16,8 +16,8 @@
 	// one is well below the time in which a leaving endpoint must get no more work.
 	firstPause   = 50 * time.Millisecond
 	longestPause = 400 * time.Millisecond
-	// gatherPause is the pause after a watch that returned events, so that a series of
-	// changes costs few calls.
+	// gatherPause is the pause after a watch that returned events, or at once, so that a
+	// series of changes costs few calls.
 	gatherPause = 100 * time.Millisecond
 	// callTimeout bounds a list.
 	callTimeout = 1500 * time.Millisecond
@@ -86,7 +86,7 @@
 	if err != nil {
 		return err
 	}
-	for {
+	for ctx.Err() == nil {
 		m.vars.Add("watches", 1)
 		asked := m.Timer.Now()
 		events, next, err := m.Store.Watch(ctx, m.Prefix, revision)
@@ -98,12 +98,13 @@
 			m.apply(e)
 		}
 		m.regained(asked)
-		if len(events) > 0 {
+		if len(events) > 0 || m.Timer.Now()-asked < gatherPause {
 			if err := m.Timer.Sleep(ctx, gatherPause); err != nil {
 				return err
 			}
 		}
 	}
+	return ctx.Err()
 }
 
 func (m *Mirror) list(ctx context.Context) (int64, error) {
--- a/plan/shape.go
+++ b/plan/shape.go
@@ -121,8 +121,11 @@
 type poolState struct {
 	ordered   int
 	orderedAt time.Duration
-	dryUntil  time.Duration
-	known     bool
+	// dry tells that the last order found nothing to be had. Others stand in until an order
+	// succeeds; the next one is due at retryAt.
+	dry     bool
+	retryAt time.Duration
+	known   bool
 }
 
 // Shape plans the engines of one service: how many of each kind of supply run in each
@@ -268,7 +271,7 @@
 	}
 	want = min(want, sc.Max*n)
 	p.Wanted = want
-	targets := s.spread(now, sc, domains, want)
+	targets, even := s.spread(sc, domains, want, true), s.spread(sc, domains, want, false)
 	spare := len(living) - max(s.found, want*(n-1)/n)
 	if !settled {
 		spare = 0
@@ -276,6 +279,12 @@
 	for _, id := range domains {
 		for _, supply := range []lagoonhead.Supply{lagoonhead.SupplyReclaimable, lagoonhead.SupplyFirm} {
 			k := pool{id, supply}
+			if st := s.pools[k]; st != nil && st.dry {
+				if now >= st.retryAt {
+					p.Totals = append(p.Totals, s.place(now, service, k, max(have[k], even[k])))
+				}
+				continue
+			}
 			fewer := have[k] - targets[k]
 			if !settled && (supply == lagoonhead.SupplyFirm || fewer >= 0) {
 				// A total for engines that are not all known could give some back.
@@ -287,17 +296,17 @@
 				}
 				spare -= fewer
 			}
-			if o, ok := s.order(now, sc, k, have[k], targets[k]); ok {
-				o.Serves = service.Name
-				p.Totals = append(p.Totals, o)
+			if s.due(now, sc, k, have[k], targets[k]) {
+				p.Totals = append(p.Totals, s.place(now, service, k, targets[k]))
 			}
 		}
 	}
 }
 
 // spread divides the wanted engines over the pools: the least number firm, the rest
-// reclaimable where there are any, evenly over the domains, the cheaper ones first.
-func (s *Shape) spread(now time.Duration, sc *catalog.Scaling, domains []lagoonhead.FailureDomain, want int) map[pool]int {
+// reclaimable, evenly over the domains, the cheaper ones first. Pools that are dry are
+// passed over if skipDry is true.
+func (s *Shape) spread(sc *catalog.Scaling, domains []lagoonhead.FailureDomain, want int, skipDry bool) map[pool]int {
 	targets := make(map[pool]int)
 	left := want
 	for _, id := range domains {
@@ -314,7 +323,7 @@
 			k := cheap
 			if sc.ReclaimablePrice <= 0 {
 				k = firm
-			} else if st := s.pools[cheap]; st != nil && now < st.dryUntil {
+			} else if st := s.pools[cheap]; skipDry && st != nil && st.dry {
 				continue
 			}
 			targets[k]++
@@ -328,22 +337,22 @@
 	return targets
 }
 
-// order returns the order for one pool, if one is due.
-func (s *Shape) order(now time.Duration, sc *catalog.Scaling, k pool, have, target int) (lagoonhead.TotalOrder, bool) {
+// due reports whether a pool needs an order.
+func (s *Shape) due(now time.Duration, sc *catalog.Scaling, k pool, have, target int) bool {
 	st := s.pools[k]
 	if st == nil {
 		st = &poolState{ordered: have}
 		s.pools[k] = st
 	}
-	if now < st.dryUntil {
-		return lagoonhead.TotalOrder{}, false
-	}
 	late := st.known && have < st.ordered && now-st.orderedAt > sc.BootTime+orderRepeat
-	if target == st.ordered && !late {
-		return lagoonhead.TotalOrder{}, false
-	}
-	st.ordered, st.orderedAt, st.known = target, now, true
-	return lagoonhead.TotalOrder{FailureDomain: k.domain, Supply: k.supply, Total: target}, true
+	return target != st.ordered || late
+}
+
+// place notes an order for a pool and returns it.
+func (s *Shape) place(now time.Duration, service *catalog.Service, k pool, total int) lagoonhead.TotalOrder {
+	st := s.pools[k]
+	st.ordered, st.orderedAt, st.known, st.dry = total, now, true, false
+	return lagoonhead.TotalOrder{FailureDomain: k.domain, Supply: k.supply, Serves: service.Name, Total: total}
 }
 
 // Failed tells that an order for a pool was not taken. exhausted means that the failure
@@ -353,10 +362,7 @@
 	if st == nil {
 		return
 	}
-	st.ordered = -1
-	if exhausted {
-		st.dryUntil = now + dryTime
-	}
+	st.ordered, st.dry, st.retryAt = -1, exhausted, now+dryTime
 }
 
 // staged returns the engines that have a role, in that role or in the one that they are
--- /dev/null
+++ b/plan/shape_test.go
@@ -0,0 +1,205 @@
+package plan
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/lagoonhead/lagoonhead"
+	"github.com/lagoonhead/lagoonhead/catalog"
+)
+
+func shapeService() *catalog.Service {
+	return &catalog.Service{
+		Name:   "m",
+		Engine: &catalog.EngineTraits{Slots: 64, SwitchTime: 3 * time.Second},
+		Scaling: &catalog.Scaling{
+			Min: 1, Max: 6, BootTime: 4 * time.Second, ReclaimablePrice: 0.25,
+			DomainPrices: map[lagoonhead.FailureDomain]float64{"a": 1, "b": 1, "c": 1, "d": 1},
+		},
+	}
+}
+
+// supply is a fleet that does what it is told: engines start BootTime after their order
+// and leave at once.
+type supply struct {
+	engines []lagoonhead.Endpoint
+	number  int
+	dry     map[lagoonhead.FailureDomain]bool
+	given   int // the fewest engines that ran after the first order
+}
+
+func (s *supply) add(d lagoonhead.FailureDomain, k lagoonhead.Supply, n int) {
+	for range n {
+		s.number++
+		id := lagoonhead.EndpointID(fmt.Sprint("e", s.number))
+		s.engines = append(s.engines, lagoonhead.NewEndpoint(id, lagoonhead.KindEngine, "m", string(id)+":1", d).
+			WithSupply(k).WithRole(lagoonhead.RoleDecode).WithSlots(64))
+	}
+}
+
+func (s *supply) count(d lagoonhead.FailureDomain, k lagoonhead.Supply) (n int) {
+	for _, e := range s.engines {
+		if (d == "" || e.FailureDomain() == d) && e.Supply() == k {
+			n++
+		}
+	}
+	return n
+}
+
+func (s *supply) set(o lagoonhead.TotalOrder) {
+	have := s.count(o.FailureDomain, o.Supply)
+	if o.Total > have {
+		s.add(o.FailureDomain, o.Supply, o.Total-have)
+		return
+	}
+	for i := 0; i < len(s.engines) && have > o.Total; {
+		e := s.engines[i]
+		if e.FailureDomain() == o.FailureDomain && e.Supply() == o.Supply {
+			s.engines = append(s.engines[:i:i], s.engines[i+1:]...)
+			have--
+			continue
+		}
+		i++
+	}
+}
+
+func firmFleet() *supply {
+	s := &supply{}
+	for _, d := range []lagoonhead.FailureDomain{"a", "b", "c", "d"} {
+		s.add(d, lagoonhead.SupplyFirm, 3)
+	}
+	return s
+}
+
+// run plans every half second. Orders take effect after the boot time.
+func (s *supply) run(p *Shape, from, to time.Duration, d ShapeDemand) (orders int, roles int) {
+	svc := shapeService()
+	type late struct {
+		at time.Duration
+		o  lagoonhead.TotalOrder
+	}
+	var pending []late
+	s.given = len(s.engines)
+	for now := from; now < to; now += 500 * time.Millisecond {
+		for len(pending) > 0 && pending[0].at <= now {
+			s.set(pending[0].o)
+			pending = pending[1:]
+		}
+		plan := p.Plan(now, svc, s.engines, d)
+		for _, o := range plan.Totals {
+			orders++
+			if s.dry[o.FailureDomain] && o.Supply == lagoonhead.SupplyReclaimable {
+				p.Failed(now, o, true)
+				continue
+			}
+			if o.Total < s.count(o.FailureDomain, o.Supply) {
+				s.set(o)
+				continue
+			}
+			pending = append(pending, late{now + svc.Scaling.BootTime, o})
+		}
+		for _, r := range plan.Roles {
+			roles++
+			for i, e := range s.engines {
+				if e.ID() == r.Engine.ID() {
+					s.engines[i] = e.WithRole(r.Role)
+				}
+			}
+		}
+		s.given = min(s.given, len(s.engines))
+	}
+	return orders, roles
+}
+
+// Guards against firm engines that are given back before the cheaper ones run.
+func TestCheapEnginesReplaceFirmOnesWithoutADip(t *testing.T) {
+	s, p := firmFleet(), new(Shape)
+	s.run(p, time.Second, 20*time.Second, ShapeDemand{})
+	require.Equal(t, 4, s.count("", lagoonhead.SupplyFirm))
+	require.Equal(t, 20, s.count("", lagoonhead.SupplyReclaimable), "as many as cost what was found, within the bounds")
+	require.GreaterOrEqual(t, s.given, 12)
+}
+
+// Guards against totals that give back engines which have not registered yet.
+func TestNothingIsGivenBackBeforeAllEnginesAreKnown(t *testing.T) {
+	s, p := firmFleet(), new(Shape)
+	all := s.engines
+	for i := range all {
+		plan := p.Plan(time.Duration(i)*300*time.Millisecond, shapeService(), all[:i+1], ShapeDemand{})
+		for _, o := range plan.Totals {
+			require.Equal(t, lagoonhead.SupplyReclaimable, o.Supply)
+		}
+	}
+}
+
+// Guards against a plan that the loss of the reclaimable engines of one failure domain
+// leaves short of what the load needs.
+func TestTheReserveOutlivesADomain(t *testing.T) {
+	s, p := firmFleet(), new(Shape)
+	d := ShapeDemand{Prefill: 5, Decode: 5, Known: true}
+	s.run(p, time.Second, time.Minute, d)
+	worst := 0
+	for _, id := range []lagoonhead.FailureDomain{"a", "b", "c", "d"} {
+		worst = max(worst, s.count(id, lagoonhead.SupplyReclaimable))
+	}
+	require.GreaterOrEqual(t, float64(len(s.engines)-worst)*targetUse, 10.0)
+}
+
+// Guards against a failure domain without engines that is asked again and again, and
+// against a fleet that stays short for it.
+func TestOtherDomainsStandInForADryOne(t *testing.T) {
+	s, p := firmFleet(), new(Shape)
+	s.dry = map[lagoonhead.FailureDomain]bool{"a": true}
+	orders, _ := s.run(p, time.Second, 31*time.Second, ShapeDemand{Prefill: 5, Decode: 5, Known: true})
+	require.GreaterOrEqual(t, len(s.engines), 16)
+	require.Less(t, orders, 40)
+}
+
+// Guards against engines that change their role although both sides have enough.
+func TestRolesRestWhileNeitherSideIsShort(t *testing.T) {
+	s, p := firmFleet(), new(Shape)
+	s.run(p, time.Second, 20*time.Second, ShapeDemand{})
+	_, roles := s.run(p, 20*time.Second, 50*time.Second, ShapeDemand{Prefill: 6, Decode: 9, Known: true})
+	require.Zero(t, roles)
+	_, roles = s.run(p, 50*time.Second, 51*time.Second, ShapeDemand{Prefill: 15, Decode: 3, Known: true})
+	require.Positive(t, roles)
+	require.LessOrEqual(t, roles, 3, "few engines change at a time")
+}
+
+// Guards against an engine that is ordered again while it changes.
+func TestAnEngineInChangeCountsInItsNewRole(t *testing.T) {
+	s, p := firmFleet(), new(Shape)
+	svc := shapeService()
+	svc.Scaling = nil
+	d := ShapeDemand{Prefill: 20, Decode: 1, Known: true}
+	ordered := make(map[lagoonhead.EndpointID]int)
+	for now := time.Second; now < 6*time.Second; now += 500 * time.Millisecond {
+		for _, r := range p.Plan(now, svc, s.engines, d).Roles {
+			ordered[r.Engine.ID()]++
+		}
+	}
+	require.NotEmpty(t, ordered)
+	for id, n := range ordered {
+		require.Equal(t, 1, n, id)
+	}
+}
+
+// Guards against a demand that forgets one of two mixes that alternate.
+func TestDemandKeepsThePeaksOfBothMixes(t *testing.T) {
+	var m DemandMeter
+	var sent, run int64
+	for now := time.Duration(0); now < 30*time.Second; now += 500 * time.Millisecond {
+		if (now/(3*time.Second))%2 == 0 {
+			sent += 8 * 48_000 / 2
+		} else {
+			run += 4 * 48_000 / 2
+		}
+		m.Observe(now, WorkSample{Sent: sent, SentToRun: run, Rate: 48_000, Slots: 64})
+	}
+	require.Greater(t, m.Demand().Prefill, 5.0)
+	require.Greater(t, m.Demand().Decode, 5.0)
+	require.True(t, m.Demand().Known)
+}
--- /dev/null
+++ b/roster/roster_test.go
@@ -0,0 +1,66 @@
+package roster
+
+import (
+	"os"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"go.yaml.in/yaml/v3"
+
+	"github.com/lagoonhead/lagoonhead"
+)
+
+// Guards against living endpoints that are dropped because the store was away, and against
+// endpoints that have left and are kept.
+func TestScripts(t *testing.T) {
+	raw, err := os.ReadFile("testdata/scripts.yaml")
+	require.NoError(t, err)
+	var cases []struct {
+		Name  string
+		Steps []struct {
+			Op, Key string
+			Ms      int
+			Want    *string
+		}
+	}
+	require.NoError(t, yaml.Unmarshal(raw, &cases))
+	for _, c := range cases {
+		t.Run(c.Name, func(t *testing.T) {
+			r := New()
+			for i, s := range c.Steps {
+				now := time.Duration(s.Ms) * time.Millisecond
+				e := lagoonhead.NewEndpoint(lagoonhead.EndpointID(s.Key), lagoonhead.KindEngine, "m", "a:1", "d")
+				switch s.Op {
+				case "put":
+					r.Put(s.Key, e)
+				case "seed":
+					r.Seed(s.Key, e)
+				case "removed":
+					r.Removed(now, s.Key)
+				case "unreadable":
+					r.Unreadable(s.Key)
+				case "lost":
+					r.Lost()
+				case "contact":
+					r.Contact(now)
+				case "settle":
+					r.Settle(now)
+				default:
+					t.Fatalf("unknown operation %q", s.Op)
+				}
+				if s.Want != nil {
+					list, _ := r.Endpoints()
+					var ids []string
+					for _, v := range list {
+						ids = append(ids, string(v.ID()))
+					}
+					slices.Sort(ids)
+					require.Equal(t, *s.Want, strings.Join(ids, " "), "step %d", i)
+				}
+			}
+		})
+	}
+}
--- /dev/null
+++ b/sse/reader_test.go
@@ -0,0 +1,70 @@
+package sse
+
+import (
+	"io"
+	"strings"
+	"testing"
+	"testing/iotest"
+
+	"github.com/cockroachdb/errors"
+	"github.com/stretchr/testify/require"
+
+	"github.com/lagoonhead/lagoonhead"
+)
+
+func readAll(t *testing.T, in io.Reader) (raws, ids []string, err error) {
+	t.Helper()
+	r := NewReader(in, 64)
+	for {
+		e, err := r.Next()
+		if err != nil {
+			return raws, ids, err
+		}
+		raws, ids = append(raws, string(e.Raw)), append(ids, e.ID)
+	}
+}
+
+// Guards against events that are changed on their way, and against a part of an event that
+// is passed on as a whole one.
+func TestNext(t *testing.T) {
+	for _, c := range []struct {
+		name, in string
+		raws     []string
+		ids      []string
+		err      error
+	}{
+		{"whole events", "id: 1\ndata: a\n\nid: 2\ndata: b\n\n", []string{"id: 1\ndata: a\n\n", "id: 2\ndata: b\n\n"}, []string{"1", "2"}, io.EOF},
+		{"carriage returns", "id:7\r\ndata: a\r\n\r\n", []string{"id:7\r\ndata: a\r\n\r\n"}, []string{"7"}, io.EOF},
+		{"no identifier", "data: a\n\n", []string{"data: a\n\n"}, []string{""}, io.EOF},
+		{"cut inside of an event", "id: 1\ndata: a\n\nid: 2\nda", []string{"id: 1\ndata: a\n\n"}, []string{"1"}, io.ErrUnexpectedEOF},
+		{"cut before the empty line", "id: 1\ndata: a\n", nil, nil, io.ErrUnexpectedEOF},
+		{"empty", "", nil, nil, io.EOF},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			for _, in := range []io.Reader{strings.NewReader(c.in), iotest.OneByteReader(strings.NewReader(c.in))} {
+				raws, ids, err := readAll(t, in)
+				require.ErrorIs(t, err, c.err)
+				require.Equal(t, c.raws, raws)
+				require.Equal(t, c.ids, ids)
+			}
+		})
+	}
+}
+
+// Guards against an endpoint that fills the memory with one event.
+func TestTooLarge(t *testing.T) {
+	_, _, err := readAll(t, strings.NewReader("data: "+strings.Repeat("x", 100)+"\n\n"))
+	var e *Error
+	require.True(t, errors.As(err, &e))
+	require.Equal(t, lagoonhead.KindInvalid, e.Kind)
+}
+
+// Whatever an endpoint sends, the events are the beginning of it, to the byte.
+func FuzzNext(f *testing.F) {
+	f.Add("id: 1\ndata: a\n\nid: 2\n")
+	f.Add("\n\n\n")
+	f.Fuzz(func(t *testing.T, in string) {
+		raws, _, _ := readAll(t, strings.NewReader(in))
+		require.True(t, strings.HasPrefix(in, strings.Join(raws, "")))
+	})
+}
--- /dev/null
+++ b/steer/board_test.go
@@ -0,0 +1,254 @@
+package steer
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/lagoonhead/lagoonhead"
+)
+
+const model = "m"
+
+// fleet returns engines p0, p1, ... that prefill and d0, d1, ... that decode.
+func fleet(prefill, decode int) []lagoonhead.Endpoint {
+	var list []lagoonhead.Endpoint
+	for i := range prefill {
+		list = append(list, engineAt(fmt.Sprintf("p%d", i), lagoonhead.RolePrefill))
+	}
+	for i := range decode {
+		list = append(list, engineAt(fmt.Sprintf("d%d", i), lagoonhead.RoleDecode))
+	}
+	return list
+}
+
+func engineAt(id string, r lagoonhead.Role) lagoonhead.Endpoint {
+	return lagoonhead.NewEndpoint(lagoonhead.EndpointID(id), lagoonhead.KindEngine, model, id+":1", "x").WithRole(r).WithSlots(64)
+}
+
+func room(string) int { return 400_000 }
+
+func newBoard(list []lagoonhead.Endpoint) *Board {
+	b := &Board{Domain: "x"}
+	b.Follow(list, room)
+	// The measured speed of engines, in tokens per millisecond.
+	b.rates = map[string]float64{model: 48}
+	return b
+}
+
+// long is a prompt with a long shared part; short is one that shares nothing of weight.
+func long(part string) Prompt {
+	return Prompt{Tokens: 17_000, MaxOutput: 100, Parts: []Part{{part, 13_000}, {part + "/own", 4_000}}}
+}
+
+func short() Prompt { return Prompt{Tokens: 380, MaxOutput: 40, Parts: []Part{{"s", 90}, {"s/own", 290}}} }
+
+func ask(p Prompt) ReadRequest {
+	return ReadRequest{Service: model, Prompt: p, Due: time.Hour + 450*time.Millisecond, Pause: 300 * time.Millisecond}
+}
+
+const now = time.Hour
+
+func pick(t *testing.T, b *Board, p Prompt) Reading {
+	t.Helper()
+	v, ok := b.PickReading(now, ask(p))
+	require.True(t, ok)
+	return v
+}
+
+// Guards against daemons that read the same shared part on different engines.
+func TestDaemonsAgreeOnTheHomeOfAPart(t *testing.T) {
+	list := fleet(9, 3)
+	a := newBoard(list)
+	reversed := make([]lagoonhead.Endpoint, len(list))
+	for i, e := range list {
+		reversed[len(list)-1-i] = e
+	}
+	b := newBoard(reversed)
+	homes := make(map[lagoonhead.EndpointID]int)
+	for i := range 100 {
+		p := long(fmt.Sprint("part", i))
+		v := pick(t, a, p)
+		require.Equal(t, v.Endpoint.ID(), pick(t, b, p).Endpoint.ID())
+		homes[v.Endpoint.ID()]++
+	}
+	require.Len(t, homes, 9, "parts are spread over all engines that prefill")
+}
+
+// Guards against a part that is read again although an engine holds it.
+func TestAHeldPartIsNotReadAgain(t *testing.T) {
+	b := newBoard(fleet(9, 3))
+	v := pick(t, b, long("a"))
+	require.Equal(t, 17_000, v.Tokens)
+	b.BeginReading(v)
+	b.EndReading(v, long("a"), 400*time.Millisecond)
+	again := pick(t, b, long("a"))
+	require.Equal(t, v.Endpoint.ID(), again.Endpoint.ID())
+	require.Equal(t, 4_000, again.Tokens)
+}
+
+// Guards against a daemon that does not use what its peers had an engine read.
+func TestPeersTellWhatTheyHadRead(t *testing.T) {
+	list := fleet(9, 3)
+	a, b := newBoard(list), newBoard(list)
+	v := pick(t, a, long("a"))
+	a.BeginReading(v)
+	a.EndReading(v, long("a"), 400*time.Millisecond)
+	b.Peer(now, "vm-a", a.Own())
+	require.Equal(t, 4_000, pick(t, b, long("a")).Tokens)
+}
+
+// Guards against a prompt that is late at a busy engine while another could read it in
+// time.
+func TestAnIdleEngineGoesBeforeALateOne(t *testing.T) {
+	b := newBoard(fleet(9, 3))
+	home := pick(t, b, long("a"))
+	b.BeginReading(home)
+	b.EndReading(home, long("a"), 400*time.Millisecond)
+	for range 3 {
+		b.BeginReading(Reading{Endpoint: home.Endpoint, Apart: true, Tokens: 17_000})
+	}
+	v := pick(t, b, long("a"))
+	require.NotEqual(t, home.Endpoint.ID(), v.Endpoint.ID())
+	require.Less(t, v.Wait, 450*time.Millisecond)
+}
+
+// Guards against a short prompt that pays for a hand-over: it runs where it is read.
+func TestShortPromptsRunWhereTheyAreRead(t *testing.T) {
+	b := newBoard(fleet(9, 3))
+	require.False(t, pick(t, b, short()).Apart)
+}
+
+// Guards against a long prompt that holds up the streams of other callers.
+func TestLongPromptsAreReadApart(t *testing.T) {
+	b := newBoard(fleet(2, 10))
+	for range 20 {
+		v := pick(t, b, long("a"))
+		require.True(t, v.Apart)
+		b.BeginReading(v)
+	}
+}
+
+// Guards against a long prompt whose shared part is held by an engine that decodes, and
+// that waits for busy engines that prefill.
+func TestAnEngineThatDecodesReadsWhatItMostlyHolds(t *testing.T) {
+	b := newBoard(fleet(2, 10))
+	p := Prompt{Tokens: 16_000, Parts: []Part{{"a", 13_000}, {"own", 3_000}}}
+	b.Holds(engineAt("d3", lagoonhead.RoleDecode), p)
+	for _, e := range fleet(2, 0) {
+		b.BeginReading(Reading{Endpoint: e, Apart: true, Tokens: 40_000})
+	}
+	v := pick(t, b, p)
+	require.Equal(t, lagoonhead.EndpointID("d3"), v.Endpoint.ID())
+	require.Equal(t, 3_000, v.Tokens)
+}
+
+// Guards against an engine that draws all requests by refusing them quickly, as one does in
+// the middle of a change of its role.
+func TestAnEngineThatRefusesDrawsNoMore(t *testing.T) {
+	b := newBoard(fleet(2, 0))
+	v := pick(t, b, long("a"))
+	b.Judge(now, v.Endpoint, Refused)
+	require.NotEqual(t, v.Endpoint.ID(), pick(t, b, long("a")).Endpoint.ID())
+	w, ok := b.PickReading(now+time.Second, ask(long("a")))
+	require.True(t, ok)
+	require.Equal(t, v.Endpoint.ID(), w.Endpoint.ID(), "it is used again later")
+}
+
+// Guards against work for an engine that is about to change its role.
+func TestAnEngineInChangeGetsNothing(t *testing.T) {
+	list := fleet(2, 0)
+	b := newBoard(list)
+	v := pick(t, b, long("a"))
+	b.Changing(v.Endpoint.ID(), now+time.Minute)
+	require.NotEqual(t, v.Endpoint.ID(), pick(t, b, long("a")).Endpoint.ID())
+	for i, e := range list {
+		if e.ID() == v.Endpoint.ID() {
+			list[i] = e.WithRole(lagoonhead.RoleDecode)
+		}
+	}
+	b.Follow(list, room)
+	e, ok := b.PickRun(now, model, "x", nil)
+	require.True(t, ok, "the new role shows that the change is over")
+	require.Equal(t, v.Endpoint.ID(), e.ID())
+}
+
+// Guards against what is known of an engine that outlives its process.
+func TestARestartedEngineHoldsNothing(t *testing.T) {
+	list := fleet(1, 0)
+	b := newBoard(list)
+	v := pick(t, b, long("a"))
+	b.BeginReading(v)
+	b.EndReading(v, long("a"), 400*time.Millisecond)
+	b.BeginReading(v)
+	b.Follow([]lagoonhead.Endpoint{list[0].WithIncarnation("2")}, room)
+	w := pick(t, b, long("a"))
+	require.Equal(t, 17_000, w.Tokens)
+	require.Less(t, w.Wait, 400*time.Millisecond, "its queue is empty")
+	b.EndReading(v, long("a"), 0)
+	require.Equal(t, w.Wait, pick(t, b, long("a")).Wait, "the end of old work does not count")
+}
+
+// Guards against an endpoint that fails and keeps its work, and against one that never
+// gets any again.
+func TestHealth(t *testing.T) {
+	b := newBoard(fleet(0, 2))
+	bad := engineAt("d0", lagoonhead.RoleDecode)
+	picks := func(at time.Duration) (n int) {
+		for range 10 {
+			e, ok := b.PickRun(at, model, "x", nil)
+			require.True(t, ok)
+			if e.ID() == bad.ID() {
+				n++
+			}
+		}
+		return n
+	}
+	require.Positive(t, picks(now))
+	b.Judge(now, bad, Bad)
+	b.Judge(now, bad, Bad)
+	require.Zero(t, picks(now))
+	require.Positive(t, picks(now+firstBackOff))
+	b.Judge(now+firstBackOff, engineAt("d1", lagoonhead.RoleDecode), Unreachable)
+	require.Equal(t, 10, picks(now+firstBackOff), "an endpoint that takes no connection is left at once")
+	b.Judge(now, bad, Bad)
+	_, ok := b.PickRun(now, model, "x", nil)
+	require.True(t, ok, "where none is healthy, one is tried all the same")
+}
+
+// Guards against new work for endpoints that leave.
+func TestLeavingEndpointsGetNothing(t *testing.T) {
+	list := fleet(1, 1)
+	list[0], list[1] = list[0].WithLeaving(true), list[1].WithLeaving(true)
+	b := newBoard(list)
+	_, ok := b.PickReading(now, ask(long("a")))
+	require.False(t, ok)
+	_, ok = b.PickRun(now, model, "x", nil)
+	require.False(t, ok)
+}
+
+// Guards against counts of a peer that has gone silent.
+func TestTheWordOfASilentPeerEnds(t *testing.T) {
+	b := newBoard(fleet(1, 0))
+	b.Peer(now, "vm", []Work{{Endpoint: "p0", PrefillTokens: 48_000}})
+	require.Greater(t, pick(t, b, long("a")).Wait, time.Second)
+	v, ok := b.PickReading(now+newsLife, ReadRequest{Service: model, Prompt: long("a"), Due: 2 * now})
+	require.True(t, ok)
+	require.Less(t, v.Wait, 500*time.Millisecond)
+}
+
+// Guards against a demand that counts the history of a peer, or its restart, as work.
+func TestDemandCountsWhatWasSentSince(t *testing.T) {
+	b := newBoard(fleet(1, 1))
+	b.Peer(now, "vm", []Work{{Endpoint: "p0", PrefilledTotal: 1000}})
+	require.Zero(t, b.Demand(now, model).Sent)
+	b.Peer(now, "vm", []Work{{Endpoint: "p0", PrefilledTotal: 1500}})
+	require.Equal(t, int64(500), b.Demand(now, model).Sent)
+	b.Peer(now, "vm", []Work{{Endpoint: "p0", PrefilledTotal: 100}})
+	require.Equal(t, int64(500), b.Demand(now, model).Sent)
+	v := pick(t, b, short())
+	b.BeginReading(v)
+	require.Equal(t, int64(380), b.Demand(now, model).SentToRun)
+}
--- /dev/null
+++ b/steer/load_test.go
@@ -0,0 +1,235 @@
+package steer
+
+import (
+	"cmp"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/lagoonhead/lagoonhead"
+)
+
+// The load: long prompts that share parts and short ones, whose rates swing against each
+// other. Engines work one after the other on what they get, which is what their batches
+// come to when they are busy.
+const (
+	loadLength = 40 * time.Second
+	swing      = 3 * time.Second
+	longRate   = 20.0  // a second on average
+	shortRate  = 220.0 // a second on average
+	longParts  = 120
+	speed      = 48.0 // tokens per millisecond
+	fixedCost  = 14 * time.Millisecond
+	longAim    = 450 * time.Millisecond
+	shortAim   = 650 * time.Millisecond
+)
+
+type arrival struct {
+	at     time.Duration
+	prompt Prompt
+	aim    time.Duration
+}
+
+func swingingLoad(seed uint64) []arrival {
+	rng := rand.New(rand.NewPCG(seed, 1))
+	var list []arrival
+	for at := time.Duration(0); at < loadLength; at += time.Millisecond {
+		heavy, light := 1.7, 0.5
+		if (at/swing)%2 == 1 {
+			heavy, light = light, heavy
+		}
+		if rng.Float64() < longRate*heavy/1000 {
+			p := long(fmt.Sprint("part", rng.IntN(longParts)))
+			list = append(list, arrival{at, p, longAim})
+		}
+		if rng.Float64() < shortRate*light/1000 {
+			list = append(list, arrival{at, short(), shortAim})
+		}
+	}
+	return list
+}
+
+// policy chooses who reads a prompt, and hears how it went.
+type policy interface {
+	pick(at time.Duration, a arrival) (engine int, apart bool)
+	done(engine int, apart bool, a arrival, took time.Duration)
+}
+
+// play runs a load and returns the share of long and of short prompts that were read
+// within their aim.
+func play(load []arrival, engines []lagoonhead.Endpoint, p policy) (longInTime, shortInTime float64) {
+	type finish struct {
+		at   time.Duration
+		call func()
+	}
+	var pending []finish
+	free := make([]time.Duration, len(engines))
+	held := make([]map[string]bool, len(engines))
+	for i := range held {
+		held[i] = make(map[string]bool)
+	}
+	var hits, counts [2]float64
+	for _, a := range load {
+		slices.SortFunc(pending, func(x, y finish) int { return cmp.Compare(x.at, y.at) })
+		for len(pending) > 0 && pending[0].at <= a.at {
+			pending[0].call()
+			pending = pending[1:]
+		}
+		e, apart := p.pick(a.at, a)
+		tokens := a.prompt.Tokens
+		if part := a.prompt.Parts[0]; held[e][part.ID] {
+			tokens -= part.Tokens
+		}
+		held[e][a.prompt.Parts[0].ID] = true
+		work := time.Duration(float64(tokens) / speed * float64(time.Millisecond))
+		if apart {
+			work += fixedCost
+		} else {
+			work *= runSlowdown
+		}
+		end := max(free[e], a.at) + work
+		free[e] = end
+		kind := 0
+		if a.aim == shortAim {
+			kind = 1
+		}
+		counts[kind]++
+		if end-a.at <= a.aim {
+			hits[kind]++
+		}
+		pending = append(pending, finish{end, func() { p.done(e, apart, a, end-a.at) }})
+	}
+	return hits[0] / counts[0], hits[1] / counts[1]
+}
+
+// boardPolicy is the policy of this package.
+type boardPolicy struct {
+	board    *Board
+	index    map[lagoonhead.EndpointID]int
+	readings map[*Part]Reading
+}
+
+func newBoardPolicy(engines []lagoonhead.Endpoint) *boardPolicy {
+	p := &boardPolicy{board: newBoard(engines), index: make(map[lagoonhead.EndpointID]int), readings: make(map[*Part]Reading)}
+	for i, e := range engines {
+		p.index[e.ID()] = i
+	}
+	return p
+}
+
+func (p *boardPolicy) pick(at time.Duration, a arrival) (int, bool) {
+	v, _ := p.board.PickReading(at, ReadRequest{Service: model, Prompt: a.prompt, Due: at + a.aim, Pause: 300 * time.Millisecond})
+	p.board.BeginReading(v)
+	p.readings[&a.prompt.Parts[0]] = v
+	return p.index[v.Endpoint.ID()], v.Apart
+}
+
+func (p *boardPolicy) done(_ int, _ bool, a arrival, took time.Duration) {
+	v := p.readings[&a.prompt.Parts[0]]
+	delete(p.readings, &a.prompt.Parts[0])
+	p.board.EndReading(v, a.prompt, took)
+}
+
+// leastBusy is the simpler policy: every prompt is read apart by the engine with the
+// shortest queue.
+type leastBusy struct {
+	engines []lagoonhead.Endpoint
+	queued  []int
+}
+
+func (p *leastBusy) pick(_ time.Duration, a arrival) (int, bool) {
+	best := -1
+	for i, e := range p.engines {
+		if e.Role() == lagoonhead.RolePrefill && (best < 0 || p.queued[i] < p.queued[best]) {
+			best = i
+		}
+	}
+	p.queued[best] += a.prompt.Tokens
+	return best, true
+}
+
+func (p *leastBusy) done(engine int, _ bool, a arrival, _ time.Duration) {
+	p.queued[engine] -= a.prompt.Tokens
+}
+
+// fixedHomes is the policy before engines were weighed against each other: a long prompt
+// goes to the engine of its shared part, whatever waits there, and a short one to the
+// engine that decodes and has least to do.
+type fixedHomes struct {
+	leastBusy
+	board *Board
+	index map[lagoonhead.EndpointID]int
+}
+
+func (p *fixedHomes) pick(at time.Duration, a arrival) (int, bool) {
+	if part, _ := a.prompt.shared(); part != 0 {
+		i := p.index[p.board.homes(model, part)[0].endpoint.ID()]
+		p.queued[i] += a.prompt.Tokens
+		return i, true
+	}
+	best := -1
+	for i, e := range p.engines {
+		if e.Role() == lagoonhead.RoleDecode && (best < 0 || p.queued[i] < p.queued[best]) {
+			best = i
+		}
+	}
+	p.queued[best] += a.prompt.Tokens
+	return best, false
+}
+
+func newFixedHomes(engines []lagoonhead.Endpoint) *fixedHomes {
+	b := newBoardPolicy(engines)
+	return &fixedHomes{leastBusy{engines, make([]int, len(engines))}, b.board, b.index}
+}
+
+// Guards against a policy that serves fewer callers in time than the simpler ones under the
+// load that it is meant for: a mix of long and short prompts that swings faster than
+// engines change their role, on a fleet with both roles.
+func TestSwingingLoad(t *testing.T) {
+	var own, home [2]float64
+	for seed := range uint64(5) {
+		engines := fleet(10, 14)
+		load := swingingLoad(seed)
+		longOwn, shortOwn := play(load, engines, newBoardPolicy(engines))
+		longOld, shortOld := play(load, engines, &leastBusy{engines: engines, queued: make([]int, len(engines))})
+		longHome, shortHome := play(load, engines, newFixedHomes(engines))
+		t.Logf("seed %d: long prompts in time %.3f, with fixed homes %.3f, with the least busy engine %.3f; short ones %.3f, %.3f, %.3f",
+			seed, longOwn, longHome, longOld, shortOwn, shortHome, shortOld)
+		require.Greater(t, longOwn, longOld)
+		require.GreaterOrEqual(t, shortOwn, shortOld)
+		own[0], own[1] = own[0]+longOwn, own[1]+shortOwn
+		home[0], home[1] = home[0]+longHome, home[1]+shortHome
+	}
+	// Against fixed homes single loads differ by luck, so the sums are compared.
+	require.Greater(t, own[0], home[0])
+	require.GreaterOrEqual(t, own[1], home[1])
+}
+
+// Guards against a policy that only works for one size of the fleet.
+func TestOtherFleets(t *testing.T) {
+	for _, size := range [][2]int{{1, 2}, {2, 2}, {5, 7}, {24, 36}} {
+		t.Run(fmt.Sprint(size), func(t *testing.T) {
+			engines := fleet(size[0], size[1])
+			load := swingingLoad(9)
+			// The load grows with the fleet.
+			keep := float64(size[0]+size[1]) / 24
+			rng := rand.New(rand.NewPCG(3, 3))
+			var scaled []arrival
+			for _, a := range load {
+				for n := keep; n > 0; n-- {
+					if n >= 1 || rng.Float64() < n {
+						scaled = append(scaled, arrival{a.at, Prompt{a.prompt.Tokens, a.prompt.MaxOutput, slices.Clone(a.prompt.Parts)}, a.aim})
+					}
+				}
+			}
+			longOwn, shortOwn := play(scaled, engines, newBoardPolicy(engines))
+			longOld, shortOld := play(scaled, engines, &leastBusy{engines: engines, queued: make([]int, len(engines))})
+			t.Logf("long prompts in time %.3f against %.3f, short ones %.3f against %.3f", longOwn, longOld, shortOwn, shortOld)
+			require.GreaterOrEqual(t, longOwn+shortOwn, longOld+shortOld)
+		})
+	}
+}
--- a/store/contract_test.go
+++ b/store/contract_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/http"
 	"net/http/httptest"
 	"os"
 	"strings"
@@ -14,6 +15,8 @@
 	"github.com/lagoonhead/lagoonhead"
 	"github.com/lagoonhead/lagoonhead/fakeplatform"
 	"github.com/lagoonhead/lagoonhead/jsoncall"
+	"github.com/lagoonhead/lagoonhead/platform"
+	"github.com/lagoonhead/lagoonhead/platform/fakewire"
 	"github.com/lagoonhead/lagoonhead/store"
 	"github.com/lagoonhead/lagoonhead/timer"
 )
@@ -55,13 +58,9 @@
 	}
 	require.NoError(t, yaml.Unmarshal(raw, &cases))
 	for _, c := range cases {
-		for _, overHTTP := range []bool{false, true} {
-			name := c.Name + " in process"
-			if overHTTP {
-				name = c.Name + " over HTTP"
-			}
-			t.Run(name, func(t *testing.T) {
-				s := newScript(t, overHTTP)
+		for form, newStore := range forms {
+			t.Run(c.Name+" "+form, func(t *testing.T) {
+				s := newScript(t, newStore)
 				for i, st := range c.Steps {
 					s.run(t, i, st)
 				}
@@ -70,18 +69,31 @@
 	}
 }
 
-func newScript(t *testing.T, overHTTP bool) *script {
+// forms are the implementations of the store.
+var forms = map[string]func(t *testing.T, p *fakeplatform.Platform) lagoonhead.Store{
+	"in process": func(_ *testing.T, p *fakeplatform.Platform) lagoonhead.Store { return p.KV },
+	"over HTTP": func(t *testing.T, p *fakeplatform.Platform) lagoonhead.Store {
+		return &store.Client{Platform: jsoncall.Client{BaseURL: listen(t, p.Handler()), Timeout: time.Minute}}
+	},
+	"in the platform's form": func(t *testing.T, p *fakeplatform.Platform) lagoonhead.Store {
+		s := &fakewire.Store{KV: p.KV}
+		return platform.NewStore(strings.TrimPrefix(listen(t, s.Handler()), "http://"), time.Second)
+	},
+}
+
+func listen(t *testing.T, h http.Handler) string {
+	srv := httptest.NewServer(h)
+	t.Cleanup(srv.Close)
+	return srv.URL
+}
+
+func newScript(t *testing.T, newStore func(*testing.T, *fakeplatform.Platform) lagoonhead.Store) *script {
 	clock := timer.NewManual(time.Hour, time.Unix(0, 0))
 	p := fakeplatform.New(clock, 0)
 	s := &script{
-		store: p.KV, fake: p.KV, clock: clock,
+		store: newStore(t, p), fake: p.KV, clock: clock,
 		revisions: make(map[string]int64), leases: make(map[string]lagoonhead.LeaseID),
 	}
-	if overHTTP {
-		srv := httptest.NewServer(p.Handler())
-		t.Cleanup(srv.Close)
-		s.store = &store.Client{Platform: jsoncall.Client{BaseURL: srv.URL, Timeout: time.Minute}}
-	}
 	return s
 }
 
