--- a/steer/board_test.go
+++ b/steer/board_test.go
@@ -43,7 +43,9 @@
 	return Prompt{Tokens: 17_000, MaxOutput: 100, Parts: []Part{{part, 13_000}, {part + "/own", 4_000}}}
 }
 
-func short() Prompt { return Prompt{Tokens: 380, MaxOutput: 40, Parts: []Part{{"s", 90}, {"s/own", 290}}} }
+func short() Prompt {
+	return Prompt{Tokens: 380, MaxOutput: 40, Parts: []Part{{"s", 90}, {"s/own", 290}}}
+}
 
 func ask(p Prompt) ReadRequest {
 	return ReadRequest{Service: model, Prompt: p, Due: time.Hour + 450*time.Millisecond, Pause: 300 * time.Millisecond}
