Let one slow reading change the measured speed of prefill by little

The first sample of an engine's speed counted in full, and it had waited for a queue of another daemon that this one had not heard of.

Change: a sample moves the speed by a tenth, from the speed that was known before, and by a factor of three at most. TestOneSlowReadingIsNoSlowEngine failed before (6 s).

--- a/steer/board.go
+++ b/steer/board.go
@@ -15,6 +15,8 @@
 	firstRate = 20.0
 	// rateWeight is the weight of a new sample of the speed.
 	rateWeight = 0.1
+	// mostRateStep bounds the ratio of a sample to the speed that is known.
+	mostRateStep = 3
 	// rateTokens is the shortest queue, in tokens, whose time says something about the
 	// speed; below it the fixed cost of a call outweighs the reading.
 	rateTokens = 2000
--- a/steer/board_test.go
+++ b/steer/board_test.go
@@ -254,3 +254,19 @@
 	b.BeginReading(v)
 	require.Equal(t, int64(380), b.Demand(now, model).SentToRun)
 }
+
+// Guards against refusals by a forecast that rests on one reading which had to wait for a
+// queue of other daemons.
+func TestOneSlowReadingIsNoSlowEngine(t *testing.T) {
+	b := newBoard(fleet(1, 0))
+	b.rates = nil
+	v := pick(t, b, long("a"))
+	b.BeginReading(v)
+	b.EndReading(v, long("a"), 6*time.Second)
+	require.Less(t, pick(t, b, long("b")).Wait, 1200*time.Millisecond)
+	for range 60 {
+		b.BeginReading(v)
+		b.EndReading(v, long("a"), handOverCost+17_000*time.Millisecond/48)
+	}
+	require.InDelta(t, 48, b.rate(b.services[model][0]), 5, "many readings show the speed")
+}
--- a/steer/pick.go
+++ b/steer/pick.go
@@ -201,19 +201,24 @@
 	}
 }
 
+// learnRate takes a sample of the speed of prefill. A queue of a peer that this daemon has
+// not heard of makes an engine look slow, so one sample moves the speed by little.
 func (b *Board) learnRate(t *target, sample float64) {
 	service := t.endpoint.Serves()
 	if b.rates == nil {
 		b.rates = make(map[string]float64)
 	}
-	b.rates[service] = average(b.rates[service], sample)
-	t.rate = average(t.rate, sample)
+	old := b.rates[service]
+	if old == 0 {
+		old = firstRate
+	}
+	own := b.rate(t)
+	b.rates[service] = average(old, sample)
+	t.rate = average(own, sample)
 }
 
 func average(old, sample float64) float64 {
-	if old == 0 {
-		return sample
-	}
+	sample = min(max(sample, old/mostRateStep), old*mostRateStep)
 	return old + rateWeight*(sample-old)
 }
 
