Pass an event on although a part of the next one is there

It waited for the rest of the next event, and was lost when the engine broke off there.

Change: an event is flushed unless a whole one is ready behind it.

Conclusion: ready events wait for nothing.

--- a/dispatch/stream.go
+++ b/dispatch/stream.go
@@ -289,7 +289,7 @@
 		if v.ID != "" {
 			r.call.After = v.ID
 		}
-		if !events.Buffered() {
+		if !events.Ready() {
 			if err := r.sink.Flush(); err != nil {
 				return fail("deliver", lagoonhead.KindUnknown, err)
 			}
--- a/sse/reader.go
+++ b/sse/reader.go
@@ -36,8 +36,12 @@
 	return &Reader{in: bufio.NewReaderSize(r, bufferBytes), most: most}
 }
 
-// Buffered reports whether bytes behind the last event have been read already.
-func (r *Reader) Buffered() bool { return r.in.Buffered() > 0 }
+// Ready reports whether the next event is there without waiting. A part of one does not
+// count: what was read before it must not wait for the rest.
+func (r *Reader) Ready() bool {
+	b, err := r.in.Peek(r.in.Buffered())
+	return err == nil && (bytes.Contains(b, []byte("\n\n")) || bytes.Contains(b, []byte("\n\r\n")))
+}
 
 // Next returns the next whole event. io.EOF means that the stream ended behind an
 // event; a stream that ends inside of one is an io.ErrUnexpectedEOF. An event that is
--- a/sse/reader_test.go
+++ b/sse/reader_test.go
@@ -59,6 +59,16 @@
 	require.Equal(t, lagoonhead.KindInvalid, e.Kind)
 }
 
+// Guards against an event that is held back because a part of the next one is there.
+func TestReady(t *testing.T) {
+	for rest, want := range map[string]bool{"": false, "id: 2\nda": false, "id: 2\n": false, "id: 2\n\n": true, "id: 2\r\n\r\n": true} {
+		r := NewReader(strings.NewReader("id: 1\n\n"+rest), 64)
+		_, err := r.Next()
+		require.NoError(t, err)
+		require.Equal(t, want, r.Ready(), "%q", rest)
+	}
+}
+
 // Whatever an endpoint sends, the events are the beginning of it, to the byte.
 func FuzzNext(f *testing.F) {
 	f.Add("id: 1\ndata: a\n\nid: 2\n")
