--- a/config/runner_test.go
+++ b/config/runner_test.go
@@ -97,7 +97,7 @@
 	return func(inv *inventory.Inventory) (*inventory.Inventory, error) {
 		out := inv.Clone()
 		if len(out.FailureDomains) == 0 {
-			out.Planner = inventory.Planner{Interval: 1e9, MinStay: 1e9}
+			out.Planner = inventory.Planner{Interval: 1e9}
 		}
 		w := inventory.Workspace{ID: lagoonhead.WorkspaceID(id), Rate: 1, Burst: 1, Weight: 1}
 		out.Workspaces = append(out.Workspaces, w)
--- a/daemon/capacity_test.go
+++ b/daemon/capacity_test.go
@@ -32,7 +32,7 @@
 	cfg := &config.Runner{Self: "vm-000", Incarnation: "vm-000" + incarnation, Store: kv, Timer: tm}
 	inv := &inventory.Inventory{
 		FailureDomains: []inventory.FailureDomain{{ID: "d", Region: "r"}}, Models: []inventory.Model{{ID: "m"}},
-		Planner: inventory.Planner{Interval: 1e9, MinStay: 1e9},
+		Planner: inventory.Planner{Interval: 1e9},
 	}
 	for i := range engines {
 		inv.Engines = append(inv.Engines, inventory.Engine{
--- a/inventory/inventory.go
+++ b/inventory/inventory.go
@@ -128,11 +128,7 @@
 	OrderEndpoints bool `yaml:"orderEndpoints" json:"orderEndpoints"`
 	// Interval is the time between two plans.
 	Interval Duration `yaml:"interval" json:"interval"`
-	// MinStay is how long an engine keeps a role at least.
-	MinStay Duration `yaml:"minStay" json:"minStay"`
-	// SpendCeiling bounds the sum of prices; 0 means none.
-	SpendCeiling Price   `yaml:"spendCeiling,omitempty" json:"spendCeiling,omitempty"`
-	Bounds       []Bound `yaml:"bounds,omitempty" json:"bounds,omitempty"`
+	Bounds   []Bound  `yaml:"bounds,omitempty" json:"bounds,omitempty"`
 }
 
 // Bound limits the number of endpoints of one kind in a failure domain.
--- a/inventory/parse.go
+++ b/inventory/parse.go
@@ -25,7 +25,6 @@
 	maxWeight       = 1000
 	maxTotal        = 10_000
 	defaultInterval = Duration(30 * time.Second)
-	defaultMinStay  = Duration(10 * time.Minute)
 )
 
 // Parse reads an inventory. The name of the file is used in messages only. The
@@ -363,11 +362,8 @@
 		OrderRoles:     m.Bool("orderRoles", false),
 		OrderEndpoints: m.Bool("orderEndpoints", false),
 		Interval:       defaultInterval,
-		MinStay:        defaultMinStay,
 	}
 	m.Value("interval", &c.Interval)
-	m.Value("minStay", &c.MinStay)
-	m.Value("spendCeiling", &c.SpendCeiling)
 	c.Bounds = each(m, "bounds", p.bound)
 	m.End()
 	return c
--- a/inventory/split_test.go
+++ b/inventory/split_test.go
@@ -14,7 +14,7 @@
 
 // generate returns an inventory with three keys for each workspace.
 func generate(workspaces, engines int) *Inventory {
-	inv := &Inventory{Planner: Planner{Interval: defaultInterval, MinStay: defaultMinStay}}
+	inv := &Inventory{Planner: Planner{Interval: defaultInterval}}
 	for i := range 15 {
 		d := FailureDomain{ID: lagoonhead.FailureDomain(fmt.Sprintf("fd-%02d", i)), Region: "r"}
 		inv.FailureDomains = append(inv.FailureDomains, d)
--- a/settings/load.go
+++ b/settings/load.go
@@ -97,7 +97,6 @@
 	p.Ordering = baseURL(m, "ordering")
 	p.Usage = baseURL(m, "usage")
 	p.VMs = baseURL(m, "vms")
-	p.Weights = baseURL(m, "weights")
 }
 
 func baseURL(m *strict.Map, name string) string {
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -45,7 +45,6 @@
 	Ordering string
 	Usage    string
 	VMs      string
-	Weights  string
 }
 
 // Security says how a listener and the clients that talk to it authenticate: with
