--- a/dispatch/plain.go
+++ b/dispatch/plain.go
@@ -4,7 +4,6 @@
 	"context"
 	"io"
 	"net/http"
-	"time"
 
 	"github.com/cockroachdb/errors"
 
@@ -118,6 +117,3 @@
 	}
 	return nil
 }
-
-// half returns half of the time until t, but at least least.
-func half(now, t, least time.Duration) time.Duration { return max((t-now)/2, least) }
--- a/dispatch/stream.go
+++ b/dispatch/stream.go
@@ -80,10 +80,11 @@
 	return min(r.deadline, r.arrived+r.route.Patience)
 }
 
-// readPrompt finds the engine that reads the prompt. If that one only prefills, it has read the
-// prompt when readPrompt returns, and handle names the KV cache. Otherwise the reading begins
-// with the run. A handle that is left from an attempt that did not reach its engine is
-// used again. The reading is nil when the caller has declared no prompt.
+// readPrompt finds the engine that reads the prompt. If that one only prefills, it has read
+// the prompt when readPrompt returns, and handle names the KV cache; the reading is nil.
+// Otherwise the reading begins with the run. A handle that is left from an attempt that did
+// not reach its engine is used again. The reading is also nil when the caller has declared
+// no prompt.
 func (r *request) readPrompt(ctx context.Context, handle **lagoonhead.KVHandle) (*steer.Reading, error) {
 	if !r.call.Declared || *handle != nil {
 		return nil, nil
@@ -341,3 +342,6 @@
 	}
 	return lagoonhead.KindUnknown
 }
+
+// half returns half of the time until t, but at least least.
+func half(now, t, least time.Duration) time.Duration { return max((t-now)/2, least) }
--- /dev/null
+++ b/entry/retries.go
@@ -0,0 +1,52 @@
+package entry
+
+import (
+	"sync"
+	"time"
+
+	"github.com/lagoonhead/lagoonhead/retry"
+	"github.com/lagoonhead/lagoonhead/timer"
+)
+
+// retryShare is the part of the fleet's budget of repeats that is spent. The rest covers
+// requests that are counted in another window than their repeats.
+const retryShare = 0.7
+
+// retries is this daemon's share of the budget of repeats of each service: a part of
+// its own requests, and an equal part of the slack.
+type retries struct {
+	settings Settings
+	members  *members
+	timer    timer.Timer
+
+	mu       sync.Mutex
+	services map[string]*retry.Budget
+}
+
+func newRetries(s Settings, m *members, t timer.Timer) *retries {
+	return &retries{settings: s, members: m, timer: t, services: make(map[string]*retry.Budget)}
+}
+
+func (r *retries) budget(service string) *retry.Budget {
+	b := r.services[service]
+	if b == nil {
+		b = &retry.Budget{Ratio: retryShare * r.settings.RetryRatio, Window: max(r.settings.RetryWindow, time.Second)}
+		r.services[service] = b
+	}
+	return b
+}
+
+// Earn counts a request of the service.
+func (r *retries) Earn(service string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.budget(service).Request(r.timer.Now())
+}
+
+// Take pays for one more send.
+func (r *retries) Take(service string) bool {
+	slack := retryShare * r.settings.RetrySlack / float64(max(1, len(r.members.VMs())))
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.budget(service).Repeat(r.timer.Now(), slack)
+}
--- a/steer/pick.go
+++ b/steer/pick.go
@@ -60,7 +60,7 @@
 	Avoid []lagoonhead.EndpointID
 }
 
-// PickReading chooses the engine that reads the prompt: one that prefills, or one that
+// PickReading chooses the engine that reads the prompt: one that only prefills, or one that
 // runs the request as well. It looks for the earliest end of the reading, and weighs what
 // the choice costs others: a shared part read on one more engine, and the tokens of
 // other requests that wait for a reading among them. An engine that is done when the
