--- a/metrics/metrics_test.go
+++ b/metrics/metrics_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"expvar"
+	"net/http"
 	"net/http/httptest"
 	"slices"
 	"strings"
@@ -25,7 +26,7 @@
 	vars.Set("latency", l)
 	vars.Set("text", expvar.Func(func() any { return "no number" }))
 	w := httptest.NewRecorder()
-	Handler("x", vars).ServeHTTP(w, httptest.NewRequest("GET", "/metrics", nil))
+	Handler("x", vars).ServeHTTP(w, httptest.NewRequest(http.MethodGet, "/metrics", nil))
 	got := strings.Split(strings.TrimSpace(w.Body.String()), "\n")
 	slices.Sort(got)
 	for _, want := range []string{"x_served 3", "x_inner_a_b_c 4", "x_latency_count 4"} {
