Choose ports of test processes outside those of outgoing connections

Ports were chosen by listening on port 0 and closing; any outgoing connection, of this or another process, could take such a port before the daemon listened on it.

Change: package freeport draws ports below the range of outgoing connections.

--- a/cmd/lagoonheadd/process_test.go
+++ b/cmd/lagoonheadd/process_test.go
@@ -23,6 +23,7 @@
 	"github.com/lagoonhead/lagoonhead/fakeengine"
 	"github.com/lagoonhead/lagoonhead/fakeplatform"
 	"github.com/lagoonhead/lagoonhead/fakeservice"
+	"github.com/lagoonhead/lagoonhead/freeport"
 	"github.com/lagoonhead/lagoonhead/timer"
 )
 
@@ -164,10 +165,9 @@
 	t.Helper()
 	var list []string
 	for range n {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
+		address, err := freeport.Find()
 		require.NoError(t, err)
-		defer l.Close()
-		list = append(list, l.Addr().String())
+		list = append(list, address)
 	}
 	return list
 }
