Keep what peers told until the store has answered

Its roster took the store for present until a call had failed; if the peer was quicker than the first failure, the next look took all of them out again, and nothing fetched them a second time, so that the daemon answered 503 until the store was back.

Change: nothing is taken out before the store has answered once.

--- a/roster/roster.go
+++ b/roster/roster.go
@@ -18,6 +18,9 @@
 	endpoints map[string]lagoonhead.Endpoint
 	// lapsed holds the entries that may have lapsed while the store was away.
 	lapsed map[string]bool
+	// met is true once the store has answered. Until then nothing is taken out: what peers
+	// told is all that is known.
+	met bool
 	// away is true from the first failed call until the next contact.
 	away bool
 	// settledAt is the time at which a missing entry means that its endpoint is gone.
@@ -92,10 +95,10 @@
 func (r *Roster) Contact(at time.Duration) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.away {
-		r.away = false
+	if r.away || (!r.met && len(r.lapsed) > 0) {
 		r.settledAt = at + ReturnTime
 	}
+	r.met, r.away = true, false
 }
 
 // Settle takes out the endpoints whose entries did not come back. It returns their
@@ -103,7 +106,7 @@
 func (r *Roster) Settle(now time.Duration) int {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.away || now < r.settledAt {
+	if !r.met || r.away || now < r.settledAt {
 		return 0
 	}
 	n := len(r.lapsed)
