Share what entry and daemon wrote twice

Cause: a review of the change found the same logic in two places and state that nothing reads.

Change: suspect.Spreading and lease.Tenure.While serve both daemons. steer.RunSlowdown is also the figure of plan's demand. Removed: members.asked, listed.timer, ShapePlan.Wanted, the wrapper fleetService, the arguments of the change callbacks. Readiness and the check for a changed list no longer copy all endpoints.

Behaviour is unchanged.

--- a/control/shaping.go
+++ b/control/shaping.go
@@ -53,7 +53,7 @@
 	Announce func(id lagoonhead.EndpointID, until time.Duration)
 	Log      *zap.Logger
 
-	services  map[string]*fleetService
+	shapes    map[string]*plan.Shape
 	announced []announcedRole
 	vars      expvar.Map
 }
@@ -66,8 +66,6 @@
 	prefill int
 }
 
-type fleetService struct{ shape plan.Shape }
-
 // Vars returns the counters of orders.
 func (g *Shaping) Vars() *expvar.Map { return &g.vars }
 
@@ -76,7 +74,7 @@
 	if g.Log == nil {
 		g.Log = zap.NewNop()
 	}
-	g.services = make(map[string]*fleetService)
+	g.shapes = make(map[string]*plan.Shape)
 	timer.Every(ctx, g.Timer, fleetInterval, func(now time.Duration) { g.step(ctx, now) })
 	return nil
 }
@@ -92,17 +90,17 @@
 }
 
 func (g *Shaping) serve(ctx context.Context, now time.Duration, service *catalog.Service) {
-	s := g.services[service.Name]
+	s := g.shapes[service.Name]
 	if s == nil {
-		s = new(fleetService)
-		g.services[service.Name] = s
+		s = new(plan.Shape)
+		g.shapes[service.Name] = s
 	}
 	demand := g.View.Demand(service.Name)
 	engines := g.View.Engines(service.Name)
 	if g.Authority() != nil || len(engines) == 0 {
 		return
 	}
-	p := s.shape.Plan(now, service, engines, demand)
+	p := s.Plan(now, service, engines, demand)
 	for _, o := range p.Totals {
 		o.Sequence = g.Number
 		g.total(ctx, s, o, demand)
@@ -127,7 +125,7 @@
 	})
 }
 
-func (g *Shaping) total(ctx context.Context, s *fleetService, o lagoonhead.TotalOrder, d plan.ShapeDemand) {
+func (g *Shaping) total(ctx context.Context, s *plan.Shape, o lagoonhead.TotalOrder, d plan.ShapeDemand) {
 	ctx, cancel := context.WithTimeout(ctx, fleetOrderTimeout)
 	defer cancel()
 	err := g.Endpoints.SetTotal(ctx, o)
@@ -137,7 +135,7 @@
 		zap.Float64("decodeDemand", d.Decode), zap.Int64("fence", o.Sequence), zap.Error(err))
 	if err != nil {
 		g.vars.Add("failedTotals", 1)
-		s.shape.Failed(g.Timer.Now(), o, lagoonhead.IsKind(err, lagoonhead.KindConflict) || lagoonhead.IsKind(err, lagoonhead.KindExhausted))
+		s.Failed(g.Timer.Now(), o, lagoonhead.IsKind(err, lagoonhead.KindConflict) || lagoonhead.IsKind(err, lagoonhead.KindExhausted))
 	}
 }
 
--- a/daemon/build.go
+++ b/daemon/build.go
@@ -48,7 +48,7 @@
 	pool      *peer.Pool
 	vms       *vmPoller
 	config    *config.Runner
-	suspects  spreadingSuspects
+	suspects  suspect.Spreading
 	exchanger *peer.Exchanger
 	placer    *place.Placer
 	classes   *classCounter
@@ -103,7 +103,7 @@
 	}
 	b.pool = &peer.Pool{Token: token, TLS: client}
 	b.exchanger = &peer.Exchanger{Pool: b.pool, Timer: b.timer, Self: b.settings.VM.ID}
-	b.suspects = spreadingSuspects{&suspect.Table{Timer: b.timer}, b.exchanger.Urge}
+	b.suspects = suspect.Spreading{Table: &suspect.Table{Timer: b.timer}, Urge: b.exchanger.Urge}
 	return nil
 }
 
@@ -262,7 +262,7 @@
 	return func(ctx context.Context) error {
 		group, ctx := errgroup.WithContext(ctx)
 		group.Go(func() error { return g.Run(ctx) })
-		group.Go(func() error { return whileHeld(t, b.timer, planner.Run)(ctx) })
+		group.Go(func() error { return t.While(ctx, lapseInterval, planner.Run) })
 		return group.Wait()
 	}
 }
--- a/daemon/usage.go
+++ b/daemon/usage.go
@@ -10,7 +10,6 @@
 	"github.com/lagoonhead/lagoonhead/jsoncall"
 	"github.com/lagoonhead/lagoonhead/lease"
 	"github.com/lagoonhead/lagoonhead/peer"
-	"github.com/lagoonhead/lagoonhead/timer"
 	"github.com/lagoonhead/lagoonhead/usage"
 )
 
@@ -55,20 +54,6 @@
 // lapseInterval is the time between looks at whether a tenure has lapsed.
 const lapseInterval = 500 * time.Millisecond
 
-// whileHeld runs a part until its context ends or the tenure has lapsed.
-func whileHeld(t *lease.Tenure, tm timer.Timer, p part) part {
-	return func(ctx context.Context) error {
-		ctx, cancel := context.WithCancel(ctx)
-		defer cancel()
-		go func() {
-			for !t.Lapsed() && tm.Sleep(ctx, lapseInterval) == nil {
-			}
-			cancel()
-		}()
-		return p(ctx)
-	}
-}
-
 // usageReports returns the work of the duty that seals and reports usage windows.
 func (b *builder) usageReports(t *lease.Tenure) part {
 	r := &billing.Reporter{
@@ -78,5 +63,5 @@
 	}
 	r.Gain(t.Check)
 	b.vars.Set("usageReports", r.Vars())
-	return whileHeld(t, b.timer, r.Run)
+	return func(ctx context.Context) error { return t.While(ctx, lapseInterval, r.Run) }
 }
--- a/dispatch/stream.go
+++ b/dispatch/stream.go
@@ -274,7 +274,9 @@
 	for n := 0; ; n++ {
 		v, err := events.Next()
 		if errors.Is(err, io.EOF) {
-			return r.ended(ans)
+			// An engine may end a stream without an event when the caller has them all.
+			r.begin(ans)
+			return nil
 		}
 		if err != nil {
 			return fail("relay", readKind(err), err)
@@ -311,13 +313,6 @@
 	r.sink.Start(ans.Status, ans.Header)
 }
 
-// ended ends the answer. An engine may end a stream without an event when the caller
-// has them all.
-func (r *request) ended(ans *lagoonhead.Answer) error {
-	r.begin(ans)
-	return nil
-}
-
 // release frees the KV cache of a prompt that is not run.
 func (r *request) release(h *lagoonhead.KVHandle) {
 	if h == nil {
--- a/entry/adapters.go
+++ b/entry/adapters.go
@@ -11,7 +11,6 @@
 	"github.com/lagoonhead/lagoonhead/admit"
 	"github.com/lagoonhead/lagoonhead/peer"
 	"github.com/lagoonhead/lagoonhead/roster"
-	"github.com/lagoonhead/lagoonhead/suspect"
 	"github.com/lagoonhead/lagoonhead/timer"
 )
 
@@ -100,10 +99,7 @@
 }
 
 // listed gives the list of VMs to the limits, which must not rely on the seeds.
-type listed struct {
-	members *members
-	timer   timer.Timer
-}
+type listed struct{ members *members }
 
 // VMs returns the list, or KindUnavailable before the store has told it.
 func (l listed) VMs(context.Context) ([]lagoonhead.VM, error) {
@@ -131,19 +127,6 @@
 	return list
 }
 
-// spreading tells peers of a crash at once: a caller sends its request again within
-// milliseconds, perhaps to another daemon.
-type spreading struct {
-	*suspect.Table
-	urge func()
-}
-
-// Crashed notes the crash and spreads the news.
-func (s spreading) Crashed(fingerprint uint64, e lagoonhead.EndpointID) {
-	s.Table.Crashed(fingerprint, e)
-	s.urge()
-}
-
 // noCopies refuses copies of usage totals, which this daemon does not keep.
 type noCopies struct{}
 
--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -170,7 +170,7 @@
 	if d.config.Catalog() == nil {
 		return failf("ready", lagoonhead.KindUnavailable, "there is no configuration yet")
 	}
-	if list, _ := d.endpoints.roster.Endpoints(); len(list) == 0 {
+	if d.endpoints.roster.Len() == 0 {
 		return failf("ready", lagoonhead.KindUnavailable, "no endpoint is known yet")
 	}
 	return nil
@@ -179,10 +179,10 @@
 // buildState builds what the daemon knows.
 func (d *Daemon) buildState() {
 	s := d.Settings
-	d.config = &configuration{decode: d.Platform.DecodeConfiguration, log: d.Log, changed: func(*catalog.Catalog) { d.follow() }}
+	d.config = &configuration{decode: d.Platform.DecodeConfiguration, log: d.Log, changed: d.follow}
 	d.endpoints = &endpoints{
 		decode: d.Platform.DecodeRegistration, timer: d.Timer, log: d.Log, roster: roster.New(), raw: make(map[string][]byte),
-		changed: func([]lagoonhead.Endpoint) { d.follow() },
+		changed: d.follow,
 	}
 	d.members = &members{log: d.Log, vms: make(map[string]lagoonhead.VM)}
 	for _, a := range s.Seeds {
@@ -214,13 +214,13 @@
 	d.exchanger = &peer.Exchanger{Pool: d.pool, Timer: d.Timer, Self: s.VM, Peers: d.members.VMs}
 	d.session = &lease.Session{Store: d.store, Timer: d.Timer, Log: d.Log, TTL: leaseTime(s), Renew: leaseTime(s) / 4, Margin: leaseTime(s) / 6}
 	d.admit = &admit.Runner{
-		VM: s.VM, Incarnation: d.incarnation, Timer: d.Timer, Store: d.store, VMs: listed{d.members, d.Timer},
+		VM: s.VM, Incarnation: d.incarnation, Timer: d.Timer, Store: d.store, VMs: listed{d.members},
 		Directory: quotas{d.config}, Gate: gate{d.config}, Peers: lenders{d.members, d.pool, s.VM}, Log: d.Log, MaxWait: maxAdmitWait,
 		OneProcess: true,
 	}
 	d.tally = &billing.Tally{Incarnation: d.incarnation, Timer: d.Timer, Window: s.UsageWindow}
 	d.dispatcher = &dispatch.Dispatcher{
-		Catalogs: d.config, Admitter: d.admit, Suspects: spreading{d.suspects, d.exchanger.Urge}, Sender: d.Platform.Sender,
+		Catalogs: d.config, Admitter: d.admit, Suspects: suspect.Spreading{Table: d.suspects, Urge: d.exchanger.Urge}, Sender: d.Platform.Sender,
 		Usage: d.tally, Retries: newRetries(s, d.members, d.Timer), Timer: d.Timer, Log: d.Log, Domain: s.FailureDomain,
 	}
 	d.beats = &beats{
--- a/entry/duties.go
+++ b/entry/duties.go
@@ -53,14 +53,7 @@
 
 // serveDuty runs the work of a tenure until it has lapsed.
 func (d *Daemon) serveDuty(t *lease.Tenure, work part) {
-	ctx, cancel := context.WithCancel(context.Background())
-	defer cancel()
-	go func() {
-		for !t.Lapsed() && d.Timer.Sleep(ctx, lapseInterval) == nil {
-		}
-		cancel()
-	}()
-	if err := work(ctx); err != nil {
+	if err := t.While(context.Background(), lapseInterval, work); err != nil {
 		d.Log.Error("duty ended with a fault", zap.Stringer("duty", t.Duty()), zap.Error(err))
 	}
 }
--- a/entry/follow.go
+++ b/entry/follow.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"maps"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -25,8 +26,8 @@
 type configuration struct {
 	decode func([]byte) (*catalog.Catalog, error)
 	log    *zap.Logger
-	// changed is called with each new catalogue.
-	changed func(*catalog.Catalog)
+	// changed is called after each change.
+	changed func()
 
 	mu      sync.Mutex
 	raw     []byte
@@ -67,7 +68,7 @@
 	c.raw = raw
 	c.current.Store(cat)
 	c.log.Info("configuration in force", zap.Int64("version", cat.Version()), zap.Int64("former", old), zap.String("source", source))
-	c.changed(cat)
+	c.changed()
 }
 
 // Put takes the entry of the configuration.
@@ -89,7 +90,7 @@
 	log    *zap.Logger
 	roster *roster.Roster
 	// changed is called after changes.
-	changed func([]lagoonhead.Endpoint)
+	changed func()
 
 	listed atomic.Bool
 	mu     sync.Mutex
@@ -142,23 +143,19 @@
 func (p *endpoints) values() map[string][]byte {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	out := make(map[string][]byte, len(p.raw))
-	for k, v := range p.raw {
-		out[k] = v
-	}
-	return out
+	return maps.Clone(p.raw)
 }
 
 // show passes the list on if it has changed.
 func (p *endpoints) show() {
-	list, version := p.roster.Endpoints()
+	version := p.roster.Version()
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if version == p.shown {
 		return
 	}
 	p.shown = version
-	p.changed(list)
+	p.changed()
 }
 
 // settle takes out endpoints that did not come back with the store.
@@ -187,8 +184,6 @@
 	mu   sync.Mutex
 	vms  map[string]lagoonhead.VM
 	list atomic.Pointer[[]lagoonhead.VM]
-	// asked is when the store last confirmed the list, or 0.
-	asked atomic.Int64
 }
 
 // VMs returns the newest list. Before the first one it holds the seeds.
@@ -218,7 +213,7 @@
 	m.log.Info("peer gone", zap.String("vm", key[len(memberPrefix):]))
 }
 
-func (m *members) Contact(at time.Duration) {
+func (m *members) Contact(time.Duration) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	list := make([]lagoonhead.VM, 0, len(m.vms))
@@ -226,7 +221,6 @@
 		list = append(list, v)
 	}
 	m.list.Store(&list)
-	m.asked.Store(int64(at))
 }
 
 func (m *members) Lost(time.Duration, error) {}
--- a/lease/duty.go
+++ b/lease/duty.go
@@ -92,6 +92,19 @@
 // Lapsed reports whether the tenure has ended for good.
 func (t *Tenure) Lapsed() bool { return lagoonhead.IsKind(t.Check(), lagoonhead.KindStale) }
 
+// While runs work with a context that ends with ctx or once the tenure has lapsed. It
+// looks every interval whether it has.
+func (t *Tenure) While(ctx context.Context, interval time.Duration, work func(context.Context) error) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	go func() {
+		for !t.Lapsed() && t.timer.Sleep(ctx, interval) == nil {
+		}
+		cancel()
+	}()
+	return work(ctx)
+}
+
 // DefaultOrderFlight is the longest time that an order of the former holder can be
 // in flight: the receiver's timeout for request headers.
 const DefaultOrderFlight = 6 * time.Second
--- a/plan/demand.go
+++ b/plan/demand.go
@@ -3,6 +3,8 @@
 import (
 	"math"
 	"time"
+
+	"github.com/lagoonhead/lagoonhead/steer"
 )
 
 const (
@@ -14,8 +16,6 @@
 	// fullBatch is the part of its slots at which a decoding engine counts as busy. Above
 	// it each further request slows the others by more than it gains.
 	fullBatch = 0.5
-	// readSlowly is how many times longer an engine that decodes takes to read a prompt.
-	readSlowly = 2
 	// clearTime is the time in which prompts that wait shall be read. It is about the time
 	// in which callers want their first event.
 	clearTime = time.Second
@@ -64,7 +64,7 @@
 		sent := float64(max(0, s.Sent-m.sent)) / passed.Seconds()
 		sentRun := float64(max(0, s.SentToRun-m.sentRun)) / passed.Seconds()
 		prefill := sent/s.Rate + float64(s.Backlog)/s.Rate/clearTime.Seconds()
-		decode := readSlowly*sentRun/s.Rate + float64(s.Running)/(fullBatch*float64(max(1, s.Slots)))
+		decode := steer.RunSlowdown*sentRun/s.Rate + float64(s.Running)/(fullBatch*float64(max(1, s.Slots)))
 		m.take(passed, prefill, decode)
 		m.peak.Known = m.peak.Known || sent+sentRun > 0
 	}
--- a/plan/shape.go
+++ b/plan/shape.go
@@ -91,8 +91,8 @@
 type ShapePlan struct {
 	Totals []lagoonhead.TotalOrder
 	Roles  []RoleOrder
-	// Wanted is the number of engines, Prefill the number of those that prefill.
-	Wanted, Prefill int
+	// Prefill is the number of engines that shall prefill.
+	Prefill int
 }
 
 // Plan returns the orders for the service. engines are those that have registered.
@@ -111,8 +111,6 @@
 	settled := s.look(now, service, living)
 	if service.Scaling != nil && len(service.Scaling.DomainPrices) > 0 {
 		s.planTotals(now, service, living, d, settled, &p)
-	} else {
-		p.Wanted = len(living)
 	}
 	s.planRoles(now, service, living, d, settled, &p)
 	return p
@@ -198,7 +196,6 @@
 		want = int(math.Ceil(float64(want) * float64(n) / float64(n-1)))
 	}
 	want = min(want, sc.Max*n)
-	p.Wanted = want
 	targets, even := s.spread(sc, domains, want, true), s.spread(sc, domains, want, false)
 	spare := len(living) - max(s.found, want*(n-1)/n)
 	if !settled {
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -123,6 +123,13 @@
 	return r.version
 }
 
+// Len returns the number of living endpoints.
+func (r *Roster) Len() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return len(r.endpoints)
+}
+
 // Endpoints returns the living endpoints in any order, and the version.
 func (r *Roster) Endpoints() ([]lagoonhead.Endpoint, int64) {
 	r.mu.Lock()
--- a/steer/board.go
+++ b/steer/board.go
@@ -92,21 +92,20 @@
 
 // running returns the requests of all daemons that run on the endpoint.
 func (t *target) running(now time.Duration) int {
-	n := t.own.Running
-	for _, w := range t.peers {
-		if now-w.at < newsLife {
-			n += w.Running
-		}
-	}
-	return n
+	return t.sum(now, func(w *Work) int { return w.Running })
 }
 
 // backlog returns the tokens of all daemons that wait for prefill.
 func (t *target) backlog(now time.Duration) int {
-	n := t.own.PrefillTokens
+	return t.sum(now, func(w *Work) int { return w.PrefillTokens })
+}
+
+// sum adds up a figure of this daemon's work and of what peers told lately.
+func (t *target) sum(now time.Duration, figure func(*Work) int) int {
+	n := figure(&t.own)
 	for _, w := range t.peers {
 		if now-w.at < newsLife {
-			n += w.PrefillTokens
+			n += figure(&w.Work)
 		}
 	}
 	return n
@@ -207,10 +206,7 @@
 
 // Demand returns the work on a service.
 func (b *Board) Demand(now time.Duration, service string) Demand {
-	d := Demand{Sent: b.sent[service].prefill, SentToRun: b.sent[service].run, Rate: firstRate * 1000}
-	if r := b.rates[service]; r > 0 {
-		d.Rate = r * 1000
-	}
+	d := Demand{Sent: b.sent[service].prefill, SentToRun: b.sent[service].run, Rate: b.serviceRate(service) * 1000}
 	for _, t := range b.services[service] {
 		if t.endpoint.Role() == lagoonhead.RolePrefill {
 			d.Backlog += t.backlog(now)
@@ -239,7 +235,12 @@
 	if t.rate > 0 {
 		return t.rate
 	}
-	if r := b.rates[t.endpoint.Serves()]; r > 0 {
+	return b.serviceRate(t.endpoint.Serves())
+}
+
+// serviceRate returns the mean speed of prefill of a service.
+func (b *Board) serviceRate(service string) float64 {
+	if r := b.rates[service]; r > 0 {
 		return r
 	}
 	return firstRate
--- a/steer/pick.go
+++ b/steer/pick.go
@@ -19,9 +19,9 @@
 	// cost of a reading, one more call, and the transfer of the KV cache. The shortest
 	// prompts took 20 ms to read apart on an idle engine.
 	handOverCost = 20 * time.Millisecond
-	// runSlowdown is how many times longer an engine takes to read a prompt that it runs
+	// RunSlowdown is how many times longer an engine takes to read a prompt that it runs
 	// itself, between the tokens of other requests.
-	runSlowdown = 2
+	RunSlowdown = 2
 	// runReadWeight is the weight of the time that such a reading takes from the others.
 	runReadWeight = 0.5
 	// batchCost is how much later the first event comes in a full batch than in an empty
@@ -113,12 +113,12 @@
 	reading := b.millis(t, v.queued+v.Tokens)
 	if !v.Apart {
 		load := float64(t.running(now)) / float64(max(1, t.endpoint.Slots()))
-		v.Wait = runSlowdown*reading + time.Duration(load*float64(batchCost))
+		v.Wait = RunSlowdown*reading + time.Duration(load*float64(batchCost))
 		cost = v.Wait + time.Duration(runReadWeight*float64(b.millis(t, v.Tokens)))
 		if t.endpoint.FailureDomain() != b.Domain {
 			cost += time.Duration(domainCost * float64(batchCost))
 		}
-		return v, cost, r.Pause == 0 || runSlowdown*b.millis(t, v.Tokens) < r.Pause/2
+		return v, cost, r.Pause == 0 || RunSlowdown*b.millis(t, v.Tokens) < r.Pause/2
 	}
 	v.Wait = handOverCost + reading
 	cost = v.Wait
@@ -208,12 +208,8 @@
 	if b.rates == nil {
 		b.rates = make(map[string]float64)
 	}
-	old := b.rates[service]
-	if old == 0 {
-		old = firstRate
-	}
 	own := b.rate(t)
-	b.rates[service] = average(old, sample)
+	b.rates[service] = average(b.serviceRate(service), sample)
 	t.rate = average(own, sample)
 }
 
