Refuse an answer in a stream's place that is too long

Cause: passOn read an engine's answer that is no stream through a limit of 8 MiB and delivered what came as if it were whole; plain requests had the check.

Change: both read with readWhole. Package dispatch gets scripted tests of its own: what endpoints do with each send of one request, and what the caller gets.

Before: of the 17 cases of TestAttempts, 'an engine's one answer for a stream's request is too long' fails (status 422 with the first 8 MiB). After: all pass; platform's tests pass.

--- /dev/null
+++ b/dispatch/dispatcher_test.go
@@ -0,0 +1,167 @@
+package dispatch
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net/http"
+	"net/url"
+	"os"
+	"strings"
+	"testing"
+	"testing/iotest"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/stretchr/testify/require"
+	"go.yaml.in/yaml/v3"
+
+	"github.com/lagoonhead/lagoonhead"
+	"github.com/lagoonhead/lagoonhead/catalog"
+	"github.com/lagoonhead/lagoonhead/steer"
+	"github.com/lagoonhead/lagoonhead/timer"
+)
+
+const scriptService = "s"
+
+// scriptedSend is what an endpoint does with one send.
+type scriptedSend struct {
+	Error     string
+	Status    int
+	Body      string
+	Cut       bool
+	LongBytes int `yaml:"longBytes"`
+	// After is the event behind which the request must ask to go on.
+	After string
+}
+
+type attemptCase struct {
+	Name  string
+	Route string
+	Sends []scriptedSend
+	Want  struct {
+		Status int
+		Body   string
+		Kind   string
+		Sends  int
+		NotRun bool `yaml:"notRun"`
+	}
+}
+
+// scriptedSender answers sends in the order of its script.
+type scriptedSender struct {
+	t      *testing.T
+	script []scriptedSend
+	made   int
+}
+
+var errCut = errors.New("the connection ended")
+
+func (s *scriptedSender) Send(_ context.Context, a *lagoonhead.Attempt) (*lagoonhead.Answer, error) {
+	require.Less(s.t, s.made, len(s.script), "a send that the script does not have")
+	v := s.script[s.made]
+	s.made++
+	require.Equal(s.t, v.After, a.After)
+	if v.Error != "" {
+		kinds := map[string]lagoonhead.Kind{"refused": lagoonhead.KindUnavailable, "unknown": lagoonhead.KindUnknown, "crashed": lagoonhead.KindCrashed}
+		k, ok := kinds[v.Error]
+		require.True(s.t, ok, "error %q", v.Error)
+		return nil, fail("script", k, errors.New(v.Error))
+	}
+	var body io.Reader = strings.NewReader(v.Body)
+	if v.LongBytes > 0 {
+		body = bytes.NewReader(make([]byte, v.LongBytes))
+	}
+	if v.Cut {
+		body = io.MultiReader(body, iotest.ErrReader(errCut))
+	}
+	return &lagoonhead.Answer{Status: v.Status, Header: http.Header{}, Body: io.NopCloser(body)}, nil
+}
+
+func (s *scriptedSender) Prefill(context.Context, *lagoonhead.Attempt) (lagoonhead.KVHandle, error) {
+	return lagoonhead.KVHandle{}, fail("script", lagoonhead.KindUnavailable, errors.New("no prefill in the script"))
+}
+
+func (s *scriptedSender) Release(context.Context, lagoonhead.KVHandle) error { return nil }
+
+// recordingSink keeps what the caller gets.
+type recordingSink struct {
+	status int
+	body   bytes.Buffer
+}
+
+func (s *recordingSink) Start(status int, _ http.Header) { s.status = status }
+func (s *recordingSink) Write(p []byte) error            { _, err := s.body.Write(p); return err }
+func (s *recordingSink) Flush() error                    { return nil }
+
+type fixedCatalog struct{ only *catalog.Catalog }
+
+func (c fixedCatalog) Catalog() *catalog.Catalog { return c.only }
+
+type anySuspect struct{}
+
+func (anySuspect) Check(uint64) (bool, error)            { return false, nil }
+func (anySuspect) Avoid(uint64) []lagoonhead.EndpointID  { return nil }
+func (anySuspect) Crashed(uint64, lagoonhead.EndpointID) {}
+func (anySuspect) Finished(uint64)                       {}
+
+type anyRetry struct{}
+
+func (anyRetry) Earn(string)      {}
+func (anyRetry) Take(string) bool { return true }
+
+type usageCount int
+
+func (u *usageCount) Began(lagoonhead.WorkspaceID) { *u++ }
+
+func scriptedDispatcher(t *testing.T, s lagoonhead.Sender) *Dispatcher {
+	route := func(name string, r catalog.Route) catalog.Route {
+		r.Name, r.Host, r.Prefix, r.Open = name, "h", "/"+name+"/", true
+		r.Shares, r.MaxAttempts, r.Timeout = []catalog.Share{{Service: scriptService, Weight: 1}}, 2, time.Minute
+		return r
+	}
+	d := &Dispatcher{
+		Catalogs: fixedCatalog{catalog.New(catalog.Spec{Version: 1, Routes: []catalog.Route{
+			route("plain", catalog.Route{}),
+			route("repeatable", catalog.Route{Repeat: catalog.RepeatSafe}),
+			route("stream", catalog.Route{Streaming: true}),
+			route("resumable", catalog.Route{Streaming: true, Resumable: true}),
+		}})},
+		Suspects: anySuspect{}, Sender: s, Usage: new(usageCount), Retries: anyRetry{},
+		Timer: timer.NewManual(time.Hour, time.Unix(0, 0)), Domain: "x",
+	}
+	var list []lagoonhead.Endpoint
+	for _, id := range []lagoonhead.EndpointID{"a", "b", "c"} {
+		list = append(list, lagoonhead.NewEndpoint(id, lagoonhead.KindEngine, scriptService, string(id)+":1", "x").WithRole(lagoonhead.RoleMixed).WithSlots(4))
+	}
+	d.Board(func(b *steer.Board) { b.Follow(list, func(string) int { return 0 }) })
+	return d
+}
+
+// Guards against a request that runs twice, an answer that is cut or mixed, and a
+// refusal that says "not run" of a request that may have run.
+func TestAttempts(t *testing.T) {
+	raw, err := os.ReadFile("testdata/attempts.yaml")
+	require.NoError(t, err)
+	var cases []attemptCase
+	require.NoError(t, yaml.Unmarshal(raw, &cases))
+	for _, c := range cases {
+		t.Run(c.Name, func(t *testing.T) {
+			sender := &scriptedSender{t: t, script: c.Sends}
+			sink := &recordingSink{}
+			d := scriptedDispatcher(t, sender)
+			u, err := url.Parse("http://h/" + c.Route + "/x")
+			require.NoError(t, err)
+			err = d.Serve(t.Context(), &Call{ID: "r", Method: http.MethodPost, Host: "h", URL: u}, sink)
+			kind := ""
+			if err != nil {
+				kind = lagoonhead.KindOf(err).String()
+			}
+			require.Equal(t, c.Want.Kind, kind, "%v", err)
+			require.Equal(t, c.Want.NotRun, err != nil && NotRun(err))
+			require.Equal(t, c.Want.Sends, sender.made)
+			require.Equal(t, c.Want.Status, sink.status)
+			require.Equal(t, c.Want.Body, sink.body.String())
+		})
+	}
+}
--- a/dispatch/plain.go
+++ b/dispatch/plain.go
@@ -97,6 +97,12 @@
 		return nil, err
 	}
 	defer ans.Body.Close()
+	return readWhole(ans)
+}
+
+// readWhole reads an answer to its end. One that is longer than maxAnswerBytes is an
+// error, since its beginning alone would look like an answer.
+func readWhole(ans *lagoonhead.Answer) (*whole, error) {
 	body, err := io.ReadAll(io.LimitReader(ans.Body, maxAnswerBytes+1))
 	if err != nil {
 		return nil, fail("read", readKind(err), err)
--- a/dispatch/stream.go
+++ b/dispatch/stream.go
@@ -250,10 +250,10 @@
 // passOn gives the caller an answer that is no stream, unless another engine may do
 // better.
 func (r *request) passOn(ctx context.Context, e lagoonhead.Endpoint, ans *lagoonhead.Answer) error {
-	body, err := io.ReadAll(io.LimitReader(ans.Body, maxAnswerBytes))
+	w, err := readWhole(ans)
 	if err != nil {
 		r.failed(ctx, e, "run", err)
-		return fail("read", lagoonhead.KindUnknown, err)
+		return err
 	}
 	if ans.Status >= http.StatusInternalServerError {
 		err := failf("run", lagoonhead.KindUnknown, "status %d", ans.Status)
@@ -265,7 +265,7 @@
 	if r.started {
 		return failf("run", lagoonhead.KindUnknown, "status %d for a stream that goes on", ans.Status)
 	}
-	return r.deliver(&whole{ans, body})
+	return r.deliver(w)
 }
 
 // relay passes whole events on as they arrive. It calls first with the first one.
