Start buckets with an advance when a VM's process has restarted

Cause: after all daemons are killed, the buckets of all limits are empty and refill only 1.1 s later, when the loans of the dead processes have run out. Ruled out: slow start and empty caches; 429 was the answer.

Change: a slot that an earlier process of the same VM held comes into use at once with an advance: half of the excess over a limit that the settings accept, at most the burst. The slot table marks it, and the mark ends after the tolerance's window, so restarts one after another get one advance. Refill begins after 1.1 s as before. Settings without a tolerance have no advances.

--- a/admit/book.go
+++ b/admit/book.go
@@ -184,9 +184,18 @@
 	b.revision = dir.Revision()
 	slots := make([]int, 0, len(r.starts))
 	for _, s := range r.starts {
-		slots = append(slots, s.slot)
+		slots = append(slots, s.Slot)
 		b.share = limit.ShareOf(b.quota, r.homes(b), slots)
-		b.bucket.SetShare(s.from, b.share)
+		b.bucket.SetShare(s.Since, b.share)
+		r.advance(s.Since, b, s)
+	}
+}
+
+// advance gives a book the advance of a slot that comes into use, if it has one.
+func (r *Runner) advance(now time.Duration, b *book, s limit.Start) {
+	if s.Advanced {
+		tokens := limit.AdvanceOf(r.Tolerance.Advance(b.quota), r.homes(b), []int{s.Slot})
+		b.bucket.Advance(now, tokens, s.Refill)
 	}
 }
 
@@ -214,7 +223,7 @@
 func (r *Runner) setShare(now time.Duration, b *book) {
 	slots := make([]int, len(r.starts))
 	for i, s := range r.starts {
-		slots[i] = s.slot
+		slots[i] = s.Slot
 	}
 	b.share = limit.ShareOf(b.quota, r.homes(b), slots)
 	b.bucket.SetShare(now, b.share)
--- a/admit/cluster_test.go
+++ b/admit/cluster_test.go
@@ -32,6 +32,8 @@
 	clock *timer.Manual
 	quota lagoonhead.Quota
 	slots int
+	// prepare changes the runners before they start; it may be nil.
+	prepare func(*Runner)
 
 	mu        sync.Mutex
 	nodes     []*node
@@ -59,8 +61,10 @@
 	cutSince  time.Duration // 0: connected
 }
 
-func newCluster(n int, q lagoonhead.Quota) *cluster {
-	c := &cluster{clock: timer.NewManual(time.Hour, time.Unix(0, 0)), quota: q, slots: n}
+func newCluster(n int, q lagoonhead.Quota) *cluster { return newClusterOf(n, q, nil) }
+
+func newClusterOf(n int, q lagoonhead.Quota, prepare func(*Runner)) *cluster {
+	c := &cluster{clock: timer.NewManual(time.Hour, time.Unix(0, 0)), quota: q, slots: n, prepare: prepare}
 	c.ctx, c.stop = context.WithCancel(context.Background())
 	c.group.Go(func() {
 		for c.ctx.Err() == nil {
@@ -84,6 +88,9 @@
 		VM: n.vm, Incarnation: lagoonhead.Incarnation(strconv.Itoa(c.started)), Timer: c.clock,
 		Store: n, VMs: n, Directory: n, Gate: n, Peers: n, SlotCount: c.slots,
 	}
+	if c.prepare != nil {
+		c.prepare(n.runner)
+	}
 	n.runner.init()
 	if i == len(c.nodes) {
 		c.nodes = append(c.nodes, n)
--- /dev/null
+++ b/admit/restart_test.go
@@ -0,0 +1,77 @@
+package admit
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/lagoonhead/lagoonhead"
+	"github.com/lagoonhead/lagoonhead/limit"
+)
+
+// admittedAfterRestart has all daemons of a fleet end without a word and start again, and
+// returns the part of the requests of the next two seconds that were admitted. They use
+// share of the rate and wait a quarter of a second at most.
+func admittedAfterRestart(t *testing.T, share float64, accepted limit.Tolerance) (part, excess float64) {
+	const n = 6
+	quota := lagoonhead.Quota{Rate: 47_000, Burst: 47_000}
+	synctest.Test(t, func(*testing.T) {
+		c := newClusterOf(n, quota, func(r *Runner) {
+			r.OneProcess, r.Tolerance, r.MaxWait = true, accepted, 250*time.Millisecond
+		})
+		defer c.end()
+		time.Sleep(30 * time.Second)
+		for i := range n {
+			c.kill(i)
+		}
+		for i := range n {
+			c.start(i)
+		}
+		time.Sleep(50 * time.Millisecond)
+		began := c.clock.Now()
+		var mu sync.Mutex
+		var w sync.WaitGroup
+		admitted, all := 0, 0
+		for _, a := range load(1, n, quota.Rate, share, 0) {
+			if a.at > 2*time.Second {
+				break
+			}
+			all++
+			w.Go(func() {
+				time.Sleep(a.at)
+				q := lagoonhead.NewRequest("r", "w", "m", c.clock.Now())
+				q.SetTokens(a.prompt, a.out)
+				r, err := c.nodes[a.node].runner.Admit(context.Background(), q)
+				if err != nil {
+					return
+				}
+				mu.Lock()
+				admitted++
+				c.uses = append(c.uses, use{c.clock.Now(), q.Charge()})
+				mu.Unlock()
+				r.Settle(q.Charge())
+			})
+		}
+		w.Wait()
+		part, excess = float64(admitted)/float64(all), c.excess(began)
+	})
+	return part, excess
+}
+
+// The load is that of the seconds after a power failure of all VMs: requests go on as
+// before, and every bucket is new. Guards against a fleet that refuses them although the
+// tolerance of the limit covers them.
+func TestAllDaemonsRestart(t *testing.T) {
+	for _, share := range []float64{0.3, 0.55, 0.8} {
+		empty, _ := admittedAfterRestart(t, share, limit.Tolerance{})
+		advanced, excess := admittedAfterRestart(t, share, limit.Tolerance{Window: 8 * time.Second, Overrun: 0.1, Tokens: 190_000})
+		t.Logf("at %.2f of the rate: admitted %.3f with empty buckets, %.3f with an advance", share, empty, advanced)
+		require.Less(t, empty, advanced)
+		require.Greater(t, advanced, 0.95)
+		require.LessOrEqual(t, excess, 0.0, "the buckets never exceed the burst")
+	}
+}
--- a/admit/runner.go
+++ b/admit/runner.go
@@ -4,6 +4,7 @@
 	"context"
 	"expvar"
 	"math"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -73,6 +74,9 @@
 	SlotCount int
 	// OneProcess tells that an earlier process of this VM cannot run any more.
 	OneProcess bool
+	// Tolerance bounds the tokens that a workspace starts with after the process before
+	// this one has ended without giving up its slots. The zero value allows none.
+	Tolerance limit.Tolerance
 	// MaxWait is the longest time that a request waits for tokens; 0 means 10 s.
 	MaxWait time.Duration
 	// QueueLimit is the largest number of requests that wait; 0 means 10,000.
@@ -93,9 +97,9 @@
 	slots     limit.Slots
 	lastFresh time.Duration // time of the last check that passed
 	everFresh bool
-	starts    []start // slots in use
-	made      uint64  // number of the newest book
-	revision  int64   // of the directory whose quotas all books have
+	starts    []limit.Start // slots in use
+	made      uint64        // number of the newest book
+	revision  int64         // of the directory whose quotas all books have
 	books     map[lagoonhead.WorkspaceID]*book
 	wanting   []*book // books that may need to borrow
 	queue     *fair.Queue[*waiter]
@@ -107,11 +111,6 @@
 
 var errClosed = fault("admit.admit", lagoonhead.KindUnavailable, "the daemon is shutting down")
 
-type start struct {
-	slot int
-	from time.Duration
-}
-
 type giveBack struct {
 	workspace lagoonhead.WorkspaceID
 	limit.GiveBack
@@ -143,6 +142,7 @@
 		r.reread = make(chan struct{}, 1)
 		r.backs = ring.New[giveBack](1024)
 		r.slots.VM, r.slots.Incarnation, r.slots.OneProcess = r.VM, r.Incarnation, r.OneProcess
+		r.slots.AdvanceWindow = r.Tolerance.Window
 		r.books = make(map[lagoonhead.WorkspaceID]*book)
 		r.silent = make(map[lagoonhead.VMID]time.Duration)
 		r.queue = fair.New[*waiter](r.Policy, r.QueueLimit)
@@ -284,20 +284,23 @@
 
 // applySlots sets the shares of all buckets when the slots in use have changed.
 func (r *Runner) applySlots(now time.Duration) {
-	i, same := 0, true
-	r.slots.Starts(now, func(slot int, from time.Duration) {
-		same = same && i < len(r.starts) && r.starts[i] == start{slot, from}
-		i++
-	})
-	if same && i == len(r.starts) {
+	starts := make([]limit.Start, 0, len(r.starts))
+	r.slots.Starts(now, func(s limit.Start) { starts = append(starts, s) })
+	if slices.Equal(starts, r.starts) {
 		return
 	}
-	r.starts = r.starts[:0]
-	r.slots.Starts(now, func(slot int, from time.Duration) {
-		r.starts = append(r.starts, start{slot, from})
-	})
+	former := r.starts
+	r.starts = starts
 	for _, b := range r.books {
 		r.setShare(now, b)
+		for _, s := range starts {
+			switch i := slices.IndexFunc(former, func(f limit.Start) bool { return f.Slot == s.Slot }); {
+			case i < 0:
+				r.advance(now, b, s)
+			case former[i].Refill < s.Refill:
+				b.bucket.Advance(now, 0, s.Refill)
+			}
+		}
 	}
 }
 
--- a/admit/slots.go
+++ b/admit/slots.go
@@ -58,7 +58,7 @@
 	defer r.mu.Unlock()
 	slots := make([]int, len(r.starts))
 	for i, s := range r.starts {
-		slots[i] = s.slot
+		slots[i] = s.Slot
 	}
 	return slots
 }
--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -216,7 +216,7 @@
 	d.admit = &admit.Runner{
 		VM: s.VM, Incarnation: d.incarnation, Timer: d.Timer, Store: d.store, VMs: listed{d.members},
 		Directory: quotas{d.config}, Gate: gate{d.config}, Peers: lenders{d.members, d.pool, s.VM}, Log: d.Log, MaxWait: maxAdmitWait,
-		OneProcess: true,
+		OneProcess: true, Tolerance: s.LimitTolerance,
 	}
 	d.tally = &billing.Tally{Incarnation: d.incarnation, Timer: d.Timer, Window: s.UsageWindow}
 	d.dispatcher = &dispatch.Dispatcher{
--- a/entry/settings.go
+++ b/entry/settings.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/lagoonhead/lagoonhead"
+	"github.com/lagoonhead/lagoonhead/limit"
 )
 
 // Settings are what a daemon has to know before it can talk to anyone.
@@ -37,6 +38,8 @@
 	RetryRatio  float64
 	RetryWindow time.Duration
 	RetrySlack  float64
+	// LimitTolerance is the excess over the limit of a workspace that is accepted.
+	LimitTolerance limit.Tolerance
 }
 
 // Listen holds the addresses (IP:port) of the listeners.
--- a/limit/process_test.go
+++ b/limit/process_test.go
@@ -26,7 +26,7 @@
 			want = cleanWait
 		}
 		used := func(now time.Duration) (n int) {
-			s.Starts(now, func(int, time.Duration) { n++ })
+			s.Starts(now, func(Start) { n++ })
 			return n
 		}
 		require.Zero(t, used(want-1))
--- a/limit/sim_test.go
+++ b/limit/sim_test.go
@@ -21,6 +21,7 @@
 	repeats      bool // a repeated GiveBack is credited again
 	done         bool // a loan counts as ended while tokens of it are left
 	slotWait     bool // a new holder of a slot refills at once
+	everyAdvance bool // every process starts with an advance
 	freshness    bool // a daemon spends although it is not fresh or its table is old
 }
 
@@ -79,6 +80,8 @@
 	unused    int                   // quarters of the requests that use less than their charge
 	length    time.Duration         // the longest request
 	missing   [simVMs]time.Duration // since when a VM should be off the list, or -1
+	// accepted lets daemons start with advances. A VM then runs one process only.
+	accepted Tolerance
 }
 
 type simDaemon struct {
@@ -151,6 +154,7 @@
 		d.answered[i] = -time.Hour
 	}
 	d.slots.VM, d.slots.Incarnation = vmID(vm), lagoonhead.Incarnation(strconv.Itoa(len(s.daemons)))
+	d.slots.OneProcess, d.slots.AdvanceWindow = s.accepted.Window > 0, s.accepted.Window
 	s.daemons = append(s.daemons, d)
 	s.every(heartbeat, d, d.heartbeats)
 	s.every(2*time.Second, d, d.readSlots)
@@ -242,10 +246,18 @@
 		}
 	}
 	var active []int
-	d.slots.Starts(d.local(), func(slot int, _ time.Duration) { active = append(active, slot) })
-	if !slices.Equal(active, d.shares) {
-		d.shares = active
-		d.bucket.SetShare(d.local(), ShareOf(d.sim.quota, Homes("w", simVMs), active))
+	var starts []Start
+	d.slots.Starts(d.local(), func(v Start) { active, starts = append(active, v.Slot), append(starts, v) })
+	if slices.Equal(active, d.shares) {
+		return
+	}
+	former, homes := d.shares, Homes("w", simVMs)
+	d.shares = active
+	d.bucket.SetShare(d.local(), ShareOf(d.sim.quota, homes, active))
+	for _, v := range starts {
+		if v.Advanced && !slices.Contains(former, v.Slot) {
+			d.bucket.Advance(d.local(), AdvanceOf(d.sim.accepted.Advance(d.sim.quota), homes, []int{v.Slot}), v.Refill)
+		}
 	}
 }
 
--- a/limit/slots.go
+++ b/limit/slots.go
@@ -35,6 +35,9 @@
 	Incarnation lagoonhead.Incarnation `json:"incarnation,omitempty"`
 	// Clean tells that the holder before this one gave the slot up itself.
 	Clean bool `json:"clean,omitempty"`
+	// Advanced tells that the holder's buckets started with an advance less than a
+	// tolerance's window ago.
+	Advanced bool `json:"advanced,omitempty"`
 }
 
 // Table is the slot table as it is kept in the store.
@@ -75,8 +78,23 @@
 
 // held is a slot that this daemon may use.
 type held struct {
-	slot int
-	from time.Duration // when its bucket begins to refill
+	slot  int
+	since time.Duration // when the daemon saw that it holds the slot
+	from  time.Duration // when its bucket begins to refill
+	// advanced tells that the bucket starts with an advance at since, and not empty at
+	// from.
+	advanced bool
+}
+
+// Start is a slot in use.
+type Start struct {
+	Slot int
+	// Refill is when the bucket begins to refill.
+	Refill time.Duration
+	// Advanced tells that the bucket is in use before Refill, with an advance.
+	Advanced bool
+	// Since is the beginning of the use.
+	Since time.Duration
 }
 
 // Slots decides which slots one daemon holds. It is not safe for concurrent use.
@@ -88,6 +106,10 @@
 	// it held then counts as given up: without this, all buckets of a fleet that lost power
 	// stay empty for takenWait.
 	OneProcess bool
+	// AdvanceWindow is the least time between two advances for one slot. 0 means that
+	// there are none. An advance is for a slot whose holder was an earlier process of
+	// this VM: without it, a fleet that lost power has no tokens for the first second.
+	AdvanceWindow time.Duration
 
 	known    bool // a table was observed; its revision is positive
 	table    Table
@@ -100,6 +122,8 @@
 	releasedAt int64
 	listed     []lagoonhead.VM
 	missing    map[lagoonhead.VMID]time.Duration // since when a holder is not listed
+	// granted are the slots for which this process had its advance.
+	granted map[int]bool
 }
 
 // Table returns the table observed last and its revision, which is 0 before the
@@ -122,12 +146,25 @@
 	})
 	for i, slot := range t.Slots {
 		if s.mine(slot) && !s.givingUp && !s.holds(i) && revision != s.releasedAt {
-			s.held = append(s.held, held{slot: i, from: now + slotWait(slot)})
+			s.held = append(s.held, held{slot: i, since: now, from: now + slotWait(slot), advanced: slot.Advanced && s.grant(i)})
 		}
 	}
 	s.watchMissing(now)
 }
 
+// grant reports whether the slot is used for the first time. A slot that is taken up again
+// gets no second advance.
+func (s *Slots) grant(slot int) bool {
+	if s.granted[slot] {
+		return false
+	}
+	if s.granted == nil {
+		s.granted = make(map[int]bool)
+	}
+	s.granted[slot] = true
+	return true
+}
+
 func slotWait(s Slot) time.Duration {
 	if s.Clean {
 		return cleanWait
@@ -179,17 +216,24 @@
 	}
 }
 
-// Starts calls f for each slot that may be used now, with the time from which its
-// bucket refills, in the order of these times.
-func (s *Slots) Starts(now time.Duration, f func(slot int, from time.Duration)) {
-	slices.SortFunc(s.held, func(a, b held) int { return cmp.Compare(a.from, b.from) })
+// Starts calls f for each slot that may be used now, in the order of the beginning of
+// their use.
+func (s *Slots) Starts(now time.Duration, f func(Start)) {
+	slices.SortFunc(s.held, func(a, b held) int { return cmp.Compare(a.start(), b.start()) })
 	for _, h := range s.held {
-		if h.from <= now {
-			f(h.slot, h.from)
+		if h.start() <= now {
+			f(Start{Slot: h.slot, Refill: h.from, Advanced: h.advanced, Since: h.start()})
 		}
 	}
 }
 
+func (h held) start() time.Duration {
+	if h.advanced {
+		return h.since
+	}
+	return h.from
+}
+
 // Postpone starts the waits again that have not ended. It is called while the
 // daemon is not fresh, since its peers may not have heard that it took a slot.
 func (s *Slots) Postpone(now time.Duration) {
@@ -232,7 +276,20 @@
 	}
 	// A slot whose release is no longer wanted comes back with a new revision, which
 	// makes the release conflict.
-	return t, s.releasedAt == s.revision && mine > len(s.held)
+	again := s.releasedAt == s.revision && mine > len(s.held)
+	return t, s.endAdvances(now, t) || again
+}
+
+// endAdvances unmarks the slots whose advance lies a window back, so that the next process
+// of this VM may have one. It reports whether there are any.
+func (s *Slots) endAdvances(now time.Duration, t Table) bool {
+	ended := false
+	for _, h := range s.held {
+		if slot := &t.Slots[h.slot]; slot.Advanced && now-h.since > s.AdvanceWindow {
+			slot.Advanced, ended = false, true
+		}
+	}
+	return ended
 }
 
 // want returns the slots that each listed VM may hold. Before the first list a
@@ -287,7 +344,7 @@
 func (s *Slots) take(now time.Duration, t Table) bool {
 	for i, slot := range t.Slots {
 		if s.free(now, slot) {
-			t.Slots[i] = Slot{VM: s.VM, Incarnation: s.Incarnation, Clean: s.clean(slot)}
+			t.Slots[i] = Slot{VM: s.VM, Incarnation: s.Incarnation, Clean: s.clean(slot), Advanced: s.mayAdvance(slot)}
 			return true
 		}
 	}
@@ -302,6 +359,12 @@
 	return slot.VM == "" && slot.Clean
 }
 
+// mayAdvance reports whether the buckets of a free slot may start with an advance. If the
+// former holder had one a short time ago, both together may exceed the tolerance.
+func (s *Slots) mayAdvance(slot Slot) bool {
+	return s.AdvanceWindow > 0 && s.OneProcess && slot.VM == s.VM && !slot.Advanced
+}
+
 // release frees up to n slots of this daemon, in use or not.
 func (s *Slots) release(t Table, n int) int {
 	released := 0
--- a/limit/slots_test.go
+++ b/limit/slots_test.go
@@ -19,7 +19,7 @@
 
 func active(s *Slots, now time.Duration) int {
 	n := 0
-	s.Starts(now, func(int, time.Duration) { n++ })
+	s.Starts(now, func(Start) { n++ })
 	return n
 }
 
