Give less work to endpoints that lose a part of their answers

A daemon sees some three answers a second from one endpoint, an endpoint that fails 40% seldom fails twice in a row, and each success ends the back-off. Ruled out: repeats (they are not allowed here) and a lower bound for exclusion (one daemon has too few outcomes).

Change: daemons count outcomes at each endpoint and tell them with their heartbeats. The earlier policy is Board.IgnoreFailures; TestHealth runs with it, since it looks at exclusion alone.

--- a/dispatch/request.go
+++ b/dispatch/request.go
@@ -197,7 +197,7 @@
 	var e lagoonhead.Endpoint
 	var ok bool
 	r.Board(func(b *steer.Board) {
-		if e, ok = b.PickRun(now, r.service, near, r.avoid); ok {
+		if e, ok = b.PickRun(now, steer.RunRequest{Service: r.service, Near: near, Repeatable: r.repeatable(), Avoid: r.avoid}); ok {
 			b.Running(e, 1)
 		}
 	})
--- a/dispatch/stream.go
+++ b/dispatch/stream.go
@@ -117,7 +117,10 @@
 
 func (r *request) pickReading() (v steer.Reading, ok bool) {
 	now := r.Timer.Now()
-	q := steer.ReadRequest{Service: r.service, Prompt: r.call.Prompt, Due: r.readDue(), Pause: r.route.PauseObjective, Avoid: r.avoid}
+	q := steer.ReadRequest{
+		Service: r.service, Prompt: r.call.Prompt, Due: r.readDue(), Pause: r.route.PauseObjective,
+		Repeatable: r.repeatable(), Avoid: r.avoid,
+	}
 	r.Board(func(b *steer.Board) {
 		if v, ok = b.PickReading(now, q); ok {
 			b.BeginReading(v)
--- a/entry/beats.go
+++ b/entry/beats.go
@@ -59,7 +59,7 @@
 		for _, w := range board.Own() {
 			h.Work = append(h.Work, &peer.EndpointWork{
 				Endpoint: string(w.Endpoint), PrefillTokens: int64(w.PrefillTokens), Running: int32(w.Running), PrefilledTotal: w.PrefilledTotal,
-				RunTotal: w.RunTotal, Read: w.Read,
+				RunTotal: w.RunTotal, Read: w.Read, Good: w.Good, Bad: w.Bad,
 			})
 		}
 	})
@@ -94,6 +94,7 @@
 		works = append(works, steer.Work{
 			Endpoint: lagoonhead.EndpointID(w.GetEndpoint()), PrefillTokens: int(w.GetPrefillTokens()), Running: int(w.GetRunning()),
 			PrefilledTotal: w.GetPrefilledTotal(), RunTotal: w.GetRunTotal(), Read: w.GetRead(),
+			Good: w.GetGood(), Bad: w.GetBad(),
 		})
 	}
 	now := b.timer.Now()
--- a/steer/board.go
+++ b/steer/board.go
@@ -66,6 +66,8 @@
 	// PrefilledTotal counts the tokens sent for prefill since the daemon started, and
 	// RunTotal the prompt tokens that the endpoint had to read to run requests.
 	PrefilledTotal, RunTotal int64
+	// Good and Bad count the outcomes of work since the daemon started.
+	Good, Bad int64
 	// Read are the shared parts that were read last, as hashes.
 	Read []uint64
 }
@@ -82,6 +84,7 @@
 	own      Work
 	peers    map[lagoonhead.VMID]peerWork
 	health   health
+	outcomes outcomes
 	// changing is the time until which the engine takes no work because it changes its
 	// role, unless it registers with the new one before.
 	changing time.Duration
@@ -116,6 +119,9 @@
 type Board struct {
 	// Domain is the failure domain of this daemon.
 	Domain lagoonhead.FailureDomain
+	// IgnoreFailures has an endpoint chosen whatever part of its work fails, unless it is
+	// excluded. It is the simpler policy, for comparison.
+	IgnoreFailures bool
 
 	targets  map[lagoonhead.EndpointID]*target
 	services map[string][]*target
@@ -165,6 +171,8 @@
 		seen[w.Endpoint] = true
 		if old, ok := t.peers[vm]; ok {
 			b.count(t.endpoint.Serves(), w.PrefilledTotal-old.PrefilledTotal, w.RunTotal-old.RunTotal)
+			// A peer that has restarted counts anew.
+			t.outcomes.add(now, float64(max(0, w.Good-old.Good)), float64(max(0, w.Bad-old.Bad)))
 		}
 		for _, part := range w.Read {
 			t.cache.readElsewhere(part)
@@ -221,7 +229,7 @@
 func (b *Board) Own() []Work {
 	var list []Work
 	for _, t := range b.targets {
-		if t.own.PrefilledTotal > 0 || t.own.RunTotal > 0 || t.own.Running > 0 {
+		if t.own.PrefilledTotal > 0 || t.own.RunTotal > 0 || t.own.Running > 0 || t.own.Good > 0 || t.own.Bad > 0 {
 			w := t.own
 			w.Read = t.cache.newest()
 			list = append(list, w)
@@ -306,10 +314,16 @@
 	switch r {
 	case Good:
 		t.health.good()
+		t.own.Good++
+		t.outcomes.add(now, 1, 0)
 	case Bad:
 		t.health.bad(now)
+		t.own.Bad++
+		t.outcomes.add(now, 0, 1)
 	case Unreachable:
 		t.health.gone(now)
+		t.own.Bad++
+		t.outcomes.add(now, 0, 1)
 	case Refused:
 		t.health.refused(now)
 	case Neutral:
--- a/steer/board_test.go
+++ b/steer/board_test.go
@@ -172,7 +172,7 @@
 		}
 	}
 	b.Follow(list, room)
-	e, ok := b.PickRun(now, model, "x", nil)
+	e, ok := b.PickRun(now, RunRequest{Service: model, Near: "x"})
 	require.True(t, ok, "the new role shows that the change is over")
 	require.Equal(t, v.Endpoint.ID(), e.ID())
 }
@@ -197,10 +197,11 @@
 // gets any again.
 func TestHealth(t *testing.T) {
 	b := newBoard(fleet(0, 2))
+	b.IgnoreFailures = true // only exclusion is looked at here
 	bad := engineAt("d0", lagoonhead.RoleDecode)
 	picks := func(at time.Duration) (n int) {
 		for range 10 {
-			e, ok := b.PickRun(at, model, "x", nil)
+			e, ok := b.PickRun(at, RunRequest{Service: model, Near: "x"})
 			require.True(t, ok)
 			if e.ID() == bad.ID() {
 				n++
@@ -216,7 +217,7 @@
 	b.Judge(now+firstBackOff, engineAt("d1", lagoonhead.RoleDecode), Unreachable)
 	require.Equal(t, 10, picks(now+firstBackOff), "an endpoint that takes no connection is left at once")
 	b.Judge(now, bad, Bad)
-	_, ok := b.PickRun(now, model, "x", nil)
+	_, ok := b.PickRun(now, RunRequest{Service: model, Near: "x"})
 	require.True(t, ok, "where none is healthy, one is tried all the same")
 }
 
@@ -227,7 +228,7 @@
 	b := newBoard(list)
 	_, ok := b.PickReading(now, ask(long("a")))
 	require.False(t, ok)
-	_, ok = b.PickRun(now, model, "x", nil)
+	_, ok = b.PickRun(now, RunRequest{Service: model, Near: "x"})
 	require.False(t, ok)
 }
 
--- a/steer/pick.go
+++ b/steer/pick.go
@@ -57,14 +57,27 @@
 	// Pause is the longest pause between events that callers of the service accept; 0
 	// means any.
 	Pause time.Duration
-	Avoid []lagoonhead.EndpointID
+	// Repeatable tells that the request may run again after a failure.
+	Repeatable bool
+	Avoid      []lagoonhead.EndpointID
+}
+
+// RunRequest is what a choice of an endpoint that runs a request depends on.
+type RunRequest struct {
+	Service string
+	// Near is the failure domain that is preferred if the difference is small.
+	Near lagoonhead.FailureDomain
+	// Repeatable tells that the request may run again after a failure.
+	Repeatable bool
+	Avoid      []lagoonhead.EndpointID
 }
 
 // PickReading chooses the engine that reads the prompt: one that only prefills, or one that
 // runs the request as well. It looks for the earliest end of the reading, and weighs what
 // the choice costs others: a shared part read on one more engine, and the tokens of
-// other requests that wait for a reading among them. An engine that is done when the
-// prompt is due goes before one that costs less. An engine whose work failed lately is
+// other requests that wait for a reading among them, and the part of its work that an
+// engine fails. An engine that is done when the prompt is due goes before one that costs
+// less. An engine whose work failed lately is
 // chosen only if there is no other. ok is false when there is none.
 func (b *Board) PickReading(now time.Duration, r ReadRequest) (c Reading, ok bool) {
 	if c, ok = b.pickReading(now, r, true); ok {
@@ -91,6 +104,8 @@
 			if now+v.Wait > r.Due {
 				cost += lateCost
 			}
+			// A prompt that is read apart is read again after a failure.
+			cost += b.risk(now, t, r.Repeatable || v.Apart)
 			if !ok || cost < best {
 				best, ok, c = cost, true, v
 			}
@@ -218,31 +233,32 @@
 	return old + rateWeight*(sample-old)
 }
 
-// PickRun chooses the endpoint that runs a request: the one with the emptiest batch,
-// near the failure domain if the difference is small. Engines that only prefill are
-// left out, and an endpoint whose work failed lately is chosen only if there is no
-// other. ok is false when there is none.
-func (b *Board) PickRun(now time.Duration, service string, near lagoonhead.FailureDomain, avoid []lagoonhead.EndpointID) (e lagoonhead.Endpoint, ok bool) {
-	if e, ok = b.pickRun(now, service, near, avoid, true); ok {
+// PickRun chooses the endpoint that runs a request: the one with the emptiest batch and
+// the fewest failures, near the failure domain if the difference is small. Engines that
+// only prefill are left out, and an endpoint whose work failed lately is chosen only if
+// there is no other. ok is false when there is none.
+func (b *Board) PickRun(now time.Duration, r RunRequest) (e lagoonhead.Endpoint, ok bool) {
+	if e, ok = b.pickRun(now, r, true); ok {
 		return e, true
 	}
-	return b.pickRun(now, service, near, avoid, false)
+	return b.pickRun(now, r, false)
 }
 
-func (b *Board) pickRun(now time.Duration, service string, near lagoonhead.FailureDomain, avoid []lagoonhead.EndpointID, healthy bool) (e lagoonhead.Endpoint, ok bool) {
+func (b *Board) pickRun(now time.Duration, r RunRequest, healthy bool) (e lagoonhead.Endpoint, ok bool) {
 	var best float64
-	list := b.services[service]
+	list := b.services[r.Service]
 	b.turn++
 	for i := range list {
 		// The start of the search moves, so that equal endpoints take turns.
 		t := list[(i+int(b.turn%uint64(len(list))))%len(list)]
-		if t.endpoint.Role() == lagoonhead.RolePrefill || !t.allowed(now, avoid, healthy) {
+		if t.endpoint.Role() == lagoonhead.RolePrefill || !t.allowed(now, r.Avoid, healthy) {
 			continue
 		}
 		load := float64(t.running(now)) / float64(max(1, t.endpoint.Slots()))
-		if t.endpoint.FailureDomain() != near {
+		if t.endpoint.FailureDomain() != r.Near {
 			load += domainCost
 		}
+		load += float64(b.risk(now, t, r.Repeatable)) / float64(batchCost)
 		if !ok || load < best {
 			best, ok, e = load, true, t.endpoint
 		}
