Explain a failed request from the logs of all VMs

Cause: an on-call engineer had to join lines of six logs by hand; attempts of one caller have different identifiers, and what made an endpoint fail stands in lines without the request's.

Change: - lagoonctl explain -logs FILE... REQUEST-ID prints the cause, then the steps of the request, the caller's other attempts (new field fingerprint), and lines on its endpoints and its daemon around that time.

--- a/cmd/lagoonctl/commands.go
+++ b/cmd/lagoonctl/commands.go
@@ -3,13 +3,17 @@
 import (
 	"context"
 	"fmt"
+	"os"
 	"strings"
 	"text/tabwriter"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"google.golang.org/protobuf/proto"
 
+	"github.com/lagoonhead/lagoonhead/explain"
 	"github.com/lagoonhead/lagoonhead/operator"
+	"github.com/lagoonhead/lagoonhead/outlog"
 )
 
 // messagePrinter returns a function that prints the answer when JSON is wanted.
@@ -113,14 +117,22 @@
 }
 
 var explainCommand = command{
-	name: "explain", arguments: "[SUBJECT]", short: "show recent decisions and their reasons",
+	name: "explain", arguments: "[SUBJECT] | -logs FILE... REQUEST-ID", short: "show recent decisions and their reasons",
 	long: `Prints recent decisions of one daemon, the newest first. The subject is a request, a
-workspace, an endpoint or a VM.`,
+workspace, an endpoint or a VM.
+
+With -logs it asks no daemon. It reads the logs of all VMs and prints what they say of one
+request, its cause first, with the caller's other attempts and what happened to the
+endpoints. The files may be of one VM each or of all VMs together.`,
 	define: func(k *call) func(context.Context) error {
 		r := k.remoteFlags()
+		logs := k.flags.Bool("logs", false, "read log files instead of asking a daemon")
 		topic := k.flags.String("topic", "", "only this `topic`: request, admission, role, ordering, endpoint or config")
 		limit := k.flags.Int("limit", 50, "largest `number` of decisions")
 		return func(ctx context.Context) error {
+			if *logs {
+				return k.explainLogs()
+			}
 			if err := k.want(0, 1); err != nil {
 				return err
 			}
@@ -144,6 +156,51 @@
 	},
 }
 
+// explainLogs prints what log files say of a request. The arguments are the files and the
+// identifier of the request.
+func (k *call) explainLogs() error {
+	if len(k.args) < 2 {
+		return &usageError{fmt.Sprintf("%d arguments are given, at least one file and an identifier are needed", len(k.args))}
+	}
+	files, id := k.args[:len(k.args)-1], k.args[len(k.args)-1]
+	t := explain.Timeline{Request: id}
+	broken, err := readLogs(files, t.Find)
+	if err != nil {
+		return err
+	}
+	if broken > 0 {
+		fmt.Fprintf(k.errors, "%d broken lines were passed over\n", broken)
+	}
+	if !t.Found() {
+		return errors.Newf("no line has request %s", id)
+	}
+	if _, err := readLogs(files, t.Relate); err != nil {
+		return err
+	}
+	return t.Print(k.out)
+}
+
+// readLogs calls f for the lines of all files and returns the number of broken ones.
+func readLogs(files []string, f func(outlog.Line)) (broken int, err error) {
+	for _, name := range files {
+		n, err := readLog(name, f)
+		broken += n
+		if err != nil {
+			return broken, err
+		}
+	}
+	return broken, nil
+}
+
+func readLog(name string, f func(outlog.Line)) (broken int, err error) {
+	file, err := os.Open(name)
+	if err != nil {
+		return 0, err
+	}
+	defer file.Close()
+	return outlog.Read(file, f)
+}
+
 func (k *call) printDecisions(r *operator.ExplainResponse) error {
 	if k.json {
 		return k.printMessage(r)
--- a/cmd/lagoonctl/main_test.go
+++ b/cmd/lagoonctl/main_test.go
@@ -227,3 +227,24 @@
 	require.Equal(t, exitDone, code)
 	require.True(t, json.Valid([]byte(out)))
 }
+
+// Guards against logs that cannot be explained without a daemon, and against an identifier
+// or a file that is not there and looks like a request without a cause.
+func TestExplainLogs(t *testing.T) {
+	c := newConsole(t)
+	const log = "../../explain/testdata/fleet.log"
+	code, out, errs := c.run("explain", "-logs", log, "r-1")
+	require.Equal(t, exitDone, code, errs)
+	require.Contains(t, out, "cause: crashed, it may have run: stream at e-1 failed: unexpected EOF\n")
+	require.Contains(t, out, "attempt r-4: request served")
+	require.Contains(t, errs, "1 broken lines were passed over")
+
+	code, _, errs = c.run("explain", "-logs", log, "r-none")
+	require.NotEqual(t, exitDone, code)
+	require.Contains(t, errs, "no line has request r-none")
+	code, _, errs = c.run("explain", "-logs", "missing.log", "r-1")
+	require.NotEqual(t, exitDone, code)
+	require.Contains(t, errs, "missing.log")
+	code, _, _ = c.run("explain", "-logs", "r-1")
+	require.Equal(t, exitUsage, code)
+}
--- a/cmd/lagoonheadd/main.go
+++ b/cmd/lagoonheadd/main.go
@@ -14,6 +14,7 @@
 	"go.uber.org/zap/zapcore"
 
 	"github.com/lagoonhead/lagoonhead/daemon"
+	"github.com/lagoonhead/lagoonhead/outlog"
 	"github.com/lagoonhead/lagoonhead/settings"
 	"github.com/lagoonhead/lagoonhead/timer"
 )
@@ -28,7 +29,7 @@
 const usageText = `lagoonheadd runs the daemon of one entry VM.
 
 Usage: lagoonheadd -settings FILE [-check]
-       lagoonheadd -platform [-check]
+       lagoonheadd -platform [-log-level LEVEL] [-check]
 
 With -platform the daemon runs on the platform that package platform speaks with, and
 reads the settings file that the platform names in the environment.
@@ -54,6 +55,7 @@
 	}
 	file := f.String("settings", "", "settings file (YAML)")
 	onPlatform := f.Bool("platform", false, "run on the platform with the settings file that it names")
+	level := f.String("log-level", "info", "with -platform, lowest `level` of the log lines: debug, info, warn or error")
 	check := f.Bool("check", false, "check the settings and exit")
 	switch err := f.Parse(args); {
 	case err == flag.ErrHelp: //nolint:errorlint // Parse returns it as it is.
@@ -66,7 +68,7 @@
 		return exitUsage
 	}
 	if *onPlatform {
-		return runOnPlatform(*check, out, errOut)
+		return runOnPlatform(*level, *check, out, errOut)
 	}
 	s, err := settings.Load(*file)
 	if err != nil {
@@ -81,11 +83,12 @@
 }
 
 func serve(s settings.Settings, out, errOut io.Writer) int {
-	log, err := newLogger(s.Log.Level, errOut)
+	log, _, end, err := startLog(s.Log.Level, errOut)
 	if err != nil {
 		fmt.Fprintln(errOut, err)
 		return exitUsage
 	}
+	defer end()
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
 	d := &daemon.Daemon{
@@ -99,12 +102,22 @@
 	return exitDone
 }
 
-func newLogger(level string, out io.Writer) (*zap.Logger, error) {
+// startLog returns a logger whose lines never wait for out, its sink, and a function that
+// writes what still waits and ends it.
+func startLog(level string, out io.Writer) (log *zap.Logger, sink *outlog.Sink, end func(), err error) {
 	l, err := zapcore.ParseLevel(level)
 	if err != nil {
-		return nil, err
+		return nil, nil, nil, err
 	}
-	c := zap.NewProductionEncoderConfig()
-	c.EncodeTime = zapcore.ISO8601TimeEncoder
-	return zap.New(zapcore.NewCore(zapcore.NewJSONEncoder(c), zapcore.Lock(zapcore.AddSync(out)), l)), nil
+	sink = outlog.New(out)
+	ctx, cancel := context.WithCancel(context.Background())
+	written := make(chan struct{})
+	go func() {
+		defer close(written)
+		_ = sink.Run(ctx) // it never fails
+	}()
+	return sink.Logger(l), sink, func() {
+		cancel()
+		<-written
+	}, nil
 }
--- a/cmd/lagoonheadd/platform.go
+++ b/cmd/lagoonheadd/platform.go
@@ -10,19 +10,17 @@
 	"syscall"
 
 	"go.uber.org/zap"
-	"go.uber.org/zap/zapcore"
 
 	"github.com/lagoonhead/lagoonhead"
 	"github.com/lagoonhead/lagoonhead/dispatch"
 	"github.com/lagoonhead/lagoonhead/entry"
 	"github.com/lagoonhead/lagoonhead/lease"
-	"github.com/lagoonhead/lagoonhead/outlog"
 	"github.com/lagoonhead/lagoonhead/platform"
 	"github.com/lagoonhead/lagoonhead/timer"
 )
 
 // runOnPlatform runs the daemon with the settings file that the platform names.
-func runOnPlatform(check bool, out, errOut io.Writer) int {
+func runOnPlatform(level string, check bool, out, errOut io.Writer) int {
 	s, err := platform.LoadSettings(os.Getenv(platform.SettingsVariable))
 	if err != nil {
 		fmt.Fprintln(errOut, err)
@@ -32,18 +30,13 @@
 		fmt.Fprintln(out, "the settings are valid")
 		return exitDone
 	}
-	sink := outlog.New(out)
-	log := sink.Logger(zapcore.InfoLevel).With(zap.String("vm", string(s.Entry.VM)))
-	written := make(chan struct{})
-	logging, end := context.WithCancel(context.Background())
-	defer func() {
-		end()
-		<-written
-	}()
-	go func() {
-		defer close(written)
-		_ = sink.Run(logging) // it never fails
-	}()
+	log, sink, end, err := startLog(level, out)
+	if err != nil {
+		fmt.Fprintln(errOut, err)
+		return exitUsage
+	}
+	defer end()
+	log = log.With(zap.String("vm", string(s.Entry.VM)))
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
 	go logReloads(ctx, log)
--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"net/http"
 	"net/url"
+	"strconv"
 	"sync"
 	"time"
 
@@ -252,7 +253,7 @@
 	f := []zap.Field{
 		zap.String("request", string(r.call.ID)), zap.String("route", r.route.Name), zap.Int64("configVersion", r.version),
 		zap.String("service", r.service), zap.Duration("took", r.Timer.Now()-r.arrived), zap.Int("sends", r.sends), zap.Int("runs", r.runs),
-		zap.Strings("steps", r.steps),
+		zap.String("fingerprint", strconv.FormatUint(r.demand.Fingerprint(), 16)), zap.Strings("steps", r.steps),
 	}
 	if r.holder != nil {
 		f = append(f, zap.String("workspace", string(r.holder.ID)), zap.Int64("tokens", r.demand.Charge()))
--- a/dispatch/request.go
+++ b/dispatch/request.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"go.uber.org/zap"
 
 	"github.com/lagoonhead/lagoonhead"
 	"github.com/lagoonhead/lagoonhead/catalog"
@@ -188,7 +189,18 @@
 
 func (r *request) judge(e lagoonhead.Endpoint, result steer.Result) {
 	now := r.Timer.Now()
-	r.Board(func(b *steer.Board) { b.Judge(now, e, result) })
+	var out time.Duration
+	var failing float64
+	r.Board(func(b *steer.Board) {
+		if out = b.Judge(now, e, result); out > 0 {
+			failing = b.Failing(now, e)
+		}
+	})
+	// Refusals are short and follow each other; they are in the steps of the requests.
+	if out > 0 && result != steer.Refused {
+		r.Log.Info("endpoint left out", zap.String("endpoint", string(e.ID())), zap.Stringer("result", result),
+			zap.Duration("for", out), zap.Float64("failingPart", failing), zap.String("request", string(r.call.ID)))
+	}
 }
 
 // pickRun chooses the endpoint of the next run and counts it there.
--- a/entry/beats.go
+++ b/entry/beats.go
@@ -168,7 +168,7 @@
 	defer cancel()
 	res, err := b.pool.Queries(address).PullConfig(ctx, &peer.PullConfigRequest{HaveRevision: b.config.version()})
 	if err != nil {
-		b.log.Warn("configuration not pulled", zap.String("vm", string(vm)), zap.Error(err))
+		b.log.Warn("configuration not pulled", zap.String("peer", string(vm)), zap.Error(err))
 		return
 	}
 	if len(res.GetManifest()) == 0 {
--- a/entry/follow.go
+++ b/entry/follow.go
@@ -203,14 +203,14 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.vms[e.Key] = lagoonhead.NewVM(lagoonhead.VMID(e.Key[len(memberPrefix):]), p.FailureDomain, p.PeerAddress, false)
-	m.log.Info("peer seen", zap.String("vm", e.Key[len(memberPrefix):]), zap.String("address", p.PeerAddress))
+	m.log.Info("peer seen", zap.String("peer", e.Key[len(memberPrefix):]), zap.String("address", p.PeerAddress))
 }
 
 func (m *members) Removed(key string) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	delete(m.vms, key)
-	m.log.Info("peer gone", zap.String("vm", key[len(memberPrefix):]))
+	m.log.Info("peer gone", zap.String("peer", key[len(memberPrefix):]))
 }
 
 func (m *members) Contact(time.Duration) {
--- a/steer/board.go
+++ b/steer/board.go
@@ -291,6 +291,11 @@
 // Result is how the work on an endpoint went.
 type Result uint8
 
+// String returns the name of the result.
+func (r Result) String() string {
+	return [...]string{"neutral", "good", "bad", "unreachable", "refused"}[r]
+}
+
 // The results of work.
 const (
 	// Neutral work says nothing about the endpoint: the caller left, or its own
@@ -305,12 +310,14 @@
 	Refused
 )
 
-// Judge notes how the work on an endpoint went.
-func (b *Board) Judge(now time.Duration, e lagoonhead.Endpoint, r Result) {
+// Judge notes how the work on an endpoint went. It returns for how long the endpoint gets
+// no work if that begins with this result, and else 0.
+func (b *Board) Judge(now time.Duration, e lagoonhead.Endpoint, r Result) (out time.Duration) {
 	t := b.process(e)
 	if t == nil {
-		return
+		return 0
 	}
+	before := t.health.left(now)
 	switch r {
 	case Good:
 		t.health.good()
@@ -328,4 +335,17 @@
 		t.health.refused(now)
 	case Neutral:
 	}
+	if before > 0 {
+		return 0
+	}
+	return t.health.left(now)
+}
+
+// Failing returns the part of an endpoint's work that fails at present beyond the usual,
+// from what all daemons saw.
+func (b *Board) Failing(now time.Duration, e lagoonhead.Endpoint) float64 {
+	if t := b.process(e); t != nil {
+		return t.outcomes.excess(now)
+	}
+	return 0
 }
--- a/steer/health.go
+++ b/steer/health.go
@@ -33,6 +33,9 @@
 
 func (h *health) usable(now time.Duration) bool { return now >= h.until }
 
+// left returns for how long the endpoint gets no work.
+func (h *health) left(now time.Duration) time.Duration { return max(0, h.until-now) }
+
 // good notes work that the endpoint did.
 func (h *health) good() {
 	h.inRow, h.refusal = 0, 0
