Keep heartbeats small in a large fleet, and ask for usage counts

A daemon tells five random peers four times a second, so each peer is heard every 2 s on average; after 1 s of silence its usage counts were passed on by everyone, and heartbeats grew with the square of the fleet. Ruled out: the slots of the limits (the twin with 21 VMs has as few and 311 answers 429 of 6,809).

Change: what counts as silent, and how long a peer's word on its work counts, follow the usual gap between two words of a peer, which the exchanger knows. The holder of the usage duty asks everyone for their counts half a second after a window's end. Readings are told as long as a peer's word counts, not for good: peers took old ones for new.

--- a/billing/tally.go
+++ b/billing/tally.go
@@ -14,8 +14,13 @@
 // report is due and a change of the duty's holder in it.
 const tallyWindows = 6
 
-// silentAfter is how long a daemon must be silent before its peers pass on its counts.
-const silentAfter = time.Second
+// leastSilence is how long a daemon must be silent at least before its peers pass on its
+// counts, and silentGaps the same in times of the usual gap between two words of a peer. With
+// less, in a large fleet every daemon would pass on the counts of most others.
+const (
+	leastSilence = time.Second
+	silentGaps   = 4
+)
 
 // Count is the number of requests of a workspace that one daemon process saw begin in a
 // window.
@@ -40,6 +45,8 @@
 	Timer       timer.Timer
 	// Window is the length of a window.
 	Window time.Duration
+	// Gap returns the usual time between two words of one peer. Optional.
+	Gap func() time.Duration
 
 	mu     sync.Mutex
 	counts map[countKey]int64
@@ -106,6 +113,7 @@
 func (t *Tally) Told() []Count {
 	current := t.Current()
 	now := t.Timer.Now()
+	silence := t.silence()
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.init()
@@ -114,13 +122,22 @@
 		if k.window <= current-tallyWindows {
 			continue
 		}
-		if k.incarnation == t.Incarnation || now-t.heard[k.incarnation] > silentAfter {
+		if k.incarnation == t.Incarnation || now-t.heard[k.incarnation] > silence {
 			list = append(list, Count{k.incarnation, k.window, k.workspace, n})
 		}
 	}
 	return list
 }
 
+// silence returns for how long a process must have said nothing for its counts to be passed
+// on.
+func (t *Tally) silence() time.Duration {
+	if t.Gap == nil {
+		return leastSilence
+	}
+	return max(leastSilence, silentGaps*t.Gap())
+}
+
 // Sum returns the requests of all processes in a window, ordered by workspace.
 func (t *Tally) Sum(window int64) []lagoonhead.WorkspaceUsage {
 	t.mu.Lock()
--- a/billing/tally_test.go
+++ b/billing/tally_test.go
@@ -57,7 +57,7 @@
 	b.Peer("a", a.Told())
 	c.Peer("b", b.Told())
 	require.Empty(t, c.Sum(window), "a speaks for itself as long as it is heard")
-	clock.Advance(silentAfter + time.Millisecond)
+	clock.Advance(leastSilence + time.Millisecond)
 	c.Peer("b", b.Told())
 	require.Equal(t, map[lagoonhead.WorkspaceID]int64{"w": 1}, requests(c.Sum(window)))
 }
@@ -147,3 +147,42 @@
 	r.step(t.Context())
 	require.Len(t, sent.list, 1)
 }
+
+// Guards against daemons of a large fleet that pass on the counts of peers that are only
+// waiting for their turn to speak: heartbeats would grow with the square of the fleet.
+func TestALargeFleetPassesOnOnlyWhatIsSilent(t *testing.T) {
+	clock := timer.NewManual(time.Hour, time.Unix(1000, 0))
+	gap := 2 * time.Second // of 80 VMs that tell five others four times a second
+	y := &Tally{Incarnation: "self", Timer: clock, Window: 5 * time.Second, Gap: func() time.Duration { return gap }}
+	y.Peer("other", []Count{{Incarnation: "other", Window: y.Current(), Workspace: "w", Requests: 3}})
+	clock.Advance(silentGaps * gap)
+	require.Empty(t, y.Told())
+	clock.Advance(time.Millisecond)
+	require.Len(t, y.Told(), 1)
+}
+
+// Guards against a window that is sealed before the peers of a large fleet, whose
+// heartbeats are seconds apart, have told what they counted.
+func TestCountsAreAskedForBeforeAWindowIsSealed(t *testing.T) {
+	clock := timer.NewManual(time.Hour, time.Unix(1000, 0))
+	holder, quiet := newTally(clock, "holder"), newTally(clock, "quiet")
+	sent := new(reports)
+	r := newReporter(clock, fakeplatform.NewKV(clock), holder, sent)
+	asked := 0
+	r.Gather = func() {
+		asked++
+		holder.Peer("quiet", quiet.Told())
+	}
+	r.step(t.Context())
+	asked = 0 // the window before the first one
+	holder.Began("w")
+	quiet.Began("w")
+	clock.Advance(tallyWindow)
+	for range 2 * int(settleTime/windowStep) {
+		clock.Advance(windowStep)
+		r.step(t.Context())
+	}
+	require.Equal(t, 1, asked)
+	require.Len(t, sent.list, 1)
+	require.Equal(t, map[lagoonhead.WorkspaceID]int64{"w": 2}, requests(sent.list[0].Usage))
+}
--- a/billing/windows.go
+++ b/billing/windows.go
@@ -22,6 +22,9 @@
 	// settleTime is how long after its end a window is sealed: by then the counts of all
 	// daemons have come with their heartbeats, also when one of those was lost.
 	settleTime = 1500 * time.Millisecond
+	// gatherTime is how long after its end the counts of a window are asked for. In a
+	// large fleet heartbeats alone take seconds to come from everyone.
+	gatherTime = 500 * time.Millisecond
 	// keepWindows is the number of sealed windows that stay in the store. A new holder
 	// looks back tallyWindows.
 	keepWindows = 3 * tallyWindows
@@ -37,10 +40,13 @@
 	Usage lagoonhead.UsageReporter
 	// Authority returns nil while this daemon may report.
 	Authority func() error
-	Log       *zap.Logger
+	// Gather has every peer tell its counts. Optional.
+	Gather func()
+	Log    *zap.Logger
 
-	next int64
-	vars expvar.Map
+	next     int64
+	gathered int64 // newest window whose counts were asked for
+	vars     expvar.Map
 }
 
 // Vars returns the counters sealed, adopted, reported and failed.
@@ -61,6 +67,7 @@
 		return
 	}
 	current := r.Tally.Current()
+	r.gather(current - 1)
 	// A clock that was ahead must not keep this daemon from reporting.
 	if r.next == 0 || r.next > current+1 || r.next <= current-tallyWindows {
 		r.next = current - tallyWindows + 1
@@ -77,6 +84,15 @@
 	}
 }
 
+// gather asks once for the counts of the window that has ended last.
+func (r *WindowReporter) gather(n int64) {
+	if r.Gather == nil || n == r.gathered || r.Timer.Wall().Before(r.Tally.End(n).Add(gatherTime)) {
+		return
+	}
+	r.gathered = n
+	r.Gather()
+}
+
 func windowKey(n int64) string { return WindowPrefix + strconv.FormatInt(n, 10) }
 
 func (r *WindowReporter) report(ctx context.Context, n int64) error {
--- a/dispatch/dispatcher_test.go
+++ b/dispatch/dispatcher_test.go
@@ -114,7 +114,7 @@
 
 func (u *usageCount) Began(lagoonhead.WorkspaceID) { *u++ }
 
-func scriptedDispatcher(t *testing.T, s lagoonhead.Sender) *Dispatcher {
+func scriptedDispatcher(s lagoonhead.Sender) *Dispatcher {
 	route := func(name string, r catalog.Route) catalog.Route {
 		r.Name, r.Host, r.Prefix, r.Open = name, "h", "/"+name+"/", true
 		r.Shares, r.MaxAttempts, r.Timeout = []catalog.Share{{Service: scriptService, Weight: 1}}, 2, time.Minute
@@ -149,7 +149,7 @@
 		t.Run(c.Name, func(t *testing.T) {
 			sender := &scriptedSender{t: t, script: c.Sends}
 			sink := &recordingSink{}
-			d := scriptedDispatcher(t, sender)
+			d := scriptedDispatcher(sender)
 			u, err := url.Parse("http://h/" + c.Route + "/x")
 			require.NoError(t, err)
 			err = d.Serve(t.Context(), &Call{ID: "r", Method: http.MethodPost, Host: "h", URL: u}, sink)
--- a/dispatch/stream.go
+++ b/dispatch/stream.go
@@ -130,7 +130,8 @@
 }
 
 func (r *request) endReading(v steer.Reading, took time.Duration) {
-	r.Board(func(b *steer.Board) { b.EndReading(v, r.call.Prompt, took) })
+	now := r.Timer.Now()
+	r.Board(func(b *steer.Board) { b.EndReading(now, v, r.call.Prompt, took) })
 }
 
 // readDue returns when the prompt must be read for the first event to be on time.
@@ -213,7 +214,8 @@
 	err = r.relay(ans, silence, func() {
 		read(r.Timer.Now() - began)
 		if h != nil {
-			r.Board(func(b *steer.Board) { b.Holds(e, r.call.Prompt) })
+			now := r.Timer.Now()
+			r.Board(func(b *steer.Board) { b.Holds(now, e, r.call.Prompt) })
 		}
 	})
 	if err != nil {
--- a/entry/beats.go
+++ b/entry/beats.go
@@ -37,6 +37,8 @@
 	ready       func() error
 	// changes returns the engines that this daemon has change their role.
 	changes func() map[lagoonhead.EndpointID]time.Duration
+	// gap is the usual time between two words of one peer.
+	gap func() time.Duration
 	// behind has the VM of a peer with a newer configuration.
 	behind chan lagoonhead.VMID
 }
@@ -55,15 +57,15 @@
 	for _, s := range b.admit.HeldSlots() {
 		h.Slots = append(h.Slots, int32(s))
 	}
+	now := b.timer.Now()
 	b.dispatcher.Board(func(board *steer.Board) {
-		for _, w := range board.Own() {
+		for _, w := range board.Own(now) {
 			h.Work = append(h.Work, &peer.EndpointWork{
 				Endpoint: string(w.Endpoint), PrefillTokens: int64(w.PrefillTokens), Running: int32(w.Running), PrefilledTotal: w.PrefilledTotal,
 				RunTotal: w.RunTotal, Read: w.Read, Good: w.Good, Bad: w.Bad,
 			})
 		}
 	})
-	now := b.timer.Now()
 	for id, until := range b.changes() {
 		if until > now {
 			h.Changes = append(h.Changes, &peer.Change{Endpoint: string(id), LeftMs: (until - now).Milliseconds()})
@@ -99,6 +101,7 @@
 	}
 	now := b.timer.Now()
 	b.dispatcher.Board(func(board *steer.Board) {
+		board.Gap = b.gap()
 		board.Peer(now, vm, works)
 		for _, c := range h.GetChanges() {
 			board.Changing(lagoonhead.EndpointID(c.GetEndpoint()), now+time.Duration(c.GetLeftMs())*time.Millisecond)
--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -218,7 +218,7 @@
 		Directory: quotas{d.config}, Gate: gate{d.config}, Peers: lenders{d.members, d.pool, s.VM}, Log: d.Log, MaxWait: maxAdmitWait,
 		OneProcess: true, Tolerance: s.LimitTolerance,
 	}
-	d.tally = &billing.Tally{Incarnation: d.incarnation, Timer: d.Timer, Window: s.UsageWindow}
+	d.tally = &billing.Tally{Incarnation: d.incarnation, Timer: d.Timer, Window: s.UsageWindow, Gap: d.exchanger.Gap}
 	d.dispatcher = &dispatch.Dispatcher{
 		Catalogs: d.config, Admitter: d.admit, Suspects: suspect.Spreading{Table: d.suspects, Urge: d.exchanger.Urge}, Sender: d.Platform.Sender,
 		Usage: d.tally, Retries: newRetries(s, d.members, d.Timer), Timer: d.Timer, Log: d.Log, Domain: s.FailureDomain,
@@ -226,7 +226,7 @@
 	d.beats = &beats{
 		self: s.VM, incarnation: d.incarnation, timer: d.Timer, log: d.Log, config: d.config, endpoints: d.endpoints,
 		members: d.members, admit: d.admit, suspects: d.suspects, dispatcher: d.dispatcher, tally: d.tally, pool: d.pool,
-		ready: d.ready, changes: d.changes.list, behind: make(chan lagoonhead.VMID, 1),
+		ready: d.ready, changes: d.changes.list, gap: d.exchanger.Gap, behind: make(chan lagoonhead.VMID, 1),
 	}
 	d.exchanger.Source, d.exchanger.Answered = d.beats, d.beats.answered
 	d.buildDuties()
--- a/peer/exchanger.go
+++ b/peer/exchanger.go
@@ -1,6 +1,7 @@
 package peer
 
 import (
+	"cmp"
 	"context"
 	"expvar"
 	"math/rand/v2"
@@ -65,13 +66,7 @@
 // Run exchanges heartbeats until ctx ends.
 func (x *Exchanger) Run(ctx context.Context) error {
 	x.init()
-	if x.Interval == 0 {
-		x.Interval = DefaultInterval
-	}
-	if x.Fanout == 0 {
-		x.Fanout = DefaultFanout
-	}
-	ticks := x.Timer.Subscribe(x.Interval)
+	ticks := x.Timer.Subscribe(x.interval())
 	defer ticks.Stop()
 	for {
 		select {
@@ -104,6 +99,16 @@
 	return peers
 }
 
+// Gap returns the expected time between two words of one peer: each exchange tells both
+// sides, and all daemons send alike.
+func (x *Exchanger) Gap() time.Duration {
+	n := time.Duration(len(x.others()))
+	return max(x.interval()/2, x.interval()*n/time.Duration(2*x.fanout()))
+}
+
+func (x *Exchanger) interval() time.Duration { return cmp.Or(x.Interval, DefaultInterval) }
+func (x *Exchanger) fanout() int             { return cmp.Or(x.Fanout, DefaultFanout) }
+
 func (x *Exchanger) step(ctx context.Context) {
 	for _, v := range x.choose() {
 		if x.begin(v.ID()) {
@@ -118,11 +123,11 @@
 // choose returns Fanout random peers.
 func (x *Exchanger) choose() []lagoonhead.VM {
 	peers := x.others()
-	if len(peers) <= x.Fanout {
+	if len(peers) <= x.fanout() {
 		return peers
 	}
 	rand.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
-	return peers[:x.Fanout]
+	return peers[:x.fanout()]
 }
 
 // begin keeps at most one exchange with a peer, so that one which does not answer
--- a/steer/board.go
+++ b/steer/board.go
@@ -20,9 +20,12 @@
 	// rateTokens is the shortest queue, in tokens, whose time says something about the
 	// speed; below it the fixed cost of a call outweighs the reading.
 	rateTokens = 2000
-	// newsLife is how long the word of a peer on its work counts. Peers tell several
-	// times a second.
-	newsLife = 2 * time.Second
+	// leastNewsLife is how long the word of a peer on its work counts at least. Peers of a
+	// small fleet tell several times a second.
+	leastNewsLife = 2 * time.Second
+	// newsGaps is the same in times of the usual gap between two words of a peer. With
+	// random gaps, one in twenty is longer.
+	newsGaps = 3
 )
 
 // Part is a piece of a prompt that several requests may share.
@@ -94,26 +97,29 @@
 }
 
 // running returns the requests of all daemons that run on the endpoint.
-func (t *target) running(now time.Duration) int {
-	return t.sum(now, func(w *Work) int { return w.Running })
+func (b *Board) running(now time.Duration, t *target) int {
+	return b.sum(now, t, func(w *Work) int { return w.Running })
 }
 
 // backlog returns the tokens of all daemons that wait for prefill.
-func (t *target) backlog(now time.Duration) int {
-	return t.sum(now, func(w *Work) int { return w.PrefillTokens })
+func (b *Board) backlog(now time.Duration, t *target) int {
+	return b.sum(now, t, func(w *Work) int { return w.PrefillTokens })
 }
 
 // sum adds up a figure of this daemon's work and of what peers told lately.
-func (t *target) sum(now time.Duration, figure func(*Work) int) int {
-	n := figure(&t.own)
+func (b *Board) sum(now time.Duration, t *target, figure func(*Work) int) int {
+	n, life := figure(&t.own), b.newsLife()
 	for _, w := range t.peers {
-		if now-w.at < newsLife {
+		if now-w.at < life {
 			n += figure(&w.Work)
 		}
 	}
 	return n
 }
 
+// newsLife is how long the word of a peer counts.
+func (b *Board) newsLife() time.Duration { return max(leastNewsLife, newsGaps*b.Gap) }
+
 // Board knows the endpoints and what is under way at them. It is not safe for
 // concurrent use.
 type Board struct {
@@ -122,6 +128,8 @@
 	// IgnoreFailures has an endpoint chosen whatever part of its work fails, unless it is
 	// excluded. It is the simpler policy, for comparison.
 	IgnoreFailures bool
+	// Gap is the usual time between two words of one peer; 0 means that it is short.
+	Gap time.Duration
 
 	targets  map[lagoonhead.EndpointID]*target
 	services map[string][]*target
@@ -217,21 +225,22 @@
 	d := Demand{Sent: b.sent[service].prefill, SentToRun: b.sent[service].run, Rate: b.serviceRate(service) * 1000}
 	for _, t := range b.services[service] {
 		if t.endpoint.Role() == lagoonhead.RolePrefill {
-			d.Backlog += t.backlog(now)
+			d.Backlog += b.backlog(now, t)
 		} else {
-			d.Running += t.running(now)
+			d.Running += b.running(now, t)
 		}
 	}
 	return d
 }
 
 // Own returns what this daemon has or had under way, for its peers.
-func (b *Board) Own() []Work {
+func (b *Board) Own(now time.Duration) []Work {
 	var list []Work
+	since := now - b.newsLife()
 	for _, t := range b.targets {
 		if t.own.PrefilledTotal > 0 || t.own.RunTotal > 0 || t.own.Running > 0 || t.own.Good > 0 || t.own.Bad > 0 {
 			w := t.own
-			w.Read = t.cache.newest()
+			w.Read = t.cache.newest(since)
 			list = append(list, w)
 		}
 	}
--- a/steer/board_test.go
+++ b/steer/board_test.go
@@ -85,7 +85,7 @@
 	v := pick(t, b, long("a"))
 	require.Equal(t, 17_000, v.Tokens)
 	b.BeginReading(v)
-	b.EndReading(v, long("a"), 400*time.Millisecond)
+	b.EndReading(now, v, long("a"), 400*time.Millisecond)
 	again := pick(t, b, long("a"))
 	require.Equal(t, v.Endpoint.ID(), again.Endpoint.ID())
 	require.Equal(t, 4_000, again.Tokens)
@@ -97,8 +97,8 @@
 	a, b := newBoard(list), newBoard(list)
 	v := pick(t, a, long("a"))
 	a.BeginReading(v)
-	a.EndReading(v, long("a"), 400*time.Millisecond)
-	b.Peer(now, "vm-a", a.Own())
+	a.EndReading(now, v, long("a"), 400*time.Millisecond)
+	b.Peer(now, "vm-a", a.Own(now))
 	require.Equal(t, 4_000, pick(t, b, long("a")).Tokens)
 }
 
@@ -108,7 +108,7 @@
 	b := newBoard(fleet(9, 3))
 	home := pick(t, b, long("a"))
 	b.BeginReading(home)
-	b.EndReading(home, long("a"), 400*time.Millisecond)
+	b.EndReading(now, home, long("a"), 400*time.Millisecond)
 	for range 3 {
 		b.BeginReading(Reading{Endpoint: home.Endpoint, Apart: true, Tokens: 17_000})
 	}
@@ -138,7 +138,7 @@
 func TestAnEngineThatDecodesReadsWhatItMostlyHolds(t *testing.T) {
 	b := newBoard(fleet(2, 10))
 	p := Prompt{Tokens: 16_000, Parts: []Part{{"a", 13_000}, {"own", 3_000}}}
-	b.Holds(engineAt("d3", lagoonhead.RoleDecode), p)
+	b.Holds(now, engineAt("d3", lagoonhead.RoleDecode), p)
 	for _, e := range fleet(2, 0) {
 		b.BeginReading(Reading{Endpoint: e, Apart: true, Tokens: 40_000})
 	}
@@ -183,16 +183,30 @@
 	b := newBoard(list)
 	v := pick(t, b, long("a"))
 	b.BeginReading(v)
-	b.EndReading(v, long("a"), 400*time.Millisecond)
+	b.EndReading(now, v, long("a"), 400*time.Millisecond)
 	b.BeginReading(v)
 	b.Follow([]lagoonhead.Endpoint{list[0].WithIncarnation("2")}, room)
 	w := pick(t, b, long("a"))
 	require.Equal(t, 17_000, w.Tokens)
 	require.Less(t, w.Wait, 400*time.Millisecond, "its queue is empty")
-	b.EndReading(v, long("a"), 0)
+	b.EndReading(now, v, long("a"), 0)
 	require.Equal(t, w.Wait, pick(t, b, long("a")).Wait, "the end of old work does not count")
 }
 
+// Guards against an old reading that is told again and again: peers would take the part for
+// held although it has long made room for others.
+func TestOldReadingsAreNotTold(t *testing.T) {
+	b := newBoard(fleet(1, 1))
+	v := pick(t, b, long("a"))
+	b.BeginReading(v)
+	b.EndReading(now, v, long("a"), 400*time.Millisecond)
+	read := func(at time.Duration) []uint64 { return b.Own(at)[0].Read }
+	require.Len(t, read(now+leastNewsLife), 1)
+	require.Empty(t, read(now+leastNewsLife+1))
+	b.Gap = leastNewsLife
+	require.Len(t, read(now+newsGaps*b.Gap), 1, "in a large fleet a peer may not have heard of it before")
+}
+
 // Guards against an endpoint that fails and keeps its work, and against one that never
 // gets any again.
 func TestHealth(t *testing.T) {
@@ -237,7 +251,7 @@
 	b := newBoard(fleet(1, 0))
 	b.Peer(now, "vm", []Work{{Endpoint: "p0", PrefillTokens: 48_000}})
 	require.Greater(t, pick(t, b, long("a")).Wait, time.Second)
-	v, ok := b.PickReading(now+newsLife, ReadRequest{Service: model, Prompt: long("a"), Due: 2 * now})
+	v, ok := b.PickReading(now+leastNewsLife, ReadRequest{Service: model, Prompt: long("a"), Due: 2 * now})
 	require.True(t, ok)
 	require.Less(t, v.Wait, 500*time.Millisecond)
 }
@@ -263,11 +277,11 @@
 	b.rates = nil
 	v := pick(t, b, long("a"))
 	b.BeginReading(v)
-	b.EndReading(v, long("a"), 6*time.Second)
+	b.EndReading(now, v, long("a"), 6*time.Second)
 	require.Less(t, pick(t, b, long("b")).Wait, 1200*time.Millisecond)
 	for range 60 {
 		b.BeginReading(v)
-		b.EndReading(v, long("a"), handOverCost+17_000*time.Millisecond/48)
+		b.EndReading(now, v, long("a"), handOverCost+17_000*time.Millisecond/48)
 	}
 	require.InDelta(t, 48, b.rate(b.services[model][0]), 5, "many readings show the speed")
 }
--- a/steer/cache.go
+++ b/steer/cache.go
@@ -1,14 +1,17 @@
 package steer
 
-import "container/list"
+import (
+	"container/list"
+	"time"
+)
 
 const (
 	// cacheUse is the part of an engine's memory that is taken to hold shared parts; the
 	// rest holds running requests and what belongs to one request only.
 	cacheUse = 0.7
-	// newestParts is how many parts a daemon tells its peers with each heartbeat. It is
-	// above the readings of one daemon at one engine between two heartbeats, so that a
-	// lost heartbeat loses nothing.
+	// newestParts is how many parts of an engine a daemon tells its peers at most with each
+	// heartbeat. It is above the readings of one daemon at one engine between two
+	// heartbeats, so that a lost heartbeat loses nothing.
 	newestParts = 8
 )
 
@@ -20,8 +23,13 @@
 	mean  int
 	order *list.List
 	byID  map[uint64]*list.Element
-	// own are the parts that this daemon had the engine read last.
-	own []uint64
+	// own are the parts that this daemon had the engine read last, the newest last.
+	own []ownPart
+}
+
+type ownPart struct {
+	id uint64
+	at time.Duration
 }
 
 type cachedPart struct {
@@ -35,17 +43,26 @@
 
 func (c *partCache) has(id uint64) bool { return c.byID[id] != nil }
 
-// newest returns the parts that this daemon had the engine read last.
-func (c *partCache) newest() []uint64 { return c.own }
+// newest returns the parts that this daemon had the engine read since a time. Peers take
+// what they are told for new, so an old reading must not be told again.
+func (c *partCache) newest(since time.Duration) []uint64 {
+	var list []uint64
+	for _, p := range c.own {
+		if p.at >= since {
+			list = append(list, p.id)
+		}
+	}
+	return list
+}
 
 // read notes a part that this daemon had the engine read.
-func (c *partCache) read(id uint64, tokens int) {
+func (c *partCache) read(now time.Duration, id uint64, tokens int) {
 	c.mean = tokens
 	c.note(id, tokens)
 	if len(c.own) == newestParts {
 		c.own = append(c.own[:0:0], c.own[1:]...)
 	}
-	c.own = append(c.own, id)
+	c.own = append(c.own, ownPart{id, now})
 }
 
 // readElsewhere notes a part that a peer had the engine read. It is taken to be as long
--- a/steer/failures_test.go
+++ b/steer/failures_test.go
@@ -93,10 +93,10 @@
 		f.pending = f.pending[1:]
 		p.board.Running(p.v.Endpoint, -1)
 		if p.lost {
-			p.board.EndReading(p.v, short(), 0)
+			p.board.EndReading(at, p.v, short(), 0)
 			p.board.Judge(at, p.v.Endpoint, Bad)
 		} else {
-			p.board.EndReading(p.v, short(), time.Millisecond)
+			p.board.EndReading(at, p.v, short(), time.Millisecond)
 			p.board.Judge(at, p.v.Endpoint, Good)
 		}
 	}
@@ -105,7 +105,7 @@
 func (f *lossyFleet) tell(at time.Duration) {
 	f.told = at
 	for i, b := range f.boards {
-		own := b.Own()
+		own := b.Own(at)
 		for j, other := range f.boards {
 			if i != j {
 				other.Peer(at, lagoonhead.VMID(fmt.Sprint("vm", i)), own)
--- a/steer/load_test.go
+++ b/steer/load_test.go
@@ -131,7 +131,7 @@
 func (p *boardPolicy) done(_ int, _ bool, a arrival, took time.Duration) {
 	v := p.readings[&a.prompt.Parts[0]]
 	delete(p.readings, &a.prompt.Parts[0])
-	p.board.EndReading(v, a.prompt, took)
+	p.board.EndReading(a.at+took, v, a.prompt, took)
 }
 
 // leastBusy is the simpler policy: every prompt is read apart by the engine with the
--- a/steer/pick.go
+++ b/steer/pick.go
@@ -120,14 +120,14 @@
 // weigh returns the reading of a prompt at a target with its cost. fits is false when it
 // would hold up the other requests of the target for longer than callers accept.
 func (b *Board) weigh(now time.Duration, t *target, r ReadRequest, part uint64, shared int, homes [2]*target) (v Reading, cost time.Duration, fits bool) {
-	v = Reading{Endpoint: t.endpoint, Apart: t.endpoint.Role() == lagoonhead.RolePrefill, Tokens: r.Prompt.Tokens, queued: t.backlog(now)}
+	v = Reading{Endpoint: t.endpoint, Apart: t.endpoint.Role() == lagoonhead.RolePrefill, Tokens: r.Prompt.Tokens, queued: b.backlog(now, t)}
 	known := part != 0 && t.cache.has(part)
 	if known {
 		v.Tokens -= shared
 	}
 	reading := b.millis(t, v.queued+v.Tokens)
 	if !v.Apart {
-		load := float64(t.running(now)) / float64(max(1, t.endpoint.Slots()))
+		load := float64(b.running(now, t)) / float64(max(1, t.endpoint.Slots()))
 		v.Wait = RunSlowdown*reading + time.Duration(load*float64(batchCost))
 		cost = v.Wait + time.Duration(runReadWeight*float64(b.millis(t, v.Tokens)))
 		if t.endpoint.FailureDomain() != b.Domain {
@@ -191,7 +191,7 @@
 
 // EndReading ends what BeginReading began. took is the time that it took, or 0 when the
 // prompt was not read.
-func (b *Board) EndReading(v Reading, p Prompt, took time.Duration) {
+func (b *Board) EndReading(now time.Duration, v Reading, p Prompt, took time.Duration) {
 	t := b.process(v.Endpoint)
 	if t == nil {
 		return
@@ -200,7 +200,7 @@
 	if took <= 0 {
 		return
 	}
-	b.Holds(v.Endpoint, p)
+	b.Holds(now, v.Endpoint, p)
 	if reading := took - handOverCost; v.Apart && v.queued+v.Tokens >= rateTokens && reading > 0 {
 		b.learnRate(t, float64(v.queued+v.Tokens)/(float64(reading)/float64(time.Millisecond)))
 	}
@@ -208,10 +208,10 @@
 
 // Holds notes that an engine holds the shared part of a prompt, because it has read it or
 // fetched it with the KV cache.
-func (b *Board) Holds(e lagoonhead.Endpoint, p Prompt) {
+func (b *Board) Holds(now time.Duration, e lagoonhead.Endpoint, p Prompt) {
 	if t := b.process(e); t != nil {
 		if part, shared := p.shared(); part != 0 {
-			t.cache.read(part, shared)
+			t.cache.read(now, part, shared)
 		}
 	}
 }
@@ -254,7 +254,7 @@
 		if t.endpoint.Role() == lagoonhead.RolePrefill || !t.allowed(now, r.Avoid, healthy) {
 			continue
 		}
-		load := float64(t.running(now)) / float64(max(1, t.endpoint.Slots()))
+		load := float64(b.running(now, t)) / float64(max(1, t.endpoint.Slots()))
 		if t.endpoint.FailureDomain() != r.Near {
 			load += domainCost
 		}
