Keep the counts of open usage windows in the store

Change: the holder of the usage duty writes the counts of the open window and of the one before it once a second, by process. The next holder takes them in before it seals anything. Counts are kept by process, so nothing counts twice when only the holder changes. A write four times a second would save the last second too, but it ends the watches of all daemons and costs more calls than it saves.

--- a/billing/tally_test.go
+++ b/billing/tally_test.go
@@ -186,3 +186,40 @@
 	require.Len(t, sent.list, 1)
 	require.Equal(t, map[lagoonhead.WorkspaceID]int64{"w": 2}, requests(sent.list[0].Usage))
 }
+
+// Guards against a window that is never reported because all VMs lost power between its end
+// and its report, and against counts that come twice when only the holder changes.
+func TestCountsOutliveAllDaemons(t *testing.T) {
+	clock := timer.NewManual(time.Hour, time.Unix(1000, 0))
+	kv := fakeplatform.NewKV(clock)
+	first, other := newTally(clock, "first"), newTally(clock, "other")
+	sent := new(reports)
+	r := newReporter(clock, kv, first, sent)
+	first.Began("w")
+	other.Began("w")
+	first.Peer("other", other.Told())
+	clock.Advance(openInterval)
+	r.step(t.Context())
+	clock.Advance(tallyWindow)
+	require.Empty(t, sent.list, "the window is not sealed yet")
+
+	// Only the holder is gone: the next one has the counts of the other process already.
+	again := newTally(clock, "other")
+	again.Peer("first", first.Told())
+	again.Peer("third", other.Told())
+	require.True(t, newReporter(clock, kv, again, sent).loadOpen(t.Context()))
+	require.Equal(t, map[lagoonhead.WorkspaceID]int64{"w": 2}, requests(again.Sum(again.Current()-1)))
+
+	// All are gone.
+	after := newTally(clock, "after")
+	kv.Faults.SetOutage(true)
+	next := newReporter(clock, kv, after, sent)
+	clock.Advance(settleTime)
+	next.step(t.Context())
+	require.Empty(t, sent.list, "nothing is sealed before the kept counts are known")
+	kv.Faults.SetOutage(false)
+	next.step(t.Context())
+	require.Len(t, sent.list, 1)
+	require.Equal(t, map[lagoonhead.WorkspaceID]int64{"w": 2}, requests(sent.list[0].Usage))
+	require.NotEmpty(t, after.Told(), "peers do not hear of the processes that are gone")
+}
--- a/billing/windows.go
+++ b/billing/windows.go
@@ -46,10 +46,12 @@
 
 	next     int64
 	gathered int64 // newest window whose counts were asked for
+	loaded   bool  // the counts that the former holder kept were taken in
+	saveNext time.Duration
 	vars     expvar.Map
 }
 
-// Vars returns the counters sealed, adopted, reported and failed.
+// Vars returns the counters sealed, adopted, reported, failed and openNotSaved.
 func (r *WindowReporter) Vars() *expvar.Map { return &r.vars }
 
 // Run seals and reports until ctx ends.
@@ -63,9 +65,10 @@
 
 // step reports the windows that have ended, the oldest first.
 func (r *WindowReporter) step(ctx context.Context) {
-	if r.Authority() != nil {
+	if r.Authority() != nil || !r.loadOpen(ctx) {
 		return
 	}
+	r.saveOpen(ctx)
 	current := r.Tally.Current()
 	r.gather(current - 1)
 	// A clock that was ahead must not keep this daemon from reporting.
