Count usage by a wall clock that does not follow jumps

Requests were counted in windows that were over or had not begun, and four windows were off by 6 to 26%.

--- a/entry/duties.go
+++ b/entry/duties.go
@@ -60,7 +60,7 @@
 
 func (d *Daemon) usageReports(t *lease.Tenure) part {
 	r := &billing.WindowReporter{
-		Tally: d.tally, Timer: d.Timer, Store: d.store, Usage: d.Platform.Usage(t), Authority: t.Check,
+		Tally: d.tally, Timer: d.tally.Timer, Store: d.store, Usage: d.Platform.Usage(t), Authority: t.Check,
 		Gather: d.exchanger.Urge, Log: d.Log,
 	}
 	d.vars.Set("usageReports", r.Vars())
