--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -77,8 +77,6 @@
 	Slots int
 	// CacheTokens is the room of the KV cache in tokens.
 	CacheTokens int
-	// HandleLife is how long a KV handle is kept for.
-	HandleLife time.Duration
 	// SwitchTime is how long a change of role takes an engine out.
 	SwitchTime time.Duration
 }
@@ -86,9 +84,6 @@
 // Service is a group of endpoints that can stand in for one another.
 type Service struct {
 	Name string
-	// MaxConnections bounds the connections to one endpoint from all daemons
-	// together; 0 means no bound.
-	MaxConnections int
 	// Engine is nil for a plain service.
 	Engine *EngineTraits
 	// Scaling is nil when engines cannot be ordered.
--- a/entry/settings.go
+++ b/entry/settings.go
@@ -11,18 +11,13 @@
 type Settings struct {
 	VM            lagoonhead.VMID
 	FailureDomain lagoonhead.FailureDomain
-	Region        lagoonhead.Region
-	// FailureDomains are all domains of the fleet.
-	FailureDomains []lagoonhead.FailureDomain
-	Listen         Listen
+	Listen        Listen
 	// Seeds are addresses of peers (host:port) that may be stale.
 	Seeds []string
 	// MemoryBytes is the memory above which the process is killed.
 	MemoryBytes int64
 	// Grace is the time from SIGTERM to SIGKILL.
 	Grace time.Duration
-	// DrainLimit is how long a leaving endpoint may still get requests.
-	DrainLimit time.Duration
 	// TurnTime is the time within which a duty must not go to another daemon and back.
 	TurnTime time.Duration
 	// FencesChecked tells that the platform and all engines refuse the fence of a former
@@ -30,9 +25,8 @@
 	FencesChecked bool
 	// LeaseLeast is the shortest time to live of a lease.
 	LeaseLeast time.Duration
-	// UsageWindow is the length of a usage window, UsageDue the time after its end in
-	// which the report is due.
-	UsageWindow, UsageDue time.Duration
+	// UsageWindow is the length of a usage window.
+	UsageWindow time.Duration
 	// RetryRatio and RetrySlack bound the sends beyond the first of each request, over
 	// RetryWindow and the whole fleet.
 	RetryRatio  float64
