Play the swinging load on one to six failure domains

TestOtherFleets played fleets of 3 to 60 engines in one domain; they are spread over one to six now.

--- a/steer/load_test.go
+++ b/steer/load_test.go
@@ -209,11 +209,25 @@
 	require.GreaterOrEqual(t, own[1], home[1])
 }
 
-// Guards against a policy that only works for one size of the fleet.
+// spread moves engines to as many failure domains, in turn.
+func spread(engines []lagoonhead.Endpoint, domains int) []lagoonhead.Endpoint {
+	list := make([]lagoonhead.Endpoint, len(engines))
+	for i, e := range engines {
+		domain := lagoonhead.FailureDomain("x") // that of the board
+		if i%domains > 0 {
+			domain = lagoonhead.FailureDomain(fmt.Sprint("x", i%domains))
+		}
+		list[i] = lagoonhead.NewEndpoint(e.ID(), e.Kind(), e.Serves(), e.Address(), domain).WithRole(e.Role()).WithSlots(e.Slots())
+	}
+	return list
+}
+
+// Guards against a policy that only works for one size of the fleet or for one number of
+// failure domains.
 func TestOtherFleets(t *testing.T) {
-	for _, size := range [][2]int{{1, 2}, {2, 2}, {5, 7}, {24, 36}} {
+	for _, size := range [][3]int{{1, 2, 1}, {2, 2, 2}, {5, 7, 3}, {10, 14, 4}, {24, 36, 6}} {
 		t.Run(fmt.Sprint(size), func(t *testing.T) {
-			engines := fleet(size[0], size[1])
+			engines := spread(fleet(size[0], size[1]), size[2])
 			load := swingingLoad(9)
 			// The load grows with the fleet.
 			keep := float64(size[0]+size[1]) / 24
