--- a/cmd/lagoonctl/commands.go
+++ b/cmd/lagoonctl/commands.go
@@ -197,7 +197,7 @@
 	if err != nil {
 		return 0, err
 	}
-	defer file.Close()
+	defer func() { _ = file.Close() }() // it was only read
 	return outlog.Read(file, f)
 }
 
--- a/explain/timeline.go
+++ b/explain/timeline.go
@@ -179,18 +179,19 @@
 // of the request.
 func (t *Timeline) Print(w io.Writer) error {
 	l := t.request
-	head := fmt.Sprintf("cause: %s\n", t.Cause())
+	var head strings.Builder
+	fmt.Fprintf(&head, "cause: %s\n", t.Cause())
 	if t.others > 0 {
-		head += fmt.Sprintf("of %d other requests at its endpoints around that time, %d met a failure there\n", t.others, t.failed)
+		fmt.Fprintf(&head, "of %d other requests at its endpoints around that time, %d met a failure there\n", t.others, t.failed)
 	}
-	head += fmt.Sprintf("request %s at %s, arrived %s", t.Request, l.VM, t.arrived.Format(time.RFC3339Nano))
+	fmt.Fprintf(&head, "request %s at %s, arrived %s", t.Request, l.VM, t.arrived.Format(time.RFC3339Nano))
 	for _, name := range []string{"route", "service", "workspace", "configVersion"} {
 		if v, ok := l.Fields[name]; ok {
-			head += fmt.Sprintf(", %s %v", name, v)
+			fmt.Fprintf(&head, ", %s %v", name, v)
 		}
 	}
-	head += "\n"
-	if _, err := io.WriteString(w, head); err != nil {
+	head.WriteByte('\n')
+	if _, err := io.WriteString(w, head.String()); err != nil {
 		return err
 	}
 	for _, e := range t.events() {
