--- a/explain/doc.go
+++ b/explain/doc.go
@@ -1,3 +1,4 @@
-// Package explain keeps the recent decisions of the daemon with their reasons, so
-// that operators can ask why something was done.
+// Package explain tells operators why something was done. Record keeps the recent
+// decisions of a running daemon with their reasons; Timeline joins what the logs of all
+// VMs say of one request.
 package explain
