Build the transport of services on httppool.NewTransport

The two set the same fields but for keep-alive, idle connections and the header timeout, which stay as they were. Its connections count what they write, which nothing reads here.

--- a/service/transport.go
+++ b/service/transport.go
@@ -14,7 +14,6 @@
 	idleTimeout          = 30 * time.Second
 	// userTimeout ends a connection whose peer acknowledges nothing any more.
 	userTimeout      = 10 * time.Second
-	maxHeaderBytes   = 64 << 10
 	idleConnsPerHost = 16
 )
 
@@ -22,13 +21,9 @@
 // keep-alive each call has a fresh connection; net/http repeats a request only
 // after a failure on a connection that was used before.
 func newTransport(dial, header time.Duration, keepAlive bool) *http.Transport {
-	return &http.Transport{
-		DialContext:            httppool.NewDialer(dial, userTimeout).DialContext,
-		DisableKeepAlives:      !keepAlive,
-		DisableCompression:     true,
-		MaxIdleConnsPerHost:    idleConnsPerHost,
-		IdleConnTimeout:        idleTimeout,
-		ResponseHeaderTimeout:  header,
-		MaxResponseHeaderBytes: maxHeaderBytes,
-	}
+	t := httppool.NewTransport(httppool.NewDialer(dial, userTimeout), idleTimeout)
+	t.DisableKeepAlives = !keepAlive
+	t.MaxIdleConnsPerHost = idleConnsPerHost
+	t.ResponseHeaderTimeout = header
+	return t
 }
