List slots in use in one place, and group open counts by a map

HeldSlots and setShare had the same loop. Tally.open searched its list for each count, with the lock held: at 80 VMs and 16 workspaces 2,560 counts against 160 groups once a second.

--- a/admit/book.go
+++ b/admit/book.go
@@ -221,11 +221,7 @@
 }
 
 func (r *Runner) setShare(now time.Duration, b *book) {
-	slots := make([]int, len(r.starts))
-	for i, s := range r.starts {
-		slots[i] = s.Slot
-	}
-	b.share = limit.ShareOf(b.quota, r.homes(b), slots)
+	b.share = limit.ShareOf(b.quota, r.homes(b), r.slotsInUse())
 	b.bucket.SetShare(now, b.share)
 }
 
--- a/admit/slots.go
+++ b/admit/slots.go
@@ -56,6 +56,11 @@
 	r.init()
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	return r.slotsInUse()
+}
+
+// slotsInUse returns the slots in use. The caller holds the lock.
+func (r *Runner) slotsInUse() []int {
 	slots := make([]int, len(r.starts))
 	for i, s := range r.starts {
 		slots[i] = s.Slot
--- a/billing/open.go
+++ b/billing/open.go
@@ -39,13 +39,16 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	var list []processCounts
+	index := make(map[countKey]int) // of a process and window, without workspace
 	for k, n := range t.counts {
 		if k.window < oldest {
 			continue
 		}
-		i := slices.IndexFunc(list, func(p processCounts) bool { return p.Incarnation == k.incarnation && p.Window == k.window })
-		if i < 0 {
+		process := countKey{incarnation: k.incarnation, window: k.window}
+		i, ok := index[process]
+		if !ok {
 			i = len(list)
+			index[process] = i
 			list = append(list, processCounts{k.incarnation, k.window, make(map[lagoonhead.WorkspaceID]int64)})
 		}
 		list[i].Requests[k.workspace] = n
