--- a/admit/runner.go
+++ b/admit/runner.go
@@ -1,6 +1,7 @@
 package admit
 
 import (
+	"cmp"
 	"context"
 	"expvar"
 	"math"
@@ -70,6 +71,10 @@
 	// Decisions records refusals with their reasons. It may be nil.
 	Decisions lagoonhead.DecisionRecorder
 	Log       *zap.Logger
+	// SlotsKey is the key of the slot table; empty means limit.SlotsKey.
+	SlotsKey string
+	// OnlyListed means that this daemon holds slots only while VMs lists its VM.
+	OnlyListed bool
 	// SlotCount is the number of slots of a new slot table; 0 means 6. It does not
 	// change an existing table.
 	SlotCount int
@@ -144,7 +149,8 @@
 		r.wake = make(chan struct{}, 1)
 		r.reread = make(chan struct{}, 1)
 		r.loanReturns = ring.New[loanReturn](1024)
-		r.slots.VM, r.slots.Incarnation, r.slots.NoEarlierProcess = r.VM, r.Incarnation, r.NoEarlierProcess
+		r.SlotsKey = cmp.Or(r.SlotsKey, limit.SlotsKey)
+		r.slots.VM, r.slots.Incarnation, r.slots.NoEarlierProcess, r.slots.OnlyListed = r.VM, r.Incarnation, r.NoEarlierProcess, r.OnlyListed
 		r.slots.AdvanceWindow = r.Tolerance.Window
 		r.workspaces = make(map[lagoonhead.WorkspaceID]*workspaceState)
 		r.unresponsive = make(map[lagoonhead.VMID]time.Duration)
--- a/admit/slots.go
+++ b/admit/slots.go
@@ -47,10 +47,16 @@
 		}
 	}
 	if revision > r.readRevision.Load() {
-		select {
-		case r.reread <- struct{}{}:
-		default:
-		}
+		r.ReadSlots()
+	}
+}
+
+// ReadSlots makes Run read the slot table at once. It takes no lock and does not block.
+func (r *Runner) ReadSlots() {
+	r.init()
+	select {
+	case r.reread <- struct{}{}:
+	default:
 	}
 }
 
@@ -127,20 +133,26 @@
 	return nil
 }
 
-// readTable reads the slot table and creates it if there is none.
+// readTable reads the slot table. If there is none, a daemon that may hold slots creates it.
 func (r *Runner) readTable(ctx context.Context) (lagoonhead.Entry, error) {
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
-	e, err := r.Store.Get(ctx, limit.SlotsKey)
-	if lagoonhead.IsKind(err, lagoonhead.KindNotFound) {
+	e, err := r.Store.Get(ctx, r.SlotsKey)
+	if lagoonhead.IsKind(err, lagoonhead.KindNotFound) && r.mayHoldSlots() {
 		if err := r.writeTable(ctx, limit.NewTable(r.SlotCount), 0); err != nil && !lagoonhead.IsKind(err, lagoonhead.KindConflict) {
 			return e, err
 		}
-		e, err = r.Store.Get(ctx, limit.SlotsKey)
+		e, err = r.Store.Get(ctx, r.SlotsKey)
 	}
 	return e, err
 }
 
+func (r *Runner) mayHoldSlots() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.slots.MayHold()
+}
+
 // applyTable applies the slot table that was read. It returns the table that this
 // daemon wants to write, and whether it wants to.
 func (r *Runner) applyTable(e lagoonhead.Entry) (limit.Table, bool) {
@@ -175,7 +187,7 @@
 	defer cancel()
 	t.Writer, t.Nonce = r.Incarnation, uuid.NewString()
 	r.counters.slotWrites.Add(1)
-	_, err := r.Store.Put(ctx, lagoonhead.PutRequest{Key: limit.SlotsKey, Value: t.Encode(), IfRevision: revision})
+	_, err := r.Store.Put(ctx, lagoonhead.PutRequest{Key: r.SlotsKey, Value: t.Encode(), IfRevision: revision})
 	if lagoonhead.IsKind(err, lagoonhead.KindConflict) {
 		r.counters.slotConflicts.Add(1)
 	}
--- a/billing/tally.go
+++ b/billing/tally.go
@@ -14,6 +14,10 @@
 // window is reported, including a change of the duty's holder.
 const tallyWindows = 6
 
+// sentWindows is the number of windows whose counts an attached daemon sends to its hub: the
+// open one, and one that may not be sealed yet.
+const sentWindows = 2
+
 // A daemon counts as silent, so that its peers pass on its counts, after minSilence and
 // minSilentGaps times the usual time between two heartbeats of a peer, whichever is
 // longer. With less, every daemon of a large fleet would pass on the counts of most others.
@@ -94,12 +98,20 @@
 
 // MergePeer merges the counts that a peer process has sent.
 func (t *Tally) MergePeer(from lagoonhead.Incarnation, counts []Count) {
-	current := t.Current()
 	now := t.Timer.Now()
 	t.mu.Lock()
-	defer t.mu.Unlock()
 	t.init()
 	t.lastHeard[from] = now
+	t.mu.Unlock()
+	t.Merge(counts)
+}
+
+// Merge merges counts of other processes.
+func (t *Tally) Merge(counts []Count) {
+	current := t.Current()
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.init()
 	for _, c := range counts {
 		if c.Incarnation == t.Incarnation || c.Window <= current-tallyWindows || c.Window > current+tallyWindows {
 			continue
@@ -109,21 +121,37 @@
 	}
 }
 
-// CountsToSend returns the counts to send to peers: those of this process, and those of
-// silent processes.
+// OwnCounts returns the counts of this process in the windows that may still be open or not
+// sealed.
+func (t *Tally) OwnCounts() []Count {
+	oldest := t.Current() - sentWindows + 1
+	return t.collect(func(k countKey) bool { return k.window >= oldest && k.incarnation == t.Incarnation })
+}
+
+// CountsToSend returns the counts to send to peers when each daemon exchanges heartbeats
+// with all others: those of this process, and those of silent processes.
 func (t *Tally) CountsToSend() []Count {
-	current := t.Current()
 	now := t.Timer.Now()
 	silence := t.silence()
+	oldest := t.Current() - tallyWindows + 1
+	return t.collect(func(k countKey) bool {
+		return k.window >= oldest && (k.incarnation == t.Incarnation || now-t.lastHeard[k.incarnation] > silence)
+	})
+}
+
+// Counts returns the counts of all processes in the windows from oldest on.
+func (t *Tally) Counts(oldest int64) []Count {
+	return t.collect(func(k countKey) bool { return k.window >= oldest })
+}
+
+// collect returns the counts that want selects. want is called while mu is held.
+func (t *Tally) collect(want func(countKey) bool) []Count {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.init()
 	var list []Count
 	for k, n := range t.counts {
-		if k.window <= current-tallyWindows {
-			continue
-		}
-		if k.incarnation == t.Incarnation || now-t.lastHeard[k.incarnation] > silence {
+		if want(k) {
 			list = append(list, Count{k.incarnation, k.window, k.workspace, n})
 		}
 	}
--- a/billing/tally_test.go
+++ b/billing/tally_test.go
@@ -62,6 +62,40 @@
 	require.Equal(t, map[lagoonhead.WorkspaceID]int64{"w": 1}, requests(c.Sum(window)))
 }
 
+// Guards against a window of a large fleet that lacks the counts of daemons which do not
+// exchange heartbeats with the holder of the duty, or of a process that has ended, and
+// against counts that are added twice when a daemon changes its hub.
+func TestCountsAreFetchedFromHubs(t *testing.T) {
+	clock := timer.NewManual(time.Hour, time.Unix(1000, 0))
+	attached, hub, other, holder := newTally(clock, "a"), newTally(clock, "h"), newTally(clock, "o"), newTally(clock, "r")
+	attached.CountRequest("w")
+	hub.MergePeer("a", attached.OwnCounts())
+	attached.CountRequest("w")
+	other.MergePeer("a", attached.OwnCounts())
+	sent := new(reportLog)
+	r := newReporter(clock, fakeplatform.NewKV(clock), holder, sent)
+	r.FetchCounts = func(_ context.Context, oldest int64) {
+		holder.Merge(hub.Counts(oldest))
+		holder.Merge(other.Counts(oldest))
+	}
+	clock.Advance(tallyWindow + sealDelay)
+	r.step(t.Context())
+	require.Len(t, sent.list, 1)
+	require.Equal(t, map[lagoonhead.WorkspaceID]int64{"w": 2}, requests(sent.list[0].Usage))
+}
+
+// Guards against a heartbeat to a hub that grows with the time.
+func TestOwnCountsAreThoseOfNewWindows(t *testing.T) {
+	clock := timer.NewManual(time.Hour, time.Unix(1000, 0))
+	a := newTally(clock, "a")
+	a.MergePeer("b", []Count{{"b", a.Current(), "w", 1}})
+	for range 10 {
+		a.CountRequest("w")
+		clock.Advance(tallyWindow)
+	}
+	require.Len(t, a.OwnCounts(), sentWindows-1, "the open window has no request")
+}
+
 // Guards against a Tally that grows without bound.
 func TestOldWindowsAreForgotten(t *testing.T) {
 	clock := timer.NewManual(time.Hour, time.Unix(1000, 0))
--- a/billing/windows.go
+++ b/billing/windows.go
@@ -43,12 +43,16 @@
 	Authority func() error
 	// GatherCounts makes all peers send their counts. Optional.
 	GatherCounts func()
-	Log          *zap.Logger
+	// FetchCounts merges the counts that other daemons have, from a window on, into the
+	// Tally. It is for fleets in which heartbeats do not bring them. Optional.
+	FetchCounts func(ctx context.Context, oldest int64)
+	Log         *zap.Logger
 
 	nextWindow int64
 	gathered   int64 // newest window whose counts were requested
 	restored   bool  // whether the counts stored by the former holder have been restored
 	nextSave   time.Duration
+	nextFetch  time.Duration
 	vars       expvar.Map
 }
 
@@ -71,8 +75,9 @@
 	if r.Authority() != nil || !r.loadOpen(ctx) {
 		return
 	}
-	r.saveOpen(ctx)
 	current := r.Tally.Current()
+	r.fetch(ctx, current)
+	r.saveOpen(ctx)
 	r.gather(current - 1)
 	// If the clock was ahead and has been set back, go on with the present windows.
 	if r.nextWindow == 0 || r.nextWindow > current+1 || r.nextWindow <= current-tallyWindows {
@@ -90,6 +95,15 @@
 	}
 }
 
+// fetch merges the counts that other daemons have of the windows that are stored as open.
+func (r *WindowReporter) fetch(ctx context.Context, current int64) {
+	if r.FetchCounts == nil || r.Timer.Now() < r.nextFetch {
+		return
+	}
+	r.nextFetch = r.Timer.Now() + openInterval
+	r.FetchCounts(ctx, current-openWindows+1)
+}
+
 // gather requests the counts of window n from the peers, once, gatherDelay after its end.
 func (r *WindowReporter) gather(n int64) {
 	if r.GatherCounts == nil || n == r.gathered || r.Timer.Wall().Before(r.Tally.End(n).Add(gatherDelay)) {
--- a/daemon/heartbeats.go
+++ b/daemon/heartbeats.go
@@ -54,6 +54,15 @@
 
 var _ peer.HeartbeatSource = (*heartbeats)(nil)
 
+// Heartbeat returns this daemon's heartbeat, which is the same for all peers.
+func (b *heartbeats) Heartbeat(lagoonhead.VMID) *peer.Heartbeat { return b.Local() }
+
+// Answer processes a heartbeat that a peer sent as a request.
+func (b *heartbeats) Answer(h *peer.Heartbeat) *peer.Heartbeat {
+	b.ReceiveRequest(h)
+	return b.Local()
+}
+
 // Local returns this daemon's heartbeat. It reads the revision before the counts of
 // requests in flight, so that the counts are at least as new as the revision.
 func (b *heartbeats) Local() *peer.Heartbeat {
--- a/entities.go
+++ b/entities.go
@@ -92,6 +92,7 @@
 	failureDomain FailureDomain
 	peerAddress   string
 	leaving       bool
+	capacity      float64
 }
 
 // NewVM returns a VM whose daemon serves its peers at peerAddress (host:port).
@@ -111,6 +112,16 @@
 // Leaving reports whether the platform has announced that it will stop the VM.
 func (v VM) Leaving() bool { return v.leaving }
 
+// WithCapacity returns a copy of v with a capacity.
+func (v VM) WithCapacity(cores float64) VM {
+	v.capacity = cores
+	return v
+}
+
+// Capacity returns the processor time of the VM per second, in cores, or 0 if it is
+// unknown.
+func (v VM) Capacity() float64 { return v.capacity }
+
 // Endpoint describes an engine or a plain service as the inventory lists it.
 type Endpoint struct {
 	id            EndpointID
--- /dev/null
+++ b/entry/attachment.go
@@ -0,0 +1,118 @@
+package entry
+
+import (
+	"sync"
+	"time"
+
+	"github.com/lagoonhead/lagoonhead"
+	"github.com/lagoonhead/lagoonhead/mirror"
+	"github.com/lagoonhead/lagoonhead/timer"
+)
+
+const (
+	// hubRetryTime is how long a hub that did not respond, or has lost the store, comes
+	// last.
+	hubRetryTime = 2 * time.Second
+	// maxUpdateGap is the time without a fresh update of a hub after which a daemon that is
+	// no reader reads the store itself. The time in which a change must be
+	// in force everywhere is at least twice as long.
+	maxUpdateGap = 1200 * time.Millisecond
+	// maxUpdateAge is the maximum age of the entries in a fresh update. A reader's watch
+	// that returns nothing takes WatchTimeout, and an update passes two hubs at most.
+	maxUpdateAge = WatchTimeout + 1500*time.Millisecond
+)
+
+// attachment chooses the peers that this daemon exchanges heartbeats with: all hubs if it is
+// one itself, else one hub. It is safe for concurrent use.
+type attachment struct {
+	members *members
+	timer   timer.Timer
+	// prefixes are those whose changes must be in force soon.
+	prefixes []string
+
+	mu sync.Mutex
+	// failed holds the hubs that did not respond or have lost the store, with the time.
+	failed map[lagoonhead.VMID]time.Duration
+	// updated is true once a hub that reaches the store has sent an update, and updatedAt
+	// the time of the request for the newest one.
+	updated   bool
+	updatedAt time.Duration
+}
+
+// peers returns the VMs to exchange heartbeats with.
+func (a *attachment) peers() []lagoonhead.VM {
+	l := a.members.layout()
+	if l == nil {
+		return a.members.seeds
+	}
+	if l.isHub {
+		return l.Hubs()
+	}
+	now := a.timer.Now()
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	for i, v := range l.order {
+		if at, ok := a.failed[v.ID()]; !ok || now-at > hubRetryTime {
+			return l.order[i : i+1]
+		}
+	}
+	return l.order[:min(1, len(l.order))]
+}
+
+// fail records that a peer did not respond or has lost the store.
+func (a *attachment) fail(id lagoonhead.VMID) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.failed == nil {
+		a.failed = make(map[lagoonhead.VMID]time.Duration)
+	}
+	now := a.timer.Now()
+	for k, at := range a.failed {
+		if now-at > hubRetryTime {
+			delete(a.failed, k)
+		}
+	}
+	a.failed[id] = now
+}
+
+// merged records an update of a peer that was requested at the given time.
+func (a *attachment) merged(id lagoonhead.VMID, u mirror.Update, sent time.Duration) {
+	fresh := a.isFresh(u.Prefixes)
+	if !fresh && !a.members.isHub() {
+		a.fail(id)
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if fresh {
+		a.updated, a.updatedAt = true, max(a.updatedAt, sent)
+	}
+}
+
+// isFresh reports whether a copy shows what the store had lately.
+func (a *attachment) isFresh(list []mirror.PrefixState) bool {
+	fresh := 0
+	for _, s := range list {
+		for _, p := range a.prefixes {
+			if s.Prefix == p && !s.Lost && s.Age >= 0 && s.Age <= maxUpdateAge {
+				fresh++
+			}
+		}
+	}
+	return fresh == len(a.prefixes)
+}
+
+// needsUpdates reports whether this daemon's copy is kept up to date by peers: a reader
+// needs none while it reaches the store.
+func (a *attachment) needsUpdates(p mirror.Position) bool {
+	return !a.members.isReader() || !a.isFresh(p.Prefixes)
+}
+
+// idle reports whether peers keep this daemon's copy of the store up to date.
+func (a *attachment) idle() bool {
+	if a.members.isReader() {
+		return false
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.updated && a.timer.Now()-a.updatedAt <= maxUpdateGap
+}
--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -46,6 +46,15 @@
 	// defaultBodyLimit is the maximum size of a request body, in bytes, until the
 	// configuration sets one.
 	defaultBodyLimit = 4 << 20
+	// presenceTTL is the time to live of the presence entry of a VM that has failed. Until
+	// then peers pass it over when it does not respond.
+	presenceTTL = 10 * time.Second
+	// fleetInterval is the time between two watches of the fleet's own keys that return
+	// nothing. They change seldom, and a change that is heard late does no harm.
+	fleetInterval = 2 * time.Second
+	// exchangeTimeout bounds an exchange of heartbeats, after which an attached daemon
+	// turns to another hub.
+	exchangeTimeout = 600 * time.Millisecond
 	// lapsedInterval is the time between checks for endpoints that did not register
 	// again after an outage of the store.
 	lapsedInterval = 250 * time.Millisecond
@@ -98,7 +107,11 @@
 	endpoints   *endpoints
 	members     *members
 	store       *observedStore
-	session     *lease.Session
+	copied      *copiedStore
+	copy        *mirror.Copy
+	attachment  *attachment
+	session     *lease.Session // of the presence entry
+	dutySession *lease.Session
 	keeper      *lease.Keeper
 	exchanger   *peer.Exchanger
 	pool        *peer.Pool
@@ -189,16 +202,26 @@
 	s := d.Settings
 	d.config = &configuration{decode: d.Platform.DecodeConfiguration, log: d.Log, changed: d.updateBoard}
 	d.endpoints = &endpoints{
-		decode: d.Platform.DecodeRegistration, timer: d.Timer, log: d.Log, roster: roster.New(), raw: make(map[string][]byte),
-		changed: d.updateBoard,
+		decode: d.Platform.DecodeRegistration, timer: d.Timer, log: d.Log, roster: roster.New(), changed: d.updateBoard,
+	}
+	d.members = &members{
+		self: s.VM, domain: s.FailureDomain, log: d.Log, slotsChanged: func() { d.admit.ReadSlots() }, vms: make(map[string]lagoonhead.VM),
 	}
-	d.members = &members{log: d.Log, vms: make(map[string]lagoonhead.VM)}
 	for _, a := range s.Seeds {
 		if a != s.Listen.Peers {
 			d.members.seeds = append(d.members.seeds, lagoonhead.NewVM(lagoonhead.VMID("seed "+a), "", a, false))
 		}
 	}
-	d.store = &observedStore{Store: d.Platform.Store, timer: d.Timer, roster: d.endpoints.roster}
+	d.attachment = &attachment{
+		members: d.members, timer: d.Timer, prefixes: []string{d.Platform.ConfigurationKey, d.Platform.EndpointPrefix},
+	}
+	d.copy = mirror.NewCopy(d.incarnation, map[string]mirror.Follower{
+		d.Platform.ConfigurationKey: d.config, d.Platform.EndpointPrefix: d.endpoints, fleetPrefix: d.members,
+	})
+	d.store = &observedStore{
+		Store: d.Platform.Store, timer: d.Timer, copy: d.copy, prefix: d.Platform.EndpointPrefix, idle: d.attachment.idle,
+	}
+	d.copied = &copiedStore{Store: d.store, timer: d.Timer, copy: d.copy}
 }
 
 // updateBoard passes the live endpoints to the board, from which the dispatcher chooses.
@@ -220,10 +243,20 @@
 	s := d.Settings
 	d.pool = &peer.Pool{}
 	d.suspects = &suspect.Table{Timer: d.Timer}
-	d.exchanger = &peer.Exchanger{Pool: d.pool, Timer: d.Timer, Self: s.VM, Peers: d.members.VMs}
-	d.session = &lease.Session{Store: d.store, Timer: d.Timer, Log: d.Log, TTL: leaseTTL(s), RenewInterval: leaseTTL(s) / 4, Margin: leaseTTL(s) / 6}
+	d.exchanger = &peer.Exchanger{
+		Pool: d.pool, Timer: d.Timer, Self: s.VM, Peers: d.attachment.peers, Timeout: exchangeTimeout,
+		OnFailure: func(v lagoonhead.VM) { d.attachment.fail(v.ID()) },
+	}
+	d.session = &lease.Session{
+		Store: d.store, Timer: d.Timer, Log: d.Log, TTL: presenceTTL, RenewInterval: dutyTTL(s) / 4, Margin: presenceTTL / 6,
+		Relaxed: func() bool { return !d.members.isReader() },
+	}
+	d.dutySession = &lease.Session{
+		Store: d.store, Timer: d.Timer, Log: d.Log, TTL: dutyTTL(s), RenewInterval: dutyTTL(s) / 4, Margin: dutyTTL(s) / 6,
+		Wanted: d.needsDutyLease,
+	}
 	d.admit = &admit.Runner{
-		VM: s.VM, Incarnation: d.incarnation, Timer: d.Timer, Store: d.store, VMs: listedVMs{d.members},
+		VM: s.VM, Incarnation: d.incarnation, Timer: d.Timer, Store: d.copied, SlotsKey: slotsKey, VMs: slotVMs{d.members}, OnlyListed: true,
 		Directory: quotaSource{d.config}, Gate: gate{d.config}, Peers: lenders{d.members, d.pool, s.VM}, Log: d.Log, MaxWait: maxAdmitWait,
 		NoEarlierProcess: true, Tolerance: s.LimitTolerance,
 	}
@@ -233,34 +266,22 @@
 		Usage: d.tally, RetryBudget: newRetries(s, d.members, d.Timer), Timer: d.Timer, Log: d.Log, Domain: s.FailureDomain,
 	}
 	d.heartbeats = &heartbeats{
-		self: s.VM, incarnation: d.incarnation, timer: d.Timer, log: d.Log, config: d.config, endpoints: d.endpoints,
-		members: d.members, admit: d.admit, suspects: d.suspects, dispatcher: d.dispatcher, tally: d.tally, pool: d.pool,
-		ready: d.ready, roleChanges: d.roleChanges.list, peerInterval: d.exchanger.PeerInterval, newerAt: make(chan lagoonhead.VMID, 1),
+		self: s.VM, incarnation: d.incarnation, timer: d.Timer, log: d.Log, config: d.config, copy: d.copy, members: d.members,
+		attachment: d.attachment, admit: d.admit, suspects: d.suspects, dispatcher: d.dispatcher, tally: d.tally,
+		ready: d.ready, roleChanges: &d.roleChanges, peerInterval: d.exchanger.PeerInterval,
 	}
 	d.exchanger.Source, d.exchanger.OnResponse = d.heartbeats, d.heartbeats.answered
 	d.buildDuties()
 }
 
-// leaseTTL returns the time to live of the daemon's lease. It is short, so that the duties
+// dutyTTL returns the time to live of the lease for duties. It is short, so that the duties
 // of a VM that failed are taken over soon, and long enough for several renewals with a
 // slow store.
-func leaseTTL(s Settings) time.Duration { return max(s.MinLeaseTTL, s.DutyReturnTime*2/3) }
+func dutyTTL(s Settings) time.Duration { return max(s.MinLeaseTTL, s.DutyReturnTime*2/3) }
 
 func (d *Daemon) tasks() []task {
-	// One watch of all keys takes a third of the calls to the store that three watches
-	// would.
-	m := &mirror.Mirror{Store: d.store, Timer: d.Timer, Log: d.Log, Follower: mirror.PrefixMux{
-		d.Platform.ConfigurationKey: d.config, d.Platform.EndpointPrefix: d.endpoints, memberPrefix: d.members,
-	}}
-	d.vars.Set("mirror", m.Vars())
-	d.vars.Set("dispatch", d.dispatcher.Vars())
-	d.vars.Set("limits", d.admit.Vars())
-	d.vars.Set("lease", d.session.Vars())
-	d.vars.Set("duties", d.keeper.Vars())
-	d.vars.Set("heartbeats", d.exchanger.Vars())
-	d.vars.Set("suspects", d.suspects.Vars())
-	return []task{
-		m.Run, d.session.Run, d.keepPresence, d.keeper.Run, d.exchanger.Run, d.admit.Run, d.heartbeats.runPulls,
+	tasks := []task{
+		d.session.Run, d.dutySession.Run, d.keepPresence, d.keeper.Run, d.exchanger.Run, d.admit.Run,
 		func(ctx context.Context) error {
 			timer.Every(ctx, d.Timer, lapsedInterval, func(time.Duration) { d.endpoints.removeLapsed() })
 			return nil
@@ -270,6 +291,28 @@
 			return nil
 		},
 	}
+	mirrors := new(expvar.Map)
+	for _, v := range []struct {
+		name, prefix string
+		interval     time.Duration
+	}{
+		{"configuration", d.Platform.ConfigurationKey, 0}, {"endpoints", d.Platform.EndpointPrefix, 0}, {"fleet", fleetPrefix, fleetInterval},
+	} {
+		m := &mirror.Mirror{
+			Store: d.store, Timer: d.Timer, Log: d.Log, Prefix: v.prefix, Copy: d.copy, Idle: d.attachment.idle, Interval: v.interval,
+		}
+		mirrors.Set(v.name, m.Vars())
+		tasks = append(tasks, m.Run)
+	}
+	d.vars.Set("mirror", mirrors)
+	d.vars.Set("dispatch", d.dispatcher.Vars())
+	d.vars.Set("limits", d.admit.Vars())
+	d.vars.Set("lease", d.session.Vars())
+	d.vars.Set("dutyLease", d.dutySession.Vars())
+	d.vars.Set("duties", d.keeper.Vars())
+	d.vars.Set("heartbeats", d.exchanger.Vars())
+	d.vars.Set("suspects", d.suspects.Vars())
+	return tasks
 }
 
 // servers holds the HTTP servers of the daemon with their listeners.
@@ -285,7 +328,7 @@
 
 func (d *Daemon) listen() (*servers, error) {
 	newServer := func(h http.Handler) *http.Server { return &http.Server{Handler: h, ReadHeaderTimeout: time.Second} }
-	p := &peer.Server{Config: d.heartbeats, Lender: d.admit, Usage: noUsageCopies{}, Heartbeats: d.heartbeats}
+	p := &peer.Server{Config: noConfiguration{}, Lender: d.admit, Usage: noUsageCopies{}, Heartbeats: d.heartbeats, Counts: d.heartbeats}
 	s := &servers{callers: d.Platform.Callers(d.dispatcher, d.leaving.Load, d.bodyLimit)}
 	l := d.Settings.Listen
 	for _, v := range []struct {
--- a/entry/heartbeats.go
+++ b/entry/heartbeats.go
@@ -1,7 +1,6 @@
 package entry
 
 import (
-	"context"
 	"time"
 
 	"go.uber.org/zap"
@@ -10,88 +9,122 @@
 	"github.com/lagoonhead/lagoonhead/admit"
 	"github.com/lagoonhead/lagoonhead/billing"
 	"github.com/lagoonhead/lagoonhead/dispatch"
+	"github.com/lagoonhead/lagoonhead/mirror"
 	"github.com/lagoonhead/lagoonhead/peer"
 	"github.com/lagoonhead/lagoonhead/steer"
 	"github.com/lagoonhead/lagoonhead/suspect"
 	"github.com/lagoonhead/lagoonhead/timer"
 )
 
-// pullTimeout bounds the request for the configuration to a peer.
-const pullTimeout = 500 * time.Millisecond
-
-// heartbeats builds this daemon's heartbeat, processes those of peers, and fetches the
-// configuration of a peer that has a newer one.
+// heartbeats builds this daemon's heartbeats and processes those of peers.
 type heartbeats struct {
 	self        lagoonhead.VMID
 	incarnation lagoonhead.Incarnation
 	timer       timer.Timer
 	log         *zap.Logger
 	config      *configuration
-	endpoints   *endpoints
+	copy        *mirror.Copy
 	members     *members
+	attachment  *attachment
 	admit       *admit.Runner
 	suspects    *suspect.Table
 	dispatcher  *dispatch.Dispatcher
 	tally       *billing.Tally
-	pool        *peer.Pool
 	ready       func() error
-	// roleChanges returns the engines whose role this daemon is changing, with the
-	// time since boot by which each change ends.
-	roleChanges func() map[lagoonhead.EndpointID]time.Duration
+	roleChanges *roleChanges
 	// peerInterval returns the expected time between two heartbeats of one peer.
 	peerInterval func() time.Duration
-	// newerAt receives the VM of a peer that has a newer configuration.
-	newerAt chan lagoonhead.VMID
+	codec        updateCodec
 }
 
 var (
 	_ peer.HeartbeatSource = (*heartbeats)(nil)
-	_ peer.ConfigSource    = (*heartbeats)(nil)
+	_ peer.UsageCounter    = (*heartbeats)(nil)
 )
 
-// Local returns this daemon's heartbeat.
-func (b *heartbeats) Local() *peer.Heartbeat {
+// Heartbeat returns a heartbeat to send to a peer as a request. It asks for what this
+// daemon's copy of the store lacks.
+func (b *heartbeats) Heartbeat(to lagoonhead.VMID) *peer.Heartbeat {
+	h := b.heartbeat(steer.Recipient{VM: to, Hub: true})
+	if p := b.copy.Position(b.timer.Now()); b.attachment.needsUpdates(p) {
+		h.CopyPosition = encodePosition(p)
+	}
+	return h
+}
+
+// Answer processes a heartbeat that a peer sent as a request and returns the response.
+func (b *heartbeats) Answer(request *peer.Heartbeat) *peer.Heartbeat {
+	b.merge(request)
+	h := b.heartbeat(steer.Recipient{VM: lagoonhead.VMID(request.GetVm()), Hub: request.GetHub()})
+	if p := request.GetCopyPosition(); p != nil {
+		h.CopyUpdate = b.codec.encode(b.copy.UpdateFor(b.timer.Now(), decodePosition(p)))
+	}
+	return h
+}
+
+// answered processes the heartbeat with which a peer answered one that this daemon sent at
+// the given time since boot.
+func (b *heartbeats) answered(h *peer.Heartbeat, sent time.Duration) {
+	b.merge(h)
+	u := h.GetCopyUpdate()
+	if u == nil {
+		return
+	}
+	update, err := decodeUpdate(u)
+	if err != nil {
+		b.log.Warn("update of a peer cannot be decoded", zap.String("peer", h.GetVm()), zap.Error(err))
+		return
+	}
+	b.copy.Merge(update, sent, maxUpdateAge)
+	b.attachment.merged(lagoonhead.VMID(h.GetVm()), update, sent)
+}
+
+// heartbeat returns a heartbeat for a peer.
+func (b *heartbeats) heartbeat(to steer.Recipient) *peer.Heartbeat {
 	h := &peer.Heartbeat{
 		Vm: string(b.self), Incarnation: string(b.incarnation), Revision: b.config.version(), Ready: b.ready() == nil,
-		SlotsRevision: b.admit.SlotsRevision(), Suspects: b.suspects.Notices(),
+		Suspects: b.suspects.Notices(), Hub: b.members.isHub(),
 	}
 	for _, s := range b.admit.SlotsInUse() {
 		h.Slots = append(h.Slots, int32(s))
 	}
 	now := b.timer.Now()
 	b.dispatcher.WithBoard(func(board *steer.Board) {
-		for _, w := range board.Own(now) {
+		for _, w := range board.Report(now, to) {
 			h.Work = append(h.Work, &peer.EndpointWork{
 				Endpoint: string(w.Endpoint), PrefillTokens: int64(w.PrefillTokens), Running: int32(w.Running), PrefilledTotal: w.PrefillTotal,
 				RunTotal: w.RunTotal, Read: w.RecentParts, Good: w.Good, Bad: w.Bad,
 			})
 		}
 	})
-	for id, until := range b.roleChanges() {
-		if until > now {
-			h.Changes = append(h.Changes, &peer.Change{Endpoint: string(id), LeftMs: (until - now).Milliseconds()})
-		}
-	}
-	for _, c := range b.tally.CountsToSend() {
-		n := &peer.UsageCount{Window: c.Window, Workspace: string(c.Workspace), Requests: c.Requests}
-		if c.Incarnation != b.incarnation {
-			n.Incarnation = string(c.Incarnation)
-		}
-		h.UsageCounts = append(h.UsageCounts, n)
+	for id, until := range b.roleChanges.announced(now, to.Hub) {
+		h.Changes = append(h.Changes, &peer.Change{Endpoint: string(id), LeftMs: (until - now).Milliseconds()})
 	}
+	h.UsageCounts = b.usageCounts(to)
 	return h
 }
 
-// ReceiveRequest processes a heartbeat that a peer sent as a request.
-func (b *heartbeats) ReceiveRequest(h *peer.Heartbeat) { b.merge(h) }
+// usageCounts returns the counts for a heartbeat to a peer. In a large fleet only a hub gets
+// them, and the holder of the duty fetches them from the hubs.
+func (b *heartbeats) usageCounts(to steer.Recipient) []*peer.UsageCount {
+	switch {
+	case b.members.isFlat():
+		return encodeCounts(b.tally.CountsToSend(), b.incarnation)
+	case to.Hub:
+		return encodeCounts(b.tally.OwnCounts(), b.incarnation)
+	default:
+		return nil
+	}
+}
 
-// answered processes the heartbeat that a peer sent in response to one from this daemon.
-func (b *heartbeats) answered(h *peer.Heartbeat, _ time.Duration) { b.merge(h) }
+// UsageCounts returns the counts of all processes that this daemon has.
+func (b *heartbeats) UsageCounts(r *peer.UsageCountsRequest) *peer.UsageCountsResponse {
+	return &peer.UsageCountsResponse{Counts: encodeCounts(b.tally.Counts(r.GetOldestWindow()), "")}
+}
 
 // merge updates the state of this daemon with a peer's heartbeat.
 func (b *heartbeats) merge(h *peer.Heartbeat) {
 	vm := lagoonhead.VMID(h.GetVm())
-	b.admit.ObserveSlotsRevision(h.GetSlotsRevision())
 	b.suspects.Merge(h.GetSuspects())
 	works := make([]steer.Work, 0, len(h.GetWork()))
 	for _, w := range h.GetWork() {
@@ -104,107 +137,13 @@
 	now := b.timer.Now()
 	b.dispatcher.WithBoard(func(board *steer.Board) {
 		board.PeerInterval = b.peerInterval()
-		board.SetPeerWork(now, vm, works)
+		board.SetPeerWork(now, vm, h.GetHub(), works)
 		for _, c := range h.GetChanges() {
-			board.SetChanging(lagoonhead.EndpointID(c.GetEndpoint()), now+time.Duration(c.GetLeftMs())*time.Millisecond)
+			until := now + time.Duration(c.GetLeftMs())*time.Millisecond
+			board.SetChanging(lagoonhead.EndpointID(c.GetEndpoint()), until)
+			b.roleChanges.heard(now, lagoonhead.EndpointID(c.GetEndpoint()), until)
 		}
 	})
-	b.tally.MergePeer(lagoonhead.Incarnation(h.GetIncarnation()), usageCounts(h))
-	if h.GetRevision() > b.config.version() {
-		select {
-		case b.newerAt <- vm:
-		default:
-		}
-	}
-}
-
-// usageCounts returns the request counts of a heartbeat. A count without an incarnation is
-// of the sender itself.
-func usageCounts(h *peer.Heartbeat) []billing.Count {
-	list := make([]billing.Count, 0, len(h.GetUsageCounts()))
-	for _, c := range h.GetUsageCounts() {
-		n := billing.Count{
-			Incarnation: lagoonhead.Incarnation(c.GetIncarnation()), Window: c.GetWindow(),
-			Workspace: lagoonhead.WorkspaceID(c.GetWorkspace()), Requests: c.GetRequests(),
-		}
-		if n.Incarnation == "" {
-			n.Incarnation = lagoonhead.Incarnation(h.GetIncarnation())
-		}
-		list = append(list, n)
-	}
-	return list
-}
-
-// PullConfig returns the configuration and the endpoint registrations that this daemon
-// has, if its configuration is newer than the caller's.
-func (b *heartbeats) PullConfig(r *peer.PullConfigRequest) *peer.PullConfigResponse {
-	raw, version := b.config.value()
-	if version <= r.GetHaveRevision() {
-		return &peer.PullConfigResponse{}
-	}
-	out := &peer.PullConfigResponse{Manifest: raw, Revision: version}
-	for k, v := range b.endpoints.values() {
-		out.Parts = append(out.Parts, &peer.ConfigPart{Hash: k, Body: v})
-	}
-	return out
-}
-
-// RevisionState returns the version of the configuration in force.
-func (b *heartbeats) RevisionState() *peer.RevisionStateResponse {
-	return &peer.RevisionStateResponse{Vm: string(b.self), Incarnation: string(b.incarnation), Revision: b.config.version()}
-}
-
-// runPulls fetches newer configurations from peers until ctx ends. A daemon normally gets
-// them from the store; the peers serve a daemon whose calls the store rejects.
-func (b *heartbeats) runPulls(ctx context.Context) error {
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case vm := <-b.newerAt:
-			b.pull(ctx, vm)
-		}
-	}
-}
-
-// pull fetches the configuration from a peer. It takes over the peer's registrations too
-// while this daemon has not listed those of the store.
-func (b *heartbeats) pull(ctx context.Context, vm lagoonhead.VMID) {
-	address := b.address(vm)
-	if address == "" {
-		return
-	}
-	ctx, cancel := context.WithTimeout(ctx, pullTimeout)
-	defer cancel()
-	res, err := b.pool.Queries(address).PullConfig(ctx, &peer.PullConfigRequest{HaveRevision: b.config.version()})
-	if err != nil {
-		b.log.Warn("cannot fetch the configuration from a peer", zap.String("peer", string(vm)), zap.Error(err))
-		return
-	}
-	if len(res.GetManifest()) == 0 {
-		return
-	}
-	b.config.apply(res.GetManifest(), "peer "+string(vm))
-	if b.endpoints.listed.Load() {
-		return
-	}
-	for _, p := range res.GetParts() {
-		b.endpoints.addFromPeer(p.GetHash(), p.GetBody())
-	}
-	b.endpoints.notify()
-}
-
-// address returns the address of a peer's listener. If the VM is not listed, it returns that
-// of the first seed, or an empty string if there is none: until the store has listed the
-// peers, they are known only as seeds, with placeholders instead of VM identifiers.
-func (b *heartbeats) address(vm lagoonhead.VMID) string {
-	for _, v := range b.members.VMs() {
-		if v.ID() == vm {
-			return v.PeerAddress()
-		}
-	}
-	for _, v := range b.members.seeds {
-		return v.PeerAddress()
-	}
-	return ""
+	in := lagoonhead.Incarnation(h.GetIncarnation())
+	b.tally.MergePeer(in, decodeCounts(h.GetUsageCounts(), in))
 }
--- /dev/null
+++ b/entry/members.go
@@ -0,0 +1,162 @@
+package entry
+
+import (
+	"encoding/json"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/lagoonhead/lagoonhead"
+	"github.com/lagoonhead/lagoonhead/hub"
+	"github.com/lagoonhead/lagoonhead/mirror"
+)
+
+// fleetPrefix is the prefix of the keys in which the daemons keep what all of them follow:
+// presence entries, holders of duties and the slot table.
+const fleetPrefix = "fleet/"
+
+const (
+	// memberPrefix is the prefix of the keys of presence entries; the VM identifier follows.
+	memberPrefix = fleetPrefix + "vm/"
+	// slotsKey is the key of the slot table of the limits.
+	slotsKey = fleetPrefix + "slots"
+)
+
+// presence is the value of the entry in the store by which peers find a daemon.
+type presence struct {
+	FailureDomain lagoonhead.FailureDomain `json:"failureDomain"`
+	PeerAddress   string                   `json:"peerAddress"`
+	Incarnation   lagoonhead.Incarnation   `json:"incarnation"`
+	// Cores is the processor time of the VM per second.
+	Cores float64 `json:"cores"`
+}
+
+// layout is the division of the fleet into hubs and attached VMs, as it concerns this VM.
+type layout struct {
+	*hub.Layout
+	// isHub is true if this VM is a hub, and flat if all are. isReader is true if it reads
+	// the store for others.
+	isHub, flat, isReader bool
+	// order holds the hubs in the order in which this VM attaches itself to one.
+	order []lagoonhead.VM
+}
+
+// members holds the VMs whose daemons have a presence entry in the store.
+type members struct {
+	self   lagoonhead.VMID
+	domain lagoonhead.FailureDomain
+	log    *zap.Logger
+	// slotsChanged is called when the slot table has changed.
+	slotsChanged func()
+	// seeds are the peers of the settings, with placeholders as identifiers.
+	seeds []lagoonhead.VM
+
+	mu sync.Mutex
+	// vms holds the VMs by the key of their presence entry. Applied publishes them in
+	// current if they have changed.
+	vms     map[string]lagoonhead.VM
+	changed bool
+	current atomic.Pointer[layout]
+}
+
+var _ mirror.Follower = (*members)(nil)
+
+// layout returns the newest layout, or nil before the VMs are known.
+func (m *members) layout() *layout { return m.current.Load() }
+
+// VMs returns the newest list of VMs, or the seeds before the list is known.
+func (m *members) VMs() []lagoonhead.VM {
+	if l := m.layout(); l != nil {
+		return l.VMs()
+	}
+	return m.seeds
+}
+
+// Hubs returns all hubs, or nothing before the VMs are known.
+func (m *members) Hubs() []lagoonhead.VM {
+	if l := m.layout(); l != nil {
+		return l.Hubs()
+	}
+	return nil
+}
+
+// isHub reports whether this VM is a hub. Before the VMs are known it is one.
+func (m *members) isHub() bool {
+	l := m.layout()
+	return l == nil || l.isHub
+}
+
+// isReader reports whether this VM reads the store for others. Before the VMs are known it
+// does.
+func (m *members) isReader() bool {
+	l := m.layout()
+	return l == nil || l.isReader
+}
+
+// isFlat reports whether all VMs are hubs.
+func (m *members) isFlat() bool {
+	l := m.layout()
+	return l == nil || l.flat
+}
+
+// Put adds a VM, or reports a change of the slot table.
+func (m *members) Put(e lagoonhead.Entry) {
+	if e.Key == slotsKey {
+		m.slotsChanged()
+		return
+	}
+	name, ok := strings.CutPrefix(e.Key, memberPrefix)
+	if !ok {
+		return
+	}
+	var p presence
+	if err := json.Unmarshal(e.Value, &p); err != nil {
+		m.log.Error("cannot decode a presence entry", zap.String("key", e.Key), zap.Error(err))
+		return
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.changed = true
+	m.vms[e.Key] = lagoonhead.NewVM(lagoonhead.VMID(name), p.FailureDomain, p.PeerAddress, false).WithCapacity(p.Cores)
+	m.log.Info("peer seen", zap.String("peer", name), zap.String("address", p.PeerAddress))
+}
+
+// Removed removes a VM.
+func (m *members) Removed(key string) {
+	name, ok := strings.CutPrefix(key, memberPrefix)
+	if !ok {
+		return
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.changed = true
+	delete(m.vms, key)
+	m.log.Info("peer gone", zap.String("peer", name))
+}
+
+// Applied publishes the VMs.
+func (m *members) Applied() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if !m.changed {
+		return
+	}
+	m.changed = false
+	list := make([]lagoonhead.VM, 0, len(m.vms))
+	for _, v := range m.vms {
+		list = append(list, v)
+	}
+	l := &layout{Layout: hub.NewLayout(list)}
+	l.isHub, l.flat, l.isReader = l.IsHub(m.self), l.IsFlat(), l.IsReader(m.self)
+	l.order = l.Order(m.self, m.domain)
+	m.current.Store(l)
+}
+
+// Synced does nothing; Applied has published the list.
+func (m *members) Synced(time.Duration) {}
+
+// StoreLost does nothing; the last list stays in force.
+func (m *members) StoreLost(time.Duration, error) {}
--- a/entry/settings.go
+++ b/entry/settings.go
@@ -17,6 +17,9 @@
 	Seeds []string
 	// MemoryBytes is the memory in bytes above which the process is killed.
 	MemoryBytes int64
+	// Cores is the processor time of the VM per second, or 0 if it is unknown. VMs with
+	// more of it become hubs first.
+	Cores float64
 	// Grace is the time from SIGTERM to SIGKILL.
 	Grace time.Duration
 	// DutyReturnTime is the time within which a duty must not move to another daemon and back
--- a/lease/duty.go
+++ b/lease/duty.go
@@ -27,8 +27,8 @@
 // String returns the duty in the form kind/shard.
 func (d Duty) String() string { return d.Kind + "/" + strconv.Itoa(d.Shard) }
 
-func (d Duty) dutyKey() string  { return "duty/" + d.String() }
-func (d Duty) epochKey() string { return "epoch/" + d.String() }
+func (k *Keeper) dutyKey(d Duty) string { return k.KeyPrefix + "duty/" + d.String() }
+func (d Duty) epochKey() string         { return "epoch/" + d.String() }
 
 // Holder is the stored value of a duty key.
 type Holder struct {
@@ -128,6 +128,8 @@
 	// VM and Incarnation identify this daemon.
 	VM          lagoonhead.VMID
 	Incarnation lagoonhead.Incarnation
+	// KeyPrefix begins the keys of holders. It may be empty.
+	KeyPrefix string
 	// Duties are all duties of the fleet.
 	Duties []Duty
 	// Eligible reports whether this daemon should try to acquire the duty now. Nil means
@@ -244,7 +246,7 @@
 // createKey creates the duty key, or finds that an earlier attempt whose response was
 // lost has already created it under this lease.
 func (k *Keeper) createKey(ctx context.Context, d Duty, id lagoonhead.LeaseID) error {
-	e, err := k.Store.Get(ctx, d.dutyKey())
+	e, err := k.Store.Get(ctx, k.dutyKey(d))
 	revision := int64(0)
 	switch {
 	case err == nil:
@@ -261,7 +263,7 @@
 	if err != nil {
 		return fail("create", lagoonhead.KindInternal, "%v", err)
 	}
-	_, err = k.Store.Put(ctx, lagoonhead.PutRequest{Key: d.dutyKey(), Value: value, IfRevision: revision, Lease: id})
+	_, err = k.Store.Put(ctx, lagoonhead.PutRequest{Key: k.dutyKey(d), Value: value, IfRevision: revision, Lease: id})
 	// After a lost response the next attempt reads the key and finds that it is its own.
 	return err
 }
@@ -272,7 +274,7 @@
 func (k *Keeper) isOwn(e lagoonhead.Entry, d Duty, id lagoonhead.LeaseID) (own bool, err error) {
 	var h Holder
 	if err := json.Unmarshal(e.Value, &h); err != nil {
-		return false, fail("create", lagoonhead.KindInternal, "key %s: %v", d.dutyKey(), err)
+		return false, fail("create", lagoonhead.KindInternal, "key %s: %v", k.dutyKey(d), err)
 	}
 	if h.Incarnation == k.Incarnation && e.Lease == id {
 		return true, nil
--- a/lease/lease_test.go
+++ b/lease/lease_test.go
@@ -160,3 +160,47 @@
 	}
 	require.False(t, IsCandidate(vms, "absent", "x", 100))
 }
+
+// countingStore counts the calls for leases.
+type countingStore struct {
+	lagoonhead.StoreWriter
+	grants, renewals int
+}
+
+func (s *countingStore) GrantLease(ctx context.Context, ttl time.Duration) (lagoonhead.LeaseID, error) {
+	s.grants++
+	return s.StoreWriter.GrantLease(ctx, ttl)
+}
+
+func (s *countingStore) RenewLease(ctx context.Context, id lagoonhead.LeaseID) error {
+	s.renewals++
+	return s.StoreWriter.RenewLease(ctx, id)
+}
+
+// Guards against calls for a lease that nobody needs, against renewals that are more frequent
+// than a relaxed lease needs, and against a relaxed lease that lapses.
+func TestLeaseCallsFollowTheNeed(t *testing.T) {
+	clock := timer.NewManual(time.Hour, time.Unix(0, 0))
+	store := &countingStore{StoreWriter: fakeplatform.NewKV(clock)}
+	wanted, relaxed := false, true
+	s := newSession(clock, store)
+	s.TTL, s.Margin = 10*time.Second, time.Second
+	s.Wanted, s.Relaxed = func() bool { return wanted }, func() bool { return relaxed }
+	steps := func(n int) {
+		for range n {
+			s.Step(t.Context())
+			clock.Advance(500 * time.Millisecond)
+			_, valid := s.Lease()
+			require.Equal(t, wanted, valid)
+		}
+	}
+	steps(10)
+	require.Zero(t, store.grants)
+	wanted = true
+	steps(60)
+	require.Equal(t, 1, store.grants)
+	require.LessOrEqual(t, store.renewals, 10)
+	relaxed, store.renewals = false, 0
+	steps(10)
+	require.Equal(t, 10, store.renewals)
+}
--- a/lease/session.go
+++ b/lease/session.go
@@ -31,6 +31,12 @@
 	// TTL, the renewal interval RenewInterval and the safety Margin at the end of the TTL
 	// default to DefaultTTL, DefaultRenewInterval and DefaultMargin.
 	TTL, RenewInterval, Margin time.Duration
+	// Wanted, if not nil, reports whether the lease is needed now. While it is not, the
+	// lease is neither granted nor renewed.
+	Wanted func() bool
+	// Relaxed, if not nil, reports whether it is enough to renew the lease once half of its
+	// TTL has passed.
+	Relaxed func() bool
 
 	mu         sync.Mutex
 	id         lagoonhead.LeaseID
@@ -69,12 +75,18 @@
 // Step grants or renews the lease once. Run calls it on every tick.
 func (s *Session) Step(ctx context.Context) {
 	s.setDefaults()
+	if s.Wanted != nil && !s.Wanted() {
+		return
+	}
 	sent := s.Timer.Now()
 	id, valid := s.Lease()
 	if !valid {
 		s.grant(ctx, sent)
 		return
 	}
+	if s.Relaxed != nil && s.Relaxed() && s.remaining(sent) > s.TTL/2 {
+		return
+	}
 	if err := s.Store.RenewLease(ctx, id); err != nil {
 		s.vars.Add("renewFailed", 1)
 		if lagoonhead.IsKind(err, lagoonhead.KindNotFound) {
@@ -128,6 +140,13 @@
 	return s.id, s.id != "" && s.Timer.Now() < s.validUntil
 }
 
+// remaining returns the time until the lease lapses by this daemon's clock.
+func (s *Session) remaining(now time.Duration) time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.validUntil - now
+}
+
 // revokeTimeout bounds the revocation at shutdown. If it fails, the lease expires.
 const revokeTimeout = time.Second
 
--- a/limit/slots.go
+++ b/limit/slots.go
@@ -108,6 +108,8 @@
 	// that such a process held then counts as released. Otherwise all buckets of a fleet
 	// would stay empty for unreleasedWait after a power loss.
 	NoEarlierProcess bool
+	// OnlyListed means that the daemon holds slots only while the list of VMs has its VM.
+	OnlyListed bool
 	// AdvanceWindow is the minimum time between two advances for one slot. 0 disables
 	// advances. An advance is granted only for a slot whose last holder was an earlier
 	// process of this VM. Without advances, a fleet would have no tokens for the first
@@ -295,10 +297,20 @@
 	return cleared
 }
 
-// maxPerVM returns the maximum number of slots that one VM may hold. Before the first list
+// MayHold reports whether this VM may hold a slot.
+func (s *Slots) MayHold() bool { return !s.OnlyListed || s.isListed() }
+
+func (s *Slots) isListed() bool {
+	return slices.ContainsFunc(s.listed, func(v lagoonhead.VM) bool { return v.ID() == s.VM })
+}
+
+// maxPerVM returns the maximum number of slots that this VM may hold. Before the first list
 // it is 1: otherwise the first daemon of a fleet would claim all slots, and the
 // others would have none if it stopped before releasing some.
 func (s *Slots) maxPerVM() int {
+	if !s.MayHold() {
+		return 0
+	}
 	if len(s.listed) == 0 {
 		return 1
 	}
--- /dev/null
+++ b/mirror/copy_test.go
@@ -0,0 +1,191 @@
+package mirror
+
+import (
+	"context"
+	"fmt"
+	"maps"
+	"strconv"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/lagoonhead/lagoonhead"
+	"github.com/lagoonhead/lagoonhead/fakeplatform"
+	"github.com/lagoonhead/lagoonhead/timer"
+)
+
+const (
+	start  = time.Hour
+	maxAge = 2 * time.Second
+)
+
+// newCopy returns a copy of the prefixes p/ and q/ with their followers.
+func newCopy(in lagoonhead.Incarnation) (c *Copy, p, q *recorder) {
+	p, q = newRecorder(), newRecorder()
+	return NewCopy(in, map[string]Follower{"p/": p, "q/": q}), p, q
+}
+
+func entry(key, value string, revision int64) lagoonhead.Entry {
+	return lagoonhead.Entry{Key: key, Value: []byte(value), Revision: revision}
+}
+
+// pull merges what from has and to lacks.
+func pull(to, from *Copy, now time.Duration) Update {
+	u := from.UpdateFor(now, to.Position(now))
+	to.Merge(u, now, maxAge)
+	return u
+}
+
+// Guards against an entry that is passed to the follower of another prefix.
+func TestEntriesGoToTheFollowerOfTheirPrefix(t *testing.T) {
+	c, p, q := newCopy("a")
+	c.Listed("p/", []lagoonhead.Entry{entry("p/1", "x", 3)}, 3, start)
+	c.Watched("q/", []lagoonhead.Event{{Entry: entry("q/1", "y", 4)}, {Entry: entry("r/1", "z", 5)}}, 5, start)
+	require.Equal(t, map[string]string{"p/1": "x"}, p.entries)
+	require.Equal(t, map[string]string{"q/1": "y"}, q.entries)
+	c.Failed("p/", start, nil)
+	require.Equal(t, 1, p.losses)
+	require.Zero(t, q.losses)
+}
+
+// Guards against changes that an attached daemon misses, and against sending it what it
+// has.
+func TestUpdatesBringWhatIsMissing(t *testing.T) {
+	hub, _, _ := newCopy("hub")
+	c, p, q := newCopy("a")
+	hub.Listed("p/", []lagoonhead.Entry{entry("p/1", "x", 1), entry("p/2", "x", 2)}, 2, start)
+	hub.Listed("q/", nil, 2, start)
+	u := pull(c, hub, start)
+	require.True(t, u.Complete)
+	require.Equal(t, map[string]string{"p/1": "x", "p/2": "x"}, p.entries)
+	hub.Watched("p/", []lagoonhead.Event{{Entry: entry("p/1", "y", 3)}, {Entry: lagoonhead.Entry{Key: "p/2", Revision: 4}, Deleted: true}}, 4, start)
+	u = pull(c, hub, start)
+	require.False(t, u.Complete)
+	require.Len(t, u.Changes, 2)
+	require.Equal(t, map[string]string{"p/1": "y"}, p.entries)
+	require.Empty(t, pull(c, hub, start).Changes)
+	// c reads a change from the store before the hub does.
+	c.Watched("q/", []lagoonhead.Event{{Entry: entry("q/1", "x", 5)}}, 5, start)
+	hub.Watched("q/", []lagoonhead.Event{{Entry: entry("q/1", "x", 5)}}, 5, start)
+	require.Empty(t, pull(c, hub, start).Changes)
+	require.Equal(t, map[string]string{"q/1": "x"}, q.entries)
+}
+
+// Guards against a peer that is behind: it must bring back neither a removed entry nor an
+// old value, and must not remove an entry that it does not know yet.
+func TestAPeerThatIsBehindChangesNothing(t *testing.T) {
+	old, _, _ := newCopy("old")
+	c, p, _ := newCopy("a")
+	old.Listed("p/", []lagoonhead.Entry{entry("p/gone", "x", 1), entry("p/changed", "x", 2)}, 2, start)
+	c.Listed("p/", []lagoonhead.Entry{entry("p/changed", "y", 4), entry("p/new", "x", 5)}, 5, start)
+	pull(c, old, start)
+	require.Equal(t, map[string]string{"p/changed": "y", "p/new": "x"}, p.entries)
+	require.EqualValues(t, 5, c.Revision("p/"))
+}
+
+// Guards against removals that are missed when the history of the peer does not reach back.
+func TestACompleteUpdateRemoves(t *testing.T) {
+	hub, _, _ := newCopy("hub")
+	c, p, _ := newCopy("a")
+	hub.Listed("p/", []lagoonhead.Entry{entry("p/1", "x", 1)}, 1, start)
+	pull(c, hub, start)
+	for i := range int64(2 * maxHistory) {
+		hub.Watched("p/", []lagoonhead.Event{{Entry: entry("p/2", strconv.FormatInt(i, 10), i+2)}}, i+2, start)
+	}
+	last := int64(2*maxHistory + 2)
+	hub.Watched("p/", []lagoonhead.Event{{Entry: lagoonhead.Entry{Key: "p/1", Revision: last}, Deleted: true}}, last, start)
+	require.True(t, pull(c, hub, start).Complete)
+	require.Equal(t, map[string]string{"p/2": strconv.Itoa(2*maxHistory - 1)}, p.entries)
+	require.LessOrEqual(t, len(hub.history), maxHistory)
+}
+
+// Guards against an outage that an attached daemon does not hear of, so that it would drop
+// the endpoints whose entries lapse in it, and against one that counts although a peer
+// reaches the store.
+func TestOutagesAreTold(t *testing.T) {
+	hub, _, _ := newCopy("hub")
+	c, p, _ := newCopy("a")
+	hub.Listed("p/", nil, 1, start)
+	pull(c, hub, start)
+	require.Equal(t, 1, p.syncs)
+	c.Failed("p/", start+peerGrace, nil)
+	require.Zero(t, p.losses, "the store rejects only this daemon")
+	hub.Failed("p/", start, nil)
+	pull(c, hub, start)
+	require.Zero(t, p.losses, "reported once, by the call of this daemon")
+	c.Failed("p/", start+peerGrace+1, nil)
+	require.Equal(t, 1, p.losses)
+	hub.Reached("p/", start+time.Second)
+	pull(c, hub, start+time.Second)
+	require.Equal(t, 2, p.syncs)
+	hub.Failed("p/", start+2*time.Second, nil)
+	pull(c, hub, start+2*time.Second)
+	require.Equal(t, 2, p.losses)
+}
+
+// Guards against an update of a peer that has not reached the store lately and counts as new.
+func TestOldUpdatesAreNotSynced(t *testing.T) {
+	hub, _, _ := newCopy("hub")
+	c, p, _ := newCopy("a")
+	hub.Listed("p/", []lagoonhead.Entry{entry("p/1", "x", 1)}, 1, start)
+	pull(c, hub, start+maxAge+1)
+	require.Equal(t, map[string]string{"p/1": "x"}, p.entries, "what the peer has is better than nothing")
+	require.Zero(t, p.syncs)
+}
+
+// Guards against copies that differ in the end, whatever was read from the store, merged
+// from peers and missed in between, and against an entry that comes back after this copy
+// has seen its removal.
+func TestCopiesAgreeInTheEnd(t *testing.T) {
+	rapid.Check(t, func(r *rapid.T) {
+		kv := fakeplatform.NewKV(&timer.System{})
+		ctx := context.Background()
+		type peer struct {
+			copy *Copy
+			seen *recorder
+		}
+		peers := make([]*peer, 3)
+		for i := range peers {
+			c, p, _ := newCopy(lagoonhead.Incarnation(fmt.Sprint("vm", i)))
+			peers[i] = &peer{c, p}
+		}
+		read := func(p *peer) {
+			list, revision, err := kv.List(ctx, "p/")
+			require.NoError(r, err)
+			p.copy.Listed("p/", list, revision, start)
+		}
+		now := start
+		for range rapid.IntRange(1, 60).Draw(r, "steps") {
+			now += 10 * time.Millisecond
+			i := rapid.IntRange(0, len(peers)-1).Draw(r, "peer")
+			key := rapid.SampledFrom([]string{"p/1", "p/2", "p/3"}).Draw(r, "key")
+			switch rapid.IntRange(0, 5).Draw(r, "step") {
+			case 0, 1:
+				_, err := kv.Put(ctx, lagoonhead.PutRequest{Key: key, Value: []byte(now.String()), IfRevision: lagoonhead.AnyRevision})
+				require.NoError(r, err)
+			case 2:
+				_ = kv.Delete(ctx, key, lagoonhead.AnyRevision) // the key may be absent
+			case 3:
+				read(peers[i])
+			case 4, 5:
+				j := rapid.IntRange(0, len(peers)-1).Draw(r, "from")
+				before := maps.Clone(peers[i].seen.entries)
+				known := peers[i].copy.Revision("p/")
+				pull(peers[i].copy, peers[j].copy, now)
+				for k := range peers[i].seen.entries {
+					if _, ok := before[k]; !ok {
+						e, _ := peers[i].copy.Get(k)
+						require.Greater(r, e.Revision, known, "%s was removed", k)
+					}
+				}
+			}
+		}
+		read(peers[0])
+		for i, p := range peers[1:] {
+			pull(p.copy, peers[0].copy, now)
+			require.Equal(r, peers[0].seen.entries, p.seen.entries, "peer %d", i+1)
+		}
+	})
+}
--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -21,36 +21,29 @@
 	// batchPause is the pause after a watch that returned events or returned at once, so
 	// that a series of changes takes few calls.
 	batchPause = 100 * time.Millisecond
+	// idlePause is the time between checks whether an idle Mirror must read the store.
+	idlePause = 100 * time.Millisecond
 	// listTimeout limits one list call.
 	listTimeout = 1500 * time.Millisecond
 )
 
-// Follower receives the entries and their changes. The calls come from one goroutine.
-type Follower interface {
-	// Put reports an entry that is new or changed.
-	Put(e lagoonhead.Entry)
-	// Removed reports that an entry is gone.
-	Removed(key string)
-	// Synced reports that the entries reported so far matched the store at the given
-	// time since boot or later. It follows the Put and Removed calls of that state.
-	Synced(at time.Duration)
-	// StoreLost reports that a call to the store had failed at the given time since boot.
-	StoreLost(at time.Duration, err error)
-}
-
-// Mirror follows one prefix. Set the exported fields before Run.
+// Mirror reads one prefix of a Copy from the store. Set the exported fields before Run.
 type Mirror struct {
-	Store    lagoonhead.StoreReader
-	Timer    timer.Timer
-	Prefix   string
-	Follower Follower
+	Store  lagoonhead.StoreReader
+	Timer  timer.Timer
+	Prefix string
+	Copy   *Copy
+	// Idle reports that the copy is kept up to date by a peer, so that the store need not
+	// be read. It may be nil.
+	Idle func() bool
+	// Interval is the minimum time between the starts of two watches that return nothing.
+	Interval time.Duration
 	// Log gets a line when calls to the store begin to fail and when they succeed again.
 	// It may be nil.
 	Log *zap.Logger
 
-	revisions map[string]int64 // of the reported entries, by key
-	failing   bool             // calls to the store fail
-	vars      expvar.Map
+	failing bool // calls to the store fail
+	vars    expvar.Map
 }
 
 // Vars returns the counters of calls (lists, watches), of failed calls (failures) and of
@@ -62,7 +55,6 @@
 	if m.Log == nil {
 		m.Log = zap.NewNop()
 	}
-	m.revisions = make(map[string]int64)
 	backoff := minBackoff
 	for ctx.Err() == nil {
 		began := m.Timer.Now()
@@ -86,82 +78,63 @@
 
 // follow lists the prefix, then watches it until a call fails.
 func (m *Mirror) follow(ctx context.Context) error {
-	revision, err := m.list(ctx)
-	if err != nil {
+	if err := m.wait(ctx); err != nil {
+		return err
+	}
+	if err := m.list(ctx); err != nil {
 		return err
 	}
 	for ctx.Err() == nil {
+		if err := m.wait(ctx); err != nil {
+			return err
+		}
 		m.vars.Add("watches", 1)
 		sent := m.Timer.Now()
-		events, next, err := m.Store.Watch(ctx, m.Prefix, revision)
+		events, next, err := m.Store.Watch(ctx, m.Prefix, m.Copy.Revision(m.Prefix))
 		if err != nil {
 			return err
 		}
-		revision = max(revision, next)
-		for _, e := range events {
-			m.apply(e)
+		now := m.Timer.Now()
+		m.Copy.Watched(m.Prefix, events, next, now)
+		m.handleSuccess()
+		took := now - sent
+		pause := max(0, m.Interval-took)
+		if len(events) > 0 || took < batchPause {
+			pause = max(pause, batchPause)
+		}
+		if pause == 0 {
+			continue
 		}
-		m.handleSuccess(sent)
-		if len(events) > 0 || m.Timer.Now()-sent < batchPause {
-			if err := m.Timer.Sleep(ctx, batchPause); err != nil {
-				return err
-			}
+		if err := m.Timer.Sleep(ctx, pause); err != nil {
+			return err
+		}
+	}
+	return ctx.Err()
+}
+
+// wait returns when the store is to be read.
+func (m *Mirror) wait(ctx context.Context) error {
+	for m.Idle != nil && m.Idle() {
+		if err := m.Timer.Sleep(ctx, idlePause); err != nil {
+			return err
 		}
 	}
 	return ctx.Err()
 }
 
-// list lists the prefix, reports what differs from the entries reported before, and
-// returns the revision to watch from.
-func (m *Mirror) list(ctx context.Context) (int64, error) {
+// list lists the prefix.
+func (m *Mirror) list(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, listTimeout)
 	defer cancel()
 	m.vars.Add("lists", 1)
 	sent := m.Timer.Now()
 	entries, revision, err := m.Store.List(ctx, m.Prefix)
 	if err != nil {
-		return 0, err
-	}
-	present := make(map[string]bool, len(entries))
-	for _, e := range entries {
-		present[e.Key] = true
-		m.put(e)
-	}
-	for k := range m.revisions {
-		if !present[k] {
-			m.remove(k)
-		}
-	}
-	m.handleSuccess(sent)
-	return revision, nil
-}
-
-// apply reports the change of a watch event, unless a newer revision has been reported.
-func (m *Mirror) apply(e lagoonhead.Event) {
-	if e.Deleted {
-		if e.Entry.Revision >= m.revisions[e.Entry.Key] {
-			m.remove(e.Entry.Key)
-		}
-		return
-	}
-	m.put(e.Entry)
-}
-
-// put reports an entry unless this or a newer revision of it has been reported.
-func (m *Mirror) put(e lagoonhead.Entry) {
-	if e.Revision <= m.revisions[e.Key] {
-		return
-	}
-	m.revisions[e.Key] = e.Revision
-	m.Follower.Put(e)
-}
-
-func (m *Mirror) remove(key string) {
-	if _, ok := m.revisions[key]; !ok {
-		return
+		return err
 	}
-	delete(m.revisions, key)
-	m.Follower.Removed(key)
+	m.Copy.Listed(m.Prefix, entries, revision, sent)
+	m.handleSuccess()
+	return nil
 }
 
 // handleFailure reports and counts a failed call to the store.
@@ -171,14 +144,13 @@
 		m.failing = true
 		m.Log.Warn("store lost", zap.String("prefix", m.Prefix), zap.Error(err))
 	}
-	m.Follower.StoreLost(m.Timer.Now(), err)
+	m.Copy.Failed(m.Prefix, m.Timer.Now(), err)
 }
 
-// handleSuccess reports that a call to the store which was sent at the given time succeeded.
-func (m *Mirror) handleSuccess(at time.Duration) {
+// handleSuccess logs that a call to the store succeeded after a failure.
+func (m *Mirror) handleSuccess() {
 	if m.failing {
 		m.failing = false
 		m.Log.Info("store regained", zap.String("prefix", m.Prefix))
 	}
-	m.Follower.Synced(at)
 }
--- a/mirror/mirror_test.go
+++ b/mirror/mirror_test.go
@@ -33,6 +33,8 @@
 	delete(r.entries, key)
 }
 
+func (r *recorder) Applied() {}
+
 func (r *recorder) Synced(time.Duration) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -45,6 +47,8 @@
 	r.losses++
 }
 
+func newRecorder() *recorder { return &recorder{entries: make(map[string]string)} }
+
 // has returns a function that reports whether the entries are those wanted.
 func (r *recorder) has(want map[string]string) func() bool {
 	return func() bool {
@@ -102,8 +106,8 @@
 func follow(t *testing.T) (*gapStore, *recorder) {
 	t.Helper()
 	s := &gapStore{KV: fakeplatform.NewKV(&timer.System{})}
-	c := &recorder{entries: make(map[string]string)}
-	m := &Mirror{Store: s, Timer: &timer.System{}, Prefix: "p/", Follower: c}
+	c := newRecorder()
+	m := &Mirror{Store: s, Timer: &timer.System{}, Prefix: "p/", Copy: NewCopy("a", map[string]Follower{"p/": c})}
 	ctx, cancel := context.WithCancel(t.Context())
 	done := make(chan struct{})
 	go func() {
@@ -169,19 +173,3 @@
 	put(t, s, "p/a", "2")
 	require.Eventually(t, c.has(map[string]string{"p/a": "2"}), waitTimeout, pollInterval)
 }
-
-// Guards against an entry that is passed to the wrong follower.
-func TestPrefixMux(t *testing.T) {
-	a, b := &recorder{entries: make(map[string]string)}, &recorder{entries: make(map[string]string)}
-	m := PrefixMux{"a/": a, "b/": b}
-	m.Put(lagoonhead.Entry{Key: "a/1", Value: []byte("x")})
-	m.Put(lagoonhead.Entry{Key: "c/1", Value: []byte("x")})
-	m.Synced(0)
-	m.StoreLost(0, nil)
-	require.Len(t, a.entries, 1)
-	require.Empty(t, b.entries)
-	require.Equal(t, 1, b.syncs)
-	require.Equal(t, 1, b.losses)
-	m.Removed("a/1")
-	require.Empty(t, a.entries)
-}
--- a/peer/contract_test.go
+++ b/peer/contract_test.go
@@ -34,14 +34,15 @@
 	d.calls = append(d.calls, s)
 }
 
-func (d *daemon) ReceiveRequest(h *Heartbeat) {
+func (d *daemon) Answer(h *Heartbeat) *Heartbeat {
 	d.record("told " + h.GetVm())
 	if d.during != nil {
 		d.during()
 	}
+	return d.Heartbeat(lagoonhead.VMID(h.GetVm()))
 }
 
-func (d *daemon) Local() *Heartbeat { return &Heartbeat{Vm: "vm1"} }
+func (d *daemon) Heartbeat(lagoonhead.VMID) *Heartbeat { return &Heartbeat{Vm: "vm1"} }
 
 func (d *daemon) PullConfig(*PullConfigRequest) *PullConfigResponse {
 	return &PullConfigResponse{Revision: 9}
@@ -66,10 +67,14 @@
 	return &HandUsageResponse{}, nil
 }
 
+func (d *daemon) UsageCounts(r *UsageCountsRequest) *UsageCountsResponse {
+	return &UsageCountsResponse{Counts: []*UsageCount{{Window: r.GetOldestWindow()}}}
+}
+
 // serve starts a Server over d and returns its address host:port.
 func serve(t *testing.T, d *daemon, token string) string {
 	t.Helper()
-	s := &Server{Config: d, Lender: d, Usage: d, Heartbeats: d, Token: token}
+	s := &Server{Config: d, Lender: d, Usage: d, Heartbeats: d, Counts: d, Token: token}
 	srv := httptest.NewServer(s.Handler())
 	t.Cleanup(srv.Close)
 	return strings.TrimPrefix(srv.URL, "http://")
@@ -97,6 +102,12 @@
 	case "revisionState":
 		r, err := q.RevisionState(ctx, &RevisionStateRequest{})
 		return strconv.FormatInt(r.GetRevision(), 10), err
+	case "usageCounts":
+		r, err := q.UsageCounts(ctx, &UsageCountsRequest{OldestWindow: 8})
+		if err != nil {
+			return "", err
+		}
+		return strconv.FormatInt(r.GetCounts()[0].GetWindow(), 10), nil
 	case "tooLarge":
 		_, err := c.Exchange(ctx, &Heartbeat{Vm: strings.Repeat("x", maxRequestBytes)})
 		return "", err
--- a/peer/exchanger.go
+++ b/peer/exchanger.go
@@ -18,8 +18,8 @@
 	// DefaultFanout is the number of peers, chosen at random, that get each heartbeat.
 	// If there are no more peers than that, all of them get it.
 	DefaultFanout = 5
-	// exchangeTimeout limits one exchange.
-	exchangeTimeout = time.Second
+	// DefaultTimeout limits one exchange.
+	DefaultTimeout = time.Second
 )
 
 // Exchanger exchanges heartbeats with peers: it sends one and receives another as the
@@ -37,9 +37,13 @@
 	// request was sent. The response was built after that time, so an age in it has
 	// grown by no more than the time since then.
 	OnResponse func(h *Heartbeat, sent time.Duration)
-	// Interval and Fanout default to DefaultInterval and DefaultFanout.
+	// OnFailure, if not nil, is called when an exchange with a peer has failed.
+	OnFailure func(v lagoonhead.VM)
+	// Interval, Fanout and Timeout default to DefaultInterval, DefaultFanout and
+	// DefaultTimeout.
 	Interval time.Duration
 	Fanout   int
+	Timeout  time.Duration
 
 	once   sync.Once
 	urgent chan struct{}
@@ -160,13 +164,16 @@
 
 // exchange sends a heartbeat to one peer and passes the response to OnResponse.
 func (x *Exchanger) exchange(ctx context.Context, v lagoonhead.VM) {
-	ctx, cancel := context.WithTimeout(ctx, exchangeTimeout)
+	ctx, cancel := context.WithTimeout(ctx, cmp.Or(x.Timeout, DefaultTimeout))
 	defer cancel()
 	sent := x.Timer.Now()
 	x.vars.Add("sent", 1)
-	h, err := x.Pool.Commands(v.PeerAddress()).Exchange(ctx, x.Source.Local())
+	h, err := x.Pool.Commands(v.PeerAddress()).Exchange(ctx, x.Source.Heartbeat(v.ID()))
 	if err != nil {
 		x.vars.Add("failed", 1)
+		if x.OnFailure != nil {
+			x.OnFailure(v)
+		}
 		return
 	}
 	x.vars.Add("answered", 1)
--- a/peer/server.go
+++ b/peer/server.go
@@ -6,6 +6,8 @@
 	"net/http"
 
 	"github.com/twitchtv/twirp"
+
+	"github.com/lagoonhead/lagoonhead"
 )
 
 // maxRequestBytes is the maximum size of a request. The largest message of the protocol
@@ -29,13 +31,18 @@
 	HandUsage(ctx context.Context, r *HandUsageRequest) (*HandUsageResponse, error)
 }
 
-// HeartbeatSource builds and receives heartbeats.
+// UsageCounter provides the counts of requests that this daemon has of itself and others.
+type UsageCounter interface {
+	UsageCounts(r *UsageCountsRequest) *UsageCountsResponse
+}
+
+// HeartbeatSource builds and answers heartbeats.
 type HeartbeatSource interface {
-	// Local returns a new heartbeat of this daemon.
-	Local() *Heartbeat
-	// ReceiveRequest receives a heartbeat that a peer sent as a request. The ages in it
-	// must not be trusted.
-	ReceiveRequest(h *Heartbeat)
+	// Heartbeat returns a new heartbeat of this daemon, to be sent to a peer as a request.
+	Heartbeat(to lagoonhead.VMID) *Heartbeat
+	// Answer processes a heartbeat that a peer sent as a request and returns the response.
+	// The ages in the request must not be trusted.
+	Answer(request *Heartbeat) *Heartbeat
 }
 
 // Server serves the calls of peers. Set the exported fields before Handler is called.
@@ -44,6 +51,8 @@
 	Lender     Lender
 	Usage      UsageKeeper
 	Heartbeats HeartbeatSource
+	// Counts is nil if this daemon has no counts by usage window.
+	Counts UsageCounter
 	// Token is the shared bearer token that requests must carry. It is empty if the
 	// listener authenticates by mutual TLS or is allowed to be without authentication.
 	Token string
@@ -86,11 +95,17 @@
 	return q.server.Config.RevisionState(), nil
 }
 
+func (q queries) UsageCounts(_ context.Context, r *UsageCountsRequest) (*UsageCountsResponse, error) {
+	if q.server.Counts == nil {
+		return nil, twirp.NewError(twirp.Unimplemented, "there are no counts by usage window")
+	}
+	return q.server.Counts.UsageCounts(r), nil
+}
+
 type commands struct{ server *Server }
 
 func (c commands) Exchange(_ context.Context, h *Heartbeat) (*Heartbeat, error) {
-	c.server.Heartbeats.ReceiveRequest(h)
-	return c.server.Heartbeats.Local(), nil
+	return c.server.Heartbeats.Answer(h), nil
 }
 
 func (c commands) Borrow(ctx context.Context, r *BorrowRequest) (*BorrowResponse, error) {
--- a/steer/board.go
+++ b/steer/board.go
@@ -78,11 +78,38 @@
 	RecentParts []uint64
 }
 
+// peerWork is the newest report of a peer on its work at one endpoint.
 type peerWork struct {
 	Work
 	received time.Duration
+	// hub reports whether the peer is a hub, whose reports include those of others.
+	hub bool
+	// prefill, run, good and bad are the growth of the counters since the first report.
+	prefill, run, good, bad int64
 }
 
+// add returns the peer's next report with the growth of the counters since then. A counter
+// that is lower than before started again at 0, or no longer includes another daemon.
+func (w peerWork) add(next Work) peerWork {
+	w.prefill += max(0, next.PrefillTotal-w.PrefillTotal)
+	w.run += max(0, next.RunTotal-w.RunTotal)
+	w.good += max(0, next.Good-w.Good)
+	w.bad += max(0, next.Bad-w.Bad)
+	w.Work = next
+	return w
+}
+
+// Recipient is the peer that a report is for.
+type Recipient struct {
+	VM lagoonhead.VMID
+	// Hub is true for a hub. It hears from the other hubs itself, so that it gets only
+	// the work of this daemon and of those attached to it.
+	Hub bool
+}
+
+// wants reports whether a report to r includes what a peer has reported.
+func (r Recipient) wants(vm lagoonhead.VMID, hub bool) bool { return vm != r.VM && (!r.Hub || !hub) }
+
 // target is an endpoint with its load, health and cache contents.
 type target struct {
 	endpoint lagoonhead.Endpoint
@@ -175,8 +202,9 @@
 	b.targets, b.services = next, services
 }
 
-// SetPeerWork replaces the work that a peer reported before by its new report.
-func (b *Board) SetPeerWork(now time.Duration, vm lagoonhead.VMID, works []Work) {
+// SetPeerWork replaces the work that a peer reported before by its new report. hub reports
+// whether the peer is a hub.
+func (b *Board) SetPeerWork(now time.Duration, vm lagoonhead.VMID, hub bool, works []Work) {
 	seen := make(map[lagoonhead.EndpointID]bool, len(works))
 	for _, w := range works {
 		t := b.targets[w.Endpoint]
@@ -184,15 +212,17 @@
 			continue
 		}
 		seen[w.Endpoint] = true
+		next := peerWork{Work: w}
 		if old, ok := t.peers[vm]; ok {
-			b.addSent(t.endpoint.Serves(), w.PrefillTotal-old.PrefillTotal, w.RunTotal-old.RunTotal)
-			// The counters of a peer that has restarted begin at 0 again.
-			t.outcomes.add(now, float64(max(0, w.Good-old.Good)), float64(max(0, w.Bad-old.Bad)))
+			next = old.add(w)
+			b.addSent(t.endpoint.Serves(), next.prefill-old.prefill, next.run-old.run)
+			t.outcomes.add(now, float64(next.good-old.good), float64(next.bad-old.bad))
 		}
+		next.received, next.hub = now, hub
 		for _, part := range w.RecentParts {
-			t.cache.addFromPeer(part)
+			t.cache.addFromPeer(now, b.reportTTL(), part, vm, hub)
 		}
-		t.peers[vm] = peerWork{w, now}
+		t.peers[vm] = next
 	}
 	for id, t := range b.targets {
 		if !seen[id] {
@@ -201,15 +231,14 @@
 	}
 }
 
-// addSent adds to the tokens that were sent. A change is negative, and ignored, when a peer
-// has restarted and its counters begin at 0 again.
+// addSent adds to the tokens that were sent.
 func (b *Board) addSent(service string, prefill, run int64) {
 	if b.sent == nil {
 		b.sent = make(map[string]sentTokens)
 	}
 	n := b.sent[service]
-	n.prefill += max(0, prefill)
-	n.run += max(0, run)
+	n.prefill += prefill
+	n.run += run
 	b.sent[service] = n
 }
 
@@ -241,21 +270,42 @@
 	return d
 }
 
-// Own returns the work of this daemon at each endpoint that it has used, as its report to
-// peers.
-func (b *Board) Own(now time.Duration) []Work {
+// Report returns the work at each endpoint that has any, as a report to a peer: that of this
+// daemon and what the peer does not hear otherwise.
+func (b *Board) Report(now time.Duration, to Recipient) []Work {
 	var list []Work
-	since := now - b.reportTTL()
 	for _, t := range b.targets {
-		if t.own.PrefillTotal > 0 || t.own.RunTotal > 0 || t.own.Running > 0 || t.own.Good > 0 || t.own.Bad > 0 {
-			w := t.own
-			w.RecentParts = t.cache.ownSince(since)
+		if w := b.reportOf(now, t, to); w.hasAny() {
 			list = append(list, w)
 		}
 	}
 	return list
 }
 
+// hasAny reports whether there is anything to report.
+func (w Work) hasAny() bool {
+	return w.PrefillTokens > 0 || w.Running > 0 || w.PrefillTotal > 0 || w.RunTotal > 0 || w.Good > 0 || w.Bad > 0 || len(w.RecentParts) > 0
+}
+
+func (b *Board) reportOf(now time.Duration, t *target, to Recipient) Work {
+	w, ttl := t.own, b.reportTTL()
+	for vm, p := range t.peers {
+		if !to.wants(vm, p.hub) {
+			continue
+		}
+		w.PrefillTotal += p.prefill
+		w.RunTotal += p.run
+		w.Good += p.good
+		w.Bad += p.bad
+		if now-p.received < ttl {
+			w.PrefillTokens += p.PrefillTokens
+			w.Running += p.Running
+		}
+	}
+	w.RecentParts = t.cache.recentSince(now-ttl, to)
+	return w
+}
+
 // rate returns the prefill rate of a target in tokens per millisecond.
 func (b *Board) rate(t *target) float64 {
 	if t.rate > 0 {
--- a/steer/board_test.go
+++ b/steer/board_test.go
@@ -99,7 +99,7 @@
 	v := pick(t, a, long("a"))
 	a.BeginPrefill(v)
 	a.EndPrefill(now, v, long("a"), 400*time.Millisecond)
-	b.SetPeerWork(now, "vm-a", a.Own(now))
+	b.SetPeerWork(now, "vm-a", true, a.Report(now, Recipient{Hub: true}))
 	require.Equal(t, 4_000, pick(t, b, long("a")).Tokens)
 }
 
@@ -201,7 +201,7 @@
 	v := pick(t, b, long("a"))
 	b.BeginPrefill(v)
 	b.EndPrefill(now, v, long("a"), 400*time.Millisecond)
-	reportedParts := func(at time.Duration) []uint64 { return b.Own(at)[0].RecentParts }
+	reportedParts := func(at time.Duration) []uint64 { return b.Report(at, Recipient{Hub: true})[0].RecentParts }
 	require.Len(t, reportedParts(now+minReportTTL), 1)
 	require.Empty(t, reportedParts(now+minReportTTL+1))
 	b.PeerInterval = minReportTTL
@@ -250,22 +250,58 @@
 // Guards against reports of a peer that still count after it has gone silent.
 func TestReportsOfSilentPeerExpire(t *testing.T) {
 	b := newBoard(fleet(1, 0))
-	b.SetPeerWork(now, "vm", []Work{{Endpoint: "p0", PrefillTokens: 48_000}})
+	b.SetPeerWork(now, "vm", true, []Work{{Endpoint: "p0", PrefillTokens: 48_000}})
 	require.Greater(t, pick(t, b, long("a")).Wait, time.Second)
 	v, ok := b.PickPrefill(now+minReportTTL, PrefillRequest{Service: model, Prompt: long("a"), Due: 2 * now})
 	require.True(t, ok)
 	require.Less(t, v.Wait, 500*time.Millisecond)
 }
 
+// Guards against work that a hub counts twice or does not pass on: a hub gets the work of
+// the daemons attached to its peer but not that of other hubs, which report themselves, and
+// an attached daemon gets all but its own.
+func TestHubsPassWorkOn(t *testing.T) {
+	list := fleet(1, 0)
+	boards := make(map[lagoonhead.VMID]*Board)
+	for _, id := range []lagoonhead.VMID{"a1", "a2", "hubA", "hubB", "b1"} {
+		boards[id] = newBoard(list)
+		if id != "hubA" && id != "hubB" {
+			v := pick(t, boards[id], long("p"))
+			boards[id].BeginPrefill(v)
+		}
+	}
+	isHub := func(id lagoonhead.VMID) bool { return id == "hubA" || id == "hubB" }
+	report := func(from, to lagoonhead.VMID) {
+		boards[to].SetPeerWork(now, from, isHub(from), boards[from].Report(now, Recipient{VM: to, Hub: isHub(to)}))
+	}
+	for range 3 {
+		for _, v := range [][2]lagoonhead.VMID{
+			{"a1", "hubA"}, {"a2", "hubA"}, {"b1", "hubB"}, {"hubA", "hubB"}, {"hubB", "hubA"}, {"hubA", "a1"}, {"hubA", "a2"}, {"hubB", "b1"},
+		} {
+			report(v[0], v[1])
+		}
+	}
+	for id, b := range boards {
+		require.Equal(t, 3*17_000, b.Demand(now, model).Backlog, id)
+	}
+	before := boards["b1"].Demand(now, model).SentToPrefill
+	v := pick(t, boards["a1"], long("q"))
+	boards["a1"].BeginPrefill(v)
+	for _, v := range [][2]lagoonhead.VMID{{"a1", "hubA"}, {"hubA", "hubB"}, {"hubB", "b1"}} {
+		report(v[0], v[1])
+	}
+	require.EqualValues(t, 17_000, boards["b1"].Demand(now, model).SentToPrefill-before, "growth is passed on")
+}
+
 // Guards against a demand that includes what a peer sent before its first report, or that
 // counts its restart as work.
 func TestDemandCountsWhatWasSentSince(t *testing.T) {
 	b := newBoard(fleet(1, 1))
-	b.SetPeerWork(now, "vm", []Work{{Endpoint: "p0", PrefillTotal: 1000}})
+	b.SetPeerWork(now, "vm", true, []Work{{Endpoint: "p0", PrefillTotal: 1000}})
 	require.Zero(t, b.Demand(now, model).SentToPrefill)
-	b.SetPeerWork(now, "vm", []Work{{Endpoint: "p0", PrefillTotal: 1500}})
+	b.SetPeerWork(now, "vm", true, []Work{{Endpoint: "p0", PrefillTotal: 1500}})
 	require.Equal(t, int64(500), b.Demand(now, model).SentToPrefill)
-	b.SetPeerWork(now, "vm", []Work{{Endpoint: "p0", PrefillTotal: 100}})
+	b.SetPeerWork(now, "vm", true, []Work{{Endpoint: "p0", PrefillTotal: 100}})
 	require.Equal(t, int64(500), b.Demand(now, model).SentToPrefill)
 	v := pick(t, b, short())
 	b.BeginPrefill(v)
--- a/steer/cache.go
+++ b/steer/cache.go
@@ -2,17 +2,19 @@
 
 import (
 	"container/list"
+	"slices"
 	"time"
+
+	"github.com/lagoonhead/lagoonhead"
 )
 
 const (
 	// sharedCacheFraction is the fraction of an engine's KV cache that is assumed to hold
 	// shared parts; the rest holds running requests and parts of a single request.
 	sharedCacheFraction = 0.7
-	// maxReportedParts is the maximum number of parts of one engine in a report to peers. A
-	// report goes out with each heartbeat. The number is above the prefills that a daemon has
-	// one engine make between two heartbeats, so that a lost heartbeat loses nothing.
-	maxReportedParts = 8
+	// maxRecentParts is the number of parts of one engine that are kept for reports to
+	// peers. An engine prefills fewer long prompts in the time for which a report counts.
+	maxRecentParts = 16
 )
 
 // partCache estimates which shared parts an engine has cached: the most recently used
@@ -25,13 +27,18 @@
 	// order holds the cached parts, the most recently used one first.
 	order *list.List
 	byID  map[uint64]*list.Element
-	// own holds the parts that this daemon had the engine prefill most recently, newest last.
-	own []ownPart
+	// recent holds the parts that this daemon or its peers had the engine prefill most
+	// recently, newest last.
+	recent []recentPart
 }
 
-type ownPart struct {
-	id uint64
-	at time.Duration
+// recentPart is a part that the engine prefilled at a time, or of which a peer reported so
+// then. from is empty for this daemon.
+type recentPart struct {
+	id   uint64
+	at   time.Duration
+	from lagoonhead.VMID
+	hub  bool
 }
 
 type cachedPart struct {
@@ -45,12 +52,13 @@
 
 func (c *partCache) has(id uint64) bool { return c.byID[id] != nil }
 
-// ownSince returns the parts that this daemon had the engine prefill since a time. Peers
-// treat every part in a report as just used, so an old prefill must not be reported again.
-func (c *partCache) ownSince(since time.Duration) []uint64 {
+// recentSince returns the parts that the engine prefilled since a time, for a report to a
+// peer. Peers treat every part in a report as just used, so an old prefill must not be
+// reported again.
+func (c *partCache) recentSince(since time.Duration, to Recipient) []uint64 {
 	var list []uint64
-	for _, p := range c.own {
-		if p.at >= since {
+	for _, p := range c.recent {
+		if p.at >= since && (p.from == "" || to.wants(p.from, p.hub)) {
 			list = append(list, p.id)
 		}
 	}
@@ -61,15 +69,30 @@
 func (c *partCache) addOwn(now time.Duration, id uint64, tokens int) {
 	c.lastTokens = tokens
 	c.add(id, tokens)
-	if len(c.own) == maxReportedParts {
-		c.own = append(c.own[:0:0], c.own[1:]...)
-	}
-	c.own = append(c.own, ownPart{id, now})
+	c.addRecent(recentPart{id: id, at: now})
 }
 
 // addFromPeer adds a part that a peer had the engine prefill. Reports don't state its
-// length, so it is assumed to be as long as the last part of this daemon.
-func (c *partCache) addFromPeer(id uint64) { c.add(id, c.lastTokens) }
+// length, so it is assumed to be as long as the last part of this daemon. A part that the
+// peer reports again within ttl counts from the first report.
+func (c *partCache) addFromPeer(now, ttl time.Duration, id uint64, from lagoonhead.VMID, hub bool) {
+	c.add(id, c.lastTokens)
+	i := slices.IndexFunc(c.recent, func(p recentPart) bool { return p.id == id && p.from == from })
+	if i >= 0 && now-c.recent[i].at < ttl {
+		return
+	}
+	if i >= 0 {
+		c.recent = slices.Delete(c.recent, i, i+1)
+	}
+	c.addRecent(recentPart{id, now, from, hub})
+}
+
+func (c *partCache) addRecent(p recentPart) {
+	if len(c.recent) == maxRecentParts {
+		c.recent = slices.Delete(c.recent, 0, 1)
+	}
+	c.recent = append(c.recent, p)
+}
 
 func (c *partCache) add(id uint64, tokens int) {
 	if e := c.byID[id]; e != nil {
--- a/steer/failures_test.go
+++ b/steer/failures_test.go
@@ -105,10 +105,10 @@
 func (f *lossyFleet) report(at time.Duration) {
 	f.reported = at
 	for i, b := range f.boards {
-		own := b.Own(at)
+		own := b.Report(at, Recipient{Hub: true})
 		for j, other := range f.boards {
 			if i != j {
-				other.SetPeerWork(at, lagoonhead.VMID(fmt.Sprint("vm", i)), own)
+				other.SetPeerWork(at, lagoonhead.VMID(fmt.Sprint("vm", i)), true, own)
 			}
 		}
 	}
@@ -152,12 +152,12 @@
 func TestOutcomesOfPeers(t *testing.T) {
 	b := newBoard(fleet(0, 1))
 	d := b.targets["d0"]
-	b.SetPeerWork(now, "vm", []Work{{Endpoint: "d0", Good: 100, Bad: 50}})
+	b.SetPeerWork(now, "vm", true, []Work{{Endpoint: "d0", Good: 100, Bad: 50}})
 	require.Zero(t, d.outcomes.excess(now), "it is unknown when the outcomes before the first report happened")
-	b.SetPeerWork(now, "vm", []Work{{Endpoint: "d0", Good: 110, Bad: 60}})
-	b.SetPeerWork(now, "vm", []Work{{Endpoint: "d0", Good: 110, Bad: 60}})
+	b.SetPeerWork(now, "vm", true, []Work{{Endpoint: "d0", Good: 110, Bad: 60}})
+	b.SetPeerWork(now, "vm", true, []Work{{Endpoint: "d0", Good: 110, Bad: 60}})
 	require.InDelta(t, 10.0/30-baselineFailureRate, d.outcomes.excess(now), 1e-9)
-	b.SetPeerWork(now, "vm", []Work{{Endpoint: "d0", Good: 1, Bad: 0}})
+	b.SetPeerWork(now, "vm", true, []Work{{Endpoint: "d0", Good: 1, Bad: 0}})
 	require.InDelta(t, 10.0/30-baselineFailureRate, d.outcomes.excess(now), 1e-9, "a peer that has restarted")
 	require.Less(t, d.outcomes.excess(now+outcomeDecayTime), d.outcomes.excess(now))
 
