Let two VMs hold a workspace's quota and its large requests go into debt

Cause: a workspace's rate and burst were split over 6 slots. Refused requests had waited 250 ms in vain and were all told to return after a second or more.

Change: a workspace has two home slots of 12. A bucket that is not empty may go into debt by an eighth of the accepted excess of the settings; a quarter of that is left to small requests, so that a prompt does not block them. A new holder of a slot takes the debt over. A request that is short of tokens asks the holders for exactly its own, and is refused at once with the time at which they expect to have them; a holder counts refused requests as returning, so that they come back spread.

--- a/admit/admit.go
+++ b/admit/admit.go
@@ -20,6 +20,7 @@
 	request     *lagoonhead.Request
 	workspace   *workspaceState
 	since       time.Duration // start of the wait
+	until       time.Duration // latest end of the wait
 	expected    float64       // tokens counted as demand
 	handle      fair.Handle
 	reservation *reservation
@@ -62,6 +63,9 @@
 	if w == nil {
 		return res, nil
 	}
+	if r.AskDirectly {
+		return r.askLenders(ctx, w)
+	}
 	r.wakeQueue()
 	return r.wait(ctx, w)
 }
@@ -79,10 +83,10 @@
 		return nil, nil, faultf("admit.admit", lagoonhead.KindNotFound, "workspace %s is unknown", q.Workspace())
 	}
 	charge := q.Charge()
-	if charge < 0 || charge > ws.quota.Burst {
+	if charge < 0 || charge > ws.largest {
 		return nil, nil, faultf("admit.admit", lagoonhead.KindInvalid,
-			"the request needs %d tokens (prompt %d, output up to %d) and the burst of workspace %s is %d",
-			charge, q.PromptTokens(), q.MaxTokens(), ws.id, ws.quota.Burst)
+			"the request needs %d tokens (prompt %d, output up to %d) and workspace %s may use at most %d at once",
+			charge, q.PromptTokens(), q.MaxTokens(), ws.id, ws.largest)
 	}
 	expected := ws.expectedUse(charge)
 	ws.demand.add(now, expected)
@@ -96,19 +100,26 @@
 			return res, nil, nil
 		}
 	}
+	if r.AskDirectly {
+		return nil, r.newWaiter(now, ws, q, expected), nil
+	}
 	w, err := r.enqueue(now, ws, q, expected)
 	return nil, w, err
 }
 
-func (r *Runner) enqueue(now time.Duration, ws *workspaceState, q *lagoonhead.Request, expected float64) (*waiter, error) {
+func (r *Runner) newWaiter(now time.Duration, ws *workspaceState, q *lagoonhead.Request, expected float64) *waiter {
 	until := now + r.MaxWait
 	if d := q.Deadline(); d > 0 {
 		until = min(until, d)
 	}
-	w := &waiter{request: q, workspace: ws, since: now, expected: expected, done: make(chan admission, 1)}
+	return &waiter{request: q, workspace: ws, since: now, until: until, expected: expected, done: make(chan admission, 1)}
+}
+
+func (r *Runner) enqueue(now time.Duration, ws *workspaceState, q *lagoonhead.Request, expected float64) (*waiter, error) {
+	w := r.newWaiter(now, ws, q, expected)
 	h, ok := r.queue.Push(fair.Entry{
 		Workspace: ws.id, Priority: q.Priority(),
-		Cost: q.Charge(), Weight: max(1, ws.quota.Rate), Deadline: until,
+		Cost: q.Charge(), Weight: max(1, ws.quota.Rate), Deadline: w.until,
 	}, w)
 	if !ok {
 		r.counters.refused.Add(1)
--- a/admit/admit_test.go
+++ b/admit/admit_test.go
@@ -121,7 +121,7 @@
 		own := func() int64 {
 			r.mu.Lock()
 			defer r.mu.Unlock()
-			return r.workspaces["w"].bucket.OwnTokens(c.clock.Now())
+			return r.workspaces["w"].bucket.OwnTokens(c.clock.Now(), 1)
 		}
 		_, _ = r.GiveBack(ctx, req)
 		require.EqualValues(t, 400, own())
--- a/admit/borrow.go
+++ b/admit/borrow.go
@@ -59,7 +59,10 @@
 		if need <= 0 || ctx.Err() != nil {
 			break
 		}
-		r.borrowFrom(ctx, ws, l, need)
+		r.mu.Lock()
+		waited := ws.headWaited(r.Timer.Now())
+		r.mu.Unlock()
+		r.borrowFrom(ctx, ws, l, need, waited)
 	}
 	now := r.Timer.Now()
 	r.mu.Lock()
@@ -100,13 +103,13 @@
 	return lenders
 }
 
-// borrowFrom asks one lender for the needed tokens.
-func (r *Runner) borrowFrom(ctx context.Context, ws *workspaceState, l Lender, need int64) {
+// borrowFrom asks one lender for the needed tokens, for a request that has waited for the
+// given time.
+func (r *Runner) borrowFrom(ctx context.Context, ws *workspaceState, l Lender, need int64, waited time.Duration) {
 	r.counters.asks.Add(1)
 	r.mu.Lock()
 	_, revision := r.slots.Table()
 	sent := r.Timer.Now()
-	waited := ws.headWaited(sent)
 	r.mu.Unlock()
 	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
 	defer cancel()
@@ -128,7 +131,9 @@
 	if ws.lenders == nil {
 		ws.lenders = make(map[lagoonhead.VMID]lenderView)
 	}
-	ws.lenders[l.VM] = lenderView{tokens: resp.GetTokens(), rate: resp.GetRecentRate(), at: now}
+	ws.lenders[l.VM] = lenderView{
+		tokens: resp.GetTokens(), wait: time.Duration(resp.GetWaitMs()) * time.Millisecond, rate: resp.GetRecentRate(), at: now,
+	}
 	if ws.bucket.Receive(now, sent, l.VM, lagoonhead.Incarnation(resp.GetIncarnation()), resp.GetLoan(), resp.GetTokens()) {
 		r.counters.borrowed.Add(resp.GetTokens())
 	}
@@ -168,12 +173,15 @@
 	if ws == nil {
 		return resp, nil
 	}
-	want := min(req.GetTokens(), ws.lendable(now, time.Duration(req.GetWaitedUs())*time.Microsecond))
+	want := min(req.GetTokens(), ws.lendable(now, time.Duration(req.GetWaitedUs())*time.Microsecond, req.GetTokens()))
 	if want > 0 {
 		resp.Loan, resp.Tokens = ws.bucket.Lend(now, want)
 		r.counters.lent.Add(resp.Tokens)
 	}
 	r.queueLoanReturns(ws)
+	if short := req.GetTokens() - resp.GetTokens(); short > 0 {
+		resp.WaitMs = ws.waitFor(now, req.GetTokens()).Milliseconds()
+	}
 	resp.RecentRate = ws.demand.rate(now)
 	return resp, nil
 }
--- a/admit/runner.go
+++ b/admit/runner.go
@@ -78,14 +78,23 @@
 	// SlotCount is the number of slots of a new slot table; 0 means 6. It does not
 	// change an existing table.
 	SlotCount int
+	// MaxHomes is the number of slots that share the quota of a workspace, if the table has
+	// more; 0 means limit.MaxHomeSlots. All daemons must have the same value.
+	MaxHomes int
 	// NoEarlierProcess is true when no earlier daemon process of this VM can still be
 	// running.
 	NoEarlierProcess bool
 	// Tolerance bounds the initial tokens of a workspace after the previous process of
-	// this VM has ended without releasing its slots. The zero value allows none.
+	// this VM has ended without releasing its slots, and the debt of its buckets. The zero
+	// value allows none.
 	Tolerance limit.Tolerance
 	// MaxWait bounds the time that a request waits for tokens; 0 means 10 s.
 	MaxWait time.Duration
+	// AskDirectly means that a request that is short of tokens asks the lenders for exactly
+	// its own at once, and is refused at once with the time at which they expect to have
+	// them, unless that is within MaxWait. Otherwise it waits in a queue for which tokens are
+	// borrowed. It is for fleets in which few VMs hold the quota of a workspace.
+	AskDirectly bool
 	// QueueLimit bounds the number of waiting requests; 0 means 10,000.
 	QueueLimit int
 	// Policy is the order in which waiting requests are served.
@@ -143,6 +152,9 @@
 		if r.SlotCount == 0 {
 			r.SlotCount = defaultSlotCount
 		}
+		if r.MaxHomes == 0 {
+			r.MaxHomes = limit.MaxHomeSlots
+		}
 		if r.Log == nil {
 			r.Log = zap.NewNop()
 		}
@@ -312,11 +324,16 @@
 		for _, s := range active {
 			switch i := slices.IndexFunc(former, func(f limit.ActiveSlot) bool { return f.Slot == s.Slot }); {
 			case i < 0:
-				r.applyAdvance(now, ws, s)
+				r.beginSlot(now, ws, s)
 			case former[i].Refill < s.Refill:
 				ws.bucket.AddAdvance(now, 0, s.Refill)
 			}
 		}
+		for _, f := range former {
+			if !slices.ContainsFunc(active, func(s limit.ActiveSlot) bool { return s.Slot == f.Slot }) {
+				ws.bucket.Forgive(now, r.slotDebt(ws, f.Slot))
+			}
+		}
 	}
 }
 
--- a/admit/workspace.go
+++ b/admit/workspace.go
@@ -38,9 +38,12 @@
 
 // lenderView is the last response of a lender about one workspace.
 type lenderView struct {
-	tokens int64         // tokens lent
-	rate   float64       // recent demand at the lender, in tokens per second
-	at     time.Duration // arrival of the response
+	tokens int64 // tokens lent
+	// wait is the time after which the lender expects to have the tokens that it did not
+	// lend.
+	wait time.Duration
+	rate float64       // recent demand at the lender, in tokens per second
+	at   time.Duration // arrival of the response
 }
 
 // workspaceState is the state of one workspace at this daemon.
@@ -49,7 +52,10 @@
 	quota             lagoonhead.Quota
 	known             bool        // the directory has the workspace
 	directoryRevision int64       // revision of the directory that quota was read from
+	slotCount         int         // size of the slot table that homeSlots was computed for
 	homeSlots         []int       // slots that share the quota
+	debt              int64       // sum of the debts that the buckets of the home slots may have
+	largest           int64       // the largest charge that is admitted
 	share             limit.Share // this daemon's share of the quota
 	bucket            limit.Bucket
 
@@ -69,6 +75,10 @@
 	borrowing       bool          // a borrowing round is running
 	nextBorrow      time.Duration // earliest start of the next borrowing round
 	lenders         map[lagoonhead.VMID]lenderView
+	// refused are the tokens of refused requests that are expected again and not yet
+	// covered by the refill, as of refusedAt.
+	refusedTokens float64
+	refusedAt     time.Duration
 }
 
 const (
@@ -112,22 +122,22 @@
 	}
 	if ws.shouldPrefetch(now) {
 		stock := int64(ws.spent.rate(now) * prefetchTarget.Seconds())
-		need = max(need, min(stock, ws.bucket.OwnTokens(now)+ws.bucket.HeadroomTokens(now)))
+		need = max(need, min(stock, ws.bucket.OwnTokens(now, stock)+ws.bucket.HeadroomTokens(now)))
 	}
-	return min(need, ws.quota.Burst) - ws.bucket.Available(now)
+	return min(need, ws.largest) - ws.bucket.Available(now)
 }
 
-// lendable returns the tokens that may be lent to a peer whose request has waited
-// for the given time. Tokens needed by a request that has waited at least as long at
+// lendable returns how many of the given tokens may be lent to a peer whose request has
+// waited for the given time. Tokens needed by a request that has waited at least as long at
 // this daemon are not lent. Without this order, requests larger than a share could each
 // hold a part of the tokens that any of them needs, at several daemons, and none
 // would be admitted.
-func (ws *workspaceState) lendable(now, waited time.Duration) int64 {
+func (ws *workspaceState) lendable(now, waited time.Duration, tokens int64) int64 {
 	if waited > ws.headWaited(now) {
 		ws.bucket.DepositLoans(now, 0)
-		return ws.bucket.OwnTokens(now)
+		return ws.bucket.OwnTokens(now, tokens)
 	}
-	return ws.bucket.OwnTokens(now) - ws.waitingTokens - int64(ws.spent.rate(now)*prefetchThreshold.Seconds())
+	return ws.bucket.OwnTokens(now, tokens) - ws.waitingTokens - int64(ws.spent.rate(now)*prefetchThreshold.Seconds())
 }
 
 // headWaited returns how long the head request has waited, or 0 when no request
@@ -192,31 +202,49 @@
 // began, so that the bucket has the tokens that it would have if it had existed
 // since then.
 func (r *Runner) replay(ws *workspaceState, dir lagoonhead.Directory) {
-	ws.quota, ws.known = dir.Quota(ws.id)
+	q, known := dir.Quota(ws.id)
+	ws.known = known
+	r.applyQuota(ws, q)
 	ws.directoryRevision = dir.Revision()
 	slots := make([]int, 0, len(r.activeSlots))
 	for _, s := range r.activeSlots {
 		slots = append(slots, s.Slot)
-		ws.share = limit.ShareOf(ws.quota, r.homeSlots(ws), slots)
+		ws.share = limit.ShareOf(ws.quota, ws.debt, r.homeSlots(ws), slots)
 		ws.bucket.SetShare(s.Since, ws.share)
-		r.applyAdvance(s.Since, ws, s)
+		r.beginSlot(s.Since, ws, s)
 	}
 }
 
-// applyAdvance adds the initial tokens of a slot that comes into use, if it has any.
-func (r *Runner) applyAdvance(now time.Duration, ws *workspaceState, s limit.ActiveSlot) {
+// applyQuota sets a quota and what follows from it.
+func (r *Runner) applyQuota(ws *workspaceState, q lagoonhead.Quota) {
+	ws.quota, ws.debt = q, r.Tolerance.Debt(q)
+	ws.largest = q.Burst + ws.debt
+}
+
+// beginSlot sets the initial tokens of a slot that comes into use: an advance, or the
+// debt that its former holder may have left.
+func (r *Runner) beginSlot(now time.Duration, ws *workspaceState, s limit.ActiveSlot) {
 	if s.Advanced {
 		tokens := limit.AdvanceShare(r.Tolerance.Advance(ws.quota), r.homeSlots(ws), []int{s.Slot})
 		ws.bucket.AddAdvance(now, tokens, s.Refill)
+		return
 	}
+	if debt := r.slotDebt(ws, s.Slot); debt > 0 {
+		ws.bucket.Owe(now, debt)
+	}
+}
+
+// slotDebt returns the debt that the bucket of one slot may have.
+func (r *Runner) slotDebt(ws *workspaceState, slot int) int64 {
+	return limit.ShareOf(ws.quota, ws.debt, r.homeSlots(ws), []int{slot}).Debt()
 }
 
 // homeSlots returns the home slots of a workspace, recomputed after a change of their
 // number.
 func (r *Runner) homeSlots(ws *workspaceState) []int {
 	t, _ := r.slots.Table()
-	if n := len(t.Slots); len(ws.homeSlots) != min(n, limit.MaxHomeSlots) {
-		ws.homeSlots = limit.HomeSlots(ws.id, n)
+	if n := len(t.Slots); ws.slotCount != n {
+		ws.slotCount, ws.homeSlots = n, limit.HomeSlots(ws.id, n, r.MaxHomes)
 	}
 	return ws.homeSlots
 }
@@ -230,12 +258,12 @@
 	if q == ws.quota {
 		return
 	}
-	ws.quota = q
+	r.applyQuota(ws, q)
 	r.setShare(now, ws)
 }
 
 func (r *Runner) setShare(now time.Duration, ws *workspaceState) {
-	ws.share = limit.ShareOf(ws.quota, r.homeSlots(ws), r.slotsInUse())
+	ws.share = limit.ShareOf(ws.quota, ws.debt, r.homeSlots(ws), r.slotsInUse())
 	ws.bucket.SetShare(now, ws.share)
 }
 
--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -38,6 +38,10 @@
 	killMargin = 700 * time.Millisecond
 	// maxAdmitWait is how long admission waits for tokens that a peer may lend.
 	maxAdmitWait = 250 * time.Millisecond
+	// slotCount is the number of slots of the limits, and homesPerWorkspace the number of
+	// those that share the quota of a workspace: if one VM is lost, half of the quota is
+	// left, and a request needs tokens of few VMs.
+	slotCount, homesPerWorkspace = 12, 2
 	// memoryShare is the fraction of MemoryBytes that is set as Go's soft memory limit.
 	memoryShare = 0.75
 	// gcPercent is the garbage collection target (GOGC). A value below the default of
@@ -258,7 +262,7 @@
 	d.admit = &admit.Runner{
 		VM: s.VM, Incarnation: d.incarnation, Timer: d.Timer, Store: d.copied, SlotsKey: slotsKey, VMs: slotVMs{d.members}, OnlyListed: true,
 		Directory: quotaSource{d.config}, Gate: gate{d.config}, Peers: lenders{d.members, d.pool, s.VM}, Log: d.Log, MaxWait: maxAdmitWait,
-		NoEarlierProcess: true, Tolerance: s.LimitTolerance,
+		SlotCount: slotCount, MaxHomes: homesPerWorkspace, NoEarlierProcess: true, Tolerance: s.LimitTolerance, AskDirectly: true,
 	}
 	d.tally = &billing.Tally{Incarnation: d.incarnation, Timer: &timer.JumpFilter{Timer: d.Timer}, Window: s.UsageWindow, PeerInterval: d.exchanger.PeerInterval}
 	d.dispatcher = &dispatch.Dispatcher{
--- a/limit/advance.go
+++ b/limit/advance.go
@@ -21,15 +21,28 @@
 // effects that the limiter cannot see, such as a request that the engine starts late.
 const advanceFraction = 0.5
 
+// debtFraction is the fraction of a tolerance that the debts of a workspace's buckets may
+// use. A process that ends without releasing its slots forgets its debt, but its successor
+// does so only together with an advance.
+const debtFraction = 0.125
+
+// Debt returns the tokens that the buckets of a workspace, over all slots, may spend beyond
+// what they have. Without it a request larger than the burst could never run.
+func (t Tolerance) Debt(q lagoonhead.Quota) int64 { return int64(debtFraction * t.accepted(q)) }
+
+// accepted returns the accepted excess in tokens.
+func (t Tolerance) accepted(q lagoonhead.Quota) float64 {
+	if t.Window <= 0 {
+		return 0
+	}
+	return max(0, t.Overrun*(q.Rate*t.Window.Seconds()+float64(q.Burst))+float64(t.Tokens))
+}
+
 // Advance returns the tokens that the buckets of a workspace may start with, over all
 // slots, after the processes that held the slots ended without releasing them. It is at
 // most the burst.
 func (t Tolerance) Advance(q lagoonhead.Quota) int64 {
-	if t.Window <= 0 {
-		return 0
-	}
-	accepted := t.Overrun*(q.Rate*t.Window.Seconds()+float64(q.Burst)) + float64(t.Tokens)
-	return min(q.Burst, int64(advanceFraction*max(0, accepted)))
+	return min(q.Burst, int64(advanceFraction*t.accepted(q)))
 }
 
 // AdvanceShare returns the part of an advance that is assigned to the given slots, for a
--- a/limit/advance_test.go
+++ b/limit/advance_test.go
@@ -152,7 +152,7 @@
 	require.Zero(t, AdvanceShare(450, homes, nil))
 
 	var b Bucket
-	b.SetShare(0, ShareOf(q, homes, homes))
+	b.SetShare(0, ShareOf(q, 0, homes, homes))
 	b.AddAdvance(0, 450, time.Second)
 	require.Equal(t, int64(450), b.Available(0))
 	require.Equal(t, int64(450), b.Available(time.Second), "no refill before the given time")
--- a/limit/bench_test.go
+++ b/limit/bench_test.go
@@ -14,7 +14,7 @@
 func BenchmarkTake(b *testing.B) {
 	q := lagoonhead.Quota{Rate: 1e9, Burst: 1e9}
 	var bucket Bucket
-	bucket.SetShare(0, ShareOf(q, []int{0}, []int{0}))
+	bucket.SetShare(0, ShareOf(q, 0, []int{0}, []int{0}))
 	bucket.Charge(time.Second, 1)
 	b.ReportAllocs()
 	now := time.Second
@@ -33,7 +33,7 @@
 	for _, n := range []int{100, 1000, 6400} {
 		b.Run(strconv.Itoa(n), func(b *testing.B) {
 			q := lagoonhead.Quota{Rate: 1000, Burst: 6000}
-			share := ShareOf(q, HomeSlots("w", 6), []int{0})
+			share := ShareOf(q, 0, HomeSlots("w", 6, MaxHomeSlots), []int{0})
 			var before, after runtime.MemStats
 			for b.Loop() {
 				runtime.GC()
--- a/limit/bucket.go
+++ b/limit/bucket.go
@@ -51,7 +51,8 @@
 type Bucket struct {
 	rate       float64 // microtokens per nanosecond
 	capacity   microtokens
-	level      microtokens   // negative after a request used more than its charge
+	debt       microtokens   // how far a charge or a loan may take a positive level below zero
+	level      microtokens   // negative after a debt, or a request that used more than its charge
 	lent       microtokens   // sum of the amounts of the live loans granted
 	refilledAt time.Duration // end of the last refill; later than now while the refill is suspended
 
@@ -72,6 +73,7 @@
 type Share struct {
 	rate     float64 // tokens per second
 	capacity microtokens
+	debt     microtokens
 }
 
 // Rate returns the refill rate in tokens per second.
@@ -80,16 +82,37 @@
 // Burst returns the capacity in whole tokens.
 func (s Share) Burst() int64 { return s.capacity.tokens() }
 
-// SetShare sets rate and capacity from now on. Tokens above the new capacity are
+// Debt returns the tokens by which a charge may exceed those in the bucket.
+func (s Share) Debt() int64 { return s.debt.tokens() }
+
+// SetShare sets rate, capacity and debt from now on. Tokens above the new capacity are
 // dropped. Added capacity starts empty.
 func (b *Bucket) SetShare(now time.Duration, s Share) {
 	b.advanceTo(now)
 	b.rate = s.rate * (1 - MaxDrift) * float64(microtokensPerToken) / float64(time.Second)
-	b.capacity = s.capacity
+	b.capacity, b.debt = s.capacity, s.debt
 	b.level = min(b.level, max(0, b.capacity-b.lent))
 	b.recordHeadroom()
 }
 
+// Owe takes tokens out of the bucket when a slot comes into use: its former holder may have
+// left that debt.
+func (b *Bucket) Owe(now time.Duration, tokens int64) {
+	b.advanceTo(now)
+	b.level -= fromTokens(tokens)
+	b.nextPoint()
+}
+
+// Forgive reduces the debt of the bucket when a slot is no longer in use. The next holder
+// of the slot takes it over.
+func (b *Bucket) Forgive(now time.Duration, tokens int64) {
+	b.advanceTo(now)
+	if b.level < 0 {
+		b.level = min(0, b.level+fromTokens(tokens))
+		b.recordHeadroom()
+	}
+}
+
 // headroom returns the amount that still fits into the bucket. It is negative while the
 // loans granted exceed a capacity that was lowered after them.
 func (b *Bucket) headroom() microtokens { return b.capacity - b.lent - b.level }
@@ -215,12 +238,14 @@
 func (r *Receipt) Charged() int64 { return r.charged }
 
 // Charge charges the tokens of a request that is dispatched now. It charges all of
-// them or none; ok is false when there are too few. Borrowed tokens are spent first,
+// them or none; ok is false when there are too few. A bucket that is not empty may go into
+// debt, so that a request larger than its capacity can be charged and large requests do not
+// wait for a full bucket while small ones empty it. Borrowed tokens are spent first,
 // because they expire. tokens must not be negative.
 func (b *Bucket) Charge(now time.Duration, tokens int64) (r Receipt, ok bool) {
 	b.advanceTo(now)
 	need := fromTokens(tokens)
-	if need > b.available() {
+	if need > b.available(need) {
 		return Receipt{}, false
 	}
 	r.charged = tokens
@@ -240,25 +265,49 @@
 	return r, true
 }
 
-func (b *Bucket) available() microtokens {
-	sum := b.level
+const (
+	// smallCharge is the largest charge, as a fraction of the debt, that may use all of it.
+	// Larger ones leave largeCharges of the debt to the small ones, which a large request
+	// would otherwise block for seconds: a prompt may take as many tokens as a hundred
+	// small requests.
+	smallCharge  = 1.0 / 16
+	largeCharges = 0.25
+)
+
+// spendable returns what one charge or loan of the given size may take from the bucket
+// itself. It is not positive if it may take nothing.
+func (b *Bucket) spendable(size microtokens) microtokens {
+	switch {
+	case size <= microtokens(smallCharge*float64(b.debt)):
+		return b.level + b.debt
+	case b.level <= 0:
+		return b.level
+	default:
+		return b.level + b.debt - microtokens(largeCharges*float64(b.debt))
+	}
+}
+
+// available returns what a charge of the given size may take, including borrowed tokens.
+func (b *Bucket) available(size microtokens) microtokens {
+	sum := b.spendable(size)
 	for _, l := range b.received {
 		sum += l.left
 	}
 	return sum
 }
 
-// Available returns the whole tokens that a request can be charged now, including
+// Available returns the whole tokens that a large request can be charged now, including
 // borrowed ones. It is negative while the bucket is in debt.
 func (b *Bucket) Available(now time.Duration) int64 {
 	b.advanceTo(now)
-	return b.available().tokens()
+	return b.available(b.debt).tokens()
 }
 
-// OwnTokens returns the whole tokens in the bucket without borrowed ones. They can be lent.
-func (b *Bucket) OwnTokens(now time.Duration) int64 {
+// OwnTokens returns the whole tokens that can be lent for a charge of the given size, which
+// excludes borrowed ones.
+func (b *Bucket) OwnTokens(now time.Duration, size int64) int64 {
 	b.advanceTo(now)
-	return b.level.tokens()
+	return b.spendable(fromTokens(size)).tokens()
 }
 
 // HeadroomTokens returns the whole tokens that still fit into the bucket.
@@ -278,10 +327,15 @@
 // false when they do not fit into the bucket or it does not refill.
 func (b *Bucket) Wait(now time.Duration, tokens int64) (time.Duration, bool) {
 	b.advanceTo(now)
-	short := fromTokens(tokens) - b.available()
+	size := fromTokens(tokens)
+	short := size - b.available(size)
 	if short <= 0 {
 		return 0, true
 	}
+	if b.level <= 0 && size > microtokens(smallCharge*float64(b.debt)) {
+		// The debt counts once the level is positive.
+		short = max(1-b.level, short-b.debt+microtokens(largeCharges*float64(b.debt)))
+	}
 	if b.rate <= 0 || short > b.headroom() {
 		return 0, false
 	}
--- a/limit/bucket_test.go
+++ b/limit/bucket_test.go
@@ -31,7 +31,7 @@
 		used  []int64
 		loans []simLoan
 	)
-	b.SetShare(0, ShareOf(q, []int{0}, []int{0}))
+	b.SetShare(0, ShareOf(q, 0, []int{0}, []int{0}))
 	for range d("steps", 3, 40) {
 		if d("apart", 0, 1) == 1 {
 			now += time.Duration(d("wait", 0, 20)*d("wait", 0, 100)) * time.Millisecond
--- a/limit/loan.go
+++ b/limit/loan.go
@@ -85,7 +85,7 @@
 // the loan until the borrower can no longer spend it.
 func (b *Bucket) Lend(now time.Duration, tokens int64) (loan uint64, lent int64) {
 	b.advanceTo(now)
-	lent = min(tokens, b.level.tokens())
+	lent = min(tokens, b.spendable(fromTokens(tokens)).tokens())
 	if lent <= 0 || b.firstLive == 0 && len(b.lentLoans) >= maxLentLoans {
 		return 0, 0
 	}
--- a/limit/share.go
+++ b/limit/share.go
@@ -8,19 +8,20 @@
 	"github.com/lagoonhead/lagoonhead"
 )
 
-// MaxHomeSlots is the largest number of home slots of a workspace. When the fleet has more
-// slots than that, a workspace has shares at some of them only, so that a share does
-// not become too small for a request.
+// MaxHomeSlots is the default of the largest number of home slots of a workspace. When the
+// fleet has more slots than that, a workspace has shares at some of them only, so that a
+// share does not become too small for a request.
 const MaxHomeSlots = 12
 
-// HomeSlots returns the home slots of a workspace among n slots, in ascending order. With
-// more than MaxHomeSlots slots they are chosen by rendezvous hashing.
-func HomeSlots(w lagoonhead.WorkspaceID, n int) []int {
+// HomeSlots returns the home slots of a workspace among n slots, in ascending order. If
+// there are more than most, they are chosen by rendezvous hashing. All daemons of a fleet
+// must use the same value of most.
+func HomeSlots(w lagoonhead.WorkspaceID, n, most int) []int {
 	slots := make([]int, n)
 	for i := range slots {
 		slots[i] = i
 	}
-	if n <= MaxHomeSlots {
+	if n <= most {
 		return slots
 	}
 	score := make([]uint64, n)
@@ -33,14 +34,15 @@
 		}
 		return 1
 	})
-	slots = slots[:MaxHomeSlots]
+	slots = slots[:most]
 	slices.Sort(slots)
 	return slots
 }
 
 // ShareOf returns the part of q that is assigned to the given slots, for a workspace
-// with the given home slots. The bursts of all home slots add up to that of q exactly.
-func ShareOf(q lagoonhead.Quota, homes, slots []int) Share {
+// with the given home slots. debt is the sum of the debts, in tokens, that the buckets of
+// all home slots may have. The bursts of all home slots add up to that of q exactly.
+func ShareOf(q lagoonhead.Quota, debt int64, homes, slots []int) Share {
 	n := microtokens(len(homes))
 	var s Share
 	burst := fromTokens(q.Burst)
@@ -51,6 +53,7 @@
 		k := microtokens(i)
 		s.capacity += (burst/n)*(k+1) + (burst%n)*(k+1)/n - (burst/n)*k - (burst%n)*k/n
 		s.rate += q.Rate / float64(n)
+		s.debt += fromTokens(debt) / n
 	}
 	return s
 }
--- a/limit/sim_run_test.go
+++ b/limit/sim_run_test.go
@@ -62,6 +62,9 @@
 	rate := d("rate", 100, 1000)
 	q := lagoonhead.Quota{Rate: float64(rate), Burst: int64(rate * d("burst", 3, 40) / 10)}
 	s := newSim(uint64(d("seed", 0, 1<<30)), q, b)
+	if b.withDebt {
+		s.debt = q.Burst * int64(d("debt", 1, 30)) / 10
+	}
 	s.run(time.Duration(d("start", 5, 20)) * time.Second)
 	actions := profiles[d("profile", 0, len(profiles)-1)]
 	size := 5
@@ -194,3 +197,15 @@
 		}
 	})
 }
+
+// Guards against buckets in debt that together use more than rate*t + burst + debt in some
+// window, also when slots change hands.
+func TestDebtIsBounded(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		d := func(label string, lo, hi int) int { return rapid.IntRange(lo, hi).Draw(t, label) }
+		s := simulateFleet(d, broken{withDebt: true})
+		if e := s.excess() - float64(s.debt); e > roundingError {
+			t.Fatalf("a window exceeds rate*t + burst + debt by %g tokens", e)
+		}
+	})
+}
--- a/limit/sim_test.go
+++ b/limit/sim_test.go
@@ -22,7 +22,10 @@
 	done         bool // a loan counts as ended while it still has tokens
 	slotWait     bool // a new holder of a slot refills without waiting
 	everyAdvance bool // every process starts with an advance
-	freshness    bool // a daemon spends although it is not fresh or its table is outdated
+	withDebt     bool // not a defect: buckets may go into debt
+	// debtForgotten means that a new holder of a slot does not take over the debt.
+	debtForgotten bool
+	freshness     bool // a daemon spends although it is not fresh or its table is outdated
 }
 
 const (
@@ -84,6 +87,8 @@
 	// accepted enables advances if its Window is positive. A VM must then run at most one
 	// process at a time.
 	accepted Tolerance
+	// debt is the sum of the debts that the buckets of all slots may have.
+	debt int64
 }
 
 type simDaemon struct {
@@ -255,12 +260,22 @@
 	if slices.Equal(active, d.activeSlots) {
 		return
 	}
-	former, homes := d.activeSlots, HomeSlots("w", simVMs)
+	former, homes := d.activeSlots, HomeSlots("w", simVMs, MaxHomeSlots)
 	d.activeSlots = active
-	d.bucket.SetShare(d.local(), ShareOf(d.sim.quota, homes, active))
+	debtOf := func(slot int) int64 { return ShareOf(d.sim.quota, d.sim.debt, homes, []int{slot}).Debt() }
+	d.bucket.SetShare(d.local(), ShareOf(d.sim.quota, d.sim.debt, homes, active))
 	for _, v := range starts {
-		if v.Advanced && !slices.Contains(former, v.Slot) {
+		switch {
+		case slices.Contains(former, v.Slot):
+		case v.Advanced:
 			d.bucket.AddAdvance(d.local(), AdvanceShare(d.sim.accepted.Advance(d.sim.quota), homes, []int{v.Slot}), v.Refill)
+		case !d.sim.broken.debtForgotten:
+			d.bucket.Owe(d.local(), debtOf(v.Slot))
+		}
+	}
+	for _, slot := range former {
+		if !slices.Contains(active, slot) {
+			d.bucket.Forgive(d.local(), debtOf(slot))
 		}
 	}
 }
--- a/limit/slots_test.go
+++ b/limit/slots_test.go
@@ -85,11 +85,11 @@
 func TestSharesAddUp(t *testing.T) {
 	q := lagoonhead.Quota{Rate: 100, Burst: 100_001}
 	for _, n := range []int{1, 3, 6, 7, 12, 390} {
-		homes := HomeSlots("w", n)
+		homes := HomeSlots("w", n, MaxHomeSlots)
 		var burst microtokens
 		rate := 0.0
 		for slot := range n {
-			s := ShareOf(q, homes, []int{slot})
+			s := ShareOf(q, 0, homes, []int{slot})
 			burst += s.capacity
 			rate += s.rate
 		}
@@ -102,7 +102,7 @@
 func TestFastClockCreatesNoTokens(t *testing.T) {
 	q := lagoonhead.Quota{Rate: 1000, Burst: 10}
 	var b Bucket
-	b.SetShare(0, ShareOf(q, []int{0}, []int{0}))
+	b.SetShare(0, ShareOf(q, 0, []int{0}, []int{0}))
 	charged := int64(0)
 	for ms := range time.Duration(100_000) {
 		if r, ok := b.Charge(time.Duration(float64(ms*time.Millisecond)*(1+MaxDrift)), 1); ok {
