Keep descriptors free of callers' connections

Cause: callers that keep their connections open after a refusal took all descriptors. Accepting then failed with a back-off of up to a second, requests waited unread in the queue of connections, and calls to the store, endpoints and peers found no socket.

Change: callers' connections may take 55% of the sockets; above 35% they are closed after their answer, and a connection beyond the limit is closed at once, before anything of its request is read.

--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -85,7 +85,8 @@
 	DecodeConfiguration              func(value []byte) (*catalog.Catalog, error)
 	DecodeRegistration               func(key string, value []byte) (lagoonhead.Endpoint, error)
 	// Callers returns the HTTP server for callers.
-	Callers func(d *dispatch.Dispatcher, leaving func() bool, bodyLimit func() int64) *http.Server
+	// It tells callers to close the connection while closing returns true.
+	Callers func(d *dispatch.Dispatcher, closing func() bool, bodyLimit func() int64) *http.Server
 	// Ready returns the handler of the load balancer's readiness probes.
 	Ready func(ready func() error) http.Handler
 	// Usage and Orders return the clients that report usage and send orders with the
@@ -125,6 +126,7 @@
 	dispatcher  *dispatch.Dispatcher
 	heartbeats  *heartbeats
 	roleChanges roleChanges
+	connections *connections // of callers
 	meters      meters
 }
 
@@ -142,6 +144,8 @@
 	if d.LogVars != nil {
 		d.vars.Set("log", d.LogVars)
 	}
+	d.connections = newConnections(d.Settings.MaxDescriptors)
+	d.vars.Set("connections", d.connections.vars())
 	d.buildState()
 	d.buildWork()
 	servers, err := d.listen()
@@ -333,7 +337,7 @@
 func (d *Daemon) listen() (*servers, error) {
 	newServer := func(h http.Handler) *http.Server { return &http.Server{Handler: h, ReadHeaderTimeout: time.Second} }
 	p := &peer.Server{Config: noConfiguration{}, Lender: d.admit, Usage: noUsageCopies{}, Heartbeats: d.heartbeats, Counts: d.heartbeats}
-	s := &servers{callers: d.Platform.Callers(d.dispatcher, d.leaving.Load, d.bodyLimit)}
+	s := &servers{callers: d.Platform.Callers(d.dispatcher, d.closesConnections, d.bodyLimit)}
 	l := d.Settings.Listen
 	for _, v := range []struct {
 		address string
@@ -350,11 +354,18 @@
 			s.close()
 			return nil, &Error{lagoonhead.Fault{Op: "entry.listen", Kind: lagoonhead.KindUnavailable, Err: err}}
 		}
+		if v.server == s.callers {
+			listener = d.connections.limit(listener)
+		}
 		s.all = append(s.all, server{v.server, listener})
 	}
 	return s, nil
 }
 
+// closesConnections reports whether callers are told to close their connections after the
+// answer.
+func (d *Daemon) closesConnections() bool { return d.leaving.Load() || d.connections.crowded() }
+
 func (s *servers) close() {
 	for _, v := range s.all {
 		v.listener.Close()
--- a/entry/settings.go
+++ b/entry/settings.go
@@ -17,6 +17,9 @@
 	Seeds []string
 	// MemoryBytes is the memory in bytes above which the process is killed.
 	MemoryBytes int64
+	// MaxDescriptors is the number of file descriptors that the process may have open; 0
+	// means that there is no limit to keep to.
+	MaxDescriptors int
 	// Cores is the processor time of the VM per second, or 0 if it is unknown. VMs with
 	// more of it become hubs first.
 	Cores float64
