Keep endpoints in trouble from holding requests

Change: whether an attempt is the last one is decided before it begins. A stream without a whole event for half of the caller's patience goes on at another engine. Buffered answers may have 32 MiB together, answers up to 64 KiB not counted.

--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -8,6 +8,7 @@
 	"net/url"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -86,6 +87,8 @@
 	board steer.Board
 	once  sync.Once
 	vars  counters
+	// buffered is the number of bytes of the answers that are being buffered.
+	buffered atomic.Int64
 }
 
 type counters struct {
--- a/dispatch/plain.go
+++ b/dispatch/plain.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"net/http"
+	"sync/atomic"
 
 	"github.com/cockroachdb/errors"
 
@@ -12,8 +13,15 @@
 	"github.com/lagoonhead/lagoonhead/steer"
 )
 
-// maxAnswerBytes bounds an answer that is buffered before the caller gets it.
-const maxAnswerBytes = 8 << 20
+const (
+	// maxAnswerBytes bounds an answer that is buffered before the caller gets it.
+	maxAnswerBytes = 8 << 20
+	// maxBufferedBytes bounds the answers that are buffered at the same time, so that
+	// endpoints which send bytes without end do not take the memory of the process.
+	maxBufferedBytes = 32 << 20
+	// freeAnswerBytes is the size up to which an answer does not count to maxBufferedBytes.
+	freeAnswerBytes = 64 << 10
+)
 
 // fullAnswer is an answer whose body has been read to its end.
 type fullAnswer struct {
@@ -97,13 +105,15 @@
 		return nil, err
 	}
 	defer ans.Body.Close()
-	return readFull(ans)
+	return r.readFull(ans)
 }
 
 // readFull reads an answer to its end. One that is longer than maxAnswerBytes is an error,
 // since a truncated answer would look like a complete one.
-func readFull(ans *lagoonhead.Answer) (*fullAnswer, error) {
-	body, err := io.ReadAll(io.LimitReader(ans.Body, maxAnswerBytes+1))
+func (d *Dispatcher) readFull(ans *lagoonhead.Answer) (*fullAnswer, error) {
+	counted := countedReader{in: ans.Body, total: &d.buffered}
+	defer counted.release()
+	body, err := io.ReadAll(io.LimitReader(&counted, maxAnswerBytes+1))
 	if err != nil {
 		return nil, fail("read", readErrorKind(err), err)
 	}
@@ -113,6 +123,29 @@
 	return &fullAnswer{ans, body}, nil
 }
 
+// countedReader counts what it reads beyond freeAnswerBytes, and fails when all readers
+// together have read more than maxBufferedBytes.
+type countedReader struct {
+	in            io.Reader
+	total         *atomic.Int64
+	read, counted int64
+}
+
+// Read reads and counts.
+func (r *countedReader) Read(p []byte) (int, error) {
+	n, err := r.in.Read(p)
+	r.read += int64(n)
+	more := max(0, r.read-freeAnswerBytes) - r.counted
+	r.counted += more
+	if r.total.Add(more) > maxBufferedBytes {
+		return n, failf("read", lagoonhead.KindUnknown, "answers in progress have more than %d bytes", maxBufferedBytes)
+	}
+	return n, err
+}
+
+// release ends the count of what was read.
+func (r *countedReader) release() { r.total.Add(-r.counted) }
+
 func (r *request) deliver(w *fullAnswer) error {
 	r.Suspects.Finished(r.demand.Fingerprint())
 	r.addStep("answer with status %d", w.Status)
--- a/dispatch/request.go
+++ b/dispatch/request.go
@@ -30,9 +30,11 @@
 	deadline      time.Duration
 	demand        *lagoonhead.Request
 
-	avoid        []lagoonhead.EndpointID
-	sends        int
-	runs         int // number of endpoints that may have run the request
+	avoid []lagoonhead.EndpointID
+	sends int
+	runs  int // number of endpoints that may have run the request
+	// lastAttempt is true while no other endpoint may run the request after this one.
+	lastAttempt  bool
 	usageCounted bool
 	// started is true once the sink has got the beginning of an answer.
 	started bool
--- a/dispatch/stream.go
+++ b/dispatch/stream.go
@@ -194,6 +194,7 @@
 	r.vars.sends.Add(1)
 	attemptCtx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
+	r.lastAttempt = !r.retryable() || r.runs+1 >= r.route.MaxAttempts
 	silenceTimer := time.AfterFunc(r.silenceTimeout(), func() { cancel(errSilent) })
 	defer silenceTimer.Stop()
 	a := r.newAttempt(e)
@@ -239,15 +240,15 @@
 	return r.pickRun(near)
 }
 
-// silenceTimeout returns how long an engine may send nothing before another one is tried. If
-// the request can't be retried, that is all of the remaining time.
+// silenceTimeout returns how long an engine may send no whole event before another one is
+// tried. In the last attempt that is all of the remaining time.
 func (r *request) silenceTimeout() time.Duration {
 	now := r.Timer.Now()
-	if !r.retryable() || r.runs+1 >= r.route.MaxAttempts {
+	if r.lastAttempt {
 		return r.deadline - now
 	}
 	if r.started {
-		return max(2*r.route.PauseObjective, minSilenceTimeout)
+		return max(r.route.AssumedCallerTimeout/2, 2*r.route.PauseObjective, minSilenceTimeout)
 	}
 	return halfUntil(now, r.callerGiveUpTime(), minSilenceTimeout)
 }
@@ -255,7 +256,7 @@
 // forwardNonStream gives the caller an answer that is not a stream, unless another engine may
 // succeed.
 func (r *request) forwardNonStream(ctx context.Context, e lagoonhead.Endpoint, ans *lagoonhead.Answer) error {
-	w, err := readFull(ans)
+	w, err := r.readFull(ans)
 	if err != nil {
 		r.recordFailure(ctx, e, "run", err)
 		return err
