--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -39,9 +39,9 @@
 	// maxAdmitWait is how long admission waits for tokens that a peer may lend.
 	maxAdmitWait = 250 * time.Millisecond
 	// slotCount is the number of slots of the limits, and homesPerWorkspace the number of
-	// those that share the quota of a workspace: if one VM is lost, half of the quota is
+	// those that share the quota of a workspace: if one VM is lost, most of the quota is
 	// left, and a request needs tokens of few VMs.
-	slotCount, homesPerWorkspace = 12, 2
+	slotCount, homesPerWorkspace = 12, 4
 	// memoryShare is the fraction of MemoryBytes that is set as Go's soft memory limit.
 	memoryShare = 0.75
 	// gcPercent is the garbage collection target (GOGC). A value below the default of
