--- a/entry/wire.go
+++ b/entry/wire.go
@@ -18,18 +18,16 @@
 	// are as large; they are text and shrink to a fraction, and each hub sends them to
 	// dozens of daemons.
 	minCompressedBytes = 8 << 10
-	// maxValueBytes bounds a decompressed value.
-	maxValueBytes = lagoonhead.MaxValueBytes
+	// maxValueBytes bounds a decompressed value, and maxUpdateBytes those of one update
+	// together.
+	maxValueBytes  = lagoonhead.MaxValueBytes
+	maxUpdateBytes = 8 * maxValueBytes
 )
 
 func encodeStates(list []mirror.PrefixState) []*peer.PrefixState {
 	out := make([]*peer.PrefixState, 0, len(list))
 	for _, s := range list {
-		age := s.Age.Milliseconds()
-		if s.Age < 0 {
-			age = -1
-		}
-		out = append(out, &peer.PrefixState{Prefix: s.Prefix, Revision: s.Revision, AgeMs: age, Lost: s.Lost})
+		out = append(out, &peer.PrefixState{Prefix: s.Prefix, Revision: s.Revision, AgeMs: s.Age.Milliseconds(), Lost: s.Lost})
 	}
 	return out
 }
@@ -98,19 +96,22 @@
 	return b.Bytes()
 }
 
-// decodeUpdate returns an error if a value cannot be decompressed or is too large.
+// decodeUpdate returns an error if a value cannot be decompressed, or if the values are too
+// large.
 func decodeUpdate(u *peer.CopyUpdate) (mirror.Update, error) {
 	out := mirror.Update{
 		Source: lagoonhead.Incarnation(u.GetSource()), Sequence: u.GetSequence(), Complete: u.GetComplete(), Keys: u.GetKeys(),
 		Prefixes: decodeStates(u.GetPrefixes()),
 	}
+	left := maxUpdateBytes
 	for _, k := range u.GetChanges() {
 		value := k.GetValue()
 		if k.GetCompressed() {
 			var err error
-			if value, err = decompress(value); err != nil {
+			if value, err = decompress(value, min(left, maxValueBytes)); err != nil {
 				return mirror.Update{}, err
 			}
+			left -= len(value)
 		}
 		out.Changes = append(out.Changes, mirror.Change{
 			Entry:   lagoonhead.Entry{Key: k.GetKey(), Revision: k.GetRevision(), Value: value, Lease: lagoonhead.LeaseID(k.GetLease())},
@@ -120,17 +121,18 @@
 	return out, nil
 }
 
-func decompress(value []byte) ([]byte, error) {
+// decompress returns an error if the result has more than limit bytes.
+func decompress(value []byte, limit int) ([]byte, error) {
 	r, err := gzip.NewReader(bytes.NewReader(value))
 	if err != nil {
 		return nil, &Error{lagoonhead.Fault{Op: "entry.decompress", Kind: lagoonhead.KindInvalid, Err: err}}
 	}
-	out, err := io.ReadAll(io.LimitReader(r, maxValueBytes+1))
+	out, err := io.ReadAll(io.LimitReader(r, int64(limit)+1))
 	if err != nil {
 		return nil, &Error{lagoonhead.Fault{Op: "entry.decompress", Kind: lagoonhead.KindInvalid, Err: err}}
 	}
-	if len(out) > maxValueBytes {
-		return nil, failf("decompress", lagoonhead.KindInvalid, "the value has more than %d bytes", maxValueBytes)
+	if len(out) > limit {
+		return nil, failf("decompress", lagoonhead.KindInvalid, "the value has more than %d bytes", limit)
 	}
 	return out, nil
 }
--- a/mirror/copy.go
+++ b/mirror/copy.go
@@ -308,7 +308,7 @@
 		s := c.prefixes[p]
 		age := now - s.syncedAt
 		if !s.synced {
-			age = -1
+			age = -time.Millisecond
 		}
 		list = append(list, PrefixState{Prefix: p, Revision: s.revision, Age: age, Lost: s.lost})
 	}
