Adopt the cache capacity of engines that are known before the configuration

Cause: the capacity of an engine's cache estimate was set when the engine was first seen. A daemon that lists the registrations before the configuration kept 0 tokens for each engine, so one part. Parts that peers report counted 0 tokens until the daemon had sent one of its own, and never left the estimate.

Change: the capacity follows the configuration; a part of unknown length counts as 8,192 tokens. TestCacheCapacityFollowsTheConfiguration failed before.

--- a/steer/board.go
+++ b/steer/board.go
@@ -189,9 +189,11 @@
 				seed:  xxhash.Sum64String(string(e.ID())),
 				own:   Work{Endpoint: e.ID()},
 				peers: make(map[lagoonhead.VMID]peerWork),
-				cache: newPartCache(capacity(e.Serves())),
+				cache: newPartCache(0),
 			}
 		}
+		// An endpoint may be known before the configuration that states its capacity.
+		t.cache.setCapacity(capacity(e.Serves()))
 		if t.endpoint.Role() != e.Role() {
 			t.changingUntil = 0
 		}
--- a/steer/board_test.go
+++ b/steer/board_test.go
@@ -257,6 +257,28 @@
 	require.Less(t, v.Wait, 500*time.Millisecond)
 }
 
+// Guards against an engine that is known before the configuration and is taken for one
+// without a cache from then on, and against parts of peers that never leave the estimate.
+func TestCacheCapacityFollowsTheConfiguration(t *testing.T) {
+	list := fleet(1, 0)
+	var b Board
+	b.SetEndpoints(list, func(string) int { return 0 })
+	b.SetEndpoints(list, cacheCapacity)
+	for _, id := range []string{"a", "b"} {
+		b.AddCached(now, list[0], long(id))
+	}
+	part, _ := long("a").shared()
+	cache := b.targets[list[0].ID()].cache
+	require.True(t, cache.has(part), "the cache has room for both")
+	for i := range uint64(1000) {
+		b.SetPeerWork(now, "vm", true, []Work{{Endpoint: list[0].ID(), Running: 1, RecentParts: []uint64{i + 1}}})
+	}
+	require.False(t, cache.has(part))
+	require.LessOrEqual(t, cache.order.Len(), cacheCapacity(model)/minSharedTokens)
+	b.SetEndpoints(list, func(string) int { return minSharedTokens })
+	require.LessOrEqual(t, cache.order.Len(), 1)
+}
+
 // Guards against work that a hub counts twice or does not pass on: a hub gets the work of
 // the daemons attached to its peer but not that of other hubs, which report themselves, and
 // an attached daemon gets all but its own.
--- a/steer/cache.go
+++ b/steer/cache.go
@@ -12,6 +12,9 @@
 	// sharedCacheFraction is the fraction of an engine's KV cache that is assumed to hold
 	// shared parts; the rest holds running requests and parts of a single request.
 	sharedCacheFraction = 0.7
+	// defaultPartTokens is the assumed length of a part that a peer reports before this
+	// daemon knows the length of any.
+	defaultPartTokens = 8 << 10
 	// maxRecentParts is the number of parts of one engine that are kept for reports to
 	// peers. An engine prefills fewer long prompts in the time for which a report counts.
 	maxRecentParts = 16
@@ -47,7 +50,15 @@
 }
 
 func newPartCache(capacity int) *partCache {
-	return &partCache{capacity: int(sharedCacheFraction * float64(capacity)), order: list.New(), byID: make(map[uint64]*list.Element)}
+	c := &partCache{lastTokens: defaultPartTokens, order: list.New(), byID: make(map[uint64]*list.Element)}
+	c.setCapacity(capacity)
+	return c
+}
+
+// setCapacity sets the KV cache capacity of the engine, in tokens.
+func (c *partCache) setCapacity(capacity int) {
+	c.capacity = int(sharedCacheFraction * float64(capacity))
+	c.evict()
 }
 
 func (c *partCache) has(id uint64) bool { return c.byID[id] != nil }
@@ -101,6 +112,11 @@
 	}
 	c.byID[id] = c.order.PushFront(cachedPart{id, tokens})
 	c.used += tokens
+	c.evict()
+}
+
+// evict removes the least recently used parts that do not fit.
+func (c *partCache) evict() {
 	for c.used > c.capacity && c.order.Len() > 1 {
 		p := c.order.Remove(c.order.Back()).(cachedPart)
 		delete(c.byID, p.id)
