Spread runs over the endpoints of a large fleet

Cause: each daemon sends a run to the endpoint that was the emptiest when it reported.

Change: where the fleet has hubs, an endpoint is drawn at random, the emptier the likelier; a reported load counts for a third. An engine that fetches the prompt's KV cache is drawn from its failure domain, nine times in ten or more.

--- a/dispatch/plain.go
+++ b/dispatch/plain.go
@@ -36,7 +36,7 @@
 	var fallback *fullAnswer
 	var last error
 	for {
-		e, err := r.pickRun(r.Domain)
+		e, err := r.pickRun(r.Domain, false)
 		if err != nil {
 			break
 		}
--- a/dispatch/request.go
+++ b/dispatch/request.go
@@ -208,13 +208,14 @@
 	}
 }
 
-// pickRun chooses the endpoint of the next run and counts the run there.
-func (r *request) pickRun(near lagoonhead.FailureDomain) (lagoonhead.Endpoint, error) {
+// pickRun chooses the endpoint of the next run and counts the run there. transfer reports
+// whether the KV cache of the prompt is in the failure domain near.
+func (r *request) pickRun(near lagoonhead.FailureDomain, transfer bool) (lagoonhead.Endpoint, error) {
 	now := r.Timer.Now()
 	var e lagoonhead.Endpoint
 	var ok bool
 	r.WithBoard(func(b *steer.Board) {
-		if e, ok = b.PickRun(now, steer.RunRequest{Service: r.service, Near: near, Retryable: r.retryable(), Avoid: r.avoid}); ok {
+		if e, ok = b.PickRun(now, steer.RunRequest{Service: r.service, Near: near, Transfer: transfer, Retryable: r.retryable(), Avoid: r.avoid}); ok {
 			b.AddRunning(e, 1)
 		}
 	})
--- a/dispatch/stream.go
+++ b/dispatch/stream.go
@@ -233,11 +233,10 @@
 		r.WithBoard(func(b *steer.Board) { b.AddRunning(v.Endpoint, 1) })
 		return v.Endpoint, nil
 	}
-	near := r.Domain
 	if h != nil {
-		near = h.Engine.FailureDomain()
+		return r.pickRun(h.Engine.FailureDomain(), true)
 	}
-	return r.pickRun(near)
+	return r.pickRun(r.Domain, false)
 }
 
 // silenceTimeout returns how long an engine may send no whole event before another one is
--- a/entry/heartbeats.go
+++ b/entry/heartbeats.go
@@ -136,7 +136,7 @@
 	}
 	now := b.timer.Now()
 	b.dispatcher.WithBoard(func(board *steer.Board) {
-		board.PeerInterval = b.peerInterval()
+		board.PeerInterval, board.Spread = b.peerInterval(), !b.members.isFlat()
 		board.SetPeerWork(now, vm, h.GetHub(), works)
 		for _, c := range h.GetChanges() {
 			until := now + time.Duration(c.GetLeftMs())*time.Millisecond
--- a/steer/board.go
+++ b/steer/board.go
@@ -159,6 +159,10 @@
 	// IgnoreFailures disables the cost of an endpoint's failure rate, so that only excluded
 	// endpoints are avoided. It is the simpler policy, for comparison.
 	IgnoreFailures bool
+	// Spread makes PickRun draw endpoints at random instead of choosing the emptiest. It is
+	// for fleets in which reports are older than a request runs: there all daemons would
+	// choose the endpoint that was the emptiest when it reported.
+	Spread bool
 	// PeerInterval is the usual interval between two reports of one peer; 0 means
 	// that it is short.
 	PeerInterval time.Duration
--- a/steer/pick.go
+++ b/steer/pick.go
@@ -1,6 +1,7 @@
 package steer
 
 import (
+	"math/rand/v2"
 	"slices"
 	"time"
 
@@ -34,6 +35,14 @@
 	// crossDomainCost is the cost of running outside the failure domain of the KV cache or
 	// the daemon, as a fraction of a full batch.
 	crossDomainCost = 0.15
+	// spreadDamping is the part of a reported load that counts when endpoints are drawn at
+	// random: by the time of the choice most of the reported requests have ended.
+	spreadDamping = 0.3
+	// farTransferWeight is the weight of an engine that fetches the KV cache from another
+	// failure domain, of 1 for one in the same: it takes twice as long and costs more.
+	farTransferWeight = 0.1
+	// minSpreadWeight is the lowest weight of an endpoint, of 1 for the best one.
+	minSpreadWeight = 0.02
 )
 
 // PrefillChoice is the choice of the engine that prefills a prompt.
@@ -70,6 +79,8 @@
 	Service string
 	// Near is the failure domain that is preferred if the loads differ little.
 	Near lagoonhead.FailureDomain
+	// Transfer reports whether the engine fetches the KV cache of the prompt from Near.
+	Transfer bool
 	// Retryable reports whether the request may run again after a failure.
 	Retryable bool
 	// Avoid lists the endpoints that must not be chosen.
@@ -240,7 +251,8 @@
 // PickRun chooses the endpoint that runs a request: the one with the emptiest batch and
 // the lowest failure rate, in the failure domain Near if the difference is small. Engines
 // that only prefill are left out, and an endpoint that is excluded after failures is chosen
-// only if there is no other. ok is false when there is none.
+// only if there is no other. With Spread it draws one at random, the emptier the likelier. ok
+// is false when there is none.
 func (b *Board) PickRun(now time.Duration, r RunRequest) (e lagoonhead.Endpoint, ok bool) {
 	if e, ok = b.pickRun(now, r, true); ok {
 		return e, true
@@ -249,7 +261,7 @@
 }
 
 func (b *Board) pickRun(now time.Duration, r RunRequest, healthy bool) (e lagoonhead.Endpoint, ok bool) {
-	var best float64
+	var best, weights float64
 	list := b.services[r.Service]
 	b.runSearchStart++
 	for i := range list {
@@ -258,11 +270,19 @@
 		if t.endpoint.Role() == lagoonhead.RolePrefill || !t.eligible(now, r.Avoid, healthy) {
 			continue
 		}
-		load := float64(b.running(now, t)) / float64(max(1, t.endpoint.Slots()))
-		if t.endpoint.FailureDomain() != r.Near {
-			load += crossDomainCost
+		load := b.runLoad(now, t, r)
+		if b.Spread {
+			// Each endpoint is chosen with a probability in proportion to its weight.
+			w := max(minSpreadWeight, 1-load)
+			if r.Transfer && t.endpoint.FailureDomain() != r.Near {
+				w *= farTransferWeight
+			}
+			weights += w
+			if rand.Float64()*weights < w {
+				ok, e = true, t.endpoint
+			}
+			continue
 		}
-		load += float64(b.risk(now, t, r.Retryable)) / float64(fullBatchCost)
 		if !ok || load < best {
 			best, ok, e = load, true, t.endpoint
 		}
@@ -270,6 +290,18 @@
 	return e, ok
 }
 
+// runLoad returns the cost of a run at a target, as a fraction of a full batch.
+func (b *Board) runLoad(now time.Duration, t *target, r RunRequest) float64 {
+	load := float64(b.running(now, t)) / float64(max(1, t.endpoint.Slots()))
+	if b.Spread {
+		load = min(load, 1) * spreadDamping
+	}
+	if t.endpoint.FailureDomain() != r.Near {
+		load += crossDomainCost
+	}
+	return load + float64(b.risk(now, t, r.Retryable))/float64(fullBatchCost)
+}
+
 // HasRole reports whether an engine of the service with the role can get work.
 func (b *Board) HasRole(now time.Duration, service string, r lagoonhead.Role) bool {
 	return slices.ContainsFunc(b.services[service], func(t *target) bool {
