Remember denials of tokens and bound the calls to peers

Each refused request of a workspace above its rate asked up to four holders, twice. When one of them was slow, thousands of calls and their connections took all descriptors ("accept4: too many open files" at the peers' listener), so configurations and callers waited.

Change: a denial holds for 200 ms for requests of the workspace that are at least as large; 24 requests ask at the same time, the others wait or are refused; a daemon has at most 32 connections to a peer.

--- a/admit/ask.go
+++ b/admit/ask.go
@@ -15,6 +15,15 @@
 	maxAskRetryAfter = 10 * time.Second
 	// retrySpread is the random part of a Retry-After time, as a fraction of it.
 	retrySpread = 0.25
+	// denialTime is the time for which a denial of the lenders holds for other requests of
+	// the workspace that are at least as large. Without it each refused request of a
+	// workspace far above its rate would cost several calls to peers.
+	denialTime = 200 * time.Millisecond
+	// maxAsks bounds the requests that ask lenders at the same time, and askRetryInterval is
+	// the time between two attempts of the others to begin. When peers are slow, the calls
+	// would take all descriptors otherwise.
+	maxAsks          = 24
+	askRetryInterval = 5 * time.Millisecond
 	// unknownWait is the estimate of a lender whose bucket does not refill or is too small.
 	unknownWait = 2 * time.Second
 )
@@ -40,9 +49,40 @@
 	return min(wait, maxAskRetryAfter)
 }
 
-// askLenders asks the lenders for the tokens of a request. If they expect to have them
-// within the time that the request may wait, it asks a second time then.
+// denial is the last answer of the lenders that they have too few tokens.
+type denial struct {
+	// charge is that of the smallest request that was denied.
+	charge int64
+	// until is the end of the time for which the denial holds, and readyAt the time at which
+	// the lenders expect to have the tokens.
+	until, readyAt time.Duration
+}
+
+// deniedFor returns after what time the tokens of a request are expected if the lenders have
+// just denied as many, or 0.
+func (ws *workspaceState) deniedFor(now time.Duration, charge int64) time.Duration {
+	if now >= ws.denied.until || charge < ws.denied.charge {
+		return 0
+	}
+	return max(time.Millisecond, ws.denied.readyAt-now)
+}
+
+// deny records that the lenders expect the tokens of a request after the given time.
+func (ws *workspaceState) deny(now time.Duration, charge int64, wait time.Duration) {
+	if now >= ws.denied.until {
+		ws.denied = denial{charge: charge, until: now + denialTime, readyAt: now + wait}
+	}
+	ws.denied.charge = min(ws.denied.charge, charge)
+}
+
+// askLenders asks the lenders for the tokens of a request, unless they have just denied as
+// many. If they expect to have them within the time that the request may wait, it asks a
+// second time then.
 func (r *Runner) askLenders(ctx context.Context, w *waiter) (lagoonhead.Reservation, error) {
+	if err := r.beginAsk(ctx, w); err != nil {
+		return nil, err
+	}
+	defer func() { <-r.asking }()
 	for round := 0; ; round++ {
 		if res := r.askOnce(ctx, w); res != nil {
 			return res, nil
@@ -50,6 +90,9 @@
 		now := r.Timer.Now()
 		wait := r.expectedWait(now, w)
 		if round > 0 || now+wait > w.until {
+			r.mu.Lock()
+			w.workspace.deny(now, w.request.Charge(), wait)
+			r.mu.Unlock()
 			return nil, r.refuseAsked(now, w, wait)
 		}
 		if err := r.Timer.Sleep(ctx, wait); err != nil {
@@ -58,6 +101,31 @@
 	}
 }
 
+// beginAsk waits until the request may ask the lenders. It returns an error if they have
+// just denied as many tokens, or if the request's time to wait is over.
+func (r *Runner) beginAsk(ctx context.Context, w *waiter) error {
+	for {
+		now := r.Timer.Now()
+		r.mu.Lock()
+		wait := w.workspace.deniedFor(now, w.request.Charge())
+		r.mu.Unlock()
+		if wait > 0 {
+			return r.refuseAsked(now, w, wait)
+		}
+		select {
+		case r.asking <- struct{}{}:
+			return nil
+		default:
+		}
+		if now >= w.until {
+			return r.refuseAsked(now, w, unknownWait)
+		}
+		if err := r.Timer.Sleep(ctx, askRetryInterval); err != nil {
+			return &Error{Fault: lagoonhead.Fault{Op: "admit.admit", Kind: lagoonhead.KindTimeout, Err: err}}
+		}
+	}
+}
+
 // askOnce asks the lenders one after another until the request can be charged, and returns
 // its reservation, or nil.
 func (r *Runner) askOnce(ctx context.Context, w *waiter) *reservation {
--- a/admit/ask_test.go
+++ b/admit/ask_test.go
@@ -152,3 +152,34 @@
 	}
 	require.Less(t, asked.refusedIn, overloadPatience+100*time.Millisecond)
 }
+
+// Guards against refused requests of a workspace far above its rate that each cost several
+// calls to peers: when these are slow, the calls take all descriptors of the daemon.
+func TestRefusalsCostFewCalls(t *testing.T) {
+	synctest.Test(t, func(*testing.T) {
+		c := newClusterOf(overloadVMs, lagoonhead.Quota{Rate: overloadRate, Burst: overloadRate}, func(r *Runner) {
+			r.SlotCount, r.MaxWait = 6, overloadPatience
+			r.AskDirectly, r.MaxHomes, r.Tolerance = true, 2, overloadTolerance
+		})
+		defer c.end()
+		time.Sleep(30 * time.Second)
+		without := slices.IndexFunc(c.nodes, func(n *node) bool { return len(n.runner.SlotsInUse()) == 0 })
+		require.GreaterOrEqual(t, without, 0, "a daemon without slots must ask others")
+		r := c.nodes[without].runner
+		const seconds, perSecond = 4, 1000
+		var w sync.WaitGroup
+		for i := range seconds * perSecond {
+			w.Go(func() {
+				time.Sleep(time.Duration(i) * time.Second / perSecond)
+				if res, err := r.Admit(context.Background(), newRequest(c, "w", 200+i%7*1000)); err == nil {
+					res.Settle(res.(*reservation).receipt.Charged())
+				}
+			})
+		}
+		w.Wait()
+		asks, admitted := r.counters.asks.Value(), r.counters.waited.Value()
+		t.Logf("%d requests, %d admitted, %d calls", seconds*perSecond, admitted, asks)
+		rounds := int64(seconds*time.Second/denialTime) * 7 // for each size
+		require.Less(t, asks, 4*admitted+4*rounds)
+	})
+}
--- a/admit/runner.go
+++ b/admit/runner.go
@@ -103,6 +103,7 @@
 	once         sync.Once
 	counters     counters
 	wake         chan struct{} // wakes runQueue
+	asking       chan struct{} // holds an element for each request that asks lenders
 	reread       chan struct{} // triggers a read of the slot table by runSlots
 	loanReturns  *ring.Ring[loanReturn]
 	peerRevision atomic.Int64 // newest revision of the slot table at any peer
@@ -160,6 +161,7 @@
 		}
 		r.wake = make(chan struct{}, 1)
 		r.reread = make(chan struct{}, 1)
+		r.asking = make(chan struct{}, maxAsks)
 		r.loanReturns = ring.New[loanReturn](1024)
 		r.SlotsKey = cmp.Or(r.SlotsKey, limit.SlotsKey)
 		r.slots.VM, r.slots.Incarnation, r.slots.NoEarlierProcess, r.slots.OnlyListed = r.VM, r.Incarnation, r.NoEarlierProcess, r.OnlyListed
--- a/admit/workspace.go
+++ b/admit/workspace.go
@@ -79,6 +79,7 @@
 	// covered by the refill, as of refusedAt.
 	refusedTokens float64
 	refusedAt     time.Duration
+	denied        denial
 }
 
 const (
--- a/peer/pool.go
+++ b/peer/pool.go
@@ -15,6 +15,9 @@
 	idleTimeout = 30 * time.Second
 	// idleConnsPerPeer is the maximum number of idle connections to one peer.
 	idleConnsPerPeer = 8
+	// connsPerPeer is the maximum number of connections to one peer. Further calls wait, so
+	// that a slow peer does not take all descriptors.
+	connsPerPeer = 32
 )
 
 // Pool returns clients for peers by address. The clients share a connection pool. Set
@@ -72,6 +75,7 @@
 		DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
 		TLSClientConfig:     p.TLS,
 		MaxIdleConnsPerHost: idleConnsPerPeer,
+		MaxConnsPerHost:     connsPerPeer,
 		IdleConnTimeout:     idleTimeout,
 	}
 }
