--- a/billing/open.go
+++ b/billing/open.go
@@ -18,8 +18,8 @@
 	// openWindows is the number of windows whose counts are stored: the open one, and the
 	// last one, which may not be sealed yet.
 	openWindows = 2
-	// openInterval is the time between two writes of OpenCountsKey. Each write ends the
-	// pending watches of all daemons, which last a second at most.
+	// openInterval is the time between two writes of OpenCountsKey, and between two requests
+	// for the counts of other daemons. What was counted since is lost if all VMs lose power.
 	openInterval = time.Second
 	// openTimeout bounds a call of the store for OpenCountsKey, so that a slow store does not
 	// delay the reports.
