Read the store when what the hub has is old

A daemon that is no reader took an update of up to 2.5 s of age for fresh and waited 1.2 s more for the next one, so that a change that no reader hears in time is in force after 3.7 s and the calls.

Change: the age of the entries decides, not the time of the update: beyond 2.2 s the daemon reads the store.

TestOldUpdatesDoNotKeepADaemonFromTheStore.

--- a/entry/attachment.go
+++ b/entry/attachment.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"slices"
 	"sync"
 	"time"
 
@@ -13,13 +14,11 @@
 	// hubRetryTime is how long a hub that did not respond, or has lost the store, comes
 	// last.
 	hubRetryTime = 2 * time.Second
-	// maxUpdateGap is the time without a fresh update of a hub after which a daemon that is
-	// no reader reads the store itself. The time in which a change must be
-	// in force everywhere is at least twice as long.
-	maxUpdateGap = 1200 * time.Millisecond
-	// maxUpdateAge is the maximum age of the entries in a fresh update. A reader's watch
-	// that returns nothing takes WatchTimeout, and an update passes two hubs at most.
-	maxUpdateAge = WatchTimeout + 1500*time.Millisecond
+	// maxUpdateAge is the maximum age of the entries in an update that counts, and the age of
+	// the copy from which on a daemon that is no reader reads the store itself. A reader's
+	// watch that returns nothing takes WatchTimeout, and an update passes two hubs at most.
+	// Where there are attached daemons a change must be in force within 3 s.
+	maxUpdateAge = WatchTimeout + 1200*time.Millisecond
 )
 
 // attachment chooses the peers that this daemon exchanges heartbeats with: all hubs if it is
@@ -33,10 +32,10 @@
 	mu sync.Mutex
 	// failed holds the hubs that did not respond or have lost the store, with the time.
 	failed map[lagoonhead.VMID]time.Duration
-	// updated is true once a hub that reaches the store has sent an update, and updatedAt
-	// the time of the request for the newest one.
-	updated   bool
-	updatedAt time.Duration
+	// updated is true once a hub has sent a fresh update, and current the latest time since
+	// boot at which the store had what the updates brought.
+	updated bool
+	current time.Duration
 }
 
 // peers returns the VMs to exchange heartbeats with.
@@ -84,18 +83,26 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if fresh {
-		a.updated, a.updatedAt = true, max(a.updatedAt, sent)
+		a.updated, a.current = true, max(a.current, sent-a.age(u.Prefixes))
 	}
 }
 
+// age returns the age of the oldest of the prefixes whose changes must be in force soon.
+func (a *attachment) age(list []mirror.PrefixState) (oldest time.Duration) {
+	for _, s := range list {
+		if slices.Contains(a.prefixes, s.Prefix) {
+			oldest = max(oldest, s.Age)
+		}
+	}
+	return oldest
+}
+
 // isFresh reports whether a copy shows what the store had lately.
 func (a *attachment) isFresh(list []mirror.PrefixState) bool {
 	fresh := 0
 	for _, s := range list {
-		for _, p := range a.prefixes {
-			if s.Prefix == p && !s.Lost && s.Age >= 0 && s.Age <= maxUpdateAge {
-				fresh++
-			}
+		if slices.Contains(a.prefixes, s.Prefix) && !s.Lost && s.Age >= 0 && s.Age <= maxUpdateAge {
+			fresh++
 		}
 	}
 	return fresh == len(a.prefixes)
@@ -114,5 +121,5 @@
 	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	return a.updated && a.timer.Now()-a.updatedAt <= maxUpdateGap
+	return a.updated && a.timer.Now()-a.current <= maxUpdateAge
 }
--- a/entry/members_test.go
+++ b/entry/members_test.go
@@ -55,7 +55,7 @@
 	require.Len(t, first, 1)
 	a.merged(first[0].ID(), update(0, false), clock.Now())
 	require.True(t, a.idle())
-	clock.Advance(maxUpdateGap)
+	clock.Advance(maxUpdateAge)
 	require.True(t, a.idle())
 	clock.Advance(1)
 	require.False(t, a.idle())
@@ -76,6 +76,24 @@
 	require.Len(t, a.peers(), 1, "one is tried while all have failed")
 }
 
+// Guards against a daemon that relies on its hub although the entries are old: the age of an
+// update and the time since it must not add up. A leaving endpoint got work 4 s after its
+// entry had changed.
+func TestOldUpdatesDoNotKeepADaemonFromTheStore(t *testing.T) {
+	clock := timer.NewManual(time.Hour, time.Unix(0, 0))
+	a := attached(t, clock)
+	first := a.peers()[0].ID()
+	changed := clock.Now()
+	for clock.Now()-changed < 10*time.Second {
+		a.merged(first, update(clock.Now()-changed, false), clock.Now())
+		if !a.idle() {
+			break
+		}
+		clock.Advance(100 * time.Millisecond)
+	}
+	require.LessOrEqual(t, clock.Now()-changed, 2500*time.Millisecond, "a change must be in force within 3 s")
+}
+
 // Guards against a daemon that does not know the fleet yet and waits for a hub.
 func TestANewDaemonReadsTheStore(t *testing.T) {
 	m := &members{self: "a", seeds: []lagoonhead.VM{lagoonhead.NewVM("seed", "", "10.0.0.1:1", false)}}
