mirror: one of several peers that lost the store is no outage

A hub hears from several others. Each heartbeat of one that has lost the store was reported as an outage, and the next one of another as its end; each such end keeps endpoints whose entries are gone for 2.2 s more. The guard against this stood in Copy.Failed, for calls of this daemon, and not in the merge of updates.

Change: one condition for both. What a peer has lost is an outage only if the last update of a peer that reaches the store came from that peer, or more than a second ago.

--- a/mirror/copy.go
+++ b/mirror/copy.go
@@ -90,11 +90,16 @@
 	syncedAt time.Duration
 	lost     bool
 	// mergedAt is the time of the last merge of an update from a peer that reached the
-	// store.
-	merged   bool
-	mergedAt time.Duration
+	// store, and mergedFrom that peer.
+	merged     bool
+	mergedAt   time.Duration
+	mergedFrom lagoonhead.Incarnation
 }
 
+// isKeptUp reports whether a peer that reaches the store has brought an update lately. If so,
+// the store rejects only the daemon whose call has failed.
+func (p *prefixState) isKeptUp(at time.Duration) bool { return p.merged && at-p.mergedAt <= peerGrace }
+
 // Copy is a daemon's copy of the followed entries. It is safe for concurrent use. Create it
 // with NewCopy.
 type Copy struct {
@@ -226,13 +231,13 @@
 }
 
 // Failed reports to the follower of a prefix that the store did not respond, unless a peer
-// that reaches the store keeps the copy up to date: then the store rejects only this daemon.
+// keeps the copy up to date.
 func (c *Copy) Failed(prefix string, at time.Duration, err error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	p := c.prefixes[prefix]
 	p.lost = true
-	if !p.merged || at-p.mergedAt > peerGrace {
+	if !p.isKeptUp(at) {
 		p.follower.StoreLost(at, err)
 	}
 }
@@ -383,7 +388,7 @@
 	c.endChanges()
 	for _, s := range u.Prefixes {
 		if p := c.prefixes[s.Prefix]; p != nil && s.Revision > 0 {
-			c.mergeState(p, s, at, maxAge)
+			c.mergeState(p, s, u.Source, at, maxAge)
 		}
 	}
 }
@@ -409,14 +414,14 @@
 	}
 }
 
-// mergeState applies the state of a prefix at a peer, as of the given time.
-func (c *Copy) mergeState(p *prefixState, s PrefixState, at, maxAge time.Duration) {
+// mergeState applies the state of a prefix at a peer, as of the given time. That the peer has
+// lost the store is an outage if this copy relies on the peer.
+func (c *Copy) mergeState(p *prefixState, s PrefixState, from lagoonhead.Incarnation, at, maxAge time.Duration) {
 	switch {
 	case s.Age >= 0 && s.Age <= maxAge && !s.Lost:
-		p.merged, p.mergedAt = true, at
+		p.merged, p.mergedAt, p.mergedFrom = true, at, from
 		c.sync(s.Prefix, s.Revision, at-s.Age)
-	case s.Lost && p.merged && !p.lost:
-		// The store is lost to the peer whose updates keep this copy up to date.
+	case s.Lost && p.merged && !p.lost && (from == p.mergedFrom || !p.isKeptUp(at)):
 		p.lost = true
 		p.follower.StoreLost(at, nil)
 	}
--- a/mirror/copy_test.go
+++ b/mirror/copy_test.go
@@ -125,6 +125,26 @@
 	require.Equal(t, 2, p.losses)
 }
 
+// Guards against an outage that is reported because one of several peers has lost the store:
+// each report keeps endpoints whose entries are gone for a while longer, so that one that
+// has left would get work for as long as the peers' reports alternate.
+func TestOnePeerThatLostTheStoreIsNoOutage(t *testing.T) {
+	cut, _, _ := newCopy("cut")
+	hub, _, _ := newCopy("hub")
+	c, p, _ := newCopy("a")
+	cut.Listed("p/", nil, 1, start)
+	cut.Failed("p/", start, nil)
+	for i := range 20 {
+		now := start + time.Duration(i)*100*time.Millisecond
+		hub.Listed("p/", nil, 1, now)
+		pull(c, hub, now)
+		pull(c, cut, now)
+	}
+	require.Zero(t, p.losses)
+	pull(c, cut, start+time.Minute)
+	require.Equal(t, 1, p.losses, "no other peer reaches the store")
+}
+
 // Guards against an update of a peer that has not reached the store lately and counts as new.
 func TestOldUpdatesAreNotSynced(t *testing.T) {
 	hub, _, _ := newCopy("hub")
