--- a/admit/borrow.go
+++ b/admit/borrow.go
@@ -54,14 +54,12 @@
 func (r *Runner) borrow(ctx context.Context, ws *workspaceState) {
 	for _, l := range r.sortedLenders(ws) {
 		r.mu.Lock()
-		need := ws.borrowNeed(r.Timer.Now())
+		now := r.Timer.Now()
+		need, waited := ws.borrowNeed(now), ws.headWaited(now)
 		r.mu.Unlock()
 		if need <= 0 || ctx.Err() != nil {
 			break
 		}
-		r.mu.Lock()
-		waited := ws.headWaited(r.Timer.Now())
-		r.mu.Unlock()
 		r.borrowFrom(ctx, ws, l, need, waited)
 	}
 	now := r.Timer.Now()
--- a/entry/state.go
+++ b/entry/state.go
@@ -109,10 +109,8 @@
 // Applied reports the changes of the list.
 func (p *endpoints) Applied() { p.notify() }
 
-func (p *endpoints) Synced(at time.Duration) {
-	p.roster.Synced(at)
-	p.notify()
-}
+// Synced reports to the roster that the store is reachable; Applied has reported the changes.
+func (p *endpoints) Synced(at time.Duration) { p.roster.Synced(at) }
 
 func (p *endpoints) StoreLost(time.Duration, error) { p.roster.StoreLost() }
 
--- a/hub/hub.go
+++ b/hub/hub.go
@@ -15,8 +15,8 @@
 	MaxFlat = 12
 	// minPerDomain is the number of hubs of a failure domain, so that one can fail.
 	minPerDomain = 2
-	// maxAttached is the number of VMs of a failure domain for each hub. A hub takes about
-	// 0.3 ms of processor time for a heartbeat of an attached VM, four times a second.
+	// maxAttached is the number of VMs of a failure domain for each hub. It bounds the
+	// heartbeats that a hub answers.
 	maxAttached = 32
 	// maxReaders is the number of hubs of a large fleet that read the store for all. They
 	// are in different failure domains if there are as many.
--- a/mirror/copy.go
+++ b/mirror/copy.go
@@ -131,14 +131,14 @@
 	return c
 }
 
-// prefix returns the state of the prefix that a key is under, or nil. The caller holds mu.
-func (c *Copy) prefix(key string) *prefixState {
+// prefix returns the prefix that a key is under, with its state, or nil. The caller holds mu.
+func (c *Copy) prefix(key string) (string, *prefixState) {
 	for p, s := range c.prefixes {
 		if strings.HasPrefix(key, p) {
-			return s
+			return p, s
 		}
 	}
-	return nil
+	return "", nil
 }
 
 // Revision returns the revision up to which the entries under a prefix are known, or 0.
@@ -254,7 +254,7 @@
 }
 
 func (c *Copy) put(e lagoonhead.Entry) {
-	p := c.prefix(e.Key)
+	_, p := c.prefix(e.Key)
 	if p == nil || e.Revision <= c.entries[e.Key].Revision {
 		return
 	}
@@ -267,7 +267,7 @@
 func (c *Copy) remove(key string, revision int64) {
 	delete(c.entries, key)
 	c.record(Change{Entry: lagoonhead.Entry{Key: key, Revision: revision}, Removed: true})
-	p := c.prefix(key)
+	_, p := c.prefix(key)
 	p.changed = true
 	p.follower.Removed(key)
 }
@@ -330,12 +330,8 @@
 		known[s.Prefix] = s.Revision
 	}
 	lacks := func(v Change) bool {
-		for prefix := range c.prefixes {
-			if strings.HasPrefix(v.Entry.Key, prefix) {
-				return v.Entry.Revision > known[prefix]
-			}
-		}
-		return false
+		prefix, s := c.prefix(v.Entry.Key)
+		return s != nil && v.Entry.Revision > known[prefix]
 	}
 	if p.Source == c.source && p.Sequence <= c.sequence && p.Sequence >= c.oldestSequence() {
 		for _, v := range c.history {
@@ -371,7 +367,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for _, v := range u.Changes {
-		p := c.prefix(v.Entry.Key)
+		_, p := c.prefix(v.Entry.Key)
 		if p == nil {
 			continue
 		}
