--- a/hub/hub_test.go
+++ b/hub/hub_test.go
@@ -1,7 +1,9 @@
 package hub
 
 import (
+	"flag"
 	"fmt"
+	"os"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -10,6 +12,16 @@
 	"github.com/lagoonhead/lagoonhead"
 )
 
+// TestMain sets a fixed seed for the property tests unless the command line sets one, so that
+// runs in CI are reproducible.
+func TestMain(m *testing.M) {
+	flag.Parse()
+	if f := flag.Lookup("rapid.seed"); f.Value.String() == f.DefValue {
+		_ = f.Value.Set("1")
+	}
+	os.Exit(m.Run())
+}
+
 // fleet returns VMs in the given number of failure domains, the first few of each with a
 // larger capacity.
 func fleet(domains, perDomain, large int) []lagoonhead.VM {
--- a/mirror/copy_test.go
+++ b/mirror/copy_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"flag"
 	"fmt"
 	"maps"
+	"os"
 	"strconv"
 	"testing"
 	"time"
@@ -21,6 +23,16 @@
 	maxAge = 2 * time.Second
 )
 
+// TestMain sets a fixed seed for the property tests unless the command line sets one, so that
+// runs in CI are reproducible.
+func TestMain(m *testing.M) {
+	flag.Parse()
+	if f := flag.Lookup("rapid.seed"); f.Value.String() == f.DefValue {
+		_ = f.Value.Set("1")
+	}
+	os.Exit(m.Run())
+}
+
 // newCopy returns a copy of the prefixes p/ and q/ with their followers.
 func newCopy(in lagoonhead.Incarnation) (c *Copy, p, q *recorder) {
 	p, q = newRecorder(), newRecorder()
