Log the prompt parts of attempts that broke off, and ignored crashes

'endpoint crashed' lists the parts that other prompts may share; the start of a storm is logged with the number of endpoints. Nothing is decided differently. Tests of outlog, suspect, dispatch and steer pass.

--- a/daemon/build.go
+++ b/daemon/build.go
@@ -103,7 +103,7 @@
 	}
 	b.pool = &peer.Pool{Token: token, TLS: client}
 	b.exchanger = &peer.Exchanger{Pool: b.pool, Timer: b.timer, Self: b.settings.VM.ID}
-	b.suspects = suspect.NotifyingTable{Table: &suspect.Table{Timer: b.timer}, SendHeartbeat: b.exchanger.ExchangeNow}
+	b.suspects = suspect.NotifyingTable{Table: &suspect.Table{Timer: b.timer, Log: b.log}, SendHeartbeat: b.exchanger.ExchangeNow}
 	return nil
 }
 
--- a/dispatch/request.go
+++ b/dispatch/request.go
@@ -185,6 +185,8 @@
 		result = steer.Bad
 	}
 	if k == lagoonhead.KindCrashed {
+		r.Log.Warn("endpoint crashed", zap.String("endpoint", string(e.ID())), zap.String("request", string(r.call.ID)),
+			zap.String("route", r.route.Name), zap.Strings("parts", r.call.Prompt.SharedParts()))
 		r.Suspects.Crashed(r.demand.Fingerprint(), e.ID())
 	}
 	r.avoid = append(r.avoid, e.ID())
--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -250,7 +250,7 @@
 func (d *Daemon) buildWork() {
 	s := d.Settings
 	d.pool = &peer.Pool{}
-	d.suspects = &suspect.Table{Timer: d.Timer}
+	d.suspects = &suspect.Table{Timer: d.Timer, Log: d.Log}
 	d.exchanger = &peer.Exchanger{
 		Pool: d.pool, Timer: d.Timer, Self: s.VM, Peers: d.attachment.peers, Timeout: exchangeTimeout,
 		OnFailure: func(v lagoonhead.VM) { d.attachment.fail(v.ID()) },
--- a/steer/board.go
+++ b/steer/board.go
@@ -46,6 +46,16 @@
 	Parts []Part
 }
 
+// SharedParts returns the identifiers of the parts that other prompts may share: all but the
+// last one.
+func (p Prompt) SharedParts() []string {
+	var ids []string
+	for i := range len(p.Parts) - 1 {
+		ids = append(ids, p.Parts[i].ID)
+	}
+	return ids
+}
+
 // shared returns the hash of the last shared part and the number of tokens up to its end,
 // or 0 when the shared prefix is too short to track which engine has it cached.
 func (p Prompt) shared() (part uint64, tokens int) {
--- a/suspect/table.go
+++ b/suspect/table.go
@@ -7,6 +7,8 @@
 	"sync/atomic"
 	"time"
 
+	"go.uber.org/zap"
+
 	"github.com/lagoonhead/lagoonhead"
 	"github.com/lagoonhead/lagoonhead/timer"
 )
@@ -90,6 +92,8 @@
 	// MaxEntries bounds the table; 0 means 4,096. A new entry replaces the least suspicious
 	// one when the table is full.
 	MaxEntries int
+	// Log receives a line when crashes are ignored. It may be nil.
+	Log *zap.Logger
 
 	// size lets Check return without the lock while the table is empty.
 	size            atomic.Int64
@@ -195,6 +199,9 @@
 	t.verdictsCurrent = false
 	if t.storms.add(id, now) && !t.oneExplains(t.storms.endpoints()) {
 		t.storms.start(now)
+		if t.Log != nil {
+			t.Log.Warn("crashes ignored: endpoints were lost together", zap.Int("count", len(t.storms.endpoints())))
+		}
 		t.removeCrashes(t.storms.endpoints())
 	}
 }
