Refuse requests with a prompt part that crashes engines

Cause: suspects were identified by a hash of the whole request. What they share, a part of the prompt, was not looked at. A second gap beside it: a request that had waited, or whose attempt had failed, was sent on without another look at what had crashed meanwhile. Change: suspect.Parts keeps the crashes of engines by prompt part; answers clear a part; heartbeats carry both. Suspects and parts are checked before each send.

--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -75,6 +75,7 @@
 	Catalogs    Catalogs
 	Admitter    lagoonhead.Admitter
 	Suspects    lagoonhead.SuspectTracker
+	Parts       lagoonhead.PartTracker
 	Sender      lagoonhead.Sender
 	Usage       UsageCounter
 	RetryBudget RetryBudget
@@ -164,7 +165,7 @@
 	if rt == nil {
 		return nil, failf("open", lagoonhead.KindNotFound, "no route for %s%s", c.Host, c.URL.EscapedPath())
 	}
-	r := &request{Dispatcher: d, call: c, sink: s, route: rt, configVersion: cat.Version(), arrived: d.Timer.Now()}
+	r := &request{Dispatcher: d, call: c, sink: s, route: rt, configVersion: cat.Version(), arrived: d.Timer.Now(), parts: c.Prompt.SharedParts()}
 	if !rt.NoAPIKey {
 		if r.workspace = cat.WorkspaceByKey(c.Key); r.workspace == nil {
 			return nil, failf("open", lagoonhead.KindUnauthenticated, "the key is not known")
--- a/dispatch/dispatcher_test.go
+++ b/dispatch/dispatcher_test.go
@@ -105,6 +105,12 @@
 func (noSuspects) Crashed(uint64, lagoonhead.EndpointID) {}
 func (noSuspects) Finished(uint64)                       {}
 
+type noSuspectParts struct{}
+
+func (noSuspectParts) Check([]string) error                  { return nil }
+func (noSuspectParts) Crashed([]string, lagoonhead.Endpoint) {}
+func (noSuspectParts) Finished([]string)                     {}
+
 type unlimitedRetries struct{}
 
 func (unlimitedRetries) CountRequest(string) {}
@@ -127,7 +133,7 @@
 			route("stream", catalog.Route{Streaming: true}),
 			route("resumable", catalog.Route{Streaming: true, Resumable: true}),
 		}})},
-		Suspects: noSuspects{}, Sender: s, Usage: new(usageCount), RetryBudget: unlimitedRetries{},
+		Suspects: noSuspects{}, Parts: noSuspectParts{}, Sender: s, Usage: new(usageCount), RetryBudget: unlimitedRetries{},
 		Timer: timer.NewManual(time.Hour, time.Unix(0, 0)), Domain: "x",
 	}
 	var list []lagoonhead.Endpoint
--- a/dispatch/plain.go
+++ b/dispatch/plain.go
@@ -36,6 +36,10 @@
 	var fallback *fullAnswer
 	var last error
 	for {
+		if err := r.checkSuspects(); err != nil {
+			last = err
+			break
+		}
 		e, err := r.pickRun(r.Domain, false)
 		if err != nil {
 			break
@@ -86,6 +90,9 @@
 		r.recordFailure(ctx, e, "run", failf("plain", lagoonhead.KindUnknown, "status %d", w.Status))
 		return w, nil
 	}
+	if w.Status < http.StatusMultipleChoices {
+		r.Parts.Finished(r.parts)
+	}
 	r.recordResult(e, steer.Good)
 	return w, nil
 }
--- a/dispatch/request.go
+++ b/dispatch/request.go
@@ -29,6 +29,8 @@
 	arrived       time.Duration
 	deadline      time.Duration
 	demand        *lagoonhead.Request
+	// parts are the identifiers of the prompt's parts that other prompts may share.
+	parts []string
 
 	avoid []lagoonhead.EndpointID
 	sends int
@@ -64,8 +66,8 @@
 	}
 	ctx, cancel := context.WithTimeoutCause(ctx, r.remaining(), errDeadline)
 	defer cancel()
-	if _, err := r.Suspects.Check(r.demand.Fingerprint()); err != nil {
-		return fail("suspect", lagoonhead.KindUnavailable, err)
+	if err := r.checkSuspects(); err != nil {
+		return err
 	}
 	reservation, err := r.admit(ctx)
 	if err != nil {
@@ -83,6 +85,21 @@
 	return err
 }
 
+// checkSuspects returns an error if the request, or a part of its prompt, has crashed endpoints.
+// It is called before each send, since others may have crashed meanwhile.
+func (r *request) checkSuspects() error {
+	_, err := r.Suspects.Check(r.demand.Fingerprint())
+	if err == nil {
+		err = r.Parts.Check(r.parts)
+	}
+	if err == nil {
+		return nil
+	}
+	e := fail("suspect", lagoonhead.KindUnavailable, err)
+	e.retryAfter = RetryAfter(err)
+	return e
+}
+
 // admit reserves the tokens of the workspace, if it has a rate limit.
 func (r *request) admit(ctx context.Context) (lagoonhead.Reservation, error) {
 	if r.workspace == nil || r.workspace.Quota.Rate <= 0 {
@@ -186,7 +203,9 @@
 	}
 	if k == lagoonhead.KindCrashed {
 		r.Log.Warn("endpoint crashed", zap.String("endpoint", string(e.ID())), zap.String("request", string(r.call.ID)),
-			zap.String("route", r.route.Name), zap.Strings("parts", r.call.Prompt.SharedParts()))
+			zap.String("route", r.route.Name), zap.Strings("parts", r.parts))
+		// Before Suspects, which sends both to the peers at once.
+		r.Parts.Crashed(r.parts, e)
 		r.Suspects.Crashed(r.demand.Fingerprint(), e.ID())
 	}
 	r.avoid = append(r.avoid, e.ID())
--- a/dispatch/stream.go
+++ b/dispatch/stream.go
@@ -45,6 +45,9 @@
 	var handle *lagoonhead.KVHandle
 	defer func() { r.release(handle) }()
 	for {
+		if err := r.checkSuspects(); err != nil {
+			return r.finalError(ctx, err)
+		}
 		choice, err := r.prefill(ctx, &handle)
 		if err != nil {
 			return r.finalError(ctx, err)
@@ -107,11 +110,14 @@
 		h, err := r.prefillSeparately(ctx, v)
 		if err == nil {
 			*handle = &h
-			return nil, nil
+			return nil, r.checkSuspects()
 		}
 		if ctx.Err() != nil || !r.mayRetry(ctx, fail("prefill", lagoonhead.KindUnavailable, err)) {
 			return nil, err
 		}
+		if err := r.checkSuspects(); err != nil {
+			return nil, err
+		}
 	}
 }
 
@@ -212,7 +218,9 @@
 	if ans.Status != http.StatusOK {
 		return r.forwardNonStream(ctx, e, ans)
 	}
+	answered := false
 	err = r.relayEvents(ans, silenceTimer, func() {
+		answered = true
 		endPrefillOnce(r.Timer.Now() - began)
 		if h != nil {
 			now := r.Timer.Now()
@@ -223,6 +231,9 @@
 		r.recordFailure(ctx, e, "stream", err)
 		return err
 	}
+	if answered {
+		r.Parts.Finished(r.parts)
+	}
 	r.recordResult(e, steer.Good)
 	return nil
 }
--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -121,6 +121,7 @@
 	exchanger   *peer.Exchanger
 	pool        *peer.Pool
 	suspects    *suspect.Table
+	parts       *suspect.Parts
 	admit       *admit.Runner
 	tally       *billing.Tally
 	dispatcher  *dispatch.Dispatcher
@@ -251,6 +252,7 @@
 	s := d.Settings
 	d.pool = &peer.Pool{}
 	d.suspects = &suspect.Table{Timer: d.Timer, Log: d.Log}
+	d.parts = &suspect.Parts{Timer: d.Timer, Log: d.Log}
 	d.exchanger = &peer.Exchanger{
 		Pool: d.pool, Timer: d.Timer, Self: s.VM, Peers: d.attachment.peers, Timeout: exchangeTimeout,
 		OnFailure: func(v lagoonhead.VM) { d.attachment.fail(v.ID()) },
@@ -270,12 +272,12 @@
 	}
 	d.tally = &billing.Tally{Incarnation: d.incarnation, Timer: &timer.JumpFilter{Timer: d.Timer}, Window: s.UsageWindow, PeerInterval: d.exchanger.PeerInterval}
 	d.dispatcher = &dispatch.Dispatcher{
-		Catalogs: d.config, Admitter: d.admit, Suspects: suspect.NotifyingTable{Table: d.suspects, SendHeartbeat: d.exchanger.ExchangeNow}, Sender: d.Platform.Sender,
+		Catalogs: d.config, Admitter: d.admit, Suspects: suspect.NotifyingTable{Table: d.suspects, SendHeartbeat: d.exchanger.ExchangeNow}, Parts: d.parts, Sender: d.Platform.Sender,
 		Usage: d.tally, RetryBudget: newRetries(s, d.members, d.Timer), Timer: d.Timer, Log: d.Log, Domain: s.FailureDomain,
 	}
 	d.heartbeats = &heartbeats{
 		self: s.VM, incarnation: d.incarnation, timer: d.Timer, log: d.Log, config: d.config, copy: d.copy, members: d.members,
-		attachment: d.attachment, admit: d.admit, suspects: d.suspects, dispatcher: d.dispatcher, tally: d.tally,
+		attachment: d.attachment, admit: d.admit, suspects: d.suspects, parts: d.parts, dispatcher: d.dispatcher, tally: d.tally,
 		ready: d.ready, roleChanges: &d.roleChanges, peerInterval: d.exchanger.PeerInterval,
 	}
 	d.exchanger.Source, d.exchanger.OnResponse = d.heartbeats, d.heartbeats.answered
@@ -320,6 +322,7 @@
 	d.vars.Set("duties", d.keeper.Vars())
 	d.vars.Set("heartbeats", d.exchanger.Vars())
 	d.vars.Set("suspects", d.suspects.Vars())
+	d.vars.Set("promptParts", d.parts.Vars())
 	return tasks
 }
 
--- a/entry/heartbeats.go
+++ b/entry/heartbeats.go
@@ -28,6 +28,7 @@
 	attachment  *attachment
 	admit       *admit.Runner
 	suspects    *suspect.Table
+	parts       *suspect.Parts
 	dispatcher  *dispatch.Dispatcher
 	tally       *billing.Tally
 	ready       func() error
@@ -83,7 +84,7 @@
 func (b *heartbeats) heartbeat(to steer.Recipient) *peer.Heartbeat {
 	h := &peer.Heartbeat{
 		Vm: string(b.self), Incarnation: string(b.incarnation), Revision: b.config.version(), Ready: b.ready() == nil,
-		Suspects: b.suspects.Notices(), Hub: b.members.isHub(),
+		Suspects: b.suspects.Notices(), Parts: b.parts.Notices(), Hub: b.members.isHub(),
 	}
 	for _, s := range b.admit.SlotsInUse() {
 		h.Slots = append(h.Slots, int32(s))
@@ -126,6 +127,7 @@
 func (b *heartbeats) merge(h *peer.Heartbeat) {
 	vm := lagoonhead.VMID(h.GetVm())
 	b.suspects.Merge(h.GetSuspects())
+	b.parts.Merge(h.GetParts())
 	works := make([]steer.Work, 0, len(h.GetWork()))
 	for _, w := range h.GetWork() {
 		works = append(works, steer.Work{
--- a/suspect/notice.go
+++ b/suspect/notice.go
@@ -84,7 +84,7 @@
 }
 
 func (t *Table) merge(n *peer.SuspectNotice, now time.Duration) {
-	age := time.Duration(min(max(n.GetAgeMs(), 0), RememberedFor.Milliseconds())) * time.Millisecond
+	age := noticeAge(n.GetAgeMs())
 	ids := n.GetEndpoints()
 	if len(ids) == 0 || age >= RememberedFor || (len(ids) == 1 && age >= SuspectFor) {
 		return
--- a/suspect/table.go
+++ b/suspect/table.go
@@ -144,7 +144,7 @@
 	}
 	if t.refuses(e, now) {
 		t.counters.refusals.Add(1)
-		return true, refusal()
+		return true, refusal(ErrRefused, 0)
 	}
 	return !e.innocent() && now-e.newestCrash < SuspectFor, nil
 }
