Take unframed streams that broke off for crashes

Callers saw status 200 with an empty body where an engine crashed between the header and the first event of a stream that has neither a length nor chunks. Cause: such a stream ends with its connection, so that the end of a crashed engine reads as a clean end. Within an event it was an error, but of unknown kind, so that it did not count against the part that crashes engines either. Change: Answer.Unframed; without an event such a stream has broken off; a stream that ends within an event counts as a crash.

--- a/dispatch/dispatcher_test.go
+++ b/dispatch/dispatcher_test.go
@@ -30,6 +30,7 @@
 	Status    int
 	Body      string
 	Cut       bool
+	Unframed  bool
 	LongBytes int `yaml:"longBytes"`
 	// After is the ID of the event behind which the request must ask to resume.
 	After string
@@ -75,7 +76,7 @@
 	if v.Cut {
 		body = io.MultiReader(body, iotest.ErrReader(errCut))
 	}
-	return &lagoonhead.Answer{Status: v.Status, Header: http.Header{}, Body: io.NopCloser(body)}, nil
+	return &lagoonhead.Answer{Status: v.Status, Header: http.Header{}, Body: io.NopCloser(body), Unframed: v.Unframed}, nil
 }
 
 func (s *scriptedSender) Prefill(context.Context, *lagoonhead.Attempt) (lagoonhead.KVHandle, error) {
--- a/dispatch/stream.go
+++ b/dispatch/stream.go
@@ -289,6 +289,9 @@
 	events := sse.NewReader(ans.Body, maxEventBytes)
 	for n := 0; ; n++ {
 		v, err := events.Next()
+		if errors.Is(err, io.EOF) && n == 0 && ans.Unframed {
+			return failf("relay", lagoonhead.KindCrashed, "the connection ended before the first event")
+		}
 		if errors.Is(err, io.EOF) {
 			// An engine may end a stream without an event when the caller already has all.
 			r.startAnswer(ans)
@@ -346,9 +349,10 @@
 }
 
 // readErrorKind returns the kind of an error while reading an answer: KindCrashed if the
-// sender found that the endpoint crashed, else KindUnknown.
+// sender found that the endpoint crashed, or if a stream ended within an event; else
+// KindUnknown.
 func readErrorKind(err error) lagoonhead.Kind {
-	if lagoonhead.IsKind(err, lagoonhead.KindCrashed) {
+	if lagoonhead.IsKind(err, lagoonhead.KindCrashed) || errors.Is(err, io.ErrUnexpectedEOF) {
 		return lagoonhead.KindCrashed
 	}
 	return lagoonhead.KindUnknown
--- a/forward.go
+++ b/forward.go
@@ -69,6 +69,9 @@
 	// Header holds the headers that may be forwarded to the caller.
 	Header http.Header
 	Body   io.ReadCloser
+	// Unframed reports that the body has neither a length nor chunks. Its end is that of its
+	// connection, which also ends when the endpoint crashes.
+	Unframed bool
 }
 
 // Sender makes single attempts without retries. An error of KindUnavailable means that
