Keep the refused prompt parts in the store

A daemon that starts learns from its peers which parts crash engines. Change: two hubs write the refused parts to fleet/refusedParts when the list changes; all daemons follow that prefix already. Test: TestARefusedPartStaysRefusedAfterARestartOfAllDaemons; without the task the first request with the part after the restart crashed an engine (502).

--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -108,27 +108,28 @@
 	leaving     atomic.Bool
 	vars        *expvar.Map
 
-	config      *configuration
-	endpoints   *endpoints
-	members     *members
-	store       *observedStore
-	copied      *copiedStore
-	copy        *mirror.Copy
-	attachment  *attachment
-	session     *lease.Session // of the presence entry
-	dutySession *lease.Session
-	keeper      *lease.Keeper
-	exchanger   *peer.Exchanger
-	pool        *peer.Pool
-	suspects    *suspect.Table
-	parts       *suspect.Parts
-	admit       *admit.Runner
-	tally       *billing.Tally
-	dispatcher  *dispatch.Dispatcher
-	heartbeats  *heartbeats
-	roleChanges roleChanges
-	connections *connections // of callers
-	meters      meters
+	config       *configuration
+	endpoints    *endpoints
+	members      *members
+	store        *observedStore
+	copied       *copiedStore
+	copy         *mirror.Copy
+	attachment   *attachment
+	session      *lease.Session // of the presence entry
+	dutySession  *lease.Session
+	keeper       *lease.Keeper
+	exchanger    *peer.Exchanger
+	pool         *peer.Pool
+	suspects     *suspect.Table
+	parts        *suspect.Parts
+	refusedParts *refusedParts
+	admit        *admit.Runner
+	tally        *billing.Tally
+	dispatcher   *dispatch.Dispatcher
+	heartbeats   *heartbeats
+	roleChanges  roleChanges
+	connections  *connections // of callers
+	meters       meters
 }
 
 // task is a background task. It runs until its context ends.
@@ -214,7 +215,8 @@
 		decode: d.Platform.DecodeRegistration, timer: d.Timer, log: d.Log, roster: roster.New(), changed: d.updateBoard,
 	}
 	d.members = &members{
-		self: s.VM, domain: s.FailureDomain, log: d.Log, slotsChanged: func() { d.admit.ReadSlots() }, vms: make(map[string]lagoonhead.VM),
+		self: s.VM, domain: s.FailureDomain, log: d.Log, slotsChanged: func() { d.admit.ReadSlots() },
+		refusedParts: func(value []byte) { d.refusedParts.read(value) }, vms: make(map[string]lagoonhead.VM),
 	}
 	for _, a := range s.Seeds {
 		if a != s.Listen.Peers {
@@ -253,6 +255,7 @@
 	d.pool = &peer.Pool{}
 	d.suspects = &suspect.Table{Timer: d.Timer, Log: d.Log}
 	d.parts = &suspect.Parts{Timer: d.Timer, Log: d.Log}
+	d.refusedParts = &refusedParts{parts: d.parts, store: d.copied, timer: d.Timer, log: d.Log, writes: d.storesRefusedParts}
 	d.exchanger = &peer.Exchanger{
 		Pool: d.pool, Timer: d.Timer, Self: s.VM, Peers: d.attachment.peers, Timeout: exchangeTimeout,
 		OnFailure: func(v lagoonhead.VM) { d.attachment.fail(v.ID()) },
@@ -291,7 +294,7 @@
 
 func (d *Daemon) tasks() []task {
 	tasks := []task{
-		d.session.Run, d.dutySession.Run, d.keepPresence, d.keeper.Run, d.exchanger.Run, d.admit.Run,
+		d.session.Run, d.dutySession.Run, d.keepPresence, d.keeper.Run, d.exchanger.Run, d.admit.Run, d.refusedParts.run,
 		func(ctx context.Context) error {
 			timer.Every(ctx, d.Timer, lapsedInterval, func(time.Duration) { d.endpoints.removeLapsed() })
 			return nil
--- a/entry/members.go
+++ b/entry/members.go
@@ -51,6 +51,8 @@
 	log    *zap.Logger
 	// slotsChanged is called when the slot table has changed.
 	slotsChanged func()
+	// refusedParts is called with the value of the key of the refused prompt parts.
+	refusedParts func(value []byte)
 	// seeds are the peers of the settings, with placeholders as identifiers.
 	seeds []lagoonhead.VM
 
@@ -102,11 +104,15 @@
 	return l == nil || l.flat
 }
 
-// Put adds a VM, or reports a change of the slot table.
+// Put adds a VM, or reports a change of the slot table or of the refused prompt parts.
 func (m *members) Put(e lagoonhead.Entry) {
-	if e.Key == slotsKey {
+	switch e.Key {
+	case slotsKey:
 		m.slotsChanged()
 		return
+	case refusedPartsKey:
+		m.refusedParts(e.Value)
+		return
 	}
 	name, ok := strings.CutPrefix(e.Key, memberPrefix)
 	if !ok {
--- a/suspect/partnotice.go
+++ b/suspect/partnotice.go
@@ -38,6 +38,25 @@
 	return out
 }
 
+// Refused returns the parts that are refused, in a fixed order.
+func (p *Parts) Refused() []*peer.PartNotice {
+	if p.size.Load() == 0 {
+		return nil
+	}
+	now := p.Timer.Now()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var out []*peer.PartNotice
+	for _, group := range p.judge(now) {
+		for _, h := range group {
+			if e := p.entries[h]; now-e.newestCrash() < RefusedFor && len(out) < maxNotices {
+				out = append(out, e.notice(h, now))
+			}
+		}
+	}
+	return out
+}
+
 func (e *partEntry) notice(part uint64, now time.Duration) *peer.PartNotice {
 	n := &peer.PartNotice{Part: part, FinishedAgeMs: -1}
 	if e.finished != neverFinished {
