Read the limits that endpoints name, and log their changes

The sender reports the limit of each response; the board keeps the last one and 'endpoint limit' is logged when it changes. Placing does not use it yet.

--- a/dispatch/request.go
+++ b/dispatch/request.go
@@ -142,7 +142,7 @@
 	a := &lagoonhead.Attempt{
 		Endpoint: e, ID: r.call.ID, Method: r.call.Method, Host: r.call.Host, URL: r.call.URL,
 		Header: r.call.Header, Body: r.call.Body, Urgency: r.urgency, TimeLeft: max(r.remaining(), time.Millisecond),
-		LastEventID: r.call.LastEventID,
+		LastEventID: r.call.LastEventID, OnLimit: func(perSecond float64) { r.recordLimit(e, perSecond) },
 	}
 	if r.workspace != nil {
 		a.Workspace = r.workspace.ID
@@ -229,6 +229,17 @@
 	}
 }
 
+// recordLimit records the limit that an endpoint names.
+func (r *request) recordLimit(e lagoonhead.Endpoint, perSecond float64) {
+	now := r.Timer.Now()
+	var changed bool
+	r.WithBoard(func(b *steer.Board) { changed = b.SetLimit(now, e, perSecond) })
+	if changed {
+		r.Log.Info("endpoint limit", zap.String("endpoint", string(e.ID())), zap.Float64("perSecond", perSecond),
+			zap.String("request", string(r.call.ID)))
+	}
+}
+
 // pickRun chooses the endpoint of the next run and counts the run there. transfer reports
 // whether the KV cache of the prompt is in the failure domain near.
 func (r *request) pickRun(near lagoonhead.FailureDomain, transfer bool) (lagoonhead.Endpoint, error) {
--- a/forward.go
+++ b/forward.go
@@ -49,6 +49,10 @@
 	// NewConnection makes the sender use a new connection instead of an idle one, so
 	// that a failure before the request is written is recognized with certainty.
 	NewConnection bool
+	// OnLimit, if set, is called for each response of the endpoint with the limit that the
+	// response names: the requests a second that the endpoint takes from all VMs together,
+	// or 0 if it names none. It is called before the method of Sender returns.
+	OnLimit func(perSecond float64)
 }
 
 // KVHandle identifies the KV cache of a prompt, which an engine keeps until another
--- a/steer/board.go
+++ b/steer/board.go
@@ -134,7 +134,8 @@
 	changingUntil time.Duration
 	cache         *partCache
 	// rate is the measured prefill rate in tokens per millisecond, or 0.
-	rate float64
+	rate  float64
+	limit namedLimit
 }
 
 // running returns the number of requests of all daemons that run on the endpoint.
