Keep to the limits that endpoints name, over all VMs together

Cause: nothing read the limit; an endpoint in need shows neither refusals nor slowness before it breaks, so that the weights of placing did not move. Change: some VMs, chosen by rendezvous over the endpoint, share the limit with a token bucket each; placing leaves out an endpoint whose bucket is empty. Heartbeats carry the newest word of each endpoint. Refusals that come from limits state when the next request is allowed. Number of sharing VMs: with one token each and the rate over 4 s the sum for 3 + rate VMs is 5 rate + 3, where 6 rate + 5 is allowed.

--- a/dispatch/request.go
+++ b/dispatch/request.go
@@ -268,7 +268,8 @@
 
 func (r *request) refuse(format string, args ...any) error {
 	e := failf("place", lagoonhead.KindUnavailable, format, args...)
-	e.retryAfter = busyRetryAfter
+	now := r.Timer.Now()
+	r.WithBoard(func(b *steer.Board) { e.retryAfter = max(busyRetryAfter, b.LimitWait(now, r.service)) })
 	return e
 }
 
--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -278,6 +278,7 @@
 		Catalogs: d.config, Admitter: d.admit, Suspects: suspect.NotifyingTable{Table: d.suspects, SendHeartbeat: d.exchanger.ExchangeNow}, Parts: d.parts, Sender: d.Platform.Sender,
 		Usage: d.tally, RetryBudget: newRetries(s, d.members, d.Timer), Timer: d.Timer, Log: d.Log, Domain: s.FailureDomain,
 	}
+	d.dispatcher.WithBoard(func(b *steer.Board) { b.LimitShare = d.members.limitShare })
 	d.heartbeats = &heartbeats{
 		self: s.VM, incarnation: d.incarnation, timer: d.Timer, log: d.Log, config: d.config, copy: d.copy, members: d.members,
 		attachment: d.attachment, admit: d.admit, suspects: d.suspects, parts: d.parts, dispatcher: d.dispatcher, tally: d.tally,
--- a/entry/heartbeats.go
+++ b/entry/heartbeats.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"go.uber.org/zap"
+	"google.golang.org/protobuf/proto"
 
 	"github.com/lagoonhead/lagoonhead"
 	"github.com/lagoonhead/lagoonhead/admit"
@@ -92,10 +93,14 @@
 	now := b.timer.Now()
 	b.dispatcher.WithBoard(func(board *steer.Board) {
 		for _, w := range board.Report(now, to) {
-			h.Work = append(h.Work, &peer.EndpointWork{
+			n := &peer.EndpointWork{
 				Endpoint: string(w.Endpoint), PrefillTokens: int64(w.PrefillTokens), Running: int32(w.Running), PrefilledTotal: w.PrefillTotal,
-				RunTotal: w.RunTotal, Read: w.RecentParts, Good: w.Good, Bad: w.Bad,
-			})
+				RunTotal: w.RunTotal, Read: w.RecentParts, Good: w.Good, Bad: w.Bad, LimitPerSecond: w.Limit,
+			}
+			if w.HasLimit {
+				n.LimitAgeMs = proto.Int64(w.LimitAge.Milliseconds())
+			}
+			h.Work = append(h.Work, n)
 		}
 	})
 	for id, until := range b.roleChanges.announced(now, to.Hub) {
@@ -133,7 +138,8 @@
 		works = append(works, steer.Work{
 			Endpoint: lagoonhead.EndpointID(w.GetEndpoint()), PrefillTokens: int(w.GetPrefillTokens()), Running: int(w.GetRunning()),
 			PrefillTotal: w.GetPrefilledTotal(), RunTotal: w.GetRunTotal(), RecentParts: w.GetRead(),
-			Good: w.GetGood(), Bad: w.GetBad(),
+			Good: w.GetGood(), Bad: w.GetBad(), Limit: w.GetLimitPerSecond(), HasLimit: w.LimitAgeMs != nil,
+			LimitAge: time.Duration(w.GetLimitAgeMs()) * time.Millisecond,
 		})
 	}
 	now := b.timer.Now()
--- a/entry/members.go
+++ b/entry/members.go
@@ -11,7 +11,9 @@
 
 	"github.com/lagoonhead/lagoonhead"
 	"github.com/lagoonhead/lagoonhead/hub"
+	"github.com/lagoonhead/lagoonhead/lease"
 	"github.com/lagoonhead/lagoonhead/mirror"
+	"github.com/lagoonhead/lagoonhead/steer"
 )
 
 // fleetPrefix is the prefix of the keys in which the daemons keep what all of them follow:
@@ -104,6 +106,20 @@
 	return l == nil || l.flat
 }
 
+// limitShare returns the share of this VM in a limit that an endpoint names, both in requests a
+// second. While the VMs are not known it has none.
+func (m *members) limitShare(e lagoonhead.EndpointID, perSecond float64) float64 {
+	l := m.layout()
+	if l == nil {
+		return 0
+	}
+	holders := steer.LimitHolders(perSecond, len(l.VMs()))
+	if !lease.IsCandidate(l.VMs(), m.self, "limit/"+string(e), holders) {
+		return 0
+	}
+	return perSecond / float64(holders)
+}
+
 // Put adds a VM, or reports a change of the slot table or of the refused prompt parts.
 func (m *members) Put(e lagoonhead.Entry) {
 	switch e.Key {
--- a/steer/board.go
+++ b/steer/board.go
@@ -86,6 +86,12 @@
 	Good, Bad int64
 	// RecentParts holds the hashes of the shared parts that were prefilled most recently.
 	RecentParts []uint64
+	// Limit is the limit that the endpoint named, in requests a second of all VMs together,
+	// or 0 if it ended lately, and LimitAge is the time since it said so. They are set if
+	// HasLimit is true.
+	Limit    float64
+	LimitAge time.Duration
+	HasLimit bool
 }
 
 // peerWork is the newest report of a peer on its work at one endpoint.
@@ -177,6 +183,9 @@
 	// PeerInterval is the usual interval between two reports of one peer; 0 means
 	// that it is short.
 	PeerInterval time.Duration
+	// LimitShare returns the share of this VM in a limit that an endpoint names, both in
+	// requests a second. It may be nil if there is one VM.
+	LimitShare func(e lagoonhead.EndpointID, perSecond float64) float64
 
 	targets  map[lagoonhead.EndpointID]*target
 	services map[string][]*target
@@ -236,6 +245,7 @@
 			t.outcomes.add(now, float64(next.good-old.good), float64(next.bad-old.bad))
 		}
 		next.received, next.hub = now, hub
+		t.mergeLimit(now, &w)
 		for _, part := range w.RecentParts {
 			t.cache.addFromPeer(now, b.reportTTL(), part, vm, hub)
 		}
@@ -301,7 +311,7 @@
 
 // hasAny reports whether there is anything to report.
 func (w Work) hasAny() bool {
-	return w.PrefillTokens > 0 || w.Running > 0 || w.PrefillTotal > 0 || w.RunTotal > 0 || w.Good > 0 || w.Bad > 0 || len(w.RecentParts) > 0
+	return w.PrefillTokens > 0 || w.Running > 0 || w.PrefillTotal > 0 || w.RunTotal > 0 || w.Good > 0 || w.Bad > 0 || len(w.RecentParts) > 0 || w.HasLimit
 }
 
 func (b *Board) reportOf(now time.Duration, t *target, to Recipient) Work {
@@ -320,6 +330,7 @@
 		}
 	}
 	w.RecentParts = t.cache.recentSince(now-ttl, to)
+	t.reportLimit(now, &w)
 	return w
 }
 
--- a/steer/pick.go
+++ b/steer/pick.go
@@ -92,12 +92,16 @@
 // of the choice: a shared part that is cached on one more engine, the time that other
 // requests on the engine lose, and the engine's failure rate. An engine that is done when
 // the prompt is due is preferred to one that costs less. An engine that is excluded after
-// failures is chosen only if there is no other. ok is false when there is none.
+// failures is chosen only if there is no other; one whose limit does not allow another request
+// is never chosen. ok is false when there is none.
 func (b *Board) PickPrefill(now time.Duration, r PrefillRequest) (c PrefillChoice, ok bool) {
-	if c, ok = b.pickPrefill(now, r, true); ok {
-		return c, true
+	if c, ok = b.pickPrefill(now, r, true); !ok {
+		c, ok = b.pickPrefill(now, r, false)
 	}
-	return b.pickPrefill(now, r, false)
+	if ok {
+		b.findTarget(c.Endpoint).take()
+	}
+	return c, ok
 }
 
 func (b *Board) pickPrefill(now time.Duration, r PrefillRequest, healthy bool) (c PrefillChoice, ok bool) {
@@ -106,7 +110,7 @@
 	var best time.Duration
 	for pass := range 2 {
 		for _, t := range b.services[r.Service] {
-			if !t.eligible(now, r.Avoid, healthy) {
+			if !t.eligible(now, r.Avoid, healthy) || !b.allows(now, t) {
 				continue
 			}
 			v, cost, fits := b.evaluate(now, t, r, part, shared, homes)
@@ -250,14 +254,17 @@
 
 // PickRun chooses the endpoint that runs a request: the one with the emptiest batch and
 // the lowest failure rate, in the failure domain Near if the difference is small. Engines
-// that only prefill are left out, and an endpoint that is excluded after failures is chosen
-// only if there is no other. With Spread it draws one at random, the emptier the likelier. ok
+// that only prefill are left out, and so are endpoints whose limit does not allow another
+// request; an endpoint that is excluded after failures is chosen only if there is no other. With Spread it draws one at random, the emptier the likelier. ok
 // is false when there is none.
 func (b *Board) PickRun(now time.Duration, r RunRequest) (e lagoonhead.Endpoint, ok bool) {
-	if e, ok = b.pickRun(now, r, true); ok {
-		return e, true
+	if e, ok = b.pickRun(now, r, true); !ok {
+		e, ok = b.pickRun(now, r, false)
 	}
-	return b.pickRun(now, r, false)
+	if ok {
+		b.findTarget(e).take()
+	}
+	return e, ok
 }
 
 func (b *Board) pickRun(now time.Duration, r RunRequest, healthy bool) (e lagoonhead.Endpoint, ok bool) {
@@ -267,7 +274,7 @@
 	for i := range list {
 		// The start of the search rotates, so that equal endpoints are chosen round-robin.
 		t := list[(i+int(b.runSearchStart%uint64(len(list))))%len(list)]
-		if t.endpoint.Role() == lagoonhead.RolePrefill || !t.eligible(now, r.Avoid, healthy) {
+		if t.endpoint.Role() == lagoonhead.RolePrefill || !t.eligible(now, r.Avoid, healthy) || !b.allows(now, t) {
 			continue
 		}
 		load := b.runLoad(now, t, r)
