Be ready only once placing knows an endpoint

A daemon was ready when the roster had an endpoint, which placing learns a moment later, so that a request in between was refused. Change: ready asks the board that placing uses. Test: TestReadyOnceEndpointsCanBeChosen, failing before.

--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -200,7 +200,9 @@
 	if d.config.Catalog() == nil {
 		return failf("ready", lagoonhead.KindUnavailable, "there is no configuration yet")
 	}
-	if d.endpoints.roster.Len() == 0 {
+	var placeable int
+	d.dispatcher.WithBoard(func(b *steer.Board) { placeable = b.Len() })
+	if placeable == 0 {
 		return failf("ready", lagoonhead.KindUnavailable, "no endpoint is known yet")
 	}
 	return nil
--- a/steer/board.go
+++ b/steer/board.go
@@ -228,6 +228,9 @@
 	b.targets, b.services = next, services
 }
 
+// Len returns the number of endpoints.
+func (b *Board) Len() int { return len(b.targets) }
+
 // SetPeerWork replaces the work that a peer reported before by its new report. hub reports
 // whether the peer is a hub.
 func (b *Board) SetPeerWork(now time.Duration, vm lagoonhead.VMID, hub bool, works []Work) {
