Try a refused prompt part once a minute at one hub

A part can be refused wrongly where traffic is thin: three engines that are lost one after the other, with no answer in between, refuse a part that all requests of a kind share, for ten minutes. One hub, chosen by rendezvous over the part, now lets one request through a minute after the newest crash; its answer clears the part everywhere, its crash costs one engine a minute. Test: a script of TestRefusedParts, which also checks that a request that was let through passes the later checks before its sends.

--- a/directory.go
+++ b/directory.go
@@ -96,9 +96,9 @@
 // PartTracker tracks the prompt parts that crash the engines which answer requests with them.
 // Parts are the identifiers of those parts of a prompt that other prompts may share.
 type PartTracker interface {
-	// Check returns an error of KindForbidden, which is a RetryAfterer, when the prompt has
-	// a part that crashes engines.
-	Check(parts []string) error
+	// Check returns an error of KindForbidden, which is a RetryAfterer, when the prompt of a
+	// request has a part that crashes engines.
+	Check(id RequestID, parts []string) error
 	// Crashed records that the engine crashed while it ran a request with the parts.
 	Crashed(parts []string, e Endpoint)
 	// Finished records that a request with the parts got a whole answer.
--- a/dispatch/dispatcher_test.go
+++ b/dispatch/dispatcher_test.go
@@ -108,9 +108,9 @@
 
 type noSuspectParts struct{}
 
-func (noSuspectParts) Check([]string) error                  { return nil }
-func (noSuspectParts) Crashed([]string, lagoonhead.Endpoint) {}
-func (noSuspectParts) Finished([]string)                     {}
+func (noSuspectParts) Check(lagoonhead.RequestID, []string) error { return nil }
+func (noSuspectParts) Crashed([]string, lagoonhead.Endpoint)      {}
+func (noSuspectParts) Finished([]string)                          {}
 
 type unlimitedRetries struct{}
 
--- a/dispatch/request.go
+++ b/dispatch/request.go
@@ -90,7 +90,7 @@
 func (r *request) checkSuspects() error {
 	_, err := r.Suspects.Check(r.demand.Fingerprint())
 	if err == nil {
-		err = r.Parts.Check(r.parts)
+		err = r.Parts.Check(r.call.ID, r.parts)
 	}
 	if err == nil {
 		return nil
--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -256,7 +256,7 @@
 	s := d.Settings
 	d.pool = &peer.Pool{}
 	d.suspects = &suspect.Table{Timer: d.Timer, Log: d.Log}
-	d.parts = &suspect.Parts{Timer: d.Timer, Log: d.Log}
+	d.parts = &suspect.Parts{Timer: d.Timer, Log: d.Log, Probes: d.probesPart}
 	d.refusedParts = &refusedParts{parts: d.parts, store: d.copied, timer: d.Timer, log: d.Log, writes: d.storesRefusedParts}
 	d.exchanger = &peer.Exchanger{
 		Pool: d.pool, Timer: d.Timer, Self: s.VM, Peers: d.attachment.peers, Timeout: exchangeTimeout,
--- a/entry/refusedparts.go
+++ b/entry/refusedparts.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"maps"
+	"strconv"
 	"sync"
 	"time"
 
@@ -108,3 +109,8 @@
 func (d *Daemon) storesRefusedParts() bool {
 	return !d.leaving.Load() && lease.IsCandidate(d.members.Hubs(), d.Settings.VM, refusedPartsKey, refusedPartsWriters)
 }
+
+// probesPart reports whether this daemon is the one that tries a refused part early.
+func (d *Daemon) probesPart(part uint64) bool {
+	return lease.IsCandidate(d.members.Hubs(), d.Settings.VM, "probe/"+strconv.FormatUint(part, 16), 1)
+}
--- a/suspect/parts.go
+++ b/suspect/parts.go
@@ -23,8 +23,12 @@
 	maxPartCrashes = 16
 	// maxPartName bounds the identifier of a part in logs, in bytes.
 	maxPartName = 64
-	// probeInterval is the shortest time between two requests with a part whose refusal is
-	// over, until one of them has ended.
+	// probeAfter is the time after the newest crash from which one VM lets a request with a
+	// refused part through, so that a part that was refused wrongly is cleared before
+	// RefusedFor. A part that crashes engines costs one engine in this time.
+	probeAfter = time.Minute
+	// probeInterval is the shortest time between two such requests of a VM, until the first
+	// has ended.
 	probeInterval = 30 * time.Second
 )
 
@@ -46,8 +50,10 @@
 	finished time.Duration
 	// changedAt is the time of the last change, which is sent to peers for noticePeriod.
 	changedAt time.Duration
-	// probedAt is the time when a request was last let through after a refusal.
+	// probedAt is the time when a request was last let through after a refusal, and probe
+	// that request.
 	probedAt time.Duration
+	probe    lagoonhead.RequestID
 }
 
 func (e *partEntry) newestCrash() time.Duration {
@@ -101,6 +107,9 @@
 	Timer timer.Timer
 	// Log receives a line when a part is refused or allowed again. It may be nil.
 	Log *zap.Logger
+	// Probes reports whether this VM lets requests with a part through early; see probeAfter.
+	// It may be nil if none does.
+	Probes func(part uint64) bool
 	// MaxEntries bounds the table; 0 means 4,096. A new entry replaces the one with the
 	// fewest crashes when the table is full.
 	MaxEntries int
@@ -133,7 +142,7 @@
 
 // Check returns an error of KindForbidden if the prompt has a part that crashes engines. The
 // error has the time after which a request with the part is let through again.
-func (p *Parts) Check(parts []string) error {
+func (p *Parts) Check(id lagoonhead.RequestID, parts []string) error {
 	if p.size.Load() == 0 || len(parts) == 0 {
 		return nil
 	}
@@ -147,7 +156,7 @@
 		if !containsAll(hashes, group) {
 			continue
 		}
-		if wait := p.refusedFor(now, group); wait > 0 {
+		if wait := p.refusedFor(now, id, group); wait > 0 {
 			p.refusals.Add(1)
 			return refusal(ErrPartRefused, wait)
 		}
@@ -156,16 +165,23 @@
 }
 
 // refusedFor returns for how long a group of parts is refused. When the refusal is over, it
-// returns 0 for one request in probeInterval.
-func (p *Parts) refusedFor(now time.Duration, group []uint64) time.Duration {
+// returns 0 for one request in probeInterval, each time that it is checked.
+func (p *Parts) refusedFor(now time.Duration, id lagoonhead.RequestID, group []uint64) time.Duration {
 	e := p.entries[group[0]]
-	if wait := e.newestCrash() + RefusedFor - now; wait > 0 {
+	limit := RefusedFor
+	if p.Probes != nil && p.Probes(group[0]) {
+		limit = probeAfter
+	}
+	if wait := e.newestCrash() + limit - now; wait > 0 {
 		return wait
 	}
 	if wait := e.probedAt + probeInterval - now; e.probedAt > e.newestCrash() && wait > 0 {
+		if id == e.probe {
+			return 0
+		}
 		return wait
 	}
-	e.probedAt = now
+	e.probedAt, e.probe = now, id
 	return 0
 }
 
--- a/suspect/parts_test.go
+++ b/suspect/parts_test.go
@@ -24,8 +24,9 @@
 }
 
 type partCase struct {
-	Name  string
-	Steps []partStep
+	Name   string
+	Probes bool
+	Steps  []partStep
 }
 
 func crashedEngine(id lagoonhead.EndpointID) lagoonhead.Endpoint {
@@ -48,6 +49,7 @@
 	for _, c := range cases {
 		t.Run(c.Name, func(t *testing.T) {
 			clock, vms := partPeers()
+			vms[0].Probes = func(uint64) bool { return c.Probes }
 			start := clock.Now()
 			for i, s := range c.Steps {
 				clock.Advance(start + time.Duration(s.At*float64(time.Second)) - clock.Now())
@@ -59,9 +61,12 @@
 					v.Finished(s.Parts)
 				default:
 					require.NotEqual(t, s.Refused, s.Allowed, "step %d", i)
-					err := v.Check(s.Parts)
+					id := lagoonhead.RequestID(fmt.Sprint("r", i))
+					err := v.Check(id, s.Parts)
 					require.Equal(t, s.Refused, err != nil, "step %d: %v", i, err)
-					if err != nil {
+					if err == nil {
+						require.NoError(t, v.Check(id, s.Parts), "it is checked before each send")
+					} else {
 						require.ErrorIs(t, err, ErrPartRefused)
 						require.Positive(t, err.(lagoonhead.RetryAfterer).RetryAfter())
 					}
@@ -92,7 +97,7 @@
 	}
 	require.LessOrEqual(t, len(p.entries), 8)
 	require.LessOrEqual(t, len(p.Notices()), maxNotices)
-	require.Error(t, p.Check([]string{"bad"}))
+	require.Error(t, p.Check("r", []string{"bad"}))
 }
 
 // Guards against a cause that is not found, or sound parts that stay refused, whatever the
@@ -116,9 +121,9 @@
 			vms[0].Merge(vms[1].Notices())
 		}
 		for _, v := range vms {
-			require.Error(t, v.Check([]string{"a", "b", "c", "d", "bad"}), "the cause is among the parts")
+			require.Error(t, v.Check("r", []string{"a", "b", "c", "d", "bad"}), "the cause is among the parts")
 			for _, p := range []string{"a", "b", "c", "d"} {
-				require.NoError(t, v.Check([]string{p}), "part %s is sound", p)
+				require.NoError(t, v.Check("r", []string{p}), "part %s is sound", p)
 			}
 		}
 	})
