Let a limit end when no response has named it for a second

An endpoint that answers several requests at once may have begun some answers before it named its limit; one of them ended the limit for a moment, in which requests went out freely and after which the bucket began anew. Test: TestALimitEndsWhenNoResponseNamesIt, failing before (by reading: the first response without the limit ended it).

--- a/steer/limit.go
+++ b/steer/limit.go
@@ -15,6 +15,10 @@
 	limitBurstTime = 250 * time.Millisecond
 	// shareTTL is the time for which a VM's share of a limit is kept.
 	shareTTL = 500 * time.Millisecond
+	// unnamedLimitTTL is the time for which a limit stays in force after the last response that
+	// named it, if others do not name it. An endpoint that is busy with several requests may
+	// have begun some of the responses before.
+	unnamedLimitTTL = time.Second
 	// endedLimitTTL is the time for which the end of a limit is told to peers.
 	endedLimitTTL = 10 * time.Second
 )
@@ -122,10 +126,11 @@
 }
 
 // SetLimit records the limit that a response of an endpoint names, in requests a second of all
-// VMs together; 0 means that it names none. It reports whether the limit has changed.
+// VMs together; 0 means that it names none, which ends a limit that no response has named for
+// unnamedLimitTTL. It reports whether the limit has changed.
 func (b *Board) SetLimit(now time.Duration, e lagoonhead.Endpoint, perSecond float64) (changed bool) {
 	t := b.findTarget(e)
-	if t == nil || (perSecond == 0 && t.limit.saidAt == 0) {
+	if t == nil || (perSecond == 0 && (t.limit.saidAt == 0 || now-t.limit.saidAt < unnamedLimitTTL)) {
 		return false
 	}
 	return t.limit.set(now, now, perSecond)
--- a/steer/limit_test.go
+++ b/steer/limit_test.go
@@ -110,6 +110,18 @@
 	require.Zero(t, boards[0].findTarget(restarted).limit.perSecond, "a new process has named no limit")
 }
 
+// Guards against a limit that ends with one response that does not name it, between others
+// that do, and against one that does not end.
+func TestALimitEndsWhenNoResponseNamesIt(t *testing.T) {
+	d := engineAt("d", lagoonhead.RoleDecode)
+	b := newBoard([]lagoonhead.Endpoint{d})
+	require.True(t, b.SetLimit(now, d, 2))
+	require.False(t, b.SetLimit(now+unnamedLimitTTL/2, d, 0))
+	require.False(t, b.SetLimit(now+unnamedLimitTTL/2, d, 2))
+	require.False(t, b.SetLimit(now+unnamedLimitTTL, d, 0))
+	require.True(t, b.SetLimit(now+2*unnamedLimitTTL, d, 0))
+}
+
 // Guards against requests that wait or are refused while an endpoint without a limit is there,
 // and against callers who are told to come back before a request is allowed.
 func TestLimitedEndpointsAreLeftToOthers(t *testing.T) {
