--- a/roster/roster.go
+++ b/roster/roster.go
@@ -128,13 +128,6 @@
 	return r.version
 }
 
-// Len returns the number of live endpoints.
-func (r *Roster) Len() int {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return len(r.endpoints)
-}
-
 // Endpoints returns the live endpoints in any order, and the version.
 func (r *Roster) Endpoints() ([]lagoonhead.Endpoint, int64) {
 	r.mu.Lock()
