--- a/steer/limit_test.go
+++ b/steer/limit_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strconv"
 	"testing"
 	"time"
 
@@ -133,7 +134,7 @@
 		e, ok := b.PickRun(now, RunRequest{Service: model})
 		require.True(t, ok)
 		require.Equal(t, lagoonhead.EndpointID("d1"), e.ID())
-		v, ok := b.PickPrefill(now, prefillRequest(long(fmt.Sprint(i))))
+		v, ok := b.PickPrefill(now, prefillRequest(long(strconv.Itoa(i))))
 		require.True(t, ok)
 		require.Equal(t, lagoonhead.EndpointID("d1"), v.Endpoint.ID())
 	}
