--- a/caller/completion.go
+++ b/caller/completion.go
@@ -76,6 +76,8 @@
 	// mayHaveRun is true once a failed attempt may have reached an engine.
 	mayHaveRun bool
 	attempts   int
+	// blocks are the identifiers of the blocks of the prompt, which other prompts may share.
+	blocks []string
 	// usageRecorded is true once the usage was recorded, which happens right before the
 	// end of a complete response is sent.
 	usageRecorded bool
@@ -83,6 +85,9 @@
 
 func newCompletionRun(x *exchange, req *lagoonhead.Request, body *completionBody) *completionRun {
 	c := &completionRun{exchange: x, request: req, body: body.engineBody(), stream: body.stream, includeUsage: body.includeUsage}
+	for _, h := range req.Blocks() {
+		c.blocks = append(c.blocks, strconv.FormatUint(h, 16))
+	}
 	c.ctx, c.deadline = x.withDeadline(x.httpRequest.Context(), req)
 	return c
 }
@@ -129,11 +134,15 @@
 	}
 }
 
-// place refuses a request that has crashed two endpoints, reserves the tokens and
-// chooses an endpoint.
+// place refuses a request that has crashed two endpoints, or whose prompt has a block that
+// crashes engines, reserves the tokens and chooses an endpoint.
 func (c *completionRun) place() (lagoonhead.Placement, error) {
 	s := c.exchange.server
-	if _, err := s.Suspects.Check(c.request.Fingerprint()); err != nil {
+	_, err := s.Suspects.Check(c.request.Fingerprint())
+	if err == nil {
+		err = s.Parts.Check(c.request.ID(), c.blocks)
+	}
+	if err != nil {
 		s.vars.suspectsRefused.Add(1)
 		return nil, fault("caller.suspect", lagoonhead.KindOf(err), err)
 	}
@@ -292,6 +301,8 @@
 func (c *completionRun) reportCrash(p lagoonhead.Placement, k lagoonhead.Kind) {
 	if k == lagoonhead.KindCrashed {
 		c.exchange.server.vars.crashes.Add(1)
+		// Before Suspects, which sends both to the peers at once.
+		c.exchange.server.Parts.Crashed(c.blocks, p.Endpoint())
 		c.exchange.server.Suspects.Crashed(c.request.Fingerprint(), p.Endpoint().ID())
 	}
 }
@@ -395,6 +406,7 @@
 	c.usageRecorded = true
 	c.settle(prompt + int64(res.OutputTokens))
 	c.exchange.server.Suspects.Finished(c.request.Fingerprint())
+	c.exchange.server.Parts.Finished(c.blocks)
 	p.Done(lagoonhead.Outcome{OutputTokens: res.OutputTokens})
 	c.record(lagoonhead.WorkspaceUsage{PromptTokens: prompt, OutputTokens: int64(res.OutputTokens), Requests: 1})
 }
--- a/caller/server.go
+++ b/caller/server.go
@@ -97,6 +97,7 @@
 	Placer      lagoonhead.Placer
 	Engines     lagoonhead.EngineStreamer
 	Suspects    lagoonhead.SuspectTracker
+	Parts       lagoonhead.PartTracker
 	Usage       lagoonhead.UsageRecorder
 	Decisions   lagoonhead.DecisionRecorder
 	Services    lagoonhead.ServiceCaller
--- a/caller/stub_test.go
+++ b/caller/stub_test.go
@@ -15,6 +15,7 @@
 
 	"github.com/lagoonhead/lagoonhead"
 	"github.com/lagoonhead/lagoonhead/relay"
+	"github.com/lagoonhead/lagoonhead/suspect"
 	"github.com/lagoonhead/lagoonhead/timer"
 )
 
@@ -258,7 +259,7 @@
 	require.NoError(t, err)
 	tm := timer.NewManual(time.Hour, time.Unix(1, 0))
 	s := &Server{
-		Directories: st, Gate: st, Admitter: st, Placer: st, Engines: st, Suspects: st,
+		Directories: st, Gate: st, Admitter: st, Placer: st, Engines: st, Suspects: st, Parts: &suspect.Parts{Timer: tm},
 		Usage: st, Decisions: st, Relay: &relay.Relay{Timer: &timer.System{}, Sealer: seal, WriteTimeout: -1}, Sealer: seal, Timer: tm,
 	}
 	srv := httptest.NewServer(s.Handler())
--- a/daemon/build.go
+++ b/daemon/build.go
@@ -49,6 +49,7 @@
 	vms        *vmPoller
 	config     *config.Runner
 	suspects   suspect.NotifyingTable
+	parts      *suspect.Parts
 	exchanger  *peer.Exchanger
 	placer     *place.Placer
 	classes    *classCounter
@@ -103,6 +104,7 @@
 	}
 	b.pool = &peer.Pool{Token: token, TLS: client}
 	b.exchanger = &peer.Exchanger{Pool: b.pool, Timer: b.timer, Self: b.settings.VM.ID}
+	b.parts = &suspect.Parts{Timer: b.timer, Log: b.log}
 	b.suspects = suspect.NotifyingTable{Table: &suspect.Table{Timer: b.timer, Log: b.log}, SendHeartbeat: b.exchanger.ExchangeNow}
 	return nil
 }
@@ -138,6 +140,7 @@
 	}
 	b.add("enginePolls", b.poller.Run, &b.poller.vars)
 	b.vars.Set("suspects", b.suspects.Vars())
+	b.vars.Set("promptParts", b.parts.Vars())
 	return nil
 }
 
@@ -173,7 +176,7 @@
 	b.vars.Set("services", services.Vars())
 	b.caller = &caller.Server{
 		Listener: l, Directories: b.config, Gate: b.config, Admitter: b.admit, Placer: b.classes,
-		Engines: streamer, Suspects: b.suspects, Usage: b.usage, Decisions: b.decisions,
+		Engines: streamer, Suspects: b.suspects, Parts: b.parts, Usage: b.usage, Decisions: b.decisions,
 		Services: services, Claims: claims, Budget: budget, Relay: streamRelay, Sealer: sealer,
 		Timer: b.timer, Log: b.log, Tracer: b.tracer,
 		Limits: caller.Limits{
@@ -203,7 +206,7 @@
 
 func (b *builder) buildHeartbeats() error {
 	b.heartbeats = &heartbeats{
-		config: b.config, admit: b.admit, placer: b.placer, suspects: b.suspects.Table, poller: b.poller,
+		config: b.config, admit: b.admit, placer: b.placer, suspects: b.suspects.Table, parts: b.parts, poller: b.poller,
 		source: b.config, ready: func() bool { return b.config.Fresh() == nil }, inFlight: b.caller.InFlight,
 		classes: b.classes,
 	}
--- a/daemon/capacity_test.go
+++ b/daemon/capacity_test.go
@@ -51,7 +51,7 @@
 	p := &enginePoller{source: cfg, timer: tm, self: "vm-000", vms: func() []lagoonhead.VM { return list }}
 	x := &heartbeats{
 		config: cfg, admit: &admit.Runner{VM: "vm-000", Timer: tm}, placer: &place.Placer{Source: cfg, Timer: tm},
-		suspects: &suspect.Table{Timer: tm}, poller: p, source: cfg, ready: func() bool { return true },
+		suspects: &suspect.Table{Timer: tm}, parts: &suspect.Parts{Timer: tm}, poller: p, source: cfg, ready: func() bool { return true },
 		inFlight: func(lagoonhead.EndpointID) int { return 0 }, classes: &classCounter{},
 	}
 	p.latest = make(map[lagoonhead.EndpointID]polledReport)
--- a/daemon/heartbeats.go
+++ b/daemon/heartbeats.go
@@ -28,6 +28,7 @@
 	admit    *admit.Runner
 	placer   *place.Placer
 	suspects *suspect.Table
+	parts    *suspect.Parts
 	poller   *enginePoller
 	source   lagoonhead.DirectorySource
 	ready    func() bool
@@ -67,7 +68,7 @@
 // requests in flight, so that the counts are at least as new as the revision.
 func (b *heartbeats) Local() *peer.Heartbeat {
 	h := &peer.Heartbeat{
-		Ready: b.ready(), SlotsRevision: b.admit.SlotsRevision(), Suspects: b.suspects.Notices(), Loads: b.loads(),
+		Ready: b.ready(), SlotsRevision: b.admit.SlotsRevision(), Suspects: b.suspects.Notices(), Parts: b.parts.Notices(), Loads: b.loads(),
 	}
 	own := b.classes.counts()
 	h.EngineRequests = int32(own.all)
@@ -99,9 +100,11 @@
 	b.merge(h)
 }
 
-// merge processes the parts of a heartbeat that do not depend on ages: suspects and loads.
+// merge processes the parts of a heartbeat that do not depend on ages: suspects, prompt
+// parts and loads.
 func (b *heartbeats) merge(h *peer.Heartbeat) {
 	b.suspects.Merge(h.GetSuspects())
+	b.parts.Merge(h.GetParts())
 	for _, l := range h.GetLoads() {
 		b.placer.Report(lagoonhead.LoadReport{
 			Endpoint: lagoonhead.EndpointID(l.GetEndpoint()), Incarnation: lagoonhead.Incarnation(l.GetIncarnation()),
