lagoonheadd: wait until the holder of the usage duty has counted its report

Cause: the platform stores a report before it answers, and the daemon counts it after the answer. The test asked the daemons once, as soon as the platform had a report. Change: the test waits until a daemon has counted a report. What it requires of the holder that was stopped is as before.

--- a/cmd/lagoonheadd/faults_test.go
+++ b/cmd/lagoonheadd/faults_test.go
@@ -225,11 +225,11 @@
 // reports usage although another daemon has become the holder.
 func TestPausedHolderReportsNothingLate(t *testing.T) {
 	f := newFleet(t, 1, 3)
-	eventually(t, "the usage duty is held", func() bool { return len(f.reports(t)) > 0 })
-	holder := slices.IndexFunc(f.daemons, func(d *process) bool {
-		return f.hasReportedUsage(t, d)
+	holder := -1
+	eventually(t, "the usage duty is held", func() bool {
+		holder = slices.IndexFunc(f.daemons, func(d *process) bool { return f.hasReportedUsage(t, d) })
+		return holder >= 0
 	})
-	require.GreaterOrEqual(t, holder, 0)
 	f.daemons[holder].signal(t, syscall.SIGSTOP)
 	before := len(f.reports(t))
 	eventually(t, "another daemon reports", func() bool { return len(f.reports(t)) > before+1 })
