httponce: end the context once the receiver has the request

TestWaitForResponseEndsWithContext, known red: once "unavailable: i/o timeout". Cause: the test ended the context before the request was written, and counted on the write being first. If the deadline is set first, nothing is written and "unavailable" is true. Change: the context ends when the receiver has read the request, which the test requires too.

--- a/httponce/client_test.go
+++ b/httponce/client_test.go
@@ -104,7 +104,23 @@
 	require.NoError(t, err)
 	defer l.Close()
 	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	ended := make(chan struct{})
+	defer close(ended)
+	go func() {
+		conn, err := l.Accept()
+		if err != nil {
+			return
+		}
+		defer conn.Close()
+		if _, err := http.ReadRequest(bufio.NewReader(conn)); err != nil {
+			return
+		}
+		cancel()
+		<-ended
+	}()
 	c := &Client{}
-	_, err = c.Do(ctx, post(t, "http://"+l.Addr().String()), func() error { cancel(); return nil })
+	_, err = c.Do(ctx, post(t, "http://"+l.Addr().String()), nil)
 	require.True(t, lagoonhead.IsKind(err, lagoonhead.KindUnknown), "%v", err)
+	require.ErrorIs(t, ctx.Err(), context.Canceled, "the receiver got the request")
 }
