platform: do not take a refusal for the end of a limit

Found by reading: a response without a limit ends the last one, also where it is a refusal that says that the request has not run. An endpoint in need may refuse before it gets to naming its limit, and what follows is free sending.

--- a/forward.go
+++ b/forward.go
@@ -51,7 +51,8 @@
 	NewConnection bool
 	// OnLimit, if set, is called for each response of the endpoint with the limit that the
 	// response names: the requests a second that the endpoint takes from all VMs together,
-	// or 0 if it names none. It is called before the method of Sender returns.
+	// or 0 if it names none. A refusal that names none says nothing of the limit. OnLimit is
+	// called before the method of Sender returns.
 	OnLimit func(perSecond float64)
 }
 
