--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -326,6 +326,7 @@
 	d.vars.Set("lease", d.session.Vars())
 	d.vars.Set("dutyLease", d.dutySession.Vars())
 	d.vars.Set("duties", d.keeper.Vars())
+	d.vars.Set("members", d.members.vars())
 	d.vars.Set("heartbeats", d.exchanger.Vars())
 	d.vars.Set("suspects", d.suspects.Vars())
 	d.vars.Set("promptParts", d.parts.Vars())
--- a/entry/members.go
+++ b/entry/members.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"expvar"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -106,6 +107,18 @@
 	return l == nil || l.flat
 }
 
+// vars returns the number of VMs that are known, which is 0 before the list is.
+func (m *members) vars() *expvar.Map {
+	v := new(expvar.Map)
+	v.Set("known", expvar.Func(func() any {
+		if l := m.layout(); l != nil {
+			return len(l.VMs())
+		}
+		return 0
+	}))
+	return v
+}
+
 // limitShare returns the share of this VM in a limit that an endpoint names, both in requests a
 // second. While the VMs are not known it has none.
 func (m *members) limitShare(e lagoonhead.EndpointID, perSecond float64) float64 {
