dispatch: take a repeated prefill from the retry budget

Cause, by reading: a request that is refused behind its separate prefill is prefilled again and run again. Both arrive at engines, and only the first prefill that an engine accepts is free; one was taken from the budget. Change: a prefill after the first accepted one is taken from the budget too. Test: TestRepeatedPrefillsAreTakenFromTheRetryBudget failed with two repeats where one was taken.

--- a/dispatch/dispatcher_test.go
+++ b/dispatch/dispatcher_test.go
@@ -172,3 +172,63 @@
 		})
 	}
 }
+
+// refusingSender prefills every prompt and refuses every run. It counts the sends that count
+// towards the retry budget: all but the first prefill and the first run.
+type refusingSender struct {
+	scriptedSender
+	prefills, runs int
+}
+
+func (s *refusingSender) Prefill(_ context.Context, a *lagoonhead.Attempt) (lagoonhead.KVHandle, error) {
+	s.prefills++
+	return lagoonhead.KVHandle{Engine: a.Endpoint, Handle: "h"}, nil
+}
+
+func (s *refusingSender) Send(context.Context, *lagoonhead.Attempt) (*lagoonhead.Answer, error) {
+	s.runs++
+	return nil, fail("script", lagoonhead.KindUnavailable, errors.New("refused"))
+}
+
+func (s *refusingSender) repeats() int { return max(0, s.prefills-1) + max(0, s.runs-1) }
+
+// countedRetries grants a number of sends.
+type countedRetries struct{ left, taken int }
+
+func (r *countedRetries) CountRequest(string) {}
+
+func (r *countedRetries) Take(string) bool {
+	if r.left == 0 {
+		return false
+	}
+	r.left--
+	r.taken++
+	return true
+}
+
+// Guards against a request that is refused behind its prefill and uses more of the retry
+// budget than it took: the next prefill counts as well as the next run.
+func TestRepeatedPrefillsAreTakenFromTheRetryBudget(t *testing.T) {
+	for budget := range 6 {
+		s := &refusingSender{}
+		d := scriptedDispatcher(s)
+		granted := &countedRetries{left: budget}
+		d.RetryBudget = granted
+		var list []lagoonhead.Endpoint
+		for id, role := range map[lagoonhead.EndpointID]lagoonhead.Role{
+			"p": lagoonhead.RolePrefill, "q": lagoonhead.RolePrefill, "a": lagoonhead.RoleDecode, "b": lagoonhead.RoleDecode, "c": lagoonhead.RoleDecode,
+		} {
+			list = append(list, lagoonhead.NewEndpoint(id, lagoonhead.EndpointKindEngine, scriptService, string(id)+":1", "x").WithRole(role).WithSlots(4))
+		}
+		d.WithBoard(func(b *steer.Board) { b.SetEndpoints(list, func(string) int { return 100_000 }) })
+		u, err := url.Parse("http://h/stream/x")
+		require.NoError(t, err)
+		err = d.Serve(t.Context(), &Call{
+			ID: "r", Method: http.MethodPost, Host: "h", URL: u, HasPrompt: true,
+			Prompt: steer.Prompt{Tokens: 20_000, MaxOutput: 10, Parts: []steer.Part{{ID: "shared", Tokens: 16_000}, {ID: "own", Tokens: 4_000}}},
+		}, &recordingSink{})
+		require.True(t, NotRun(err), "%v", err)
+		require.Positive(t, s.prefills, "the prompt is prefilled apart")
+		require.LessOrEqual(t, s.repeats(), granted.taken, "%d prefills and %d runs", s.prefills, s.runs)
+	}
+}
--- a/dispatch/request.go
+++ b/dispatch/request.go
@@ -35,6 +35,8 @@
 	avoid []lagoonhead.EndpointID
 	sends int
 	runs  int // number of endpoints that may have run the request
+	// prefilled is true once an engine has prefilled the prompt apart from the run.
+	prefilled bool
 	// lastAttempt is true while no other endpoint may run the request after this one.
 	lastAttempt  bool
 	usageCounted bool
@@ -160,6 +162,12 @@
 	if !lagoonhead.IsKind(err, lagoonhead.KindUnavailable) && (!r.retryable() || r.runs >= r.route.MaxAttempts) {
 		return false
 	}
+	return r.takeRetry()
+}
+
+// takeRetry takes one send from the retry budget of the service and reports whether the budget
+// allowed it.
+func (r *request) takeRetry() bool {
 	if !r.RetryBudget.Take(r.service) {
 		r.addStep("not repeated: the retry budget of %s is used up", r.service)
 		return false
--- a/dispatch/stream.go
+++ b/dispatch/stream.go
@@ -92,6 +92,9 @@
 	if !r.call.HasPrompt || *handle != nil {
 		return nil, nil
 	}
+	// The first prefill that an engine accepts is no repeat. A later one is, besides the run
+	// behind it, which mayRetry has counted.
+	uncounted := r.prefilled
 	for {
 		v, ok := r.pickPrefill()
 		if !ok {
@@ -107,9 +110,14 @@
 		if !v.PrefillOnly {
 			return &v, nil
 		}
+		if uncounted && !r.takeRetry() {
+			r.endPrefill(v, 0)
+			return nil, failf("prefill", lagoonhead.KindUnavailable, "the retry budget of %s is used up", r.service)
+		}
+		uncounted = false
 		h, err := r.prefillSeparately(ctx, v)
 		if err == nil {
-			*handle = &h
+			*handle, r.prefilled = &h, true
 			return nil, r.checkSuspects()
 		}
 		if ctx.Err() != nil || !r.mayRetry(ctx, fail("prefill", lagoonhead.KindUnavailable, err)) {
