dispatch: refuse a prompt before its prefill where limits allow no run

Callers waited for a prefill and were refused behind it where each engine that may run the prompt had named a limit; the prefill was for nothing. What can't be served is to be refused at once. Cause: placing looked at the limits of the engines that run only once the prompt was prefilled on another engine. The time until the next request leaves engines out that only prefill. Test: TestPromptsThatNoEngineMayRunAreRefusedBeforeTheirPrefill, failing before with one prefill.

--- a/dispatch/dispatcher_test.go
+++ b/dispatch/dispatcher_test.go
@@ -206,6 +206,28 @@
 	return true
 }
 
+// setEngines replaces the engines by others with the given roles and returns them.
+func setEngines(d *Dispatcher, roles map[lagoonhead.EndpointID]lagoonhead.Role) map[lagoonhead.EndpointID]lagoonhead.Endpoint {
+	var list []lagoonhead.Endpoint
+	byID := make(map[lagoonhead.EndpointID]lagoonhead.Endpoint)
+	for id, role := range roles {
+		byID[id] = lagoonhead.NewEndpoint(id, lagoonhead.EndpointKindEngine, scriptService, string(id)+":1", "x").WithRole(role).WithSlots(4)
+		list = append(list, byID[id])
+	}
+	d.WithBoard(func(b *steer.Board) { b.SetEndpoints(list, func(string) int { return 100_000 }) })
+	return byID
+}
+
+// longPrompt returns a call with a prompt that is prefilled apart from its run.
+func longPrompt(t *testing.T) *Call {
+	u, err := url.Parse("http://h/stream/x")
+	require.NoError(t, err)
+	return &Call{
+		ID: "r", Method: http.MethodPost, Host: "h", URL: u, HasPrompt: true,
+		Prompt: steer.Prompt{Tokens: 20_000, MaxOutput: 10, Parts: []steer.Part{{ID: "shared", Tokens: 16_000}, {ID: "own", Tokens: 4_000}}},
+	}
+}
+
 // Guards against a request that is refused behind its prefill and uses more of the retry
 // budget than it took: the next prefill counts as well as the next run.
 func TestRepeatedPrefillsAreTakenFromTheRetryBudget(t *testing.T) {
@@ -214,21 +236,64 @@
 		d := scriptedDispatcher(s)
 		granted := &countedRetries{left: budget}
 		d.RetryBudget = granted
-		var list []lagoonhead.Endpoint
-		for id, role := range map[lagoonhead.EndpointID]lagoonhead.Role{
+		setEngines(d, map[lagoonhead.EndpointID]lagoonhead.Role{
 			"p": lagoonhead.RolePrefill, "q": lagoonhead.RolePrefill, "a": lagoonhead.RoleDecode, "b": lagoonhead.RoleDecode, "c": lagoonhead.RoleDecode,
-		} {
-			list = append(list, lagoonhead.NewEndpoint(id, lagoonhead.EndpointKindEngine, scriptService, string(id)+":1", "x").WithRole(role).WithSlots(4))
-		}
-		d.WithBoard(func(b *steer.Board) { b.SetEndpoints(list, func(string) int { return 100_000 }) })
-		u, err := url.Parse("http://h/stream/x")
-		require.NoError(t, err)
-		err = d.Serve(t.Context(), &Call{
-			ID: "r", Method: http.MethodPost, Host: "h", URL: u, HasPrompt: true,
-			Prompt: steer.Prompt{Tokens: 20_000, MaxOutput: 10, Parts: []steer.Part{{ID: "shared", Tokens: 16_000}, {ID: "own", Tokens: 4_000}}},
-		}, &recordingSink{})
+		})
+		err := d.Serve(t.Context(), longPrompt(t), &recordingSink{})
 		require.True(t, NotRun(err), "%v", err)
 		require.Positive(t, s.prefills, "the prompt is prefilled apart")
 		require.LessOrEqual(t, s.repeats(), granted.taken, "%d prefills and %d runs", s.prefills, s.runs)
 	}
 }
+
+// prefillingSender prefills every prompt and answers every run with a stream. While failing is
+// set it refuses prefills.
+type prefillingSender struct {
+	scriptedSender
+	failing        bool
+	prefills, runs int
+}
+
+func (s *prefillingSender) Prefill(_ context.Context, a *lagoonhead.Attempt) (lagoonhead.KVHandle, error) {
+	s.prefills++
+	if s.failing {
+		return lagoonhead.KVHandle{}, fail("script", lagoonhead.KindUnavailable, errors.New("refused"))
+	}
+	return lagoonhead.KVHandle{Engine: a.Endpoint, Handle: "h"}, nil
+}
+
+func (s *prefillingSender) Send(context.Context, *lagoonhead.Attempt) (*lagoonhead.Answer, error) {
+	s.runs++
+	return &lagoonhead.Answer{Status: http.StatusOK, Header: http.Header{}, Body: io.NopCloser(strings.NewReader("id: 1\ndata: a\n\n"))}, nil
+}
+
+// Guards against prompts that are prefilled and only then refused, since each engine that may
+// run them has a limit, and against a limit that is used up by prefills that failed.
+func TestPromptsThatNoEngineMayRunAreRefusedBeforeTheirPrefill(t *testing.T) {
+	s := &prefillingSender{}
+	d := scriptedDispatcher(s)
+	d.RetryBudget = &countedRetries{}
+	engines := setEngines(d, map[lagoonhead.EndpointID]lagoonhead.Role{"p": lagoonhead.RolePrefill, "q": lagoonhead.RolePrefill, "a": lagoonhead.RoleDecode})
+	clock := d.Timer.(*timer.Manual)
+	d.WithBoard(func(b *steer.Board) {
+		require.True(t, b.SetLimit(clock.Now(), engines["a"], 2))
+	})
+	serve := func() error { return d.Serve(t.Context(), longPrompt(t), &recordingSink{}) }
+
+	err := serve()
+	require.True(t, NotRun(err), "%v", err)
+	require.Zero(t, s.prefills)
+	require.Equal(t, 500*time.Millisecond, RetryAfter(err))
+
+	clock.Advance(500 * time.Millisecond)
+	s.failing = true
+	require.True(t, NotRun(serve()))
+	require.Equal(t, 1, s.prefills)
+	s.failing = false
+	require.NoError(t, serve(), "the limit is not used up by the prefill that failed")
+	require.Equal(t, 2, s.prefills)
+	require.Equal(t, 1, s.runs)
+
+	require.True(t, NotRun(serve()))
+	require.Equal(t, 2, s.prefills)
+}
--- a/dispatch/request.go
+++ b/dispatch/request.go
@@ -37,6 +37,10 @@
 	runs  int // number of endpoints that may have run the request
 	// prefilled is true once an engine has prefilled the prompt apart from the run.
 	prefilled bool
+	// reserved is the engine whose limit has a place for the run behind the prefill until
+	// reservedUntil, or nil.
+	reserved      *lagoonhead.Endpoint
+	reservedUntil time.Duration
 	// lastAttempt is true while no other endpoint may run the request after this one.
 	lastAttempt  bool
 	usageCounted bool
@@ -255,7 +259,7 @@
 	var e lagoonhead.Endpoint
 	var ok bool
 	r.WithBoard(func(b *steer.Board) {
-		if e, ok = b.PickRun(now, steer.RunRequest{Service: r.service, Near: near, Transfer: transfer, Retryable: r.retryable(), Avoid: r.avoid}); ok {
+		if e, ok = b.PickRun(now, r.runRequest(near, transfer)); ok {
 			b.AddRunning(e, 1)
 		}
 	})
@@ -266,6 +270,10 @@
 	return e, nil
 }
 
+func (r *request) runRequest(near lagoonhead.FailureDomain, transfer bool) steer.RunRequest {
+	return steer.RunRequest{Service: r.service, Near: near, Transfer: transfer, Retryable: r.retryable(), Avoid: r.avoid}
+}
+
 func (r *request) endRun(e lagoonhead.Endpoint) {
 	r.WithBoard(func(b *steer.Board) { b.AddRunning(e, -1) })
 }
--- a/dispatch/stream.go
+++ b/dispatch/stream.go
@@ -33,6 +33,10 @@
 	expectedFirstEventTime = 150 * time.Millisecond
 	// releaseTimeout bounds the release of an unused KV cache.
 	releaseTimeout = time.Second
+	// reservationTime is the time within which a reserved run must begin. Runs that are
+	// reserved in one period and begin in another must not add up to more than an endpoint
+	// with a limit takes.
+	reservationTime = 500 * time.Millisecond
 )
 
 // prefillClassBounds are the upper bounds of the prefill classes, in tokens. The unshared part
@@ -43,7 +47,10 @@
 // serveStream serves a request whose answer is a series of events.
 func (r *request) serveStream(ctx context.Context) error {
 	var handle *lagoonhead.KVHandle
-	defer func() { r.release(handle) }()
+	defer func() {
+		r.release(handle)
+		r.returnReservation()
+	}()
 	for {
 		if err := r.checkSuspects(); err != nil {
 			return r.finalError(ctx, err)
@@ -135,14 +142,35 @@
 		Service: r.service, Prompt: r.call.Prompt, Due: r.prefillDue(), MaxPause: r.route.PauseObjective,
 		Retryable: r.retryable(), Avoid: r.avoid,
 	}
+	r.returnReservation()
 	r.WithBoard(func(b *steer.Board) {
-		if v, ok = b.PickPrefill(now, q); ok {
-			b.BeginPrefill(v)
+		if v, ok = b.PickPrefill(now, q); !ok {
+			return
+		}
+		if v.PrefillOnly {
+			var e lagoonhead.Endpoint
+			var reserved bool
+			if e, reserved, ok = b.ReserveRun(now, r.runRequest(v.Endpoint.FailureDomain(), true)); !ok {
+				b.ReturnToLimit(v.Endpoint)
+				return
+			}
+			if reserved {
+				r.reserved, r.reservedUntil = &e, now+reservationTime
+			}
 		}
+		b.BeginPrefill(v)
 	})
 	return v, ok
 }
 
+// returnReservation gives up the place that was reserved for a run.
+func (r *request) returnReservation() {
+	if r.reserved != nil {
+		r.WithBoard(func(b *steer.Board) { b.ReturnToLimit(*r.reserved) })
+		r.reserved = nil
+	}
+}
+
 func (r *request) endPrefill(v steer.PrefillChoice, took time.Duration) {
 	now := r.Timer.Now()
 	r.WithBoard(func(b *steer.Board) { b.EndPrefill(now, v, r.call.Prompt, took) })
@@ -253,11 +281,36 @@
 		return v.Endpoint, nil
 	}
 	if h != nil {
+		if e, ok := r.beginReservedRun(); ok {
+			return e, nil
+		}
 		return r.pickRun(h.Engine.FailureDomain(), true)
 	}
 	return r.pickRun(r.Domain, false)
 }
 
+// beginReservedRun counts the run at the engine that was reserved for it, if there is one that
+// can still be used.
+func (r *request) beginReservedRun() (e lagoonhead.Endpoint, ok bool) {
+	if r.reserved == nil {
+		return e, false
+	}
+	e = *r.reserved
+	now := r.Timer.Now()
+	r.WithBoard(func(b *steer.Board) {
+		if ok = now < r.reservedUntil && b.Usable(now, e); ok {
+			b.AddRunning(e, 1)
+		}
+	})
+	if !ok {
+		r.returnReservation()
+		return e, false
+	}
+	r.reserved = nil
+	r.addStep("run at %s in %s, as reserved", e.ID(), e.FailureDomain())
+	return e, true
+}
+
 // silenceTimeout returns how long an engine may send no whole event before another one is
 // tried. In the last attempt that is all of the remaining time.
 func (r *request) silenceTimeout() time.Duration {
--- a/steer/limit.go
+++ b/steer/limit.go
@@ -111,9 +111,12 @@
 }
 
 // LimitWait returns the time after which this VM may send a request to an endpoint of the
-// service, if all of them have limits; else 0.
+// service that runs requests, if all of them have limits; else 0.
 func (b *Board) LimitWait(now time.Duration, service string) (least time.Duration) {
 	for _, t := range b.services[service] {
+		if t.endpoint.Role() == lagoonhead.RolePrefill {
+			continue
+		}
 		wait, ok := b.limitWait(now, t)
 		if t.limit.perSecond == 0 || (ok && wait == 0) {
 			return 0
@@ -125,6 +128,40 @@
 	return least
 }
 
+// ReserveRun chooses the endpoint of a run that begins later and takes the run from its limit,
+// if all endpoints that may run the request have limits. If others may, the run needs no
+// reservation and reserved is false. ok is false if the limits allow no run now.
+func (b *Board) ReserveRun(now time.Duration, r RunRequest) (e lagoonhead.Endpoint, reserved, ok bool) {
+	limited := false
+	for _, t := range b.services[r.Service] {
+		if t.endpoint.Role() == lagoonhead.RolePrefill || !t.eligible(now, r.Avoid, false) {
+			continue
+		}
+		if t.limit.perSecond == 0 {
+			return e, false, true
+		}
+		limited = true
+	}
+	if !limited {
+		return e, false, true
+	}
+	e, ok = b.PickRun(now, r)
+	return e, ok, ok
+}
+
+// Usable reports whether an endpoint may get a request apart from its limit.
+func (b *Board) Usable(now time.Duration, e lagoonhead.Endpoint) bool {
+	t := b.findTarget(e)
+	return t != nil && t.eligible(now, nil, true)
+}
+
+// ReturnToLimit gives back to the limit of an endpoint a request that was not sent.
+func (b *Board) ReturnToLimit(e lagoonhead.Endpoint) {
+	if t := b.findTarget(e); t != nil && t.limit.perSecond > 0 {
+		t.limit.tokens++
+	}
+}
+
 // SetLimit records the limit that a response of an endpoint names, in requests a second of all
 // VMs together; 0 means that it names none, which ends a limit that no response has named for
 // unnamedLimitTTL. It reports whether the limit has changed.
