dispatch: return to its limit a prefill that is not sent

Found by reading: a prompt that is refused since it would be prefilled too late, or since the retry budget is used up, took a request from the limit of the engine that was to prefill it, so that a limited engine got fewer requests than it takes. Test: TestALatePromptUsesNoLimit, failing before: the next prompt was not prefilled there.

--- a/dispatch/dispatcher_test.go
+++ b/dispatch/dispatcher_test.go
@@ -297,3 +297,21 @@
 	require.True(t, NotRun(serve()))
 	require.Equal(t, 2, s.prefills)
 }
+
+// Guards against a limit that is used up by prompts that are refused because they would be
+// prefilled too late.
+func TestALatePromptUsesNoLimit(t *testing.T) {
+	s := &prefillingSender{}
+	d := scriptedDispatcher(s)
+	engines := setEngines(d, map[lagoonhead.EndpointID]lagoonhead.Role{"p": lagoonhead.RolePrefill, "a": lagoonhead.RoleDecode})
+	clock := d.Timer.(*timer.Manual)
+	d.WithBoard(func(b *steer.Board) { require.True(t, b.SetLimit(clock.Now(), engines["p"], 2)) })
+	clock.Advance(500 * time.Millisecond)
+
+	late := longPrompt(t)
+	late.Timeout = time.Millisecond
+	require.True(t, NotRun(d.Serve(t.Context(), late, &recordingSink{})))
+	require.Zero(t, s.prefills)
+	require.NoError(t, d.Serve(t.Context(), longPrompt(t), &recordingSink{}))
+	require.Equal(t, 1, s.prefills, "prefilled apart, within the limit")
+}
--- a/dispatch/stream.go
+++ b/dispatch/stream.go
@@ -109,7 +109,7 @@
 		}
 		r.addStep("read at %s: apart %t, %d tokens, expected in %s", v.Endpoint.ID(), v.PrefillOnly, v.Tokens, v.Wait.Round(time.Millisecond))
 		if late := r.Timer.Now() + v.Wait - r.callerGiveUpTime(); late > 0 {
-			r.endPrefill(v, 0)
+			r.cancelPrefill(v)
 			e := failf("forecast", lagoonhead.KindUnavailable, "the prompt would be read in %s", v.Wait)
 			e.retryAfter = late + busyRetryAfter
 			return nil, e
@@ -118,7 +118,7 @@
 			return &v, nil
 		}
 		if uncounted && !r.takeRetry() {
-			r.endPrefill(v, 0)
+			r.cancelPrefill(v)
 			return nil, failf("prefill", lagoonhead.KindUnavailable, "the retry budget of %s is used up", r.service)
 		}
 		uncounted = false
@@ -176,6 +176,12 @@
 	r.WithBoard(func(b *steer.Board) { b.EndPrefill(now, v, r.call.Prompt, took) })
 }
 
+// cancelPrefill ends a prefill that is not sent.
+func (r *request) cancelPrefill(v steer.PrefillChoice) {
+	r.endPrefill(v, 0)
+	r.WithBoard(func(b *steer.Board) { b.ReturnToLimit(v.Endpoint) })
+}
+
 // prefillDue returns when the prompt must be prefilled for the first event to be in time.
 func (r *request) prefillDue() time.Duration {
 	if r.route.Objective == 0 {
