--- a/steer/pick.go
+++ b/steer/pick.go
@@ -255,8 +255,8 @@
 // PickRun chooses the endpoint that runs a request: the one with the emptiest batch and
 // the lowest failure rate, in the failure domain Near if the difference is small. Engines
 // that only prefill are left out, and so are endpoints whose limit does not allow another
-// request; an endpoint that is excluded after failures is chosen only if there is no other. With Spread it draws one at random, the emptier the likelier. ok
-// is false when there is none.
+// request; an endpoint that is excluded after failures is chosen only if there is no other.
+// With Spread it draws one at random, the emptier the likelier. ok is false when there is none.
 func (b *Board) PickRun(now time.Duration, r RunRequest) (e lagoonhead.Endpoint, ok bool) {
 	if e, ok = b.pickRun(now, r, true); !ok {
 		e, ok = b.pickRun(now, r, false)
