overload: measure and log how far behind the processor is

The log of a daemon whose processor is saturated showed late configurations and timeouts but not their cause. 'processor behind' and 'processor caught up' are logged, processor_lagSeconds is a metric. Nothing is decided by it yet.

--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -22,6 +22,7 @@
 	"github.com/lagoonhead/lagoonhead/lease"
 	"github.com/lagoonhead/lagoonhead/metrics"
 	"github.com/lagoonhead/lagoonhead/mirror"
+	"github.com/lagoonhead/lagoonhead/overload"
 	"github.com/lagoonhead/lagoonhead/peer"
 	"github.com/lagoonhead/lagoonhead/roster"
 	"github.com/lagoonhead/lagoonhead/steer"
@@ -129,6 +130,7 @@
 	heartbeats   *heartbeats
 	roleChanges  roleChanges
 	connections  *connections // of callers
+	guard        overload.Guard
 	meters       meters
 }
 
@@ -307,6 +309,9 @@
 			return nil
 		},
 	}
+	monitor := &overload.Monitor{Guard: &d.guard, Timer: d.Timer, Log: d.Log}
+	d.vars.Set("processor", monitor.Vars())
+	tasks = append(tasks, monitor.Run)
 	mirrors := new(expvar.Map)
 	for _, v := range []struct {
 		name, prefix string
--- /dev/null
+++ b/overload/monitor.go
@@ -0,0 +1,65 @@
+package overload
+
+import (
+	"context"
+	"expvar"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/lagoonhead/lagoonhead/timer"
+)
+
+// interval is the time between two samples of the lag.
+const interval = 50 * time.Millisecond
+
+// Monitor measures the lag of this process. Set the exported fields before Run.
+type Monitor struct {
+	Guard *Guard
+	Timer timer.Timer
+	// Log gets a line when a backlog begins and when it is gone.
+	Log *zap.Logger
+
+	behind   bool
+	since    time.Duration
+	greatest time.Duration // lag of this backlog
+
+	lag      expvar.Float
+	backlogs expvar.Int
+}
+
+// Vars returns the lag in seconds (lagSeconds), and the number of backlogs.
+func (m *Monitor) Vars() *expvar.Map {
+	v := new(expvar.Map)
+	v.Set("lagSeconds", &m.lag)
+	v.Set("backlogs", &m.backlogs)
+	return v
+}
+
+// Run measures the lag until ctx ends.
+func (m *Monitor) Run(ctx context.Context) error {
+	for {
+		due := m.Timer.Now() + interval
+		if m.Timer.Sleep(ctx, interval) != nil {
+			return nil // ctx has ended
+		}
+		now := m.Timer.Now()
+		m.observe(now, max(0, now-due))
+	}
+}
+
+func (m *Monitor) observe(now, sample time.Duration) {
+	m.Guard.Observe(sample)
+	lag := m.Guard.Lag()
+	m.lag.Set(lag.Seconds())
+	switch behind := m.Guard.Behind(); {
+	case behind && !m.behind:
+		m.behind, m.since, m.greatest = true, now, lag
+		m.backlogs.Add(1)
+		m.Log.Warn("processor behind", zap.Duration("lag", lag))
+	case !behind && m.behind:
+		m.behind = false
+		m.Log.Info("processor caught up", zap.Duration("after", now-m.since), zap.Duration("greatestLag", m.greatest))
+	}
+	m.greatest = max(m.greatest, lag)
+}
