overload: turn requests away while the processor is behind

Callers of a flooded VM of 0.4 of a core saw routes missing 2.3 s and more after their version was acknowledged (CONFIG), answers later than half a second after their route's timeout (CONFIG), and requests sent on after they had left (GONE).

Cause: nothing bounds the work that the daemon accepts by its processor. Goroutines have no priorities, and the Go scheduler polls for input when nothing else is left to run, so reads of the store, heartbeats, renewals of leases, answers of endpoints and timeouts waited seconds behind hundreds of requests; connections to endpoints then failed, which cost more.

Change: a monitor sends a byte through a pipe twenty times a second and measures how long the reader waits. While the smallest lag of 200 ms is above 60 ms, a rising part of new requests is refused with 503 and a time to return before anything is decided about them, and beyond 80% a rising part of new connections is closed unread, whose callers may turn to another VM at once.

--- a/cmd/lagoonheadd/platform.go
+++ b/cmd/lagoonheadd/platform.go
@@ -77,8 +77,8 @@
 		Store: platform.NewStore(s.StoreAddress, entry.WatchTimeout), Sender: platform.NewSender(),
 		ConfigurationKey: platform.ConfigurationKey, EndpointPrefix: platform.EndpointPrefix,
 		DecodeConfiguration: platform.DecodeConfiguration, DecodeRegistration: platform.DecodeRegistration,
-		Callers: func(d *dispatch.Dispatcher, closing func() bool, bodyLimit func() int64) *http.Server {
-			return platform.NewServer(&platform.Ingress{Dispatcher: d, Closing: closing, BodyLimit: bodyLimit})
+		Callers: func(d *dispatch.Dispatcher, c entry.CallerLimits) *http.Server {
+			return platform.NewServer(&platform.Ingress{Dispatcher: d, Closing: c.Closing, BodyLimit: c.BodyLimit, Overload: c.Overload})
 		},
 		Ready: platform.ReadyHandler,
 		Usage: func(t *lease.Tenure) lagoonhead.UsageReporter {
--- a/entry/connections.go
+++ b/entry/connections.go
@@ -24,14 +24,17 @@
 type connections struct {
 	// crowdedFrom and most are 0 if there is no limit.
 	crowdedFrom, most int64
+	// overloaded reports whether a new connection is closed because the processor is
+	// overloaded.
+	overloaded func() bool
 
 	open    atomic.Int64
 	refused expvar.Int
 }
 
-func newConnections(descriptors int) *connections {
+func newConnections(descriptors int, overloaded func() bool) *connections {
 	sockets := float64(max(0, descriptors-fileDescriptors))
-	return &connections{crowdedFrom: int64(crowdedShare * sockets), most: int64(maxCallerShare * sockets)}
+	return &connections{crowdedFrom: int64(crowdedShare * sockets), most: int64(maxCallerShare * sockets), overloaded: overloaded}
 }
 
 // vars returns the number of open connections, and of those that were closed at once.
@@ -45,14 +48,10 @@
 // crowded reports whether callers' connections are to be closed after the answer.
 func (c *connections) crowded() bool { return c.most > 0 && c.open.Load() > c.crowdedFrom }
 
-// limit returns a listener that closes a new connection at once while there are too many:
-// its caller can turn to another daemon, as nothing of its request was read.
-func (c *connections) limit(l net.Listener) net.Listener {
-	if c.most == 0 {
-		return l
-	}
-	return &limitedListener{l, c}
-}
+// limit returns a listener that closes a new connection at once while there are too many or
+// the processor is overloaded: its caller can turn to another daemon, as nothing of its
+// request was read.
+func (c *connections) limit(l net.Listener) net.Listener { return &limitedListener{l, c} }
 
 type limitedListener struct {
 	net.Listener
@@ -65,7 +64,8 @@
 		if err != nil {
 			return nil, err
 		}
-		if l.connections.open.Add(1) <= l.connections.most {
+		open, most := l.connections.open.Add(1), l.connections.most
+		if (most == 0 || open <= most) && !l.connections.overloaded() {
 			return &limitedConn{Conn: c, release: sync.OnceFunc(func() { l.connections.open.Add(-1) })}, nil
 		}
 		l.connections.open.Add(-1)
--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -86,8 +86,7 @@
 	DecodeConfiguration              func(value []byte) (*catalog.Catalog, error)
 	DecodeRegistration               func(key string, value []byte) (lagoonhead.Endpoint, error)
 	// Callers returns the HTTP server for callers.
-	// It tells callers to close the connection while closing returns true.
-	Callers func(d *dispatch.Dispatcher, closing func() bool, bodyLimit func() int64) *http.Server
+	Callers func(d *dispatch.Dispatcher, c CallerLimits) *http.Server
 	// Ready returns the handler of the load balancer's readiness probes.
 	Ready func(ready func() error) http.Handler
 	// Usage and Orders return the clients that report usage and send orders with the
@@ -96,6 +95,17 @@
 	Orders func(t *lease.Tenure) Orderer
 }
 
+// CallerLimits are the limits of a daemon on callers. They change while it runs.
+type CallerLimits struct {
+	// Closing reports whether callers are told to close the connection.
+	Closing func() bool
+	// BodyLimit returns the maximum size of a request body in bytes.
+	BodyLimit func() int64
+	// Overload returns the error with which a new request is refused because the processor is
+	// overloaded, or nil.
+	Overload func() error
+}
+
 // Daemon is one process of the serving system. Set the exported fields before Run.
 type Daemon struct {
 	Settings Settings
@@ -148,7 +158,7 @@
 	if d.LogVars != nil {
 		d.vars.Set("log", d.LogVars)
 	}
-	d.connections = newConnections(d.Settings.MaxDescriptors)
+	d.connections = newConnections(d.Settings.MaxDescriptors, d.guard.Closes)
 	d.vars.Set("connections", d.connections.vars())
 	d.buildState()
 	d.buildWork()
@@ -352,7 +362,7 @@
 func (d *Daemon) listen() (*servers, error) {
 	newServer := func(h http.Handler) *http.Server { return &http.Server{Handler: h, ReadHeaderTimeout: time.Second} }
 	p := &peer.Server{Config: noConfiguration{}, Lender: d.admit, Usage: noUsageCopies{}, Heartbeats: d.heartbeats, Counts: d.heartbeats}
-	s := &servers{callers: d.Platform.Callers(d.dispatcher, d.closesConnections, d.bodyLimit)}
+	s := &servers{callers: d.Platform.Callers(d.dispatcher, CallerLimits{d.closesConnections, d.bodyLimit, d.guard.Check})}
 	l := d.Settings.Listen
 	for _, v := range []struct {
 		address string
--- a/overload/guard.go
+++ b/overload/guard.go
@@ -1,35 +1,79 @@
 package overload
 
 import (
+	"expvar"
+	"math/rand/v2"
 	"slices"
 	"sync"
 	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/lagoonhead/lagoonhead"
 )
 
 const (
-	// window is the number of samples of which the smallest counts. A long task, or a quota of
-	// processor time that is spent, delays some samples; a backlog delays all.
-	window = 4
+	// window is the time of whose samples the smallest counts, and minSamples the least number
+	// of them. A long task, or a quota of processor time that is spent, delays some samples; a
+	// backlog delays all.
+	window     = 200 * time.Millisecond
+	minSamples = 2
 	// target is the lag above which there is a backlog. A change of the configuration waits
 	// for about ten tasks one after another, and must be in force within seconds.
 	target = 60 * time.Millisecond
+	// rise is the change of the pressure in a second at a lag of twice the target. It grows
+	// with the lag up to maxExcess times the target beyond it. fall is the change in a second
+	// below the target. The load is tried again slowly, since a backlog takes longer to show
+	// than to grow.
+	rise, maxExcess, fall = 4.0, 4.0, 0.4
+	// maxElapsed bounds the time for which one sample counts.
+	maxElapsed = 500 * time.Millisecond
+	// maxRefused is the largest part of the requests that is refused. The rest is served also
+	// when most connections are closed.
+	maxRefused = 0.8
+	// maxClosed is the largest part of the connections that is closed.
+	maxClosed = 0.9
+	// minRetryAfter is the least time after which callers of refused requests may come again,
+	// and retrySpread the random part by which their return is spread.
+	minRetryAfter, retrySpread = 500 * time.Millisecond, 500 * time.Millisecond
 )
 
-// Guard holds the recent lag of a process. It is safe for concurrent use.
+// Guard decides which part of the requests and connections to turn away, from the recent lag
+// of the process. It is safe for concurrent use.
 type Guard struct {
 	mu sync.Mutex
-	// samples holds the newest lags, at most window of them, the newest last.
+	// samples holds the lags of the last window, the newest last.
 	samples []time.Duration
+	// pressure is the refused part of the requests up to maxRefused; what exceeds that is the
+	// closed part of the connections. It rises while there is a backlog and falls while there
+	// is none, so it settles where the processor is just busy.
+	pressure float64
+
+	refused, closed expvar.Int
 }
 
-// Observe records the lag of a periodic task.
+// Observe records the lag that was measured interval after the one before it.
 func (g *Guard) Observe(lag time.Duration) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if len(g.samples) == window {
-		g.samples = slices.Delete(g.samples, 0, 1)
-	}
 	g.samples = append(g.samples, lag)
+	for len(g.samples) > minSamples && covered(g.samples[1:]) >= window {
+		g.samples = g.samples[1:]
+	}
+	elapsed := min(interval+lag, maxElapsed).Seconds()
+	if excess := g.smallest() - target; excess > 0 {
+		g.pressure = min(maxRefused+maxClosed, g.pressure+rise*elapsed*min(maxExcess, excess.Seconds()/target.Seconds()))
+	} else {
+		g.pressure = max(0, g.pressure-fall*elapsed)
+	}
+}
+
+// covered returns the time that samples cover.
+func covered(samples []time.Duration) (d time.Duration) {
+	for _, lag := range samples {
+		d += interval + lag
+	}
+	return d
 }
 
 // Lag returns the smallest of the recent lags, or 0 before there are enough of them.
@@ -40,11 +84,48 @@
 }
 
 func (g *Guard) smallest() time.Duration {
-	if len(g.samples) < window {
+	if len(g.samples) < minSamples || covered(g.samples) < window {
 		return 0
 	}
 	return slices.Min(g.samples)
 }
 
-// Behind reports whether the process has a backlog.
-func (g *Guard) Behind() bool { return g.Lag() > target }
+// Behind reports whether the process has a backlog, or turns requests away because it had one.
+func (g *Guard) Behind() bool { return g.Lag() > target || g.RefusedPart() > 0 }
+
+// RefusedPart returns the part of the new requests to refuse, from 0 to 1.
+func (g *Guard) RefusedPart() float64 {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return min(maxRefused, g.pressure)
+}
+
+// ClosedPart returns the part of the new connections to close before anything is read from
+// them, from 0 to 1.
+func (g *Guard) ClosedPart() float64 {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return max(0, g.pressure-maxRefused)
+}
+
+// Check returns an error of KindUnavailable with a time to return if a new request is to be
+// refused.
+func (g *Guard) Check() error {
+	if rand.Float64() >= g.RefusedPart() {
+		return nil
+	}
+	g.refused.Add(1)
+	return &Error{
+		Fault:      lagoonhead.Fault{Op: "overload.check", Kind: lagoonhead.KindUnavailable, Err: errors.New("the processor is overloaded")},
+		retryAfter: minRetryAfter + time.Duration(rand.Float64()*float64(retrySpread)),
+	}
+}
+
+// Closes reports whether a new connection is to be closed before anything is read from it.
+func (g *Guard) Closes() bool {
+	if rand.Float64() >= g.ClosedPart() {
+		return false
+	}
+	g.closed.Add(1)
+	return true
+}
--- a/overload/monitor.go
+++ b/overload/monitor.go
@@ -20,6 +20,9 @@
 	// Log gets a line when a backlog begins and when it is gone.
 	Log *zap.Logger
 
+	// delay measures the lag once; Run sets it if it is nil.
+	delay func() (time.Duration, error)
+
 	behind   bool
 	since    time.Duration
 	greatest time.Duration // lag of this backlog
@@ -28,24 +31,35 @@
 	backlogs expvar.Int
 }
 
-// Vars returns the lag in seconds (lagSeconds), and the number of backlogs.
+// Vars returns the lag in seconds (lagSeconds), the number of backlogs, and how many requests
+// were refused and connections closed because of them.
 func (m *Monitor) Vars() *expvar.Map {
 	v := new(expvar.Map)
 	v.Set("lagSeconds", &m.lag)
 	v.Set("backlogs", &m.backlogs)
+	v.Set("refused", &m.Guard.refused)
+	v.Set("closed", &m.Guard.closed)
 	return v
 }
 
 // Run measures the lag until ctx ends.
 func (m *Monitor) Run(ctx context.Context) error {
-	for {
-		due := m.Timer.Now() + interval
-		if m.Timer.Sleep(ctx, interval) != nil {
-			return nil // ctx has ended
+	if m.delay == nil {
+		p, err := newPipe(m.Timer)
+		if err != nil {
+			return err
+		}
+		defer p.close()
+		m.delay = p.delay
+	}
+	for m.Timer.Sleep(ctx, interval) == nil {
+		sample, err := m.delay()
+		if err != nil {
+			return err
 		}
-		now := m.Timer.Now()
-		m.observe(now, max(0, now-due))
+		m.observe(m.Timer.Now(), sample)
 	}
+	return nil // ctx has ended
 }
 
 func (m *Monitor) observe(now, sample time.Duration) {
--- a/overload/monitor_test.go
+++ b/overload/monitor_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"runtime"
 	"sync"
 	"testing"
 	"time"
@@ -13,35 +14,14 @@
 	"github.com/lagoonhead/lagoonhead/timer"
 )
 
-// lateTimer ends each sleep late by the next of some delays, and calls done behind the last.
-type lateTimer struct {
-	*timer.Manual
-	mu     sync.Mutex
-	delays []time.Duration
-	done   context.CancelFunc
-}
-
-func (t *lateTimer) Sleep(ctx context.Context, d time.Duration) error {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	if len(t.delays) == 0 {
-		t.done()
-		return ctx.Err()
-	}
-	t.Advance(d + t.delays[0])
-	t.delays = t.delays[1:]
-	return nil
-}
-
 // Guards against a backlog that no log line tells, and against lines for single late samples.
 func TestBacklogsAreLogged(t *testing.T) {
 	const long = 300 * time.Millisecond
-	ctx, cancel := context.WithCancel(t.Context())
-	late := &lateTimer{Manual: timer.NewManual(time.Hour, time.Now()), done: cancel}
-	late.delays = []time.Duration{long, long, long, 0, long, long, long, long, 2 * long, 0}
 	core, logs := observer.New(zap.InfoLevel)
-	m := &Monitor{Guard: new(Guard), Timer: late, Log: zap.New(core)}
-	require.NoError(t, m.Run(ctx))
+	m := &Monitor{Guard: new(Guard), Log: zap.New(core)}
+	for i, lag := range append([]time.Duration{long, 0, 0, long, 0, long, long, long}, make([]time.Duration, 100)...) {
+		m.observe(time.Duration(i)*interval, lag)
+	}
 	var lines []string
 	for _, l := range logs.All() {
 		lines = append(lines, l.Message)
@@ -50,3 +30,44 @@
 	require.EqualValues(t, 1, m.backlogs.Value())
 	require.Zero(t, m.lag.Value())
 }
+
+// Guards against a lag that is not measured because goroutines that wait for input get no turn
+// while others always have work, which delays no timer.
+func TestTheLagOfInputIsMeasured(t *testing.T) {
+	defer runtime.GOMAXPROCS(runtime.GOMAXPROCS(1))
+	p, err := newPipe(&timer.System{})
+	require.NoError(t, err)
+	defer p.close()
+	ctx, cancel := context.WithCancel(t.Context())
+	var w sync.WaitGroup
+	for range 400 {
+		w.Go(func() {
+			for ctx.Err() == nil {
+				for end := time.Now().Add(time.Millisecond); time.Now().Before(end); {
+				}
+				runtime.Gosched()
+			}
+		})
+	}
+	lag, err := p.delay()
+	cancel()
+	w.Wait()
+	require.NoError(t, err)
+	require.Greater(t, lag, target)
+}
+
+// Guards against requests that are refused because of one long pause of the process.
+func TestAPauseIsNoBacklog(t *testing.T) {
+	var g Guard
+	for range 10 {
+		g.Observe(0)
+	}
+	g.Observe(time.Minute)
+	g.Observe(0)
+	require.Zero(t, g.RefusedPart())
+	for range 3 {
+		g.Observe(time.Second)
+	}
+	require.Positive(t, g.RefusedPart())
+	require.Positive(t, g.ClosedPart())
+}
