platform: read and log the era of the store

The store may come back from a copy some seconds old, which only the header Store-Era shows. Nothing read it, so a log could not tell a restored store from one that was away. 'store era' is logged once at the start and at each change.

--- a/cmd/lagoonheadd/platform.go
+++ b/cmd/lagoonheadd/platform.go
@@ -41,7 +41,7 @@
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
 	go logReloads(ctx, log)
-	d := &entry.Daemon{Settings: s.Entry, Platform: platformParts(s), Timer: &timer.System{}, Log: log, LogVars: sink.Vars()}
+	d := &entry.Daemon{Settings: s.Entry, Platform: platformParts(s, log), Timer: &timer.System{}, Log: log, LogVars: sink.Vars()}
 	if err := d.Run(ctx); err != nil {
 		fmt.Fprintln(errOut, err)
 		return exitFailed
@@ -68,13 +68,17 @@
 }
 
 // platformParts returns the parts of a daemon that package platform implements.
-func platformParts(s platform.Settings) entry.Platform {
+func platformParts(s platform.Settings, log *zap.Logger) entry.Platform {
+	store := platform.NewStore(s.StoreAddress, entry.WatchTimeout)
+	store.OnEra = func(former, era int64) {
+		log.Info("store era", zap.Int64("era", era), zap.Int64("former", former))
+	}
 	orders := platform.NewClient(s.OrdersAddress)
 	ordersFor := func(t *lease.Tenure) platform.Orders {
 		return platform.Orders{Client: orders, Holder: s.Entry.VM, Authority: t.Check}
 	}
 	return entry.Platform{
-		Store: platform.NewStore(s.StoreAddress, entry.WatchTimeout), Sender: platform.NewSender(),
+		Store: store, Sender: platform.NewSender(),
 		ConfigurationKey: platform.ConfigurationKey, EndpointPrefix: platform.EndpointPrefix,
 		DecodeConfiguration: platform.DecodeConfiguration, DecodeRegistration: platform.DecodeRegistration,
 		Callers: func(d *dispatch.Dispatcher, c entry.CallerLimits) *http.Server {
