--- a/fakeplatform/kv.go
+++ b/fakeplatform/kv.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"sort"
 	"strconv"
 	"strings"
@@ -143,6 +145,46 @@
 	}
 }
 
+// Backup is the state of a KV at some time.
+type Backup struct {
+	revision int64
+	entries  map[string]lagoonhead.Entry
+	leases   map[lagoonhead.LeaseID]lease
+	nextID   int64
+	history  []lagoonhead.Event
+	takenAt  time.Duration
+}
+
+// Backup returns the present state.
+func (k *KV) Backup() Backup {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.expire()
+	b := Backup{revision: k.revision, entries: maps.Clone(k.entries), nextID: k.nextID, history: slices.Clone(k.history), takenAt: k.tm.Now()}
+	b.leases = make(map[lagoonhead.LeaseID]lease, len(k.leases))
+	for id, l := range k.leases {
+		b.leases[id] = *l
+	}
+	return b
+}
+
+// Restore replaces the state by an earlier one: later writes and leases are gone, and their
+// revisions and identifiers are given out again. The leases of the earlier state have the time
+// left that they had then.
+func (k *KV) Restore(b Backup) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.revision, k.entries, k.nextID, k.history = b.revision, maps.Clone(b.entries), b.nextID, slices.Clone(b.history)
+	k.previous = make(map[string]lagoonhead.Entry)
+	k.leases = make(map[lagoonhead.LeaseID]*lease, len(b.leases))
+	for id, l := range b.leases {
+		l.expires += k.tm.Now() - b.takenAt
+		k.leases[id] = &l
+	}
+	close(k.changed)
+	k.changed = make(chan struct{})
+}
+
 // nextExpiry returns the time until the first lease expires, at least 1 ms, or 0 if
 // there are no leases. The caller holds k.mu.
 func (k *KV) nextExpiry() time.Duration {
@@ -159,6 +201,9 @@
 // since returns the events after a revision for keys that begin with prefix. The
 // caller holds k.mu.
 func (k *KV) since(prefix string, after int64) ([]lagoonhead.Event, error) {
+	if after > k.revision {
+		return nil, fail("watch", lagoonhead.KindStale, "there is no revision %d", after)
+	}
 	if len(k.history) > 0 && k.history[0].Entry.Revision > after+1 && len(k.history) == maxHistory {
 		return nil, fail("watch", lagoonhead.KindStale, "events after revision %d are no longer kept", after)
 	}
