platform: tell what the store has from what it lost

After the store came back from a copy, a daemon ignored configurations and registrations until their revisions had caught up with those from before: a withdrawn key worked on, a leaving endpoint got requests, a new route was not found (CONFIG, DRAIN).

Cause: numbers that the store gives out, revisions and leases, are compared across a restore, which gives them out again. Nothing read the era, which tells them apart.

A condition or a lease of an earlier era is not sent; one that crossed the restore is in doubt; a watch from an earlier era lists again.

--- a/platform.go
+++ b/platform.go
@@ -9,7 +9,8 @@
 type Entry struct {
 	Key   string `json:"key"`
 	Value []byte `json:"value"`
-	// Revision is the revision of the store at the last write of this key.
+	// Revision is the revision of the store at the last write of this key. Revisions grow
+	// also when the store is restored from a copy; see NewRevision.
 	Revision int64 `json:"revision"`
 	// Lease is the lease that the key is attached to, or empty. The store deletes the
 	// key when the lease ends.
@@ -53,7 +54,7 @@
 	// Watch waits until a key that begins with prefix changes after the revision
 	// after, or until ctx ends. It returns the changes and the revision to pass to the
 	// next Watch. KindStale means that the store no longer has the changes since that
-	// revision: the caller must call List again.
+	// revision, or has been restored since: the caller must call List again.
 	Watch(ctx context.Context, prefix string, after int64) ([]Event, int64, error)
 }
 
@@ -61,7 +62,8 @@
 // means that the write may have taken effect.
 type StoreWriter interface {
 	// Put writes the key and returns the new revision, or an error of KindConflict when
-	// the condition on the revision does not hold.
+	// the condition on the revision does not hold. The revision of a key before a restore of
+	// the store never holds, and a lease from before it has ended.
 	Put(ctx context.Context, r PutRequest) (int64, error)
 	// Delete removes the key if it has the given revision, and returns an error of
 	// KindConflict otherwise.
