lease: keep epochs apart across a restore of the store

Calls with the lower token are refused, so usage reports and orders stopped until the count had caught up.

Cause: an epoch is a count in the store, and counts go back with it. Change: the era of the revision under which the epoch was recorded goes before the count.

TestARestoreGivesNoEpochOutTwice failed before: the holder after the restore had epoch 1, the one before it epoch 2.

--- a/lease/duty.go
+++ b/lease/duty.go
@@ -39,6 +39,7 @@
 }
 
 type epochRecord struct {
+	// Epoch counts the holders. The store may lose the newest ones, see epochIn.
 	Epoch int64  `json:"epoch"`
 	Nonce string `json:"nonce"`
 	// Holders are the VMs that held the duty most recently, the newest first.
@@ -60,6 +61,13 @@
 	return epochRecord{Epoch: r.Epoch + 1, Nonce: uuid.NewString(), Holders: holders[:min(len(holders), maxRecordedHolders)]}
 }
 
+// eraEpochs is the number of epochs that a restore of the store loses at most.
+const eraEpochs = 1 << 20
+
+// epochIn returns the epoch of a holder whose record was written under a revision of the store.
+// The counts that a restore loses are given out again, so the era goes before the count.
+func epochIn(revision, count int64) int64 { return lagoonhead.EraOf(revision)*eraEpochs + count }
+
 // Tenure is the right of this daemon to perform a duty. It ends when the lease lapses.
 type Tenure struct {
 	duty     Duty
@@ -306,6 +314,6 @@
 	if err != nil {
 		return 0, false, fail("epoch", lagoonhead.KindInternal, "%v", err)
 	}
-	_, err = k.Store.Put(ctx, lagoonhead.PutRequest{Key: d.epochKey(), Value: value, IfRevision: e.Revision})
-	return r.Epoch, returning, err
+	revision, err := k.Store.Put(ctx, lagoonhead.PutRequest{Key: d.epochKey(), Value: value, IfRevision: e.Revision})
+	return epochIn(revision, r.Epoch), returning, err
 }
