billing: report no usage window twice after a restore of the store

Cause: the seal in the store is all that keeps the figures of a window, and it goes back with the store. Change: a process remembers the figures that it sealed or found sealed and writes them again. The epoch record tells since when the store has kept what holders wrote; a window that ended before that, is not in the store and whose figures are not known is not reported. So a window that was open in the restore may go unreported, which is priced; a second figure is not accepted.

TestARestoreOpensNoWindowAgain failed before: the window was reported twice, once with 1 and once with 6 requests.

--- a/billing/tally.go
+++ b/billing/tally.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -57,6 +58,8 @@
 	counts       map[countKey]int64
 	lastHeard    map[lagoonhead.Incarnation]time.Duration
 	newestWindow int64
+	// sealed holds the figures of the windows that this process has sealed, or has found sealed.
+	sealed map[int64][]lagoonhead.WorkspaceUsage
 }
 
 // Current returns the number of the open window. Windows are numbered from the start of
@@ -94,6 +97,26 @@
 			delete(t.counts, k)
 		}
 	}
+	maps.DeleteFunc(t.sealed, func(n int64, _ []lagoonhead.WorkspaceUsage) bool { return n <= window-tallyWindows })
+}
+
+// setSealed records the figures of a sealed window. They outlast a restore of the store that
+// loses the seal.
+func (t *Tally) setSealed(n int64, usage []lagoonhead.WorkspaceUsage) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.sealed == nil {
+		t.sealed = make(map[int64][]lagoonhead.WorkspaceUsage)
+	}
+	t.sealed[n] = usage
+}
+
+// sealedFigures returns the figures of a sealed window if this process knows them.
+func (t *Tally) sealedFigures(n int64) (usage []lagoonhead.WorkspaceUsage, ok bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	usage, ok = t.sealed[n]
+	return usage, ok
 }
 
 // MergePeer merges the counts that a peer process has sent.
--- a/billing/tally_test.go
+++ b/billing/tally_test.go
@@ -156,6 +156,40 @@
 	}
 }
 
+// Guards against a second report of a window with other figures after the store came back from
+// a copy without its seal, by the process that sealed it and by another.
+func TestARestoreOpensNoWindowAgain(t *testing.T) {
+	clock := timer.NewManual(time.Hour, time.Unix(1000, 0))
+	kv := fakeplatform.NewKV(clock)
+	a, b := newTally(clock, "a"), newTally(clock, "b")
+	sent := new(reportLog)
+	a.CountRequest("w")
+	window := a.Current()
+	clock.Advance(tallyWindow + sealDelay)
+	backup := kv.Backup()
+	newReporter(clock, kv, a, sent).step(t.Context())
+	require.Len(t, sent.list, 1)
+	b.Merge([]Count{{Incarnation: "a", Window: window, Workspace: "w", Requests: 1}, {Incarnation: "c", Window: window, Workspace: "w", Requests: 5}})
+	a.Merge([]Count{{Incarnation: "c", Window: window, Workspace: "w", Requests: 5}})
+
+	kv.Restore(backup)
+	other := newReporter(clock, kv, b, sent)
+	other.KeptFrom = clock.Wall()
+	other.step(t.Context())
+	require.Len(t, sent.list, 1, "the other process cannot know the figures")
+	again := newReporter(clock, kv, a, sent)
+	again.KeptFrom = clock.Wall()
+	again.step(t.Context())
+	require.Len(t, sent.list, 2)
+	require.Equal(t, sent.list[0], sent.list[1])
+
+	b.CountRequest("w")
+	clock.Advance(2*tallyWindow + sealDelay)
+	other.step(t.Context())
+	require.Len(t, sent.list, 3, "the window after the restore")
+	require.Equal(t, map[lagoonhead.WorkspaceID]int64{"w": 1}, requests(sent.list[2].Usage))
+}
+
 // Guards against a report by a daemon that has lost the duty.
 func TestNoWindowIsReportedWithoutAuthority(t *testing.T) {
 	clock := timer.NewManual(time.Hour, time.Unix(1000, 0))
--- a/billing/windows.go
+++ b/billing/windows.go
@@ -41,6 +41,9 @@
 	Usage lagoonhead.UsageReporter
 	// Authority returns nil while this daemon may report.
 	Authority func() error
+	// KeptFrom is the time before which the store may have lost sealed windows, because it was
+	// restored from a copy; see lease.Tenure.
+	KeptFrom time.Time
 	// GatherCounts makes all peers send their counts. Optional.
 	GatherCounts func()
 	// FetchCounts merges the counts that other daemons have, from a window on, into the
@@ -57,7 +60,8 @@
 }
 
 // Vars returns the counters: windows sealed here (sealed) and by another daemon (adopted),
-// reports accepted (reported), failed attempts to seal or report (failed) and failed writes
+// reports accepted (reported), windows that may have been reported with figures that are lost
+// (inDoubt), failed attempts to seal or report (failed) and failed writes
 // of open counts (openNotSaved).
 func (r *WindowReporter) Vars() *expvar.Map { return &r.vars }
 
@@ -138,19 +142,36 @@
 // seal stores the figures of a window if it is absent, and returns the stored ones. A
 // window without requests is not stored.
 func (r *WindowReporter) seal(ctx context.Context, n int64) ([]lagoonhead.WorkspaceUsage, error) {
-	usage := r.Tally.Sum(n)
-	if len(usage) == 0 {
-		return nil, nil
+	usage, known := r.Tally.sealedFigures(n)
+	if !known {
+		if usage = r.Tally.Sum(n); len(usage) == 0 {
+			return nil, nil
+		}
+	}
+	if !known && r.Tally.End(n).Before(r.KeptFrom) {
+		return r.stored(ctx, n)
 	}
 	_, err := r.Store.Put(ctx, lagoonhead.PutRequest{Key: windowKey(n), Value: encode(usage), IfRevision: 0})
 	if err == nil {
 		r.vars.Add("sealed", 1)
+		r.Tally.setSealed(n, usage)
 		return usage, nil
 	}
 	if !lagoonhead.IsKind(err, lagoonhead.KindConflict) && !lagoonhead.IsKind(err, lagoonhead.KindUnknown) {
 		return nil, err
 	}
+	return r.stored(ctx, n)
+}
+
+// stored returns the figures of a window in the store. A window that ended before KeptFrom and
+// is not there may have been sealed and reported with figures that are lost, so it has none.
+func (r *WindowReporter) stored(ctx context.Context, n int64) ([]lagoonhead.WorkspaceUsage, error) {
 	e, err := r.Store.Get(ctx, windowKey(n))
+	if lagoonhead.IsKind(err, lagoonhead.KindNotFound) && r.Tally.End(n).Before(r.KeptFrom) {
+		r.vars.Add("inDoubt", 1)
+		r.Log.Warn("usage window not reported: the store was restored, and it may have been reported before", zap.Int64("window", n))
+		return nil, nil
+	}
 	if err != nil {
 		return nil, err
 	}
@@ -159,5 +180,6 @@
 		return nil, err
 	}
 	r.vars.Add("adopted", 1)
+	r.Tally.setSealed(n, present)
 	return present, nil
 }
--- a/entry/duties.go
+++ b/entry/duties.go
@@ -43,7 +43,7 @@
 func (d *Daemon) buildDuties() {
 	work := map[lease.Duty]func(*lease.Tenure) task{dutyUsage: d.usageReports, dutyFleet: d.fleetOrders}
 	d.keeper = &lease.Keeper{
-		Store: d.copied, Session: d.dutySession, KeyPrefix: fleetPrefix, Timer: d.Timer, Log: d.Log, VM: d.Settings.VM, Incarnation: d.incarnation,
+		Store: d.copied, Session: d.dutySession, KeyPrefix: fleetPrefix, Timer: d.tally.Timer, Log: d.Log, VM: d.Settings.VM, Incarnation: d.incarnation,
 		Duties: []lease.Duty{dutyUsage, dutyFleet}, AttemptInterval: attemptInterval, Fenced: d.Settings.FencingEnforced, NoEarlierProcess: true,
 		// A duty must not return to a former holder sooner than this.
 		MaxOrderFlight: d.Settings.DutyReturnTime,
@@ -78,7 +78,7 @@
 // usageReports returns the task of the duty that reports usage windows to the platform.
 func (d *Daemon) usageReports(t *lease.Tenure) task {
 	r := &billing.WindowReporter{
-		Tally: d.tally, Timer: d.tally.Timer, Store: d.store, Usage: d.Platform.Usage(t), Authority: t.Check,
+		Tally: d.tally, Timer: d.tally.Timer, Store: d.store, Usage: d.Platform.Usage(t), Authority: t.Check, KeptFrom: t.KeptFrom(),
 		GatherCounts: d.exchanger.ExchangeNow, FetchCounts: d.fetchCounts, Log: d.Log,
 	}
 	d.vars.Set("usageReports", r.Vars())
--- a/lease/duty.go
+++ b/lease/duty.go
@@ -44,6 +44,10 @@
 	Nonce string `json:"nonce"`
 	// Holders are the VMs that held the duty most recently, the newest first.
 	Holders []lagoonhead.VMID `json:"holders,omitempty"`
+	// Era is the era of the store at the time of the record, and EraSince the wall time of the
+	// first record of that era in milliseconds since 1970, or 0 in era 0.
+	Era      int64 `json:"era,omitempty"`
+	EraSince int64 `json:"eraSince,omitempty"`
 }
 
 // maxRecordedHolders bounds the holders in an epoch record. A few are enough, since few VMs
@@ -55,10 +59,18 @@
 	return len(r.Holders) > 1 && r.Holders[0] != vm && slices.Contains(r.Holders[1:], vm)
 }
 
-// withHolder returns the record of the next epoch, in which vm is the newest holder.
-func (r epochRecord) withHolder(vm lagoonhead.VMID) epochRecord {
+// withHolder returns the record of the next epoch, in which vm is the newest holder, at a wall
+// time in an era of the store.
+func (r epochRecord) withHolder(vm lagoonhead.VMID, era int64, wall time.Time) epochRecord {
 	holders := append([]lagoonhead.VMID{vm}, r.Holders...)
-	return epochRecord{Epoch: r.Epoch + 1, Nonce: uuid.NewString(), Holders: holders[:min(len(holders), maxRecordedHolders)]}
+	next := epochRecord{
+		Epoch: r.Epoch + 1, Nonce: uuid.NewString(), Holders: holders[:min(len(holders), maxRecordedHolders)],
+		Era: era, EraSince: r.EraSince,
+	}
+	if era != r.Era {
+		next.EraSince = wall.UnixMilli()
+	}
+	return next
 }
 
 // eraEpochs is the number of epochs that a restore of the store loses at most.
@@ -74,6 +86,7 @@
 	epoch    int64
 	lease    lagoonhead.LeaseID
 	startsAt time.Duration
+	keptFrom time.Time
 	session  *Session
 	timer    timer.Timer
 }
@@ -85,6 +98,11 @@
 // the duty.
 func (t *Tenure) Epoch() int64 { return t.epoch }
 
+// KeptFrom returns the wall time from which on the store has kept all that holders of the duty
+// wrote: it may have lost what was written before, when it was restored from a copy. The zero
+// time means that it has lost nothing.
+func (t *Tenure) KeptFrom() time.Time { return t.keptFrom }
+
 // Check returns nil while the holder may send orders, an error of KindUnavailable while
 // an order of the former holder may still be in flight, and one of KindStale once the
 // lease has lapsed.
@@ -223,17 +241,22 @@
 	if !valid {
 		return fail("take", lagoonhead.KindUnavailable, "no lease")
 	}
-	if err := k.createKey(ctx, d, id); err != nil {
+	revision, err := k.createKey(ctx, d, id)
+	if err != nil {
 		return err
 	}
-	epoch, returning, err := k.incrementEpoch(ctx, d)
+	record, returning, err := k.incrementEpoch(ctx, d, lagoonhead.EraOf(revision))
 	if err != nil {
 		return err
 	}
+	epoch := epochIn(revision, record.Epoch)
 	t := &Tenure{
 		duty: d, epoch: epoch, lease: id, session: k.Session, timer: k.Timer,
 		startsAt: k.Timer.Now() + k.MaxOrderFlight,
 	}
+	if record.Era != 0 {
+		t.keptFrom = time.UnixMilli(record.EraSince)
+	}
 	if k.Fenced && !returning {
 		t.startsAt = k.Timer.Now()
 	}
@@ -252,28 +275,27 @@
 }
 
 // createKey creates the duty key, or finds that an earlier attempt whose response was
-// lost has already created it under this lease.
-func (k *Keeper) createKey(ctx context.Context, d Duty, id lagoonhead.LeaseID) error {
+// lost has already created it under this lease. It returns the revision of the key.
+func (k *Keeper) createKey(ctx context.Context, d Duty, id lagoonhead.LeaseID) (int64, error) {
 	e, err := k.Store.Get(ctx, k.dutyKey(d))
 	revision := int64(0)
 	switch {
 	case err == nil:
 		own, err := k.isOwn(e, d, id)
 		if own || err != nil {
-			return err
+			return e.Revision, err
 		}
 		revision = e.Revision
 	case !lagoonhead.IsKind(err, lagoonhead.KindNotFound):
-		return err
+		return 0, err
 	}
 	h := Holder{VM: k.VM, Incarnation: k.Incarnation, Nonce: uuid.NewString()}
 	value, err := json.Marshal(h)
 	if err != nil {
-		return fail("create", lagoonhead.KindInternal, "%v", err)
+		return 0, fail("create", lagoonhead.KindInternal, "%v", err)
 	}
-	_, err = k.Store.Put(ctx, lagoonhead.PutRequest{Key: k.dutyKey(d), Value: value, IfRevision: revision, Lease: id})
 	// After a lost response the next attempt reads the key and finds that it is its own.
-	return err
+	return k.Store.Put(ctx, lagoonhead.PutRequest{Key: k.dutyKey(d), Value: value, IfRevision: revision, Lease: id})
 }
 
 // isOwn reports whether this process already holds the duty under this lease. It returns
@@ -293,27 +315,29 @@
 	return false, fail("create", lagoonhead.KindConflict, "duty %s is held by VM %s", d, h.VM)
 }
 
-// incrementEpoch adds one to the stored epoch and records this VM as the newest holder.
-// returning reports whether this VM held the duty before and another one has held it
-// since. A lost response makes the attempt fail; the next attempt increments the epoch
+// incrementEpoch adds one to the stored epoch and records this VM as the newest holder, in an
+// era of the store. returning reports whether this VM held the duty before and another one has
+// held it since. A lost response makes the attempt fail; the next attempt increments the epoch
 // again, which does no harm.
-func (k *Keeper) incrementEpoch(ctx context.Context, d Duty) (epoch int64, returning bool, err error) {
+func (k *Keeper) incrementEpoch(ctx context.Context, d Duty, era int64) (next epochRecord, returning bool, err error) {
 	var r epochRecord
 	e, err := k.Store.Get(ctx, d.epochKey())
 	if err != nil && !lagoonhead.IsKind(err, lagoonhead.KindNotFound) {
-		return 0, false, err
+		return r, false, err
 	}
 	if err == nil {
 		if err := json.Unmarshal(e.Value, &r); err != nil {
-			return 0, false, fail("epoch", lagoonhead.KindInternal, "key %s: %v", d.epochKey(), err)
+			return r, false, fail("epoch", lagoonhead.KindInternal, "key %s: %v", d.epochKey(), err)
 		}
 	}
-	returning = r.isReturning(k.VM)
-	r = r.withHolder(k.VM)
-	value, err := json.Marshal(r)
+	next = r.withHolder(k.VM, era, k.Timer.Wall())
+	value, err := json.Marshal(next)
 	if err != nil {
-		return 0, false, fail("epoch", lagoonhead.KindInternal, "%v", err)
+		return r, false, fail("epoch", lagoonhead.KindInternal, "%v", err)
 	}
 	revision, err := k.Store.Put(ctx, lagoonhead.PutRequest{Key: d.epochKey(), Value: value, IfRevision: e.Revision})
-	return epochIn(revision, r.Epoch), returning, err
+	if err == nil && lagoonhead.EraOf(revision) != era {
+		err = fail("epoch", lagoonhead.KindUnavailable, "the store was restored while duty %s was acquired", d)
+	}
+	return next, r.isReturning(k.VM), err
 }
