roster: let departures outlast a restore of the store

Those that had registered since were dropped at once where no call had failed meanwhile.

Cause: the copy of a store is taken for its newest word on endpoints. Change: the copy of the keys reports a restore to its followers before the entries. The roster then keeps what is missing as after an outage, and lets departures of the same process from before hold until the store would have removed the registration of a silent endpoint (three heartbeats of the settings, and the time to register again). An endpoint that is still registered then is alive and used.

--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -60,6 +60,9 @@
 	// exchangeTimeout bounds an exchange of heartbeats, after which an attached daemon
 	// turns to another hub.
 	exchangeTimeout = 600 * time.Millisecond
+	// minRegistrationTTL is the least time for which a departed endpoint's registration in a
+	// copy of the store does not count.
+	minRegistrationTTL = time.Second
 	// lapsedInterval is the time between checks for endpoints that did not register
 	// again after an outage of the store.
 	lapsedInterval = 250 * time.Millisecond
@@ -227,6 +230,8 @@
 	d.config = &configuration{decode: d.Platform.DecodeConfiguration, log: d.Log, changed: d.updateBoard}
 	d.endpoints = &endpoints{
 		decode: d.Platform.DecodeRegistration, timer: d.Timer, log: d.Log, roster: roster.New(), changed: d.updateBoard,
+		// An endpoint that still sends heartbeats after this time is alive, whatever it said before.
+		departureHold: max(s.RegistrationTTL, minRegistrationTTL) + roster.ReregistrationTime,
 	}
 	d.members = &members{
 		self: s.VM, domain: s.FailureDomain, log: d.Log, slotsChanged: func() { d.admit.ReadSlots() },
--- a/entry/members.go
+++ b/entry/members.go
@@ -133,6 +133,9 @@
 	return perSecond / float64(holders)
 }
 
+// Restored does nothing: a VM whose presence entry the store lost writes it again at once.
+func (m *members) Restored(time.Duration) {}
+
 // Put adds a VM, or reports a change of the slot table or of the refused prompt parts.
 func (m *members) Put(e lagoonhead.Entry) {
 	switch e.Key {
--- a/entry/settings.go
+++ b/entry/settings.go
@@ -33,6 +33,9 @@
 	FencingEnforced bool
 	// MinLeaseTTL is the minimum time to live of a lease.
 	MinLeaseTTL time.Duration
+	// RegistrationTTL is the time after which the store removes the registration of an endpoint
+	// that has sent no heartbeat.
+	RegistrationTTL time.Duration
 	// UsageWindow is the length of the windows for which usage is reported.
 	UsageWindow time.Duration
 	// RetryRatio and RetrySlack bound the retries of each service within any RetryWindow,
--- a/entry/state.go
+++ b/entry/state.go
@@ -43,6 +43,12 @@
 	return 0
 }
 
+// Restored logs that the store has come back from a copy. The configuration in force stays until
+// a newer version is written.
+func (c *configuration) Restored(time.Duration) {
+	c.log.Warn("store restored from a copy", zap.Int64("version", c.version()))
+}
+
 // Put puts a configuration in force if it is newer.
 func (c *configuration) Put(e lagoonhead.Entry) {
 	cat, err := c.decode(e.Value)
@@ -80,6 +86,8 @@
 	timer  timer.Timer
 	log    *zap.Logger
 	roster *roster.Roster
+	// departureHold is how long departures from before a restore of the store hold after it.
+	departureHold time.Duration
 	// changed is called after the list of endpoints has changed.
 	changed func()
 
@@ -88,6 +96,10 @@
 	notified int64
 }
 
+// Restored keeps endpoints that have left, or said that they leave, out of use although the copy
+// of the store has them as they were.
+func (p *endpoints) Restored(at time.Duration) { p.roster.Restored(at, p.departureHold) }
+
 func (p *endpoints) Put(e lagoonhead.Entry) {
 	v, err := p.decode(e.Key, e.Value)
 	if err != nil {
@@ -131,6 +143,6 @@
 func (p *endpoints) removeLapsed() {
 	if n := p.roster.RemoveMissing(p.timer.Now()); n > 0 {
 		p.log.Info("endpoints did not come back with the store", zap.Int("count", n))
-		p.notify()
 	}
+	p.notify()
 }
--- a/mirror/copy.go
+++ b/mirror/copy.go
@@ -21,6 +21,9 @@
 // Follower receives the entries under one prefix and their changes. Its methods are called
 // one at a time and must not call the Copy.
 type Follower interface {
+	// Restored reports that the store has come back from a copy, whose entries follow: they may
+	// be older than those that were reported before.
+	Restored(at time.Duration)
 	// Put reports an entry that is new or changed.
 	Put(e lagoonhead.Entry)
 	// Removed reports that an entry is gone.
@@ -86,6 +89,9 @@
 	follower Follower
 	changed  bool // since the last call of Applied
 	revision int64
+	// era is the newest era of the store that the entries have come from, once known is set.
+	era      int64
+	known    bool
 	synced   bool
 	syncedAt time.Duration
 	lost     bool
@@ -100,6 +106,19 @@
 // the store rejects only the daemon whose call has failed.
 func (p *prefixState) isKeptUp(at time.Duration) bool { return p.merged && at-p.mergedAt <= peerGrace }
 
+// enter reports a restore of the store if a revision is of a newer era than those before.
+func (p *prefixState) enter(revision int64, at time.Duration) {
+	era := lagoonhead.EraOf(revision)
+	if p.known && era <= p.era {
+		return
+	}
+	restored := p.known
+	p.era, p.known = era, true
+	if restored {
+		p.follower.Restored(at)
+	}
+}
+
 // Copy is a daemon's copy of the followed entries. It is safe for concurrent use. Create it
 // with NewCopy.
 type Copy struct {
@@ -170,6 +189,7 @@
 func (c *Copy) Listed(prefix string, list []lagoonhead.Entry, revision int64, at time.Duration) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.prefixes[prefix].enter(revision, at)
 	present := make(map[string]bool, len(list))
 	for _, e := range list {
 		present[e.Key] = true
@@ -205,6 +225,7 @@
 func (c *Copy) Watched(prefix string, events []lagoonhead.Event, revision int64, at time.Duration) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.prefixes[prefix].enter(revision, at)
 	for _, e := range events {
 		c.apply(Change{Entry: e.Entry, Removed: e.Deleted})
 	}
@@ -366,6 +387,11 @@
 func (c *Copy) Merge(u Update, at, maxAge time.Duration) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	for _, s := range u.Prefixes {
+		if p := c.prefixes[s.Prefix]; p != nil && s.Revision > 0 {
+			p.enter(s.Revision, at)
+		}
+	}
 	for _, v := range u.Changes {
 		_, p := c.prefix(v.Entry.Key)
 		if p == nil {
--- a/mirror/copy_test.go
+++ b/mirror/copy_test.go
@@ -113,6 +113,33 @@
 	require.LessOrEqual(t, len(hub.history), maxHistory)
 }
 
+// Guards against a restore of the store that followers do not hear of before the entries of the
+// copy, from the store and from a peer, and against one that is reported twice.
+func TestRestoresAreReportedFirst(t *testing.T) {
+	before := map[string]string{"p/1": "x", "p/2": "y"}
+	after := map[string]string{"p/1": "older"}
+	hub, p, _ := newCopy("hub")
+	c, q, _ := newCopy("a")
+	old := lagoonhead.NewRevision(4, 9)
+	hub.Listed("p/", []lagoonhead.Entry{entry("p/1", "x", old), entry("p/2", "y", old)}, old, start)
+	pull(c, hub, start)
+	require.Zero(t, p.restores+q.restores, "the first list")
+	restored := lagoonhead.NewRevision(5, 3)
+	for range 2 {
+		hub.Listed("p/", []lagoonhead.Entry{entry("p/1", "older", restored)}, restored, start+time.Second)
+		pull(c, hub, start+time.Second)
+		for _, f := range []*recorder{p, q} {
+			require.Equal(t, 1, f.restores)
+			require.Equal(t, before, f.beforeRestore)
+			require.Equal(t, after, f.entries)
+		}
+	}
+	behind, _, _ := newCopy("behind")
+	behind.Listed("p/", []lagoonhead.Entry{entry("p/2", "y", old)}, old, start)
+	pull(hub, behind, start+time.Second)
+	require.Equal(t, after, p.entries, "a peer that has not heard of the restore changes nothing")
+}
+
 // Guards against an outage that an attached daemon does not hear of, so that it would drop
 // the endpoints whose entries lapse in it, and against one that counts although a peer
 // reaches the store.
--- a/mirror/mirror_test.go
+++ b/mirror/mirror_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"sync"
 	"testing"
 	"time"
@@ -19,6 +20,16 @@
 	entries map[string]string
 	syncs   int
 	losses  int
+	// restores counts the calls of Restored, and beforeRestore holds the entries at the last.
+	restores      int
+	beforeRestore map[string]string
+}
+
+func (r *recorder) Restored(time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.restores++
+	r.beforeRestore = maps.Clone(r.entries)
 }
 
 func (r *recorder) Put(e lagoonhead.Entry) {
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -1,6 +1,7 @@
 package roster
 
 import (
+	"maps"
 	"sync"
 	"time"
 
@@ -29,11 +30,33 @@
 	// settledAt is the time from which a missing entry means that its endpoint is gone.
 	settledAt time.Duration
 	version   int64 // see Version
+
+	// now is the newest time that a call has named.
+	now time.Duration
+	// departures holds, by key, the endpoints that have said that they leave or are gone.
+	departures map[string]departure
+	// restoredAt is the time of the last restore of the store. Until heldUntil, departures from
+	// before it hold: held has the endpoints as the store has them meanwhile, by key.
+	restoredAt, heldUntil time.Duration
+	held                  map[string]lagoonhead.Endpoint
+}
+
+// departure is the end of the use of a process of an endpoint.
+type departure struct {
+	incarnation lagoonhead.Incarnation
+	at          time.Duration
 }
 
+// departureMemory is how long a departure is remembered. The store comes back from a copy that is
+// seconds old.
+const departureMemory = time.Minute
+
 // New returns an empty roster.
 func New() *Roster {
-	return &Roster{endpoints: make(map[string]lagoonhead.Endpoint), unconfirmed: make(map[string]bool)}
+	return &Roster{
+		endpoints: make(map[string]lagoonhead.Endpoint), unconfirmed: make(map[string]bool),
+		departures: make(map[string]departure), held: make(map[string]lagoonhead.Endpoint),
+	}
 }
 
 // Put adds or replaces the endpoint of an entry in the store.
@@ -41,10 +64,46 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	delete(r.unconfirmed, key)
+	delete(r.held, key)
+	d, departed := r.departures[key]
+	switch {
+	case !departed || d.incarnation != e.Incarnation():
+	case r.isHolding() && d.at <= r.restoredAt:
+		r.held[key] = e
+		e = e.WithLeaving(true)
+	default:
+		delete(r.departures, key)
+	}
+	if e.Leaving() {
+		r.depart(key, e)
+	}
 	r.endpoints[key] = e
 	r.version++
 }
 
+// depart records a departure, unless that of the same process is known already. The caller
+// holds the lock.
+func (r *Roster) depart(key string, e lagoonhead.Endpoint) {
+	if d, ok := r.departures[key]; !ok || d.incarnation != e.Incarnation() {
+		r.departures[key] = departure{e.Incarnation(), r.now}
+	}
+}
+
+// isHolding reports whether departures from before a restore hold. The caller holds the lock.
+func (r *Roster) isHolding() bool { return r.now < r.heldUntil }
+
+// Restored reports that the store has come back from a copy. What the copy lacks may be written
+// again, so it is kept as after an outage. Departures from before hold for the given time,
+// although the copy has the endpoints as they were: by then those that are gone have lost
+// their entries again.
+func (r *Roster) Restored(now, hold time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.now = max(r.now, now)
+	r.unreachable = true
+	r.restoredAt, r.heldUntil = r.now, r.now+hold
+}
+
 // Seed adds an endpoint that is known from a peer, unless the key is known already. It
 // stays only if the store confirms it with Put.
 func (r *Roster) Seed(key string, e lagoonhead.Endpoint) {
@@ -63,6 +122,8 @@
 func (r *Roster) Removed(now time.Duration, key string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.now = max(r.now, now)
+	delete(r.held, key)
 	if _, ok := r.endpoints[key]; !ok {
 		return
 	}
@@ -84,6 +145,8 @@
 
 // drop removes an endpoint. The caller holds the lock.
 func (r *Roster) drop(key string) {
+	r.depart(key, r.endpoints[key])
+	delete(r.held, key)
 	delete(r.endpoints, key)
 	delete(r.unconfirmed, key)
 	r.version++
@@ -107,10 +170,13 @@
 }
 
 // RemoveMissing removes the endpoints whose entries are still missing ReregistrationTime
-// after the store became reachable. It returns their number.
+// after the store became reachable, and puts endpoints in use again whose departure was
+// withdrawn by a restore. It returns the number of the former; Version tells of the latter.
 func (r *Roster) RemoveMissing(now time.Duration) int {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.now = max(r.now, now)
+	r.endHold()
 	if !r.synced || r.unreachable || now < r.settledAt {
 		return 0
 	}
@@ -121,6 +187,23 @@
 	return n
 }
 
+// endHold forgets old departures, and puts endpoints that were held in use again once their
+// departures do not hold any more. The caller holds the lock.
+func (r *Roster) endHold() {
+	if r.isHolding() {
+		return
+	}
+	maps.DeleteFunc(r.departures, func(_ string, d departure) bool { return r.now-d.at > departureMemory })
+	for key, e := range r.held {
+		r.endpoints[key] = e
+		if !e.Leaving() {
+			delete(r.departures, key)
+		}
+		r.version++
+	}
+	clear(r.held)
+}
+
 // Version returns a number that grows with each change of the endpoints.
 func (r *Roster) Version() int64 {
 	r.mu.Lock()
--- a/roster/roster_test.go
+++ b/roster/roster_test.go
@@ -22,8 +22,14 @@
 		Name  string
 		Steps []struct {
 			Op, Key string
+			// Born is the incarnation of an endpoint that is put, Leaving its state, and Hold
+			// the time of a restore in ms.
+			Born    string
+			Leaving bool
+			Hold    int
 			Ms      int
-			Want    *string
+			// Want lists the endpoints, those that leave in brackets.
+			Want *string
 		}
 	}
 	require.NoError(t, yaml.Unmarshal(raw, &cases))
@@ -32,7 +38,8 @@
 			r := New()
 			for i, s := range c.Steps {
 				now := time.Duration(s.Ms) * time.Millisecond
-				e := lagoonhead.NewEndpoint(lagoonhead.EndpointID(s.Key), lagoonhead.EndpointKindEngine, "m", "a:1", "d")
+				e := lagoonhead.NewEndpoint(lagoonhead.EndpointID(s.Key), lagoonhead.EndpointKindEngine, "m", "a:1", "d").
+					WithIncarnation(lagoonhead.Incarnation(s.Born)).WithLeaving(s.Leaving)
 				switch s.Op {
 				case "put":
 					r.Put(s.Key, e)
@@ -42,6 +49,8 @@
 					r.Removed(now, s.Key)
 				case "unreadable":
 					r.Unreadable(s.Key)
+				case "restored":
+					r.Restored(now, time.Duration(s.Hold)*time.Millisecond)
 				case "lost":
 					r.StoreLost()
 				case "contact":
@@ -55,7 +64,11 @@
 					list, _ := r.Endpoints()
 					var ids []string
 					for _, v := range list {
-						ids = append(ids, string(v.ID()))
+						id := string(v.ID())
+						if v.Leaving() {
+							id = "(" + id + ")"
+						}
+						ids = append(ids, id)
 					}
 					slices.Sort(ids)
 					require.Equal(t, *s.Want, strings.Join(ids, " "), "step %d", i)
