admit: write a lost slot table again as it was

After a restore that lost the slot table, the first daemon wrote an empty one and the slots were shared out anew: a slot's new holder refilled its buckets while the former one spent until it had read the table, so that a workspace could exceed its limit (QUOTA).

Cause: a missing table was taken for one that was never written. Change: a daemon that has seen a table writes that one. TestALostSlotTableIsWrittenAgain failed before: three of four slots changed their holders.

--- a/admit/cluster_test.go
+++ b/admit/cluster_test.go
@@ -40,10 +40,12 @@
 	started   int
 	storeDown bool
 	entry     lagoonhead.Entry
-	group     sync.WaitGroup
-	stop      context.CancelFunc
-	ctx       context.Context
-	uses      []use
+	// lost is the revision of the entry that the store has lost.
+	lost  int64
+	group sync.WaitGroup
+	stop  context.CancelFunc
+	ctx   context.Context
+	uses  []use
 }
 
 // use is the number of tokens that an admitted request uses, at the time when Admit
@@ -246,7 +248,7 @@
 	if n.c.entry.Revision != r.IfRevision {
 		return 0, testError(lagoonhead.KindConflict)
 	}
-	n.c.entry = lagoonhead.Entry{Key: r.Key, Value: r.Value, Revision: r.IfRevision + 1}
+	n.c.entry = lagoonhead.Entry{Key: r.Key, Value: r.Value, Revision: max(r.IfRevision, n.c.lost) + 1}
 	if n.c.entry.Revision%3 == 0 {
 		return 0, testError(lagoonhead.KindUnknown) // the write took effect, but its response is lost
 	}
--- a/admit/restart_test.go
+++ b/admit/restart_test.go
@@ -63,6 +63,37 @@
 	return fraction, excess
 }
 
+// Guards against slots that change their holders, so that both spend for a while, because the
+// store lost the slot table.
+func TestALostSlotTableIsWrittenAgain(t *testing.T) {
+	synctest.Test(t, func(*testing.T) {
+		const n = 4
+		c := newCluster(n, lagoonhead.Quota{Rate: 1000, Burst: 1000})
+		defer c.end()
+		time.Sleep(30 * time.Second)
+		holders := func() (list []lagoonhead.VMID) {
+			c.mu.Lock()
+			defer c.mu.Unlock()
+			table, err := limit.ParseTable(c.entry.Value)
+			require.NoError(t, err)
+			for _, s := range table.Slots {
+				list = append(list, s.VM)
+			}
+			return list
+		}
+		before := holders()
+		require.NotContains(t, before, lagoonhead.VMID(""))
+		c.mu.Lock()
+		c.lost, c.entry = c.entry.Revision, lagoonhead.Entry{}
+		c.mu.Unlock()
+		time.Sleep(2 * slotInterval)
+		require.Equal(t, before, holders())
+		for _, v := range c.nodes {
+			require.NotEmpty(t, v.runner.SlotsInUse())
+		}
+	})
+}
+
 // Guards against a fleet that, after a power failure of all VMs, refuses requests that
 // the tolerance of the limit covers: requests arrive as before, but every bucket is new.
 func TestAllDaemonsRestart(t *testing.T) {
--- a/admit/slots.go
+++ b/admit/slots.go
@@ -133,13 +133,15 @@
 	return nil
 }
 
-// readTable reads the slot table. If there is none, a daemon that may hold slots creates it.
+// readTable reads the slot table. If there is none, a daemon that may hold slots creates it. A
+// table that the daemon has seen was lost by the store, and is written again as it was: in a new
+// one others could take slots whose holders still use them.
 func (r *Runner) readTable(ctx context.Context) (lagoonhead.Entry, error) {
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
 	e, err := r.Store.Get(ctx, r.SlotsKey)
 	if lagoonhead.IsKind(err, lagoonhead.KindNotFound) && r.mayHoldSlots() {
-		if err := r.writeTable(ctx, limit.NewTable(r.SlotCount), 0); err != nil && !lagoonhead.IsKind(err, lagoonhead.KindConflict) {
+		if err := r.writeTable(ctx, r.knownTable(), 0); err != nil && !lagoonhead.IsKind(err, lagoonhead.KindConflict) {
 			return e, err
 		}
 		e, err = r.Store.Get(ctx, r.SlotsKey)
@@ -147,6 +149,16 @@
 	return e, err
 }
 
+// knownTable returns the last table that was read, or a new one.
+func (r *Runner) knownTable() limit.Table {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if t, revision := r.slots.Table(); revision > 0 {
+		return t
+	}
+	return limit.NewTable(r.SlotCount)
+}
+
 func (r *Runner) mayHoldSlots() bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
