entry: store the refused prompt parts again after a restore lost them

After a restore the refused parts were in the memory of daemons only: they took them for stored, so after a restart of all daemons a part that crashes engines would have run again.

Cause: the removal of the key was ignored. Change: it makes the list count as not stored, so that the next check writes it. TestRefusedPartsAreStoredAgainAfterARestore failed before: 'Condition never satisfied'.

--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -235,7 +235,7 @@
 	}
 	d.members = &members{
 		self: s.VM, domain: s.FailureDomain, log: d.Log, slotsChanged: func() { d.admit.ReadSlots() },
-		refusedParts: func(value []byte) { d.refusedParts.read(value) }, vms: make(map[string]lagoonhead.VM),
+		refusedParts: func(value []byte) { d.refusedParts.read(value) }, refusedPartsLost: func() { d.refusedParts.lost() }, vms: make(map[string]lagoonhead.VM),
 	}
 	for _, a := range s.Seeds {
 		if a != s.Listen.Peers {
--- a/entry/members.go
+++ b/entry/members.go
@@ -54,8 +54,10 @@
 	log    *zap.Logger
 	// slotsChanged is called when the slot table has changed.
 	slotsChanged func()
-	// refusedParts is called with the value of the key of the refused prompt parts.
-	refusedParts func(value []byte)
+	// refusedParts is called with the value of the key of the refused prompt parts, and
+	// refusedPartsLost when the key is gone.
+	refusedParts     func(value []byte)
+	refusedPartsLost func()
 	// seeds are the peers of the settings, with placeholders as identifiers.
 	seeds []lagoonhead.VM
 
@@ -162,8 +164,12 @@
 	m.log.Info("peer seen", zap.String("peer", name), zap.String("address", p.PeerAddress))
 }
 
-// Removed removes a VM.
+// Removed removes a VM, or reports that the key of the refused prompt parts is gone.
 func (m *members) Removed(key string) {
+	if key == refusedPartsKey {
+		m.refusedPartsLost()
+		return
+	}
 	name, ok := strings.CutPrefix(key, memberPrefix)
 	if !ok {
 		return
--- a/entry/refusedparts.go
+++ b/entry/refusedparts.go
@@ -97,6 +97,13 @@
 	r.parts.Merge(list.GetParts())
 }
 
+// lost records that the key is gone: the store came back from a copy that does not have it.
+func (r *refusedParts) lost() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.stored = nil
+}
+
 func partSet(list *peer.RefusedParts) map[uint64]bool {
 	set := make(map[uint64]bool)
 	for _, n := range list.GetParts() {
