--- a/httppool/conn.go
+++ b/httppool/conn.go
@@ -108,3 +108,10 @@
 
 // Reused reports whether the connection had carried another request before.
 func (x *Exchange) Reused() bool { return x.reused.Load() }
+
+// CloseConn closes the connection of the request, so that no other request gets it.
+func (x *Exchange) CloseConn() {
+	if c := x.conn.Load(); c != nil {
+		_ = c.Close() // the connection is given up
+	}
+}
