--- a/entry/state.go
+++ b/entry/state.go
@@ -53,7 +53,7 @@
 func (c *configuration) Put(e lagoonhead.Entry) {
 	cat, err := c.decode(e.Value)
 	if err != nil {
-		c.log.Error("configuration cannot be read", zap.Int64("storeRevision", e.Revision), zap.Error(err))
+		c.log.Error("configuration cannot be read", zap.Int64("storeRevision", lagoonhead.NumberOf(e.Revision)), zap.Error(err))
 		return
 	}
 	c.mu.Lock()
@@ -63,7 +63,8 @@
 		return
 	}
 	c.current.Store(cat)
-	c.log.Info("configuration in force", zap.Int64("version", cat.Version()), zap.Int64("former", old), zap.Int64("storeRevision", e.Revision))
+	c.log.Info("configuration in force", zap.Int64("version", cat.Version()), zap.Int64("former", old),
+		zap.Int64("storeRevision", lagoonhead.NumberOf(e.Revision)), zap.Int64("storeEra", lagoonhead.EraOf(e.Revision)))
 	c.changed()
 }
 
--- a/overload/monitor.go
+++ b/overload/monitor.go
@@ -20,9 +20,6 @@
 	// Log gets a line when a backlog begins and when it is gone.
 	Log *zap.Logger
 
-	// delay measures the lag once; Run sets it if it is nil.
-	delay func() (time.Duration, error)
-
 	behind   bool
 	since    time.Duration
 	greatest time.Duration // lag of this backlog
@@ -42,18 +39,22 @@
 	return v
 }
 
-// Run measures the lag until ctx ends.
+// Run measures the lag until ctx ends. If that fails, the daemon goes on without protection.
 func (m *Monitor) Run(ctx context.Context) error {
-	if m.delay == nil {
-		p, err := newPipe(m.Timer)
-		if err != nil {
-			return err
-		}
+	p, err := newPipe(m.Timer)
+	if err == nil {
 		defer p.close()
-		m.delay = p.delay
+		err = m.measure(ctx, p)
 	}
+	if err != nil {
+		m.Log.Error("lag of the processor cannot be measured", zap.Error(err))
+	}
+	return nil
+}
+
+func (m *Monitor) measure(ctx context.Context, p *pipe) error {
 	for m.Timer.Sleep(ctx, interval) == nil {
-		sample, err := m.delay()
+		sample, err := p.delay()
 		if err != nil {
 			return err
 		}
