--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -234,7 +234,7 @@
 		departureHold: max(s.RegistrationTTL, minRegistrationTTL) + roster.ReregistrationTime,
 	}
 	d.members = &members{
-		self: s.VM, domain: s.FailureDomain, log: d.Log, slotsChanged: func() { d.admit.ReadSlots() },
+		self: s.VM, domain: s.FailureDomain, log: d.Log, wall: func() time.Time { return d.tally.Timer.Wall() }, slotsChanged: func() { d.admit.ReadSlots() },
 		refusedParts: func(value []byte) { d.refusedParts.read(value) }, refusedPartsLost: func() { d.refusedParts.lost() }, vms: make(map[string]lagoonhead.VM),
 	}
 	for _, a := range s.Seeds {
--- a/entry/duties.go
+++ b/entry/duties.go
@@ -78,13 +78,22 @@
 // usageReports returns the task of the duty that reports usage windows to the platform.
 func (d *Daemon) usageReports(t *lease.Tenure) task {
 	r := &billing.WindowReporter{
-		Tally: d.tally, Timer: d.tally.Timer, Store: d.store, Usage: d.Platform.Usage(t), Authority: t.Check, KeptFrom: t.KeptFrom(),
+		Tally: d.tally, Timer: d.tally.Timer, Store: d.store, Usage: d.Platform.Usage(t), Authority: t.Check, KeptFrom: d.keptFrom(t),
 		GatherCounts: d.exchanger.ExchangeNow, FetchCounts: d.fetchCounts, Log: d.Log,
 	}
 	d.vars.Set("usageReports", r.Vars())
 	return r.Run
 }
 
+// keptFrom returns the wall time from which on the store has kept all that holders of a duty wrote.
+// The era has begun before this process saw it and before its first holder.
+func (d *Daemon) keptFrom(t *lease.Tenure) time.Time {
+	if era, seen := d.members.lastRestore(); era == t.Era() && seen.Before(t.KeptFrom()) {
+		return seen
+	}
+	return t.KeptFrom()
+}
+
 // fleetOrders returns the task of the duty that orders engines from the platform and changes
 // their roles.
 func (d *Daemon) fleetOrders(t *lease.Tenure) task {
--- a/entry/members.go
+++ b/entry/members.go
@@ -52,6 +52,8 @@
 	self   lagoonhead.VMID
 	domain lagoonhead.FailureDomain
 	log    *zap.Logger
+	// wall returns the wall time without short jumps.
+	wall func() time.Time
 	// slotsChanged is called when the slot table has changed.
 	slotsChanged func()
 	// refusedParts is called with the value of the key of the refused prompt parts, and
@@ -67,6 +69,9 @@
 	vms     map[string]lagoonhead.VM
 	changed bool
 	current atomic.Pointer[layout]
+	// era and eraSeen are explained at lastRestore.
+	era     int64
+	eraSeen time.Time
 }
 
 var _ mirror.Follower = (*members)(nil)
@@ -135,8 +140,21 @@
 	return perSecond / float64(holders)
 }
 
-// Restored does nothing: a VM whose presence entry the store lost writes it again at once.
-func (m *members) Restored(time.Duration) {}
+// Restored records when the era was first seen. A VM whose presence entry the store lost writes
+// it again at once.
+func (m *members) Restored(era int64, _ time.Duration) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.era, m.eraSeen = era, m.wall()
+}
+
+// lastRestore returns the era that the last restore has begun and the wall time at which it was
+// seen, or 0 if this process has seen none.
+func (m *members) lastRestore() (era int64, seen time.Time) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.era, m.eraSeen
+}
 
 // Put adds a VM, or reports a change of the slot table or of the refused prompt parts.
 func (m *members) Put(e lagoonhead.Entry) {
--- a/entry/state.go
+++ b/entry/state.go
@@ -45,8 +45,8 @@
 
 // Restored logs that the store has come back from a copy. The configuration in force stays until
 // a newer version is written.
-func (c *configuration) Restored(time.Duration) {
-	c.log.Warn("store restored from a copy", zap.Int64("version", c.version()))
+func (c *configuration) Restored(era int64, _ time.Duration) {
+	c.log.Warn("store restored from a copy", zap.Int64("era", era), zap.Int64("version", c.version()))
 }
 
 // Put puts a configuration in force if it is newer.
@@ -99,7 +99,7 @@
 
 // Restored keeps endpoints that have left, or said that they leave, out of use although the copy
 // of the store has them as they were.
-func (p *endpoints) Restored(at time.Duration) { p.roster.Restored(at, p.departureHold) }
+func (p *endpoints) Restored(_ int64, at time.Duration) { p.roster.Restored(at, p.departureHold) }
 
 func (p *endpoints) Put(e lagoonhead.Entry) {
 	v, err := p.decode(e.Key, e.Value)
--- a/entry/wire_test.go
+++ b/entry/wire_test.go
@@ -20,7 +20,7 @@
 func (quietFollower) Removed(string)                 {}
 func (quietFollower) Applied()                       {}
 func (quietFollower) Synced(time.Duration)           {}
-func (quietFollower) Restored(time.Duration)         {}
+func (quietFollower) Restored(int64, time.Duration)  {}
 func (quietFollower) StoreLost(time.Duration, error) {}
 
 func newTestCopy(in lagoonhead.Incarnation) *mirror.Copy {
--- a/lease/duty.go
+++ b/lease/duty.go
@@ -86,6 +86,7 @@
 	epoch    int64
 	lease    lagoonhead.LeaseID
 	startsAt time.Duration
+	era      int64
 	keptFrom time.Time
 	session  *Session
 	timer    timer.Timer
@@ -98,6 +99,9 @@
 // the duty.
 func (t *Tenure) Epoch() int64 { return t.epoch }
 
+// Era returns the era of the store in which the tenure began.
+func (t *Tenure) Era() int64 { return t.era }
+
 // KeptFrom returns the wall time from which on the store has kept all that holders of the duty
 // wrote: it may have lost what was written before, when it was restored from a copy. The zero
 // time means that it has lost nothing.
@@ -252,7 +256,7 @@
 	epoch := epochIn(revision, record.Epoch)
 	t := &Tenure{
 		duty: d, epoch: epoch, lease: id, session: k.Session, timer: k.Timer,
-		startsAt: k.Timer.Now() + k.MaxOrderFlight,
+		startsAt: k.Timer.Now() + k.MaxOrderFlight, era: record.Era,
 	}
 	if record.Era != 0 {
 		t.keptFrom = time.UnixMilli(record.EraSince)
--- a/mirror/copy.go
+++ b/mirror/copy.go
@@ -21,9 +21,10 @@
 // Follower receives the entries under one prefix and their changes. Its methods are called
 // one at a time and must not call the Copy.
 type Follower interface {
-	// Restored reports that the store has come back from a copy, whose entries follow: they may
-	// be older than those that were reported before.
-	Restored(at time.Duration)
+	// Restored reports that the store has come back from a copy and begun an era, at the given
+	// time since boot or before. The entries of the copy follow: they may be older than those
+	// that were reported before.
+	Restored(era int64, at time.Duration)
 	// Put reports an entry that is new or changed.
 	Put(e lagoonhead.Entry)
 	// Removed reports that an entry is gone.
@@ -115,7 +116,7 @@
 	restored := p.known
 	p.era, p.known = era, true
 	if restored {
-		p.follower.Restored(at)
+		p.follower.Restored(era, at)
 	}
 }
 
--- a/mirror/mirror_test.go
+++ b/mirror/mirror_test.go
@@ -25,7 +25,7 @@
 	beforeRestore map[string]string
 }
 
-func (r *recorder) Restored(time.Duration) {
+func (r *recorder) Restored(int64, time.Duration) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.restores++
