overload: turn away nothing while few requests are under way

With ten busy processes beside them their logs had 162 lines 'processor behind'.

Cause: the lag of input need not come from requests, and then turning them away does not shorten it. Change: with fewer than 32 requests under way nothing is turned away; so few do not keep the processor busy for the 60 ms of the target.

TestFewRequestsAreNotTurnedAway.

--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -104,9 +104,10 @@
 	Closing func() bool
 	// BodyLimit returns the maximum size of a request body in bytes.
 	BodyLimit func() int64
-	// Overload returns the error with which a new request is refused because the processor is
-	// overloaded, or nil.
-	Overload func() error
+	// Begin begins a request, whose end calls End. It returns an error if the request is to be
+	// refused because the processor is overloaded.
+	Begin func() error
+	End   func()
 }
 
 // Daemon is one process of the serving system. Set the exported fields before Run.
@@ -367,7 +368,7 @@
 func (d *Daemon) listen() (*servers, error) {
 	newServer := func(h http.Handler) *http.Server { return &http.Server{Handler: h, ReadHeaderTimeout: time.Second} }
 	p := &peer.Server{Config: noConfiguration{}, Lender: d.admit, Usage: noUsageCopies{}, Heartbeats: d.heartbeats, Counts: d.heartbeats}
-	s := &servers{callers: d.Platform.Callers(d.dispatcher, CallerLimits{d.closesConnections, d.bodyLimit, d.guard.Check})}
+	s := &servers{callers: d.Platform.Callers(d.dispatcher, CallerLimits{d.closesConnections, d.bodyLimit, d.guard.Begin, d.guard.End})}
 	l := d.Settings.Listen
 	for _, v := range []struct {
 		address string
--- a/overload/guard.go
+++ b/overload/guard.go
@@ -31,6 +31,10 @@
 	// maxRefused is the largest part of the requests that is refused. The rest is served also
 	// when most connections are closed.
 	maxRefused = 0.8
+	// minUnderWay is the number of requests under way below which nothing is turned away: so few
+	// do not keep the processor busy for as long as target, so the lag has another cause, for
+	// example a host that is busy, and turning requests away would not shorten it.
+	minUnderWay = 32
 	// maxClosed is the largest part of the connections that is closed.
 	maxClosed = 0.9
 	// minRetryAfter is the least time after which callers of refused requests may come again,
@@ -48,6 +52,8 @@
 	// closed part of the connections. It rises while there is a backlog and falls while there
 	// is none, so it settles where the processor is just busy.
 	pressure float64
+	// underWay is the number of requests that were begun and have not ended.
+	underWay int
 
 	refused, closed expvar.Int
 }
@@ -90,42 +96,57 @@
 	return slices.Min(g.samples)
 }
 
-// Behind reports whether the process has a backlog, or turns requests away because it had one.
-func (g *Guard) Behind() bool { return g.Lag() > target || g.RefusedPart() > 0 }
+// Begin begins a new request, or returns an error of KindUnavailable with a time to return if it
+// is to be refused. The caller must call End at the end of a request that has begun.
+func (g *Guard) Begin() error {
+	refused := g.begin(rand.Float64())
+	if !refused {
+		return nil
+	}
+	g.refused.Add(1)
+	return &Error{
+		Fault:      lagoonhead.Fault{Op: "overload.begin", Kind: lagoonhead.KindUnavailable, Err: errors.New("the processor is overloaded")},
+		retryAfter: minRetryAfter + time.Duration(rand.Float64()*float64(retrySpread)),
+	}
+}
 
-// RefusedPart returns the part of the new requests to refuse, from 0 to 1.
-func (g *Guard) RefusedPart() float64 {
+// begin begins a request unless it is refused; x is random, from 0 to 1.
+func (g *Guard) begin(x float64) (refused bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return min(maxRefused, g.pressure)
+	if g.underWay >= minUnderWay && x < min(maxRefused, g.pressure) {
+		return true
+	}
+	g.underWay++
+	return false
 }
 
-// ClosedPart returns the part of the new connections to close before anything is read from
-// them, from 0 to 1.
-func (g *Guard) ClosedPart() float64 {
+// End ends a request.
+func (g *Guard) End() {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return max(0, g.pressure-maxRefused)
-}
-
-// Check returns an error of KindUnavailable with a time to return if a new request is to be
-// refused.
-func (g *Guard) Check() error {
-	if rand.Float64() >= g.RefusedPart() {
-		return nil
-	}
-	g.refused.Add(1)
-	return &Error{
-		Fault:      lagoonhead.Fault{Op: "overload.check", Kind: lagoonhead.KindUnavailable, Err: errors.New("the processor is overloaded")},
-		retryAfter: minRetryAfter + time.Duration(rand.Float64()*float64(retrySpread)),
-	}
+	g.underWay--
 }
 
 // Closes reports whether a new connection is to be closed before anything is read from it.
 func (g *Guard) Closes() bool {
-	if rand.Float64() >= g.ClosedPart() {
+	if !g.closes(rand.Float64()) {
 		return false
 	}
 	g.closed.Add(1)
 	return true
 }
+
+func (g *Guard) closes(x float64) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.underWay >= minUnderWay && x < g.pressure-maxRefused
+}
+
+// Behind reports whether the process has a backlog, or had one so lately that requests may be
+// turned away.
+func (g *Guard) Behind() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.smallest() > target || g.pressure > 0
+}
--- a/overload/load_test.go
+++ b/overload/load_test.go
@@ -108,17 +108,22 @@
 func (p *processor) request(sent time.Duration, attempt int) {
 	arrived := p.now
 	p.do(acceptCost, func() {
-		if p.rng.Float64() < p.guard.ClosedPart() {
+		if p.guard.closes(p.rng.Float64()) {
 			return // the caller turns to another VM
 		}
 		p.do(readCost, func() {
-			if p.rng.Float64() < p.guard.RefusedPart() {
+			if p.guard.begin(p.rng.Float64()) {
 				p.refusals = append(p.refusals, p.now-arrived)
 				p.again(sent, attempt, minRetryAfter)
 				return
 			}
 			p.do(placeCost, func() {
-				p.at(p.now+endpoint, func() { p.do(answerCost, func() { p.answer(sent) }) })
+				p.at(p.now+endpoint, func() {
+					p.do(answerCost, func() {
+						p.guard.End()
+						p.answer(sent)
+					})
+				})
 			})
 		})
 	})
--- a/overload/monitor_test.go
+++ b/overload/monitor_test.go
@@ -64,10 +64,26 @@
 	}
 	g.Observe(time.Minute)
 	g.Observe(0)
-	require.Zero(t, g.RefusedPart())
+	require.Zero(t, g.pressure)
 	for range 3 {
 		g.Observe(time.Second)
 	}
-	require.Positive(t, g.RefusedPart())
-	require.Positive(t, g.ClosedPart())
+	require.Greater(t, g.pressure, maxRefused)
+}
+
+// Guards against requests that are turned away although they are too few to be the cause of the
+// lag, for example on a busy host.
+func TestFewRequestsAreNotTurnedAway(t *testing.T) {
+	var g Guard
+	for range 10 {
+		g.Observe(time.Second)
+	}
+	for range minUnderWay {
+		require.False(t, g.closes(0))
+		require.False(t, g.begin(0))
+	}
+	require.True(t, g.closes(0))
+	require.True(t, g.begin(0))
+	g.End()
+	require.False(t, g.begin(0))
 }
