overload: measure the lag only while requests are under way

Change: the lag is measured from 16 requests under way on, half of those below which nothing is turned away, and while there is a backlog. TestTheLagIsMeasuredWhileRequestsAreUnderWay.

--- a/overload/guard.go
+++ b/overload/guard.go
@@ -35,6 +35,8 @@
 	// do not keep the processor busy for as long as target, so the lag has another cause, for
 	// example a host that is busy, and turning requests away would not shorten it.
 	minUnderWay = 32
+	// measuredFrom is the number of requests under way from which on the lag is measured.
+	measuredFrom = minUnderWay / 2
 	// maxClosed is the largest part of the connections that is closed.
 	maxClosed = 0.9
 	// minRetryAfter is the least time after which callers of refused requests may come again,
@@ -54,6 +56,8 @@
 	pressure float64
 	// underWay is the number of requests that were begun and have not ended.
 	underWay int
+	// busied gets an element when the lag has to be measured. It is created by becomesBusy.
+	busied chan struct{}
 
 	refused, closed expvar.Int
 }
@@ -117,7 +121,33 @@
 	if g.underWay >= minUnderWay && x < min(maxRefused, g.pressure) {
 		return true
 	}
-	g.underWay++
+	if g.underWay++; g.underWay == measuredFrom {
+		select {
+		case g.busied <- struct{}{}:
+		default:
+		}
+	}
+	return false
+}
+
+// becomesBusy returns a channel that gets an element when the lag has to be measured.
+func (g *Guard) becomesBusy() <-chan struct{} {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.busied == nil {
+		g.busied = make(chan struct{}, 1)
+	}
+	return g.busied
+}
+
+// isBusy reports whether the lag has to be measured. If not, the former lags are forgotten.
+func (g *Guard) isBusy() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.underWay >= measuredFrom || g.pressure > 0 || g.smallest() > target {
+		return true
+	}
+	g.samples = g.samples[:0]
 	return false
 }
 
--- a/overload/load_test.go
+++ b/overload/load_test.go
@@ -96,6 +96,10 @@
 func (p *processor) sample() {
 	due := p.now + interval
 	p.at(due, func() {
+		if !p.guard.isBusy() {
+			p.sample()
+			return
+		}
 		p.do(sampleCost, func() {
 			if !p.guardIsOff {
 				p.guard.Observe(p.now - due)
--- a/overload/monitor.go
+++ b/overload/monitor.go
@@ -28,7 +28,7 @@
 	backlogs expvar.Int
 }
 
-// Vars returns the lag in seconds (lagSeconds), the number of backlogs, and how many requests
+// Vars returns the lag in seconds while it is measured (lagSeconds), the number of backlogs, and how many requests
 // were refused and connections closed because of them.
 func (m *Monitor) Vars() *expvar.Map {
 	v := new(expvar.Map)
@@ -52,15 +52,29 @@
 	return nil
 }
 
+// measure measures the lag while the guard is busy. It costs a few system calls and wake-ups each
+// time, so a VM with little to do is not measured.
 func (m *Monitor) measure(ctx context.Context, p *pipe) error {
-	for m.Timer.Sleep(ctx, interval) == nil {
+	busied := m.Guard.becomesBusy()
+	for {
+		if !m.Guard.isBusy() {
+			m.lag.Set(0)
+			select {
+			case <-busied:
+				continue
+			case <-ctx.Done():
+				return nil
+			}
+		}
+		if m.Timer.Sleep(ctx, interval) != nil {
+			return nil // ctx has ended
+		}
 		sample, err := p.delay()
 		if err != nil {
 			return err
 		}
 		m.observe(m.Timer.Now(), sample)
 	}
-	return nil // ctx has ended
 }
 
 func (m *Monitor) observe(now, sample time.Duration) {
--- a/overload/monitor_test.go
+++ b/overload/monitor_test.go
@@ -87,3 +87,31 @@
 	g.End()
 	require.False(t, g.begin(0))
 }
+
+// Guards against a lag that is measured while there is nothing to protect, or not measured once
+// there is.
+func TestTheLagIsMeasuredWhileRequestsAreUnderWay(t *testing.T) {
+	g := new(Guard)
+	m := &Monitor{Guard: g, Timer: &timer.System{}, Log: zap.NewNop()}
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan error, 1)
+	go func() { done <- m.Run(ctx) }()
+	measured := func() bool {
+		g.mu.Lock()
+		defer g.mu.Unlock()
+		return len(g.samples) > 0
+	}
+	for range measuredFrom - 1 {
+		require.NoError(t, g.Begin())
+	}
+	time.Sleep(5 * interval)
+	require.False(t, measured())
+	require.NoError(t, g.Begin())
+	require.Eventually(t, measured, time.Minute, interval)
+	for range measuredFrom {
+		g.End()
+	}
+	require.Eventually(t, func() bool { return !measured() }, time.Minute, interval)
+	cancel()
+	require.NoError(t, <-done)
+}
