overload: measure the lag of input once the others are queued

TestTheLagOfInputIsMeasured failed once: 55.8 ms where more than 60 ms is asserted. The Go scheduler takes every 61st goroutine from the queue that all of its threads share, and the others of the test, of 1 ms each, were not in that queue yet, so the reader could be the next one from it. The test now begins when each of them has run and queued again.

--- a/overload/monitor_test.go
+++ b/overload/monitor_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"runtime"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -39,16 +40,25 @@
 	require.NoError(t, err)
 	defer p.close()
 	ctx, cancel := context.WithCancel(t.Context())
+	const others = 400
 	var w sync.WaitGroup
-	for range 400 {
+	var ran atomic.Int64
+	for range others {
 		w.Go(func() {
-			for ctx.Err() == nil {
+			for first := true; ctx.Err() == nil; first = false {
 				for end := time.Now().Add(time.Millisecond); time.Now().Before(end); {
 				}
+				if first {
+					ran.Add(1)
+				}
 				runtime.Gosched()
 			}
 		})
 	}
+	// Once each has run, all are in the queue that the reader has to wait in.
+	for ran.Load() < others {
+		runtime.Gosched()
+	}
 	lag, err := p.delay()
 	cancel()
 	w.Wait()
