--- /dev/null
+++ b/eventqueue/doc.go
@@ -0,0 +1,2 @@
+// Package eventqueue orders the events of simulations that tests play.
+package eventqueue
--- a/limit/sim_test.go
+++ b/limit/sim_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"container/heap"
 	"fmt"
 	"math/rand/v2"
 	"slices"
@@ -10,6 +9,7 @@
 	"time"
 
 	"github.com/lagoonhead/lagoonhead"
+	"github.com/lagoonhead/lagoonhead/eventqueue"
 )
 
 // broken disables parts of the mechanism, to show that the simulation detects it.
@@ -40,27 +40,6 @@
 	used int64
 }
 
-type simEvent struct {
-	at     time.Duration
-	number int // order of events at the same time
-	run    func()
-}
-
-type simEvents []simEvent
-
-func (e simEvents) Len() int { return len(e) }
-func (e simEvents) Less(i, j int) bool {
-	return e[i].at < e[j].at || e[i].at == e[j].at && e[i].number < e[j].number
-}
-func (e simEvents) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
-func (e *simEvents) Push(x any)   { *e = append(*e, x.(simEvent)) }
-func (e *simEvents) Pop() any {
-	old := *e
-	x := old[len(old)-1]
-	*e = old[:len(old)-1]
-	return x
-}
-
 type simRequest struct {
 	charge int64
 	until  time.Duration // the request is dropped if it still waits after this time
@@ -73,8 +52,7 @@
 	rng       *rand.Rand
 	broken    broken
 	quota     lagoonhead.Quota
-	events    simEvents
-	number    int          // of the last event
+	events    eventqueue.Queue
 	daemons   []*simDaemon // including former incarnations
 	table     Table
 	revision  int64
@@ -123,16 +101,18 @@
 }
 
 func (s *sim) after(d time.Duration, f func()) {
-	s.number++
-	heap.Push(&s.events, simEvent{s.now + d, s.number, f})
+	s.events.Add(s.now+d, f)
 }
 
 func (s *sim) run(d time.Duration) {
 	end := s.now + d
-	for len(s.events) > 0 && s.events[0].at <= end {
-		e := heap.Pop(&s.events).(simEvent)
-		s.now = e.at
-		e.run()
+	for {
+		at, run, ok := s.events.Pop(end)
+		if !ok {
+			break
+		}
+		s.now = at
+		run()
 	}
 	s.now = end
 }
--- a/overload/load_test.go
+++ b/overload/load_test.go
@@ -1,12 +1,13 @@
 package overload
 
 import (
-	"container/heap"
 	"math/rand/v2"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"github.com/lagoonhead/lagoonhead/eventqueue"
 )
 
 // The load: a VM with a part of a core, whose usual load takes half of it, gets many times as
@@ -43,33 +44,11 @@
 	atOnce = time.Second
 )
 
-type event struct {
-	at     time.Duration
-	number int // order of events at the same time
-	run    func()
-}
-
-type events []event
-
-func (e events) Len() int { return len(e) }
-func (e events) Less(i, j int) bool {
-	return e[i].at < e[j].at || e[i].at == e[j].at && e[i].number < e[j].number
-}
-func (e events) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
-func (e *events) Push(x any)   { *e = append(*e, x.(event)) }
-func (e *events) Pop() any {
-	last := len(*e) - 1
-	x := (*e)[last]
-	*e = (*e)[:last]
-	return x
-}
-
 // processor is a simulated VM that runs tasks in the order in which they became due.
 type processor struct {
 	rng    *rand.Rand
 	guard  *Guard
-	events events
-	number int
+	events eventqueue.Queue
 	now    time.Duration
 	freeAt time.Duration
 
@@ -83,8 +62,7 @@
 }
 
 func (p *processor) at(t time.Duration, run func()) {
-	p.number++
-	heap.Push(&p.events, event{t, p.number, run})
+	p.events.Add(t, run)
 }
 
 // do runs a task behind those that are due.
@@ -177,10 +155,13 @@
 		p.at(t, func() { p.change(t, controlTasks) })
 		p.begun++
 	}
-	for p.now < playEnd {
-		e := heap.Pop(&p.events).(event)
-		p.now = e.at
-		e.run()
+	for {
+		at, run, ok := p.events.Pop(playEnd)
+		if !ok {
+			break
+		}
+		p.now = at
+		run()
 	}
 	for len(p.changes) < p.begun {
 		p.changes = append(p.changes, playEnd)
