Read the change again: one description of the limits on callers, one backlog condition, fewer parameters

Ingress takes entry.CallerLimits in place of five fields that repeated them. Guard.Observe returns the lag and whether there is a backlog, which two more methods and isBusy had each for themselves. An epoch is computed from its record. The pipe reports why it cannot be read. Scripts of the roster name the incarnation as the code does.

--- a/billing/windows.go
+++ b/billing/windows.go
@@ -61,8 +61,8 @@
 
 // Vars returns the counters: windows sealed here (sealed) and by another daemon (adopted),
 // reports accepted (reported), windows that may have been reported with figures that are lost
-// (inDoubt), failed attempts to seal or report (failed) and failed writes
-// of open counts (openNotSaved).
+// (inDoubt), failed attempts to seal or report (failed) and failed writes of open counts
+// (openNotSaved).
 func (r *WindowReporter) Vars() *expvar.Map { return &r.vars }
 
 // Run seals and reports windows until ctx ends.
@@ -147,9 +147,9 @@
 		if usage = r.Tally.Sum(n); len(usage) == 0 {
 			return nil, nil
 		}
-	}
-	if !known && r.Tally.End(n).Before(r.KeptFrom) {
-		return r.stored(ctx, n)
+		if r.Tally.End(n).Before(r.KeptFrom) {
+			return r.stored(ctx, n)
+		}
 	}
 	_, err := r.Store.Put(ctx, lagoonhead.PutRequest{Key: windowKey(n), Value: encode(usage), IfRevision: 0})
 	if err == nil {
--- a/cmd/lagoonheadd/platform.go
+++ b/cmd/lagoonheadd/platform.go
@@ -82,7 +82,7 @@
 		ConfigurationKey: platform.ConfigurationKey, EndpointPrefix: platform.EndpointPrefix,
 		DecodeConfiguration: platform.DecodeConfiguration, DecodeRegistration: platform.DecodeRegistration,
 		Callers: func(d *dispatch.Dispatcher, c entry.CallerLimits) *http.Server {
-			return platform.NewServer(&platform.Ingress{Dispatcher: d, Closing: c.Closing, BodyLimit: c.BodyLimit, Begin: c.Begin, End: c.End})
+			return platform.NewServer(&platform.Ingress{Dispatcher: d, Limits: c})
 		},
 		Ready: platform.ReadyHandler,
 		Usage: func(t *lease.Tenure) lagoonhead.UsageReporter {
--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -60,8 +60,8 @@
 	// exchangeTimeout bounds an exchange of heartbeats, after which an attached daemon
 	// turns to another hub.
 	exchangeTimeout = 600 * time.Millisecond
-	// minRegistrationTTL is the least time for which a departed endpoint's registration in a
-	// copy of the store does not count.
+	// minRegistrationTTL is the least time that is assumed for Settings.RegistrationTTL, which
+	// is 0 if the settings do not name the time between heartbeats.
 	minRegistrationTTL = time.Second
 	// lapsedInterval is the time between checks for endpoints that did not register
 	// again after an outage of the store.
@@ -100,7 +100,8 @@
 
 // CallerLimits are the limits of a daemon on callers. They change while it runs.
 type CallerLimits struct {
-	// Closing reports whether callers are told to close the connection.
+	// Closing reports whether callers are told to close the connection: the daemon is draining,
+	// so that their next one goes to another daemon, or has too many connections.
 	Closing func() bool
 	// BodyLimit returns the maximum size of a request body in bytes.
 	BodyLimit func() int64
--- a/lease/duty.go
+++ b/lease/duty.go
@@ -39,7 +39,7 @@
 }
 
 type epochRecord struct {
-	// Epoch counts the holders. The store may lose the newest ones, see epochIn.
+	// Epoch counts the holders. The store may lose the newest ones; see number.
 	Epoch int64  `json:"epoch"`
 	Nonce string `json:"nonce"`
 	// Holders are the VMs that held the duty most recently, the newest first.
@@ -73,12 +73,12 @@
 	return next
 }
 
-// eraEpochs is the number of epochs that a restore of the store loses at most.
-const eraEpochs = 1 << 20
+// maxLostEpochs is the number of epochs that a restore of the store loses at most.
+const maxLostEpochs = 1 << 20
 
-// epochIn returns the epoch of a holder whose record was written under a revision of the store.
-// The counts that a restore loses are given out again, so the era goes before the count.
-func epochIn(revision, count int64) int64 { return lagoonhead.EraOf(revision)*eraEpochs + count }
+// number returns the epoch of the holder. The counts that a restore loses are given out again, so
+// the era goes before the count.
+func (r epochRecord) number() int64 { return r.Era*maxLostEpochs + r.Epoch }
 
 // Tenure is the right of this daemon to perform a duty. It ends when the lease lapses.
 type Tenure struct {
@@ -253,9 +253,8 @@
 	if err != nil {
 		return err
 	}
-	epoch := epochIn(revision, record.Epoch)
 	t := &Tenure{
-		duty: d, epoch: epoch, lease: id, session: k.Session, timer: k.Timer,
+		duty: d, epoch: record.number(), lease: id, session: k.Session, timer: k.Timer,
 		startsAt: k.Timer.Now() + k.MaxOrderFlight, era: record.Era,
 	}
 	if record.Era != 0 {
@@ -271,7 +270,7 @@
 	k.tenures[d] = t
 	k.mu.Unlock()
 	k.vars.Add("gained", 1)
-	k.Log.Info("duty gained", zap.Stringer("duty", d), zap.Int64("epoch", epoch))
+	k.Log.Info("duty gained", zap.Stringer("duty", d), zap.Int64("epoch", t.epoch))
 	if k.OnGained != nil {
 		k.OnGained(t)
 	}
--- a/overload/guard.go
+++ b/overload/guard.go
@@ -62,8 +62,10 @@
 	refused, closed expvar.Int
 }
 
-// Observe records the lag that was measured interval after the one before it.
-func (g *Guard) Observe(lag time.Duration) {
+// Observe records the lag that was measured interval after the one before it. It returns the
+// smallest of the recent lags, and whether the process has a backlog, or had one so lately that
+// requests may be turned away.
+func (g *Guard) Observe(lag time.Duration) (smallest time.Duration, behind bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.samples = append(g.samples, lag)
@@ -71,13 +73,18 @@
 		g.samples = g.samples[1:]
 	}
 	elapsed := min(interval+lag, maxElapsed).Seconds()
-	if excess := g.smallest() - target; excess > 0 {
+	smallest = g.smallest()
+	if excess := smallest - target; excess > 0 {
 		g.pressure = min(maxRefused+maxClosed, g.pressure+rise*elapsed*min(maxExcess, excess.Seconds()/target.Seconds()))
 	} else {
 		g.pressure = max(0, g.pressure-fall*elapsed)
 	}
+	return smallest, g.isBehind()
 }
 
+// isBehind is explained at Observe. The caller holds mu.
+func (g *Guard) isBehind() bool { return g.smallest() > target || g.pressure > 0 }
+
 // covered returns the time that samples cover.
 func covered(samples []time.Duration) (d time.Duration) {
 	for _, lag := range samples {
@@ -86,13 +93,8 @@
 	return d
 }
 
-// Lag returns the smallest of the recent lags, or 0 before there are enough of them.
-func (g *Guard) Lag() time.Duration {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	return g.smallest()
-}
-
+// smallest returns the smallest of the recent lags, or 0 before there are enough of them. The
+// caller holds mu.
 func (g *Guard) smallest() time.Duration {
 	if len(g.samples) < minSamples || covered(g.samples) < window {
 		return 0
@@ -103,8 +105,7 @@
 // Begin begins a new request, or returns an error of KindUnavailable with a time to return if it
 // is to be refused. The caller must call End at the end of a request that has begun.
 func (g *Guard) Begin() error {
-	refused := g.begin(rand.Float64())
-	if !refused {
+	if !g.begin(rand.Float64()) {
 		return nil
 	}
 	g.refused.Add(1)
@@ -144,7 +145,7 @@
 func (g *Guard) isBusy() bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if g.underWay >= measuredFrom || g.pressure > 0 || g.smallest() > target {
+	if g.underWay >= measuredFrom || g.isBehind() {
 		return true
 	}
 	g.samples = g.samples[:0]
@@ -172,11 +173,3 @@
 	defer g.mu.Unlock()
 	return g.underWay >= minUnderWay && x < g.pressure-maxRefused
 }
-
-// Behind reports whether the process has a backlog, or had one so lately that requests may be
-// turned away.
-func (g *Guard) Behind() bool {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	return g.smallest() > target || g.pressure > 0
-}
--- a/overload/monitor.go
+++ b/overload/monitor.go
@@ -28,8 +28,8 @@
 	backlogs expvar.Int
 }
 
-// Vars returns the lag in seconds while it is measured (lagSeconds), the number of backlogs, and how many requests
-// were refused and connections closed because of them.
+// Vars returns the lag in seconds while it is measured (lagSeconds), the number of backlogs, and
+// how many requests were refused and connections closed because of them.
 func (m *Monitor) Vars() *expvar.Map {
 	v := new(expvar.Map)
 	v.Set("lagSeconds", &m.lag)
@@ -78,10 +78,9 @@
 }
 
 func (m *Monitor) observe(now, sample time.Duration) {
-	m.Guard.Observe(sample)
-	lag := m.Guard.Lag()
+	lag, behind := m.Guard.Observe(sample)
 	m.lag.Set(lag.Seconds())
-	switch behind := m.Guard.Behind(); {
+	switch {
 	case behind && !m.behind:
 		m.behind, m.since, m.greatest = true, now, lag
 		m.backlogs.Add(1)
--- a/overload/pipe.go
+++ b/overload/pipe.go
@@ -17,6 +17,7 @@
 	timer   timer.Timer
 	r, w    *os.File
 	arrived chan time.Duration // time since boot at which each byte was read
+	failure error              // of reading; it is set before arrived is closed
 }
 
 func newPipe(t timer.Timer) (*pipe, error) {
@@ -34,6 +35,7 @@
 	b := make([]byte, 1)
 	for {
 		if _, err := io.ReadFull(p.r, b); err != nil {
+			p.failure = err
 			close(p.arrived)
 			return
 		}
@@ -47,7 +49,11 @@
 	if _, err := p.w.Write([]byte{0}); err != nil {
 		return 0, &Error{Fault: lagoonhead.Fault{Op: "overload.delay", Kind: lagoonhead.KindUnavailable, Err: err}}
 	}
-	return <-p.arrived - sent, nil
+	at, ok := <-p.arrived
+	if !ok {
+		return 0, &Error{Fault: lagoonhead.Fault{Op: "overload.delay", Kind: lagoonhead.KindUnavailable, Err: p.failure}}
+	}
+	return at - sent, nil
 }
 
 func (p *pipe) close() {
--- a/roster/roster_test.go
+++ b/roster/roster_test.go
@@ -22,12 +22,12 @@
 		Name  string
 		Steps []struct {
 			Op, Key string
-			// Born is the incarnation of an endpoint that is put, Leaving its state, and Hold
-			// the time of a restore in ms.
-			Born    string
-			Leaving bool
-			Hold    int
-			Ms      int
+			// Incarnation and Leaving are those of an endpoint that is put. Hold is the time in ms
+			// for which departures hold after a restore.
+			Incarnation string
+			Leaving     bool
+			Hold        int
+			Ms          int
 			// Want lists the endpoints, those that leave in brackets.
 			Want *string
 		}
@@ -39,7 +39,7 @@
 			for i, s := range c.Steps {
 				now := time.Duration(s.Ms) * time.Millisecond
 				e := lagoonhead.NewEndpoint(lagoonhead.EndpointID(s.Key), lagoonhead.EndpointKindEngine, "m", "a:1", "d").
-					WithIncarnation(lagoonhead.Incarnation(s.Born)).WithLeaving(s.Leaving)
+					WithIncarnation(lagoonhead.Incarnation(s.Incarnation)).WithLeaving(s.Leaving)
 				switch s.Op {
 				case "put":
 					r.Put(s.Key, e)
