--- /dev/null
+++ b/review/standin/client.go
@@ -0,0 +1,142 @@
+package main
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+// sent is a request of a client and what became of it.
+type sent struct {
+	id     string
+	daemon *daemon
+	at     time.Time
+	// whole is true once all bytes of the request were written.
+	whole bool
+	// status is that of the answer, or 0 if none came.
+	status int
+	// complete is true if the body of the answer came to its end.
+	complete bool
+	header   http.Header
+	ended    time.Time
+}
+
+// traffic holds the requests of all clients.
+type traffic struct {
+	*record
+	// path is the path up to the number of a request, with which each path ends.
+	method, path, body string
+	// header returns further lines of the head of the request with a number, each with its line
+	// end. It may be nil.
+	header func(number int64) string
+
+	next     atomic.Int64
+	stopping atomic.Bool
+	wait     sync.WaitGroup
+	mu       sync.Mutex
+	requests []*sent
+}
+
+// clientPause is the mean time between the answer to a client's request and its next request.
+const clientPause = 30 * time.Millisecond
+
+// pause waits between two requests. The time varies, so that clients do not fall into step.
+func pause() { time.Sleep(rand.N(2 * clientPause)) }
+
+// clientTimeout is how long a client waits for an answer, which it also tells the daemon.
+const clientTimeout = 3 * time.Second
+
+// start starts n clients of a daemon. Each keeps its connection for many requests, and each
+// request is sent once. They end with finish, or when the daemon refuses a connection.
+func (t *traffic) start(d *daemon, n int) {
+	for range n {
+		t.wait.Go(func() { t.client(d) })
+	}
+}
+
+// finish ends all clients and returns their requests.
+func (t *traffic) finish() []*sent {
+	t.stopping.Store(true)
+	t.wait.Wait()
+	return t.requests
+}
+
+func (t *traffic) client(d *daemon) {
+	var c net.Conn
+	var in *bufio.Reader
+	defer func() {
+		if c != nil {
+			c.Close()
+		}
+	}()
+	for !t.stopping.Load() {
+		if c == nil {
+			var err error
+			if c, err = net.DialTimeout("tcp", d.front, time.Second); err != nil {
+				c = nil
+				select {
+				case <-d.exited:
+					return
+				case <-time.After(clientPause):
+					continue
+				}
+			}
+			in = bufio.NewReader(c)
+		}
+		if !t.exchange(d, c, in) {
+			c.Close()
+			c = nil
+		}
+		pause()
+	}
+}
+
+// exchange sends a request and reads the answer. It reports whether the connection can be used
+// again.
+func (t *traffic) exchange(d *daemon, c net.Conn, in *bufio.Reader) bool {
+	number := t.next.Add(1)
+	s := &sent{id: fmt.Sprintf("r%06d", number), daemon: d, at: time.Now()}
+	t.mu.Lock()
+	t.requests = append(t.requests, s)
+	t.mu.Unlock()
+	defer func() {
+		s.ended = time.Now()
+		t.add("client: %s at %s ends with status %d, complete %t", s.id, d.name, s.status, s.complete)
+	}()
+	var b strings.Builder
+	fmt.Fprintf(&b, "%s %s%d HTTP/1.1\r\nHost: %s\r\nX-Request-Id: %s\r\nX-Deadline-Ms: %d\r\nAuthorization: Bearer %s\r\n",
+		t.method, t.path, number, hostName, s.id, clientTimeout.Milliseconds(), apiKey)
+	if t.body != "" {
+		fmt.Fprintf(&b, "Content-Length: %d\r\n", len(t.body))
+	}
+	if t.header != nil {
+		b.WriteString(t.header(number))
+	}
+	b.WriteString("\r\n" + t.body)
+	t.add("client: %s is sent to %s (%s %s%d)", s.id, d.name, t.method, t.path, number)
+	_ = c.SetDeadline(s.at.Add(clientTimeout + time.Second)) // a late answer still counts
+	if _, err := io.WriteString(c, b.String()); err != nil {
+		return false
+	}
+	s.whole = true
+	r, err := http.ReadResponse(in, &http.Request{Method: t.method})
+	if err != nil {
+		t.add("client: %s gets no answer: %v", s.id, err)
+		return false
+	}
+	defer r.Body.Close()
+	s.status, s.header = r.StatusCode, r.Header
+	if _, err := io.Copy(io.Discard, r.Body); err != nil {
+		t.add("client: %s gets an answer that breaks off: %v", s.id, err)
+		return false
+	}
+	s.complete = true
+	return !r.Close
+}
