--- a/review/standin/cases.go
+++ b/review/standin/cases.go
@@ -123,7 +123,7 @@
 	if err := f.startDaemons(3); err != nil {
 		return verdict{}, err
 	}
-	t := &traffic{record: f.record, method: "POST", path: "/book/crates/", body: `{"crates":40}`}
+	t := &traffic{record: f.record, method: "POST", path: "/book/crates/", body: `{"crates":40}`, untilExit: true}
 	for _, d := range f.daemons {
 		t.start(d, clientsPerDaemon)
 	}
--- a/review/standin/client.go
+++ b/review/standin/client.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"cmp"
 	"fmt"
 	"io"
 	"math/rand/v2"
@@ -31,12 +32,23 @@
 // traffic holds the requests of all clients.
 type traffic struct {
 	*record
+	// prefix begins the identifiers of the requests; empty means r.
+	prefix string
 	// path is the path up to the number of a request, with which each path ends.
 	method, path, body string
+	// key is the API key, or empty for apiKey.
+	key string
+	// uplink is the number of bytes a second that a client sends of a body; 0 means no limit.
+	uplink int
+	// timeout is how long a client waits, or 0 for clientTimeout.
+	timeout time.Duration
 	// header returns further lines of the head of the request with a number, each with its line
 	// end. It may be nil.
 	header func(number int64) string
 
+	// untilExit ends the clients of a daemon whose process has ended.
+	untilExit bool
+
 	next     atomic.Int64
 	stopping atomic.Bool
 	wait     sync.WaitGroup
@@ -81,12 +93,11 @@
 			var err error
 			if c, err = net.DialTimeout("tcp", d.front, time.Second); err != nil {
 				c = nil
-				select {
-				case <-d.exited:
+				if t.untilExit && d.hasExited() {
 					return
-				case <-time.After(clientPause):
-					continue
 				}
+				pause()
+				continue
 			}
 			in = bufio.NewReader(c)
 		}
@@ -101,8 +112,8 @@
 // exchange sends a request and reads the answer. It reports whether the connection can be used
 // again.
 func (t *traffic) exchange(d *daemon, c net.Conn, in *bufio.Reader) bool {
-	number := t.next.Add(1)
-	s := &sent{id: fmt.Sprintf("r%06d", number), daemon: d, at: time.Now()}
+	number, timeout := t.next.Add(1), cmp.Or(t.timeout, clientTimeout)
+	s := &sent{id: fmt.Sprintf("%s%06d", cmp.Or(t.prefix, "r"), number), daemon: d, at: time.Now()}
 	t.mu.Lock()
 	t.requests = append(t.requests, s)
 	t.mu.Unlock()
@@ -112,17 +123,18 @@
 	}()
 	var b strings.Builder
 	fmt.Fprintf(&b, "%s %s%d HTTP/1.1\r\nHost: %s\r\nX-Request-Id: %s\r\nX-Deadline-Ms: %d\r\nAuthorization: Bearer %s\r\n",
-		t.method, t.path, number, hostName, s.id, clientTimeout.Milliseconds(), apiKey)
+		t.method, t.path, number, hostName, s.id, timeout.Milliseconds(), cmp.Or(t.key, apiKey))
 	if t.body != "" {
 		fmt.Fprintf(&b, "Content-Length: %d\r\n", len(t.body))
 	}
 	if t.header != nil {
 		b.WriteString(t.header(number))
 	}
-	b.WriteString("\r\n" + t.body)
+	b.WriteString("\r\n")
 	t.add("client: %s is sent to %s (%s %s%d)", s.id, d.name, t.method, t.path, number)
-	_ = c.SetDeadline(s.at.Add(clientTimeout + time.Second)) // a late answer still counts
-	if _, err := io.WriteString(c, b.String()); err != nil {
+	_ = c.SetDeadline(s.at.Add(timeout + time.Second)) // a late answer still counts
+	if err := t.write(c, b.String()); err != nil {
+		t.add("client: %s is not written: %v", s.id, err)
 		return false
 	}
 	s.whole = true
@@ -140,3 +152,28 @@
 	s.complete = true
 	return !r.Close
 }
+
+// writeInterval is the time between two writes of a body by a client with a limited uplink.
+const writeInterval = 20 * time.Millisecond
+
+// write writes the head and the body of a request.
+func (t *traffic) write(c net.Conn, head string) error {
+	body := t.body
+	if t.uplink == 0 {
+		_, err := io.WriteString(c, head+body)
+		return err
+	}
+	if _, err := io.WriteString(c, head); err != nil {
+		return err
+	}
+	size := int(float64(t.uplink) * writeInterval.Seconds())
+	for len(body) > 0 {
+		n := min(size, len(body))
+		if _, err := io.WriteString(c, body[:n]); err != nil {
+			return err
+		}
+		body = body[n:]
+		time.Sleep(writeInterval)
+	}
+	return nil
+}
--- a/review/standin/fleet.go
+++ b/review/standin/fleet.go
@@ -27,13 +27,14 @@
 	daemonPath = "target/lagoonheadd"
 	// hostName is the host of all routes.
 	hostName = "h.example"
-	// apiKey is the key of the only tenant.
-	apiKey = "key-of-tenant"
+	// apiKey is the key of a tenant without a quota, and largeKey that of one with a quota.
+	apiKey, largeKey = "key-of-tenant", "key-of-large"
 	// readyTimeout bounds the wait for a daemon to report that it is ready.
 	readyTimeout = 20 * time.Second
 	// The bounds of the sheets of the small deployments.
 	drainTime = 2 * time.Second
 	graceTime = 8 * time.Second
+	memoryMB  = 284
 )
 
 // fleet is a small deployment: the platform, and daemons as processes.
@@ -122,8 +123,11 @@
 func (f *fleet) configure(service map[string]any, routes ...map[string]any) error {
 	return f.put("op/config", map[string]any{
 		"version": 1, "routes": routes, "services": []any{service},
-		"limits":  map[string]any{"max_header_bytes": 16384, "max_body_bytes": 4194304, "header_timeout_ms": 5000, "idle_timeout_ms": 30000},
-		"tenants": []any{map[string]any{"name": "tenant", "api_keys": []string{apiKey}}},
+		"limits": map[string]any{"max_header_bytes": 16384, "max_body_bytes": 4194304, "header_timeout_ms": 5000, "idle_timeout_ms": 30000},
+		"tenants": []any{
+			map[string]any{"name": "tenant", "api_keys": []string{apiKey}},
+			map[string]any{"name": "large", "api_keys": []string{largeKey}, "unit": "tokens", "plain_tokens": 200, "rate_per_s": 3400, "burst": 6800},
+		},
 	})
 }
 
@@ -181,7 +185,7 @@
 		"ip": "127.0.0.1", "zone": "zone-a", "region": "region", "zones": map[string]string{"zone-a": "region"},
 		"listen":         map[string]string{"front_addr": d.front, "ready_addr": d.ready, "control_plane": d.control},
 		"internal_ports": []int{port, port}, "seeds": f.seeds, "bootstrap": true, "discovery": "platform", "entry": "vip", "heartbeat_ms": 1200,
-		"limits": map[string]any{"cpu_share": 0.4, "cpu_cores": 1, "memory_mb": 284, "max_fds": 4100, "link_mbps": 1000, "disk_mb": 0},
+		"limits": map[string]any{"cpu_share": 0.4, "cpu_cores": 1, "memory_mb": memoryMB, "max_fds": 4100, "link_mbps": 1000, "disk_mb": 0},
 		"bounds": map[string]any{
 			"seed_lag_s": 3, "reuse_after_s": 2, "contact_ms": 3000, "ack_timeout_ms": 4000, "catch_up_s": 4,
 			"drain_ms": drainTime.Milliseconds(), "grace_s": graceTime.Seconds(), "loss_slack_ms": 200,
@@ -228,6 +232,16 @@
 	return nil
 }
 
+// hasExited reports whether the process has ended.
+func (d *daemon) hasExited() bool {
+	select {
+	case <-d.exited:
+		return true
+	default:
+		return false
+	}
+}
+
 // awaitReady waits until a daemon answers the balancer's question with 200.
 func (d *daemon) awaitReady() error {
 	for end := time.Now().Add(readyTimeout); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -36,6 +36,7 @@
 	"twice":   twice,
 	"hangup":  hangup,
 	"leaving": leaving,
+	"memory":  memory,
 }
 
 func main() { os.Exit(run()) }
