--- a/review/standin/cases.go
+++ b/review/standin/cases.go
@@ -175,9 +175,11 @@
 		leaveDelay = 200 * time.Millisecond
 		// linger is how long the engine serves on beyond the time to drain.
 		linger = 2 * time.Second
+		// work is how long a booking runs; on the sheets it is 60 ms in the mean and 450 at most.
+		work = 200 * time.Millisecond
 	)
-	gone := &engine{id: "engine-1", work: 60 * time.Millisecond}
-	others := []*engine{{id: "engine-2", work: 60 * time.Millisecond}, {id: "engine-3", work: 60 * time.Millisecond}}
+	gone := &engine{id: "engine-1", work: work}
+	others := []*engine{{id: "engine-2", work: work}, {id: "engine-3", work: work}}
 	if err := f.startEngines(append(others, gone)...); err != nil {
 		return verdict{}, err
 	}
--- a/review/standin/client.go
+++ b/review/standin/client.go
@@ -8,6 +8,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -46,6 +47,11 @@
 	// end. It may be nil.
 	header func(number int64) string
 
+	// fixedPath makes path the whole path of each request.
+	fixedPath bool
+	// pause is the time between the answer to a request and the next one; 0 means clientPause,
+	// with variation.
+	pause time.Duration
 	// untilExit ends the clients of a daemon whose process has ended.
 	untilExit bool
 
@@ -105,7 +111,11 @@
 			c.Close()
 			c = nil
 		}
-		pause()
+		if t.pause > 0 {
+			time.Sleep(t.pause)
+		} else {
+			pause()
+		}
 	}
 }
 
@@ -121,9 +131,13 @@
 		s.ended = time.Now()
 		t.add("client: %s at %s ends with status %d, complete %t", s.id, d.name, s.status, s.complete)
 	}()
+	path := t.path
+	if !t.fixedPath {
+		path += strconv.FormatInt(number, 10)
+	}
 	var b strings.Builder
-	fmt.Fprintf(&b, "%s %s%d HTTP/1.1\r\nHost: %s\r\nX-Request-Id: %s\r\nX-Deadline-Ms: %d\r\nAuthorization: Bearer %s\r\n",
-		t.method, t.path, number, hostName, s.id, timeout.Milliseconds(), cmp.Or(t.key, apiKey))
+	fmt.Fprintf(&b, "%s %s HTTP/1.1\r\nHost: %s\r\nX-Request-Id: %s\r\nX-Deadline-Ms: %d\r\nAuthorization: Bearer %s\r\n",
+		t.method, path, hostName, s.id, timeout.Milliseconds(), cmp.Or(t.key, apiKey))
 	if t.body != "" {
 		fmt.Fprintf(&b, "Content-Length: %d\r\n", len(t.body))
 	}
@@ -131,7 +145,7 @@
 		b.WriteString(t.header(number))
 	}
 	b.WriteString("\r\n")
-	t.add("client: %s is sent to %s (%s %s%d)", s.id, d.name, t.method, t.path, number)
+	t.add("client: %s is sent to %s (%s %s)", s.id, d.name, t.method, path)
 	_ = c.SetDeadline(s.at.Add(timeout + time.Second)) // a late answer still counts
 	if err := t.write(c, b.String()); err != nil {
 		t.add("client: %s is not written: %v", s.id, err)
--- a/review/standin/engine.go
+++ b/review/standin/engine.go
@@ -30,6 +30,10 @@
 	stage string
 	// losesAnswer reports for each run whether its answer is lost. It may be nil.
 	losesAnswer func() bool
+	// crashPath is the path of a request that crashes the engine once it has run for crashAfter.
+	// Empty means none.
+	crashPath  string
+	crashAfter time.Duration
 
 	server  *http.Server
 	address string
@@ -39,6 +43,8 @@
 	leaving  bool
 	orders   int
 	handles  int
+	born     time.Time
+	crashes  []time.Time
 }
 
 // start listens and registers the engine.
@@ -48,19 +54,48 @@
 		return err
 	}
 	e.address = l.Addr().String()
-	e.server = &http.Server{Handler: e}
-	go func() { _ = e.server.Serve(l) }() // it ends with the engine
 	e.add("engine %s listens at %s", e.id, e.address)
+	return e.run(l)
+}
+
+// run starts a process of the engine.
+func (e *engine) run(l net.Listener) error {
+	e.mu.Lock()
+	e.born = time.Now()
+	e.server = &http.Server{Handler: e}
+	go func(s *http.Server) { _ = s.Serve(l) }(e.server) // it ends with the process of the engine
+	e.mu.Unlock()
 	return e.register()
 }
 
+// downTime is how long an engine is down after a crash.
+const downTime = 4 * time.Second
+
+// crash ends the process of the engine, whose connections break, and starts another one under the
+// same id and address later.
+func (e *engine) crash() {
+	e.mu.Lock()
+	e.crashes = append(e.crashes, time.Now())
+	server := e.server
+	e.mu.Unlock()
+	go func() {
+		_ = server.Close() // the process is gone
+		time.Sleep(downTime)
+		l, err := net.Listen("tcp", e.address)
+		if err == nil {
+			err = e.run(l)
+		}
+		e.add("engine %s is back: error %v", e.id, err)
+	}()
+}
+
 // register writes the entry of the engine.
 func (e *engine) register() error {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	v := map[string]any{
 		"service": "backend", "address": e.address, "zone": "zone-a", "version": "v1", "slots": 64, "state": "ready",
-		"cold_remaining_ms": 0, "sequence": e.orders, "born": started.UnixMilli(),
+		"cold_remaining_ms": 0, "sequence": e.orders, "born": e.born.UnixMilli(),
 	}
 	if e.stage != "" {
 		v["stage"] = e.stage
@@ -69,9 +104,6 @@
 	return e.put("servers/"+e.id, v)
 }
 
-// started is when all engines started.
-var started = time.Now()
-
 // exit ends the engine. Its connections break.
 func (e *engine) exit() {
 	e.add("engine %s exits", e.id)
@@ -126,6 +158,13 @@
 	}
 	e.note(id, true)
 	e.add("engine %s runs %s (%s %s, for tenant %q)", e.id, id, r.Method, r.URL.Path, r.Header.Get("X-Tenant"))
+	if e.crashPath != "" && r.URL.Path == e.crashPath {
+		time.Sleep(e.crashAfter)
+		e.add("engine %s crashes under %s", e.id, id)
+		e.crash()
+		<-r.Context().Done()
+		return
+	}
 	select {
 	case <-time.After(e.work):
 	case <-r.Context().Done():
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -37,6 +37,7 @@
 	"hangup":  hangup,
 	"leaving": leaving,
 	"memory":  memory,
+	"poison":  poison,
 }
 
 func main() { os.Exit(run()) }
