--- a/review/standin/engine.go
+++ b/review/standin/engine.go
@@ -61,7 +61,8 @@
 // run starts a process of the engine.
 func (e *engine) run(l net.Listener) error {
 	e.mu.Lock()
-	e.born = time.Now()
+	// A new process knows nothing of the orders before.
+	e.born, e.orders = time.Now(), 0
 	e.server = &http.Server{Handler: e}
 	go func(s *http.Server) { _ = s.Serve(l) }(e.server) // it ends with the process of the engine
 	e.mu.Unlock()
@@ -218,10 +219,17 @@
 	}
 	e.orders++
 	w.WriteHeader(http.StatusAccepted)
+	born := e.born
 	time.AfterFunc(switchTime, func() {
 		e.mu.Lock()
-		e.stage = v.Stage
+		same := e.born.Equal(born) && (len(e.crashes) == 0 || e.crashes[len(e.crashes)-1].Before(born))
+		if same {
+			e.stage = v.Stage
+		}
 		e.mu.Unlock()
+		if !same {
+			return // the process that took the order has crashed
+		}
 		if err := e.register(); err != nil {
 			e.add("engine %s cannot register: %v", e.id, err)
 		}
