lagoonheadd: catch SIGHUP until the process exits

Cause: logReloads ended with the context of SIGTERM and its signal.Stop restored the default action of SIGHUP, which ends the process, while the drain still took and finished requests. With -settings SIGHUP was never caught.

Evidence: TestHangupsEndNoRequest and TestHangupEndsNoStream failed before: the processes ended at the first SIGHUP behind SIGTERM, and at the first SIGHUP with -settings.

Why it works: the handler is installed before anything else and is never removed, so the default action cannot come back while the process lives.

--- a/cmd/lagoonheadd/main.go
+++ b/cmd/lagoonheadd/main.go
@@ -38,7 +38,8 @@
 environment.
 
 SIGTERM drains the daemon: it reports that it is not ready, keeps accepting requests until
-the load balancer has noticed that, finishes all requests and exits. docs/operators.md
+the load balancer has noticed that, finishes all requests and exits. SIGHUP makes it check
+the settings file and log the result; a running daemon keeps its settings. docs/operators.md
 lists the settings.
 
 Exit codes: 0 done, 1 the daemon failed, 2 wrong arguments or settings.
@@ -71,8 +72,9 @@
 		f.Usage()
 		return exitUsage
 	}
+	hangups := catchHangups()
 	if *onPlatform {
-		return runOnPlatform(*level, *check, out, errOut)
+		return runOnPlatform(*level, *check, hangups, out, errOut)
 	}
 	s, err := settings.Load(*file)
 	if err != nil {
@@ -83,12 +85,32 @@
 		fmt.Fprintln(out, "the settings are valid")
 		return exitDone
 	}
-	return serve(s, out, errOut)
+	loadAgain := func() error {
+		_, err := settings.Load(*file)
+		return err
+	}
+	return serve(s, hangups, loadAgain, out, errOut)
+}
+
+// catchHangups returns the channel that gets SIGHUP. The signal is caught until the process
+// exits, because its default action would end a daemon with requests in progress.
+func catchHangups() <-chan os.Signal {
+	c := make(chan os.Signal, 1)
+	signal.Notify(c, syscall.SIGHUP)
+	return c
+}
+
+// logReloads loads the settings file again on each SIGHUP, which reports that the file has
+// changed, and logs the result. A running daemon keeps its settings. It never returns.
+func logReloads(hangups <-chan os.Signal, load func() error, log *zap.Logger) {
+	for range hangups {
+		log.Info("settings read again", zap.Error(load()))
+	}
 }
 
 // serve runs the daemon with settings from -settings until SIGTERM or an interrupt and
 // returns the exit code.
-func serve(s settings.Settings, out, errOut io.Writer) int {
+func serve(s settings.Settings, hangups <-chan os.Signal, loadAgain func() error, out, errOut io.Writer) int {
 	log, _, closeLog, err := startLog(s.Log.Level, errOut)
 	if err != nil {
 		fmt.Fprintln(errOut, err)
@@ -97,6 +119,7 @@
 	defer closeLog()
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
+	go logReloads(hangups, loadAgain, log)
 	d := &daemon.Daemon{
 		Settings: s, Timer: &timer.System{}, Log: log,
 		OnStarted: func(address string) { fmt.Fprintln(out, "listening on", address) },
--- a/cmd/lagoonheadd/platform.go
+++ b/cmd/lagoonheadd/platform.go
@@ -21,8 +21,9 @@
 
 // runOnPlatform runs the daemon on the platform of package platform, with the settings file
 // that the environment variable platform.SettingsVariable names, and returns the exit code.
-func runOnPlatform(level string, check bool, out, errOut io.Writer) int {
-	s, err := platform.LoadSettings(os.Getenv(platform.SettingsVariable))
+func runOnPlatform(level string, check bool, hangups <-chan os.Signal, out, errOut io.Writer) int {
+	file := os.Getenv(platform.SettingsVariable)
+	s, err := platform.LoadSettings(file)
 	if err != nil {
 		fmt.Fprintln(errOut, err)
 		return exitUsage
@@ -40,7 +41,11 @@
 	log = log.With(zap.String("vm", string(s.Entry.VM)))
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
-	go logReloads(ctx, log)
+	loadAgain := func() error {
+		_, err := platform.LoadSettings(file)
+		return err
+	}
+	go logReloads(hangups, loadAgain, log)
 	d := &entry.Daemon{Settings: s.Entry, Platform: platformParts(s, log), Timer: &timer.System{}, Log: log, LogVars: sink.Vars()}
 	if err := d.Run(ctx); err != nil {
 		fmt.Fprintln(errOut, err)
@@ -49,24 +54,6 @@
 	return exitDone
 }
 
-// logReloads reads the settings file again on each SIGHUP, by which the platform reports that
-// the file has changed, and logs the result. The settings that a running daemon uses do not
-// change, so the new ones are dropped and an error is only logged.
-func logReloads(ctx context.Context, log *zap.Logger) {
-	hup := make(chan os.Signal, 1)
-	signal.Notify(hup, syscall.SIGHUP)
-	defer signal.Stop(hup)
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-hup:
-			_, err := platform.LoadSettings(os.Getenv(platform.SettingsVariable))
-			log.Info("settings read again", zap.Error(err))
-		}
-	}
-}
-
 // platformParts returns the parts of a daemon that package platform implements.
 func platformParts(s platform.Settings, log *zap.Logger) entry.Platform {
 	store := platform.NewStore(s.StoreAddress, entry.WatchTimeout)
--- a/cmd/lagoonheadd/process_test.go
+++ b/cmd/lagoonheadd/process_test.go
@@ -6,6 +6,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"os"
@@ -77,8 +78,10 @@
 	name    string
 	cmd     *exec.Cmd
 	address string
-	// output is the standard error.
+	// output is the standard error, and of a daemon with -platform the log too.
 	output *lockedBuffer
+	// log is the reader of the log of a daemon with -platform.
+	log io.Closer
 }
 
 // lockedBuffer is a buffer for concurrent use.
@@ -103,16 +106,28 @@
 // test waits for. It is long enough for a busy machine.
 const startTimeout = time.Minute
 
-// startProcess runs the test binary in the given mode and waits until it listens.
-func startProcess(t *testing.T, mode, name string, args ...string) *process {
-	t.Helper()
+// newProcess returns a process that will run the test binary in the given mode.
+func newProcess(mode, name string, args ...string) *process {
 	p := &process{name: name, cmd: exec.Command(os.Args[0], args...), output: &lockedBuffer{}}
 	p.cmd.Env = append(os.Environ(), modeVariable+"="+mode)
 	p.cmd.Stderr = p.output
-	out, err := p.cmd.StdoutPipe()
-	require.NoError(t, err)
+	return p
+}
+
+// start starts the process, which is stopped at the end of the test.
+func (p *process) start(t *testing.T) {
+	t.Helper()
 	require.NoError(t, p.cmd.Start())
 	t.Cleanup(func() { p.stop(t) })
+}
+
+// startProcess runs the test binary in the given mode and waits until it listens.
+func startProcess(t *testing.T, mode, name string, args ...string) *process {
+	t.Helper()
+	p := newProcess(mode, name, args...)
+	out, err := p.cmd.StdoutPipe()
+	require.NoError(t, err)
+	p.start(t)
 	address := make(chan string, 1)
 	go func() {
 		s := bufio.NewScanner(out)
