lagoonheadd: go on when nothing reads the log

When the reader of its standard output goes away, a daemon ends with its requests in progress.

Cause: the same as of the hangup, a signal whose default action ends the process. A write to a standard output that is closed raises SIGPIPE in a Go program that does not handle it.

Why it works: with SIGPIPE ignored the write fails with an error, and package outlog counts lines that it could not write.

--- a/cmd/lagoonheadd/main.go
+++ b/cmd/lagoonheadd/main.go
@@ -72,6 +72,8 @@
 		f.Usage()
 		return exitUsage
 	}
+	// A log without a reader must not end a daemon with requests in progress.
+	signal.Ignore(syscall.SIGPIPE)
 	hangups := catchHangups()
 	if *onPlatform {
 		return runOnPlatform(*level, *check, hangups, out, errOut)
--- a/cmd/lagoonheadd/signal_test.go
+++ b/cmd/lagoonheadd/signal_test.go
@@ -200,3 +200,19 @@
 	require.Equal(t, expected(t, "hangup", 400), e.text.String())
 	require.NoError(t, d.cmd.Wait())
 }
+
+// Guards against a daemon that ends by a SIGPIPE, with requests in progress, once nothing reads
+// its log any more.
+func TestALogWithoutReaderEndsNoRequest(t *testing.T) {
+	f := newPlatformFleet(t, &fakewire.Endpoint{ID: "s1", Pause: 50 * time.Millisecond})
+	p := f.startDaemon(t)
+	require.NoError(t, p.log.Close())
+	var b bookings
+	b.start(p, 2)
+	time.Sleep(500 * time.Millisecond)
+	p.signal(t, syscall.SIGTERM)
+	b.wait.Wait()
+	require.NoError(t, p.cmd.Wait())
+	require.Empty(t, b.cutOff(f.endpoint), "bookings that ran and were not answered")
+	require.Greater(t, len(f.endpoint.Runs()), 5)
+}
