roster: keep endpoints out of use whose responses say that they leave

Cause: no code read Server-Leaving. The registration was the only word on an endpoint that leaves, and during an outage of the store the roster keeps every endpoint.

Why it works: the statement is decoded with the limit into one EndpointStatus before an answer is passed on, and marks the process in the roster, from which every placement takes its endpoints. The mark is bound to the process, so registrations, outages and restores cannot lift it.

--- a/directory.go
+++ b/directory.go
@@ -93,6 +93,13 @@
 	Finished(fingerprint uint64)
 }
 
+// DepartureTracker tracks the processes of endpoints that are about to exit.
+type DepartureTracker interface {
+	// RecordLeaving records that the process of e has said that it leaves, so that it gets no
+	// new work. It reports whether this was not known.
+	RecordLeaving(e Endpoint) bool
+}
+
 // PartTracker tracks the prompt parts that crash the engines which answer requests with them.
 // Parts are the identifiers of those parts of a prompt that other prompts may share.
 type PartTracker interface {
--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -76,6 +76,7 @@
 	Admitter    lagoonhead.Admitter
 	Suspects    lagoonhead.SuspectTracker
 	Parts       lagoonhead.PartTracker
+	Departures  lagoonhead.DepartureTracker
 	Sender      lagoonhead.Sender
 	Usage       UsageCounter
 	RetryBudget RetryBudget
@@ -96,6 +97,8 @@
 	all                                              expvar.Map
 	calls, served, refused, failed, abandoned        expvar.Int
 	sends, retries, prefills, resumes, unusedHandles expvar.Int
+	// departures counts the endpoints that first said to this daemon that they leave.
+	departures expvar.Int
 	// firstEventLatency is the time from arrival to the first event of a stream,
 	// answerLatency the time from arrival to the end of a served answer.
 	firstEventLatency, answerLatency *metrics.Latency
@@ -114,7 +117,7 @@
 		for name, v := range map[string]*expvar.Int{
 			"calls": &c.calls, "served": &c.served, "refused": &c.refused, "failed": &c.failed,
 			"abandoned": &c.abandoned, "sends": &c.sends, "repeats": &c.retries, "prefills": &c.prefills,
-			"resumes": &c.resumes, "handlesNotTaken": &c.unusedHandles,
+			"resumes": &c.resumes, "handlesNotTaken": &c.unusedHandles, "endpointsLeaving": &c.departures,
 		} {
 			c.all.Set(name, v)
 		}
--- a/dispatch/dispatcher_test.go
+++ b/dispatch/dispatcher_test.go
@@ -112,6 +112,10 @@
 func (noSuspectParts) Crashed([]string, lagoonhead.Endpoint)      {}
 func (noSuspectParts) Finished([]string)                          {}
 
+type noDepartures struct{}
+
+func (noDepartures) RecordLeaving(lagoonhead.Endpoint) bool { return false }
+
 type unlimitedRetries struct{}
 
 func (unlimitedRetries) CountRequest(string) {}
@@ -134,7 +138,7 @@
 			route("stream", catalog.Route{Streaming: true}),
 			route("resumable", catalog.Route{Streaming: true, Resumable: true}),
 		}})},
-		Suspects: noSuspects{}, Parts: noSuspectParts{}, Sender: s, Usage: new(usageCount), RetryBudget: unlimitedRetries{},
+		Suspects: noSuspects{}, Parts: noSuspectParts{}, Departures: noDepartures{}, Sender: s, Usage: new(usageCount), RetryBudget: unlimitedRetries{},
 		Timer: timer.NewManual(time.Hour, time.Unix(0, 0)), Domain: "x",
 	}
 	var list []lagoonhead.Endpoint
--- a/dispatch/request.go
+++ b/dispatch/request.go
@@ -148,7 +148,7 @@
 	a := &lagoonhead.Attempt{
 		Endpoint: e, ID: r.call.ID, Method: r.call.Method, Host: r.call.Host, URL: r.call.URL,
 		Header: r.call.Header, Body: r.call.Body, Urgency: r.urgency, TimeLeft: max(r.remaining(), time.Millisecond),
-		LastEventID: r.call.LastEventID, OnLimit: func(perSecond float64) { r.recordLimit(e, perSecond) },
+		LastEventID: r.call.LastEventID, OnStatus: func(s lagoonhead.EndpointStatus) { r.recordStatus(e, s) },
 	}
 	if r.workspace != nil {
 		a.Workspace = r.workspace.ID
@@ -241,6 +241,18 @@
 	}
 }
 
+// recordStatus records what an endpoint says of itself.
+func (r *request) recordStatus(e lagoonhead.Endpoint, s lagoonhead.EndpointStatus) {
+	if s.HasLimit {
+		r.recordLimit(e, s.Limit)
+	}
+	if s.Leaving && r.Departures.RecordLeaving(e) {
+		r.vars.departures.Add(1)
+		r.Log.Info("endpoint leaves", zap.String("endpoint", string(e.ID())), zap.String("incarnation", string(e.Incarnation())),
+			zap.String("request", string(r.call.ID)))
+	}
+}
+
 // recordLimit records the limit that an endpoint names.
 func (r *request) recordLimit(e lagoonhead.Endpoint, perSecond float64) {
 	now := r.Timer.Now()
--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -231,7 +231,7 @@
 	s := d.Settings
 	d.config = &configuration{decode: d.Platform.DecodeConfiguration, log: d.Log, changed: d.updateBoard}
 	d.endpoints = &endpoints{
-		decode: d.Platform.DecodeRegistration, timer: d.Timer, log: d.Log, roster: roster.New(), changed: d.updateBoard,
+		prefix: d.Platform.EndpointPrefix, decode: d.Platform.DecodeRegistration, timer: d.Timer, log: d.Log, roster: roster.New(), changed: d.updateBoard,
 		// An endpoint that still sends heartbeats after this time is alive, whatever it said before.
 		departureHold: max(s.RegistrationTTL, minRegistrationTTL) + roster.ReregistrationTime,
 	}
@@ -296,7 +296,8 @@
 	}
 	d.tally = &billing.Tally{Incarnation: d.incarnation, Timer: &timer.JumpFilter{Timer: d.Timer}, Window: s.UsageWindow, PeerInterval: d.exchanger.PeerInterval}
 	d.dispatcher = &dispatch.Dispatcher{
-		Catalogs: d.config, Admitter: d.admit, Suspects: suspect.NotifyingTable{Table: d.suspects, SendHeartbeat: d.exchanger.ExchangeNow}, Parts: d.parts, Sender: d.Platform.Sender,
+		Catalogs: d.config, Admitter: d.admit, Suspects: suspect.NotifyingTable{Table: d.suspects, SendHeartbeat: d.exchanger.ExchangeNow}, Parts: d.parts,
+		Departures: d.endpoints, Sender: d.Platform.Sender,
 		Usage: d.tally, RetryBudget: newRetries(s, d.members, d.Timer), Timer: d.Timer, Log: d.Log, Domain: s.FailureDomain,
 	}
 	d.dispatcher.WithBoard(func(b *steer.Board) { b.LimitShare = d.members.limitShare })
--- a/entry/state.go
+++ b/entry/state.go
@@ -18,6 +18,8 @@
 	_ mirror.Follower = (*configuration)(nil)
 	_ mirror.Follower = (*endpoints)(nil)
 	_ mirror.Follower = (*members)(nil)
+
+	_ lagoonhead.DepartureTracker = (*endpoints)(nil)
 )
 
 // configuration holds the newest configuration received. An older version never replaces
@@ -83,6 +85,8 @@
 
 // endpoints holds the live endpoints, as registered in the store.
 type endpoints struct {
+	// prefix is the prefix of the keys of registrations, behind which is the endpoint's ID.
+	prefix string
 	decode func(key string, value []byte) (lagoonhead.Endpoint, error)
 	timer  timer.Timer
 	log    *zap.Logger
@@ -119,6 +123,16 @@
 	p.log.Info("registration removed", zap.String("key", key))
 }
 
+// RecordLeaving keeps a process of an endpoint out of use that has said in a response that it
+// leaves.
+func (p *endpoints) RecordLeaving(e lagoonhead.Endpoint) bool {
+	if !p.roster.RecordLeaving(p.prefix+string(e.ID()), e.Incarnation()) {
+		return false
+	}
+	p.notify()
+	return true
+}
+
 // Applied reports the changes of the list.
 func (p *endpoints) Applied() { p.notify() }
 
--- a/forward.go
+++ b/forward.go
@@ -49,11 +49,21 @@
 	// NewConnection makes the sender use a new connection instead of an idle one, so
 	// that a failure before the request is written is recognized with certainty.
 	NewConnection bool
-	// OnLimit, if set, is called for each response of the endpoint with the limit that the
-	// response names: the requests a second that the endpoint takes from all VMs together,
-	// or 0 if it names none. A refusal that names none says nothing of the limit. OnLimit is
-	// called before the method of Sender returns.
-	OnLimit func(perSecond float64)
+	// OnStatus, if set, is called for each response of the endpoint, before the method of
+	// Sender returns.
+	OnStatus func(s EndpointStatus)
+}
+
+// EndpointStatus is what an endpoint says of itself in a response.
+type EndpointStatus struct {
+	// Limit is the number of requests a second that the endpoint takes from all VMs together,
+	// or 0 if the response names none. It is valid if HasLimit is true: a refusal that names
+	// none, and a response whose limit cannot be read, say nothing of the limit.
+	Limit    float64
+	HasLimit bool
+	// Leaving reports that the process of the endpoint is about to exit. It finishes what it
+	// has begun and must get no new work.
+	Leaving bool
 }
 
 // KVHandle identifies the KV cache of a prompt, which an engine keeps until another
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -45,6 +45,9 @@
 type departure struct {
 	incarnation lagoonhead.Incarnation
 	at          time.Duration
+	// final is true if the process itself has said that it leaves. It stays out of use then,
+	// whatever its registration says.
+	final bool
 }
 
 // departureMemory is how long a departure is remembered. The store comes back from a copy that is
@@ -68,6 +71,8 @@
 	d, departed := r.departures[key]
 	switch {
 	case !departed || d.incarnation != e.Incarnation():
+	case d.final:
+		e = e.WithLeaving(true)
 	case r.isHolding() && d.at <= r.restoredAt:
 		r.held[key] = e
 		e = e.WithLeaving(true)
@@ -85,8 +90,28 @@
 // holds the lock.
 func (r *Roster) depart(key string, e lagoonhead.Endpoint) {
 	if d, ok := r.departures[key]; !ok || d.incarnation != e.Incarnation() {
-		r.departures[key] = departure{e.Incarnation(), r.now}
+		r.departures[key] = departure{incarnation: e.Incarnation(), at: r.now}
+	}
+}
+
+// RecordLeaving records that a process of an endpoint has said that it leaves, and reports whether
+// this was not known. The process stays out of use for its life. What is said of a process other
+// than that which is registered is ignored.
+func (r *Roster) RecordLeaving(key string, in lagoonhead.Incarnation) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	e, ok := r.endpoints[key]
+	d := r.departures[key]
+	if (ok && e.Incarnation() != in) || (d.final && d.incarnation == in) {
+		return false
+	}
+	r.departures[key] = departure{incarnation: in, at: r.now, final: true}
+	delete(r.held, key)
+	if ok && !e.Leaving() {
+		r.endpoints[key] = e.WithLeaving(true)
+		r.version++
 	}
+	return true
 }
 
 // isHolding reports whether departures from before a restore hold. The caller holds the lock.
@@ -112,6 +137,9 @@
 	if _, ok := r.endpoints[key]; ok {
 		return
 	}
+	if d, ok := r.departures[key]; ok && d.final && d.incarnation == e.Incarnation() {
+		e = e.WithLeaving(true)
+	}
 	r.endpoints[key] = e
 	r.unconfirmed[key] = true
 	r.version++
@@ -146,6 +174,10 @@
 // drop removes an endpoint. The caller holds the lock.
 func (r *Roster) drop(key string) {
 	r.depart(key, r.endpoints[key])
+	if d := r.departures[key]; d.final {
+		d.at = r.now // departures of registered endpoints do not grow old
+		r.departures[key] = d
+	}
 	delete(r.held, key)
 	delete(r.endpoints, key)
 	delete(r.unconfirmed, key)
@@ -193,7 +225,9 @@
 	if r.isHolding() {
 		return
 	}
-	maps.DeleteFunc(r.departures, func(_ string, d departure) bool { return r.now-d.at > departureMemory })
+	maps.DeleteFunc(r.departures, func(key string, d departure) bool {
+		return r.now-d.at > departureMemory && !(d.final && r.isRegistered(key, d.incarnation))
+	})
 	for key, e := range r.held {
 		r.endpoints[key] = e
 		if !e.Leaving() {
@@ -204,6 +238,12 @@
 	clear(r.held)
 }
 
+// isRegistered reports whether a process of an endpoint is in the list. The caller holds the lock.
+func (r *Roster) isRegistered(key string, in lagoonhead.Incarnation) bool {
+	e, ok := r.endpoints[key]
+	return ok && e.Incarnation() == in
+}
+
 // Version returns a number that grows with each change of the endpoints.
 func (r *Roster) Version() int64 {
 	r.mu.Lock()
--- a/roster/roster_test.go
+++ b/roster/roster_test.go
@@ -22,7 +22,7 @@
 		Name  string
 		Steps []struct {
 			Op, Key string
-			// Incarnation and Leaving are those of an endpoint that is put. Hold is the time in ms
+			// Incarnation and Leaving are those of an endpoint that is put, or says that it leaves. Hold is the time in ms
 			// for which departures hold after a restore.
 			Incarnation string
 			Leaving     bool
@@ -47,6 +47,8 @@
 					r.Seed(s.Key, e)
 				case "removed":
 					r.Removed(now, s.Key)
+				case "leaving":
+					r.RecordLeaving(s.Key, e.Incarnation())
 				case "unreadable":
 					r.Unreadable(s.Key)
 				case "restored":
