entry: tell peers which endpoints have said that they leave

Callers saw: a daemon that had not itself had an answer of a leaving engine, or that was restarted since, went on sending to it until the registration told, which takes as long as the store is down.

Cause: the statement was kept by the daemon that heard it alone.

Evidence: TestPeersHearThatAnEndpointLeaves (3 VMs, and 15 with hubs; one daemon starts after the statement, the store down) fails without the merge of the peers' word and passes with it.

Why it works: every heartbeat lists the registered processes that leave, so a hub passes on what it has merged. The incarnation is part of the word: one that comes late does not hold for the next process under the same ID. A process that is not registered any more is not listed, so that daemons cannot keep a word alive by telling it to each other.

--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -302,7 +302,7 @@
 	}
 	d.dispatcher.WithBoard(func(b *steer.Board) { b.LimitShare = d.members.limitShare })
 	d.heartbeats = &heartbeats{
-		self: s.VM, incarnation: d.incarnation, timer: d.Timer, log: d.Log, config: d.config, copy: d.copy, members: d.members,
+		self: s.VM, incarnation: d.incarnation, timer: d.Timer, log: d.Log, config: d.config, endpoints: d.endpoints, copy: d.copy, members: d.members,
 		attachment: d.attachment, admit: d.admit, suspects: d.suspects, parts: d.parts, dispatcher: d.dispatcher, tally: d.tally,
 		ready: d.ready, roleChanges: &d.roleChanges, peerInterval: d.exchanger.PeerInterval,
 	}
--- a/entry/heartbeats.go
+++ b/entry/heartbeats.go
@@ -24,6 +24,7 @@
 	timer       timer.Timer
 	log         *zap.Logger
 	config      *configuration
+	endpoints   *endpoints
 	copy        *mirror.Copy
 	members     *members
 	attachment  *attachment
@@ -85,7 +86,7 @@
 func (b *heartbeats) heartbeat(to steer.Recipient) *peer.Heartbeat {
 	h := &peer.Heartbeat{
 		Vm: string(b.self), Incarnation: string(b.incarnation), Revision: b.config.version(), Ready: b.ready() == nil,
-		Suspects: b.suspects.Notices(), Parts: b.parts.Notices(), Hub: b.members.isHub(),
+		Suspects: b.suspects.Notices(), Parts: b.parts.Notices(), Departures: b.endpoints.departures(), Hub: b.members.isHub(),
 	}
 	for _, s := range b.admit.SlotsInUse() {
 		h.Slots = append(h.Slots, int32(s))
@@ -133,6 +134,7 @@
 	vm := lagoonhead.VMID(h.GetVm())
 	b.suspects.Merge(h.GetSuspects())
 	b.parts.Merge(h.GetParts())
+	b.endpoints.mergeDepartures(vm, h.GetDepartures())
 	works := make([]steer.Work, 0, len(h.GetWork()))
 	for _, w := range h.GetWork() {
 		works = append(works, steer.Work{
--- a/entry/state.go
+++ b/entry/state.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -10,6 +11,7 @@
 	"github.com/lagoonhead/lagoonhead"
 	"github.com/lagoonhead/lagoonhead/catalog"
 	"github.com/lagoonhead/lagoonhead/mirror"
+	"github.com/lagoonhead/lagoonhead/peer"
 	"github.com/lagoonhead/lagoonhead/roster"
 	"github.com/lagoonhead/lagoonhead/timer"
 )
@@ -126,13 +128,36 @@
 // RecordLeaving keeps a process of an endpoint out of use that has said in a response that it
 // leaves.
 func (p *endpoints) RecordLeaving(e lagoonhead.Endpoint) bool {
-	if !p.roster.RecordLeaving(p.prefix+string(e.ID()), e.Incarnation()) {
+	return p.recordLeaving(e.ID(), e.Incarnation())
+}
+
+func (p *endpoints) recordLeaving(id lagoonhead.EndpointID, in lagoonhead.Incarnation) bool {
+	if !p.roster.RecordLeaving(p.prefix+string(id), in) {
 		return false
 	}
 	p.notify()
 	return true
 }
 
+// departures returns the processes that have said that they leave, to tell peers of them. A
+// process that is not registered any more is left out, so that what is said of it ends.
+func (p *endpoints) departures() (list []*peer.Departure) {
+	for key, in := range p.roster.Departing() {
+		list = append(list, &peer.Departure{Endpoint: strings.TrimPrefix(key, p.prefix), Incarnation: string(in)})
+	}
+	return list
+}
+
+// mergeDepartures takes over what a peer tells of processes that leave.
+func (p *endpoints) mergeDepartures(vm lagoonhead.VMID, list []*peer.Departure) {
+	for _, d := range list {
+		if p.recordLeaving(lagoonhead.EndpointID(d.GetEndpoint()), lagoonhead.Incarnation(d.GetIncarnation())) {
+			p.log.Info("endpoint leaves", zap.String("endpoint", d.GetEndpoint()), zap.String("incarnation", d.GetIncarnation()),
+				zap.String("peer", string(vm)))
+		}
+	}
+}
+
 // Applied reports the changes of the list.
 func (p *endpoints) Applied() { p.notify() }
 
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -114,6 +114,19 @@
 	return true
 }
 
+// Departing returns the registered processes that have said that they leave, by key.
+func (r *Roster) Departing() map[string]lagoonhead.Incarnation {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	list := make(map[string]lagoonhead.Incarnation)
+	for key, d := range r.departures {
+		if d.final && r.isRegistered(key, d.incarnation) {
+			list[key] = d.incarnation
+		}
+	}
+	return list
+}
+
 // isHolding reports whether departures from before a restore hold. The caller holds the lock.
 func (r *Roster) isHolding() bool { return r.now < r.heldUntil }
 
