dispatch: small answers do not fail because others fill the buffer

Callers saw: while a faulty endpoint sent bodies without end, any other answer that was read at the same VM at that moment failed with 502, also one to a booking that had run.

Cause: the check of the memory of all buffered answers was made on each read, also by answers that take nothing from it.

Evidence: TestSmallAnswersAreReadWhileOthersFillTheBuffer failed before.

--- a/dispatch/dispatcher_test.go
+++ b/dispatch/dispatcher_test.go
@@ -319,3 +319,15 @@
 	require.NoError(t, d.Serve(t.Context(), longPrompt(t), &recordingSink{}))
 	require.Equal(t, 1, s.prefills, "prefilled apart, within the limit")
 }
+
+// Guards against a small answer that fails because others fill the memory for answers.
+func TestSmallAnswersAreReadWhileOthersFillTheBuffer(t *testing.T) {
+	d := new(Dispatcher)
+	d.buffered.Store(maxBufferedBytes + 1)
+	w, err := d.readFull(&lagoonhead.Answer{Body: io.NopCloser(strings.NewReader("done"))})
+	require.NoError(t, err)
+	require.Equal(t, "done", string(w.body))
+	_, err = d.readFull(&lagoonhead.Answer{Body: io.NopCloser(bytes.NewReader(make([]byte, 2*freeAnswerBytes)))})
+	require.Error(t, err)
+	require.EqualValues(t, maxBufferedBytes+1, d.buffered.Load())
+}
--- a/dispatch/plain.go
+++ b/dispatch/plain.go
@@ -143,6 +143,9 @@
 	n, err := r.in.Read(p)
 	r.read += int64(n)
 	more := max(0, r.read-freeAnswerBytes) - r.counted
+	if more == 0 {
+		return n, err // answers of the free size do not fail because of others
+	}
 	r.counted += more
 	if r.total.Add(more) > maxBufferedBytes {
 		return n, failf("read", lagoonhead.KindUnknown, "answers in progress have more than %d bytes", maxBufferedBytes)
