dispatch: events without end count to the memory for answers

Engines that send a long line without an end on many streams can end a daemon by its memory, with the requests of all its callers.

Cause: one event may have 1 MiB, and unlike answers that are no streams, events had no bound on the memory of all of them together.

Why it works: what is read of an event beyond 64 KiB counts to the 32 MiB that all buffered answers share, until the event is whole or given up. A stream whose events are smaller never fails by it.

--- a/dispatch/plain.go
+++ b/dispatch/plain.go
@@ -16,10 +16,11 @@
 const (
 	// maxAnswerBytes bounds an answer that is buffered before the caller gets it.
 	maxAnswerBytes = 8 << 20
-	// maxBufferedBytes bounds the answers that are buffered at the same time, so that
+	// maxBufferedBytes bounds the answers and events that are buffered at the same time, so that
 	// endpoints which send bytes without end do not take the memory of the process.
 	maxBufferedBytes = 32 << 20
-	// freeAnswerBytes is the size up to which an answer does not count to maxBufferedBytes.
+	// freeAnswerBytes is the size up to which an answer or event does not count to
+	// maxBufferedBytes.
 	freeAnswerBytes = 64 << 10
 )
 
@@ -153,8 +154,11 @@
 	return n, err
 }
 
-// release ends the count of what was read.
-func (r *countedReader) release() { r.total.Add(-r.counted) }
+// release ends the count of what was read so far.
+func (r *countedReader) release() {
+	r.total.Add(-r.counted)
+	r.read, r.counted = 0, 0
+}
 
 func (r *request) deliver(w *fullAnswer) error {
 	r.Suspects.Finished(r.demand.Fingerprint())
--- a/dispatch/stream.go
+++ b/dispatch/stream.go
@@ -353,7 +353,9 @@
 
 // relayEvents forwards whole events as they arrive. It calls onFirst with the first one.
 func (r *request) relayEvents(ans *lagoonhead.Answer, silenceTimer *time.Timer, onFirst func()) error {
-	events := sse.NewReader(ans.Body, maxEventBytes)
+	counted := countedReader{in: ans.Body, total: &r.buffered}
+	defer counted.release()
+	events := sse.NewReader(&counted, maxEventBytes)
 	for n := 0; ; n++ {
 		v, err := events.Next()
 		if errors.Is(err, io.EOF) && n == 0 && ans.Unframed {
@@ -368,6 +370,7 @@
 			return fail("relay", readErrorKind(err), err)
 		}
 		silenceTimer.Stop()
+		counted.release()
 		if n == 0 {
 			onFirst()
 		}
--- a/sse/reader.go
+++ b/sse/reader.go
@@ -14,6 +14,9 @@
 // an event are collected in another buffer, which grows as needed.
 const bufferBytes = 2 << 10
 
+// maxKeptBytes is the size up to which the buffer of an event is used again for the next one.
+const maxKeptBytes = 64 << 10
+
 // Error is the error type of the package.
 type Error struct{ lagoonhead.Fault }
 
@@ -49,6 +52,9 @@
 // an event, io.ErrUnexpectedEOF when it ended within one, and has KindInvalid when the
 // event is too large.
 func (r *Reader) Next() (Event, error) {
+	if cap(r.raw) > maxKeptBytes {
+		r.raw = nil
+	}
 	r.raw = r.raw[:0]
 	var id string
 	for {
