httponce: give up on response headers that do not end

Cause: http.ReadResponse has no limit for the header, and a client of this package read until the end of its context.

Evidence: TestHeadersWithoutEndAreGivenUp failed before, for many headers and for one without an end.

--- a/httponce/client.go
+++ b/httponce/client.go
@@ -6,6 +6,7 @@
 	"context"
 	"crypto/tls"
 	"io"
+	"math"
 	"net"
 	"net/http"
 	"time"
@@ -24,6 +25,9 @@
 	return &Error{lagoonhead.Fault{Op: "httponce." + op, Kind: k, Err: err}}
 }
 
+// maxHeaderBytes bounds the header of a response, with what is read ahead of its body.
+const maxHeaderBytes = 64 << 10
+
 // Client sends single requests, each on a new connection. The zero value is ready
 // for use.
 type Client struct {
@@ -75,10 +79,12 @@
 		}
 		return nil, fail("write", k, err)
 	}
-	resp, err := http.ReadResponse(bufio.NewReader(conn), r)
+	in := &io.LimitedReader{R: conn, N: maxHeaderBytes}
+	resp, err := http.ReadResponse(bufio.NewReader(in), r)
 	if err != nil {
 		return nil, fail("read", lagoonhead.KindUnknown, err)
 	}
+	in.N = math.MaxInt64 // the reader of the body limits it
 	return resp, nil
 }
 
--- a/httponce/client_test.go
+++ b/httponce/client_test.go
@@ -3,12 +3,14 @@
 import (
 	"bufio"
 	"context"
+	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/stretchr/testify/require"
@@ -124,3 +126,49 @@
 	require.True(t, lagoonhead.IsKind(err, lagoonhead.KindUnknown), "%v", err)
 	require.ErrorIs(t, ctx.Err(), context.Canceled, "the receiver got the request")
 }
+
+// Guards against a receiver whose response headers never end and take the memory of the process.
+func TestHeadersWithoutEndAreGivenUp(t *testing.T) {
+	for name, line := range map[string]string{"many headers": "X-Fill: x\r\n", "one header": "x"} {
+		t.Run(name, func(t *testing.T) {
+			l, err := net.Listen("tcp", "127.0.0.1:0")
+			require.NoError(t, err)
+			defer l.Close()
+			var sent atomic.Int64
+			ended := make(chan struct{})
+			go func() {
+				defer close(ended)
+				conn, err := l.Accept()
+				if err != nil {
+					return
+				}
+				defer conn.Close()
+				_, err = conn.Write([]byte("HTTP/1.1 200 OK\r\nX-Begin: "))
+				part := []byte(strings.Repeat(line, 1000))
+				for n := 0; err == nil; {
+					n, err = conn.Write(part)
+					sent.Add(int64(n))
+				}
+			}()
+			ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+			defer cancel()
+			_, err = (&Client{}).Do(ctx, post(t, "http://"+l.Addr().String()), nil)
+			require.True(t, lagoonhead.IsKind(err, lagoonhead.KindUnknown), "%v", err)
+			require.NoError(t, ctx.Err(), "the response is not read until the context ends")
+			<-ended
+		})
+	}
+}
+
+// Guards against a long body that is cut off by the limit of the headers.
+func TestLongBodiesAreReadWhole(t *testing.T) {
+	body := strings.Repeat("x", 4*maxHeaderBytes)
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, body) }))
+	defer s.Close()
+	resp, err := (&Client{}).Do(context.Background(), post(t, s.URL), nil)
+	require.NoError(t, err)
+	defer resp.Body.Close()
+	got, err := io.ReadAll(resp.Body)
+	require.NoError(t, err)
+	require.Len(t, got, len(body))
+}
