dispatch: give a silent endpoint up only when the request can move

Callers saw: streams that had begun were cut off in the middle, and requests failed with 502 after half of their time, because their endpoint was silent for 1.2 s or more, although it was sound and went on.

Cause: an attempt was given up after a fixed silence, before it was known whether the retry budget and another endpoint allowed a next one. Without one the request ended.

Why it works: the silence only makes the request ask to move. The sends that it needs are taken from the budget and an endpoint with room must exist before the attempt is ended; until then the answer is waited for, up to the deadline, and the check is repeated. Two counters and a step in the request's log line tell the two outcomes apart.

--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -99,6 +99,9 @@
 	sends, retries, prefills, resumes, unusedHandles expvar.Int
 	// departures counts the endpoints that first said to this daemon that they leave.
 	departures expvar.Int
+	// silencesMoved counts the attempts that were given up because their endpoint was silent for
+	// too long, and silencesWaited those that went on because the request could not move.
+	silencesMoved, silencesWaited expvar.Int
 	// firstEventLatency is the time from arrival to the first event of a stream,
 	// answerLatency the time from arrival to the end of a served answer.
 	firstEventLatency, answerLatency *metrics.Latency
@@ -118,6 +121,7 @@
 			"calls": &c.calls, "served": &c.served, "refused": &c.refused, "failed": &c.failed,
 			"abandoned": &c.abandoned, "sends": &c.sends, "repeats": &c.retries, "prefills": &c.prefills,
 			"resumes": &c.resumes, "handlesNotTaken": &c.unusedHandles, "endpointsLeaving": &c.departures,
+			"silencesMoved": &c.silencesMoved, "silencesWaited": &c.silencesWaited,
 		} {
 			c.all.Set(name, v)
 		}
--- a/dispatch/plain.go
+++ b/dispatch/plain.go
@@ -72,8 +72,13 @@
 	defer r.endRun(e)
 	r.sends++
 	r.vars.sends.Add(1)
-	attemptCtx, cancel := r.withAttemptTimeout(ctx)
-	defer cancel()
+	attemptCtx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	if r.mayMove() {
+		watch := r.watchSilence(e, cancel)
+		defer r.endWatch(watch)
+		watch.restart(r.remaining() / 2)
+	}
 	a := r.newAttempt(e)
 	a.NewConnection = r.route.RetryPolicy == catalog.RetryNever
 	w, err := r.sendAndRead(attemptCtx, a)
@@ -98,15 +103,6 @@
 	return w, nil
 }
 
-// withAttemptTimeout limits an attempt to half of the remaining time if another attempt may
-// follow it.
-func (r *request) withAttemptTimeout(ctx context.Context) (context.Context, context.CancelFunc) {
-	if !r.retryable() || r.runs+1 >= r.route.MaxAttempts {
-		return context.WithCancel(ctx)
-	}
-	return context.WithTimeoutCause(ctx, r.remaining()/2, errSilent)
-}
-
 func (r *request) sendAndRead(ctx context.Context, a *lagoonhead.Attempt) (*fullAnswer, error) {
 	ans, err := r.Sender.Send(ctx, a)
 	if err != nil {
--- a/dispatch/request.go
+++ b/dispatch/request.go
@@ -41,8 +41,8 @@
 	// reservedUntil, or nil.
 	reserved      *lagoonhead.Endpoint
 	reservedUntil time.Duration
-	// lastAttempt is true while no other endpoint may run the request after this one.
-	lastAttempt  bool
+	// takenRetries is the number of sends that were taken from the retry budget in advance.
+	takenRetries int
 	usageCounted bool
 	// started is true once the sink has got the beginning of an answer.
 	started bool
@@ -169,10 +169,18 @@
 	return r.takeRetry()
 }
 
+// mayMove reports whether the request may go to another endpoint if that of the attempt in
+// progress, which runs counts only once it has answered, is given up.
+func (r *request) mayMove() bool {
+	return r.retryable() && r.runs+1 < r.route.MaxAttempts && r.sends < maxSends
+}
+
 // takeRetry takes one send from the retry budget of the service and reports whether the budget
 // allowed it.
 func (r *request) takeRetry() bool {
-	if !r.RetryBudget.Take(r.service) {
+	if r.takenRetries > 0 {
+		r.takenRetries--
+	} else if !r.RetryBudget.Take(r.service) {
 		r.addStep("not repeated: the retry budget of %s is used up", r.service)
 		return false
 	}
--- /dev/null
+++ b/dispatch/silence.go
@@ -0,0 +1,124 @@
+package dispatch
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/lagoonhead/lagoonhead"
+	"github.com/lagoonhead/lagoonhead/steer"
+)
+
+// silenceRecheck is the time between checks whether another endpoint can take a request whose
+// endpoint has been silent for too long.
+const silenceRecheck = 200 * time.Millisecond
+
+// silenceWatch abandons an attempt at an endpoint that is silent for too long, once the retry
+// budget and another endpoint allow the request to move. Until then a silent endpoint may still
+// answer, and is waited for until the deadline.
+type silenceWatch struct {
+	*Dispatcher
+	cancel  context.CancelCauseFunc
+	service string
+	// avoid lists the endpoints that can't take the request, with that of the attempt.
+	avoid []lagoonhead.EndpointID
+	// needed is the number of sends that the move takes from the retry budget.
+	needed int
+
+	mu sync.Mutex
+	// taken is the number of sends that were taken from the retry budget.
+	taken int
+	// timer is nil until the watch is first on.
+	timer *time.Timer
+	// due is the time from which the endpoint has been silent for too long, or 0 while the watch
+	// is off.
+	due time.Duration
+	// held is true if the endpoint was silent for too long and the request could not move.
+	held bool
+}
+
+// watchSilence returns a watch of an attempt at e that cancel abandons. It is off until the first
+// call of restart. The caller must call endWatch after the attempt.
+func (r *request) watchSilence(e lagoonhead.Endpoint, cancel context.CancelCauseFunc) *silenceWatch {
+	w := &silenceWatch{
+		Dispatcher: r.Dispatcher, cancel: cancel, service: r.service, avoid: append(slices.Clone(r.avoid), e.ID()), needed: 1,
+	}
+	if r.prefilled {
+		w.needed++ // the prompt may have to be prefilled again
+	}
+	return w
+}
+
+// endWatch ends a watch and keeps the sends that it took from the retry budget for the request.
+func (r *request) endWatch(w *silenceWatch) {
+	w.pause()
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	r.takenRetries += w.taken
+	if w.held {
+		r.vars.silencesWaited.Add(1)
+		r.addStep("silent, and no other endpoint or no retry budget for the request")
+	}
+}
+
+// restart makes the attempt be abandoned after a silence of at least the given time.
+func (w *silenceWatch) restart(after time.Duration) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.arm(after)
+}
+
+// arm sets the timer. The caller holds the lock.
+func (w *silenceWatch) arm(after time.Duration) {
+	w.due = w.Timer.Now() + after
+	if w.timer == nil {
+		w.timer = time.AfterFunc(after, w.expire)
+		return
+	}
+	w.timer.Reset(after)
+}
+
+// pause stops the watch until the next call of restart.
+func (w *silenceWatch) pause() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.due = 0
+	if w.timer != nil {
+		w.timer.Stop()
+	}
+}
+
+func (w *silenceWatch) expire() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.due == 0 {
+		return
+	}
+	if left := w.due - w.Timer.Now(); left > 0 { // the endpoint has sent something meanwhile
+		w.timer.Reset(left)
+		return
+	}
+	if !w.takeMove() {
+		w.held = true
+		w.arm(silenceRecheck)
+		return
+	}
+	w.due = 0
+	w.vars.silencesMoved.Add(1)
+	w.cancel(errSilent)
+}
+
+// takeMove reports whether the request can move, and takes the sends from the retry budget. The
+// caller holds the lock.
+func (w *silenceWatch) takeMove() bool {
+	now := w.Timer.Now()
+	ok := false
+	w.WithBoard(func(b *steer.Board) { ok = b.HasRoom(now, w.service, w.avoid) })
+	for ok && w.taken < w.needed {
+		if ok = w.RetryBudget.Take(w.service); ok {
+			w.taken++
+		}
+	}
+	return ok
+}
--- a/dispatch/stream.go
+++ b/dispatch/stream.go
@@ -242,9 +242,13 @@
 	r.vars.sends.Add(1)
 	attemptCtx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	r.lastAttempt = !r.retryable() || r.runs+1 >= r.route.MaxAttempts
-	silenceTimer := time.AfterFunc(r.silenceTimeout(), func() { cancel(errSilent) })
-	defer silenceTimer.Stop()
+	pauseWatch, restartWatch := func() {}, func() {}
+	if r.mayMove() {
+		watch := r.watchSilence(e, cancel)
+		defer r.endWatch(watch)
+		pauseWatch, restartWatch = watch.pause, func() { watch.restart(r.silenceTimeout()) }
+		restartWatch()
+	}
 	a := r.newAttempt(e)
 	a.KVSource = h
 	ans, err := r.Sender.Send(attemptCtx, a)
@@ -261,7 +265,7 @@
 		return r.forwardNonStream(ctx, e, ans)
 	}
 	answered := false
-	err = r.relayEvents(ans, silenceTimer, func() {
+	err = r.relayEvents(ans, pauseWatch, restartWatch, func() {
 		answered = true
 		endPrefillOnce(r.Timer.Now() - began)
 		if h != nil {
@@ -318,12 +322,9 @@
 }
 
 // silenceTimeout returns how long an engine may send no whole event before another one is
-// tried. In the last attempt that is all of the remaining time.
+// tried.
 func (r *request) silenceTimeout() time.Duration {
 	now := r.Timer.Now()
-	if r.lastAttempt {
-		return r.deadline - now
-	}
 	if r.started {
 		return max(r.route.AssumedCallerTimeout/2, 2*r.route.PauseObjective, minSilenceTimeout)
 	}
@@ -351,8 +352,9 @@
 	return r.deliver(w)
 }
 
-// relayEvents forwards whole events as they arrive. It calls onFirst with the first one.
-func (r *request) relayEvents(ans *lagoonhead.Answer, silenceTimer *time.Timer, onFirst func()) error {
+// relayEvents forwards whole events as they arrive. It calls onEvent with each, onFirst with the
+// first one, and onWait before it waits for the next.
+func (r *request) relayEvents(ans *lagoonhead.Answer, onEvent, onWait, onFirst func()) error {
 	counted := countedReader{in: ans.Body, total: &r.buffered}
 	defer counted.release()
 	events := sse.NewReader(&counted, maxEventBytes)
@@ -369,7 +371,7 @@
 		if err != nil {
 			return fail("relay", readErrorKind(err), err)
 		}
-		silenceTimer.Stop()
+		onEvent()
 		counted.release()
 		if n == 0 {
 			onFirst()
@@ -386,7 +388,7 @@
 				return fail("deliver", lagoonhead.KindUnknown, err)
 			}
 		}
-		silenceTimer.Reset(r.silenceTimeout())
+		onWait()
 	}
 }
 
--- a/steer/pick.go
+++ b/steer/pick.go
@@ -309,6 +309,14 @@
 	return load + float64(b.risk(now, t, r.Retryable))/float64(fullBatchCost)
 }
 
+// HasRoom reports whether an endpoint of the service that is not in avoid can run a request now.
+func (b *Board) HasRoom(now time.Duration, service string, avoid []lagoonhead.EndpointID) bool {
+	return slices.ContainsFunc(b.services[service], func(t *target) bool {
+		return t.endpoint.Role() != lagoonhead.RolePrefill && t.eligible(now, avoid, true) && b.allows(now, t) &&
+			b.running(now, t) < t.endpoint.Slots()
+	})
+}
+
 // HasRole reports whether an engine of the service with the role can get work.
 func (b *Board) HasRole(now time.Duration, service string, r lagoonhead.Role) bool {
 	return slices.ContainsFunc(b.services[service], func(t *target) bool {
