entry: requests at the end of a drain get an answer

With a short grace time, bookings that an endpoint ran were cut off at the end of a planned stop, and requests that came late on open connections were closed without an answer.

Cause: the drain ended with the connections, 0.7 s before the end of the grace time, whatever was in progress on them.

Why it works: once the load balancer has had time to notice, new requests are refused as not run, and connections are closed when nothing is in progress. Dispatcher.Stop ends what is left with a cause, so that each request ends as it does at its deadline: not run, or unknown. It comes in the last sixth of the grace time whatever that is.

--- a/cmd/lagoonheadd/signal_test.go
+++ b/cmd/lagoonheadd/signal_test.go
@@ -216,3 +216,20 @@
 	require.Empty(t, b.cutOff(f.endpoint), "bookings that ran and were not answered")
 	require.Greater(t, len(f.endpoint.Runs()), 5)
 }
+
+// Guards against bookings that are still running at the end of a planned stop and whose connections
+// end without an answer.
+func TestBookingsRunningAtTheEndOfAStopAreAnswered(t *testing.T) {
+	f := newPlatformFleet(t, &fakewire.Endpoint{ID: "s1", Pause: 1800 * time.Millisecond})
+	p := f.startDaemon(t)
+	var b bookings
+	for range 8 {
+		b.start(p, 1)
+		time.Sleep(200 * time.Millisecond)
+	}
+	p.signal(t, syscall.SIGTERM)
+	b.wait.Wait()
+	require.NoError(t, p.cmd.Wait())
+	require.Empty(t, b.cutOff(f.endpoint), "bookings that ran and were not answered")
+	require.Greater(t, len(f.endpoint.Runs()), 8)
+}
--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -88,7 +88,10 @@
 	mu    sync.Mutex
 	board steer.Board
 	once  sync.Once
-	vars  counters
+	// inProgress holds the requests that are being served, with the functions that end them.
+	inProgressMu sync.Mutex
+	inProgress   map[*request]context.CancelCauseFunc
+	vars         counters
 	// buffered is the number of bytes of the answers that are being buffered.
 	buffered atomic.Int64
 }
@@ -112,6 +115,7 @@
 func (d *Dispatcher) init() {
 	d.once.Do(func() {
 		d.board.Domain = d.Domain
+		d.inProgress = make(map[*request]context.CancelCauseFunc)
 		if d.Log == nil {
 			d.Log = zap.NewNop()
 		}
@@ -146,6 +150,28 @@
 	f(&d.board)
 }
 
+// Stop ends the calls in progress. Those without a beginning of an answer get an error.
+func (d *Dispatcher) Stop() {
+	d.init()
+	d.inProgressMu.Lock()
+	defer d.inProgressMu.Unlock()
+	for _, abort := range d.inProgress {
+		abort(errStopping)
+	}
+}
+
+// begin adds a request to those that Stop ends, and returns a function that removes it.
+func (d *Dispatcher) begin(r *request, abort context.CancelCauseFunc) (end func()) {
+	d.inProgressMu.Lock()
+	defer d.inProgressMu.Unlock()
+	d.inProgress[r] = abort
+	return func() {
+		d.inProgressMu.Lock()
+		defer d.inProgressMu.Unlock()
+		delete(d.inProgress, r)
+	}
+}
+
 // Serve answers a call. An error means that the sink did not get a whole answer; its kind
 // says why, and NotRun says whether the request may have run. ctx must be canceled when the
 // caller leaves.
--- a/dispatch/errors.go
+++ b/dispatch/errors.go
@@ -30,6 +30,9 @@
 // errDeadline is the cancellation cause of a request whose deadline has passed.
 var errDeadline = fmt.Errorf("the request deadline has passed")
 
+// errStopping is the cancellation cause of a request that is ended by Dispatcher.Stop.
+var errStopping = fmt.Errorf("the daemon is stopping")
+
 // errSilent is the cancellation cause of an attempt at an endpoint that sent nothing for too
 // long.
 var errSilent = fmt.Errorf("the endpoint was silent for too long")
--- a/dispatch/request.go
+++ b/dispatch/request.go
@@ -70,8 +70,10 @@
 		// The attempt goes on when the caller leaves, so that its outcome becomes known.
 		ctx = context.WithoutCancel(ctx)
 	}
-	ctx, cancel := context.WithTimeoutCause(ctx, r.remaining(), errDeadline)
-	defer cancel()
+	ctx, abort := context.WithCancelCause(ctx)
+	defer abort(nil)
+	defer time.AfterFunc(r.remaining(), func() { abort(errDeadline) }).Stop()
+	defer r.begin(r, abort)()
 	if err := r.checkSuspects(); err != nil {
 		return err
 	}
--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -34,9 +34,14 @@
 	// drainDelay is how long a stopping daemon keeps accepting connections. The load
 	// balancer probes once a second and removes a daemon after two failed probes.
 	drainDelay = 2500 * time.Millisecond
-	// killMargin is the part of the grace time that remains when the last requests are
-	// cut off.
+	// killMargin is the part of the grace time that remains when the requests still in progress
+	// are ended, if that is less than a ninth of the grace time: before its last sixth an endpoint
+	// at work is no reason to end a request.
 	killMargin = 700 * time.Millisecond
+	// answerTime is how long requests that are ended have to send their answers.
+	answerTime = 200 * time.Millisecond
+	// drainPollInterval is the time between checks whether requests are in progress.
+	drainPollInterval = 10 * time.Millisecond
 	// maxAdmitWait is how long admission waits for tokens that a peer may lend.
 	maxAdmitWait = 250 * time.Millisecond
 	// slotCount is the number of slots of the limits, and homesPerWorkspace the number of
@@ -122,7 +127,9 @@
 
 	incarnation lagoonhead.Incarnation
 	leaving     atomic.Bool
-	vars        *expvar.Map
+	// refusing is true in the part of the drain in which no new requests are taken.
+	refusing atomic.Bool
+	vars     *expvar.Map
 
 	config       *configuration
 	endpoints    *endpoints
@@ -196,16 +203,37 @@
 	return group.Wait()
 }
 
-// drain stops serving callers within the grace time.
+// drain stops serving callers within the grace time. Once the load balancer has had time to notice,
+// new requests are refused. Connections are closed after the requests in progress have ended, so
+// that a request on an open connection gets an answer.
 func (d *Daemon) drain(s *servers) {
 	d.leaving.Store(true)
 	d.Log.Info("draining")
-	end, cancel := context.WithTimeout(context.Background(), d.Settings.Grace-killMargin)
+	grace := d.Settings.Grace
+	end, cancel := context.WithTimeout(context.Background(), grace-min(killMargin, grace/9))
 	defer cancel()
-	_ = d.Timer.Sleep(end, min(drainDelay, d.Settings.Grace/2)) // an error means only that the grace time is over
-	if err := s.callers.Shutdown(end); err != nil {
-		d.Log.Warn("drain ended with requests still running", zap.Error(err))
+	_ = d.Timer.Sleep(end, min(drainDelay, grace/2)) // an error means only that the grace time is over
+	d.refusing.Store(true)
+	for d.guard.UnderWay() > 0 && d.Timer.Sleep(end, drainPollInterval) == nil {
 	}
+	if n := d.guard.UnderWay(); n > 0 {
+		d.Log.Warn("drain ended with requests still running", zap.Int("count", n))
+		d.dispatcher.Stop()
+	}
+	closing, cancel := context.WithTimeout(context.Background(), answerTime)
+	defer cancel()
+	if err := s.callers.Shutdown(closing); err != nil {
+		d.Log.Warn("connections of callers closed with requests on them", zap.Error(err))
+	}
+}
+
+// beginRequest begins a request of a caller, whose end calls guard.End, or returns an error of
+// KindUnavailable if it is to be refused.
+func (d *Daemon) beginRequest() error {
+	if d.refusing.Load() {
+		return failf("begin", lagoonhead.KindUnavailable, "the daemon is stopping")
+	}
+	return d.guard.Begin()
 }
 
 // ready returns nil when the daemon can serve callers, and an error with the reason
@@ -370,7 +398,7 @@
 func (d *Daemon) listen() (*servers, error) {
 	newServer := func(h http.Handler) *http.Server { return &http.Server{Handler: h, ReadHeaderTimeout: time.Second} }
 	p := &peer.Server{Config: noConfiguration{}, Lender: d.admit, Usage: noUsageCopies{}, Heartbeats: d.heartbeats, Counts: d.heartbeats}
-	s := &servers{callers: d.Platform.Callers(d.dispatcher, CallerLimits{d.closesConnections, d.bodyLimit, d.guard.Begin, d.guard.End})}
+	s := &servers{callers: d.Platform.Callers(d.dispatcher, CallerLimits{d.closesConnections, d.bodyLimit, d.beginRequest, d.guard.End})}
 	l := d.Settings.Listen
 	for _, v := range []struct {
 		address string
--- a/overload/guard.go
+++ b/overload/guard.go
@@ -159,6 +159,13 @@
 	g.underWay--
 }
 
+// UnderWay returns the number of requests that have begun and not ended.
+func (g *Guard) UnderWay() int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.underWay
+}
+
 // Closes reports whether a new connection is to be closed before anything is read from it.
 func (g *Guard) Closes() bool {
 	if !g.closes(rand.Float64()) {
