dispatch: the forecast does not refuse a stream that has begun

Callers saw: a stream that was resumed later than 2.4 s after its arrival, as any that its engine left silent for long, was cut off although another engine could take it and the caller was still there.

Cause: before a prompt is read, the request is refused if its caller would have left by then. The time is that of a caller who has no event yet, counted from the arrival, and was applied to streams that had begun.

TestAStreamIsResumedLongAfterItsArrival failed before for a break after 3 s.

Why it works: refusing early spares a caller a wait for nothing, which a stream that has begun cannot gain any more; it ends at its deadline or when the caller leaves.

--- a/dispatch/dispatcher_test.go
+++ b/dispatch/dispatcher_test.go
@@ -137,6 +137,7 @@
 			route("repeatable", catalog.Route{RetryPolicy: catalog.RetrySafe}),
 			route("stream", catalog.Route{Streaming: true}),
 			route("resumable", catalog.Route{Streaming: true, Resumable: true}),
+			route("patient", catalog.Route{Streaming: true, Resumable: true, AssumedCallerTimeout: 2400 * time.Millisecond}),
 		}})},
 		Suspects: noSuspects{}, Parts: noSuspectParts{}, Departures: noDepartures{}, Sender: s, Usage: new(usageCount), RetryBudget: unlimitedRetries{},
 		Timer: timer.NewManual(time.Hour, time.Unix(0, 0)), Domain: "x",
@@ -331,3 +332,47 @@
 	require.Error(t, err)
 	require.EqualValues(t, maxBufferedBytes+1, d.buffered.Load())
 }
+
+// resumingSender answers the first run with one event, after which the connection breaks off late, and
+// each later one with the next event.
+type resumingSender struct {
+	prefillingSender
+	clock *timer.Manual
+	// breakAfter is the time from the first event until the connection breaks off.
+	breakAfter time.Duration
+}
+
+func (s *resumingSender) Send(_ context.Context, a *lagoonhead.Attempt) (*lagoonhead.Answer, error) {
+	s.runs++
+	body := io.Reader(strings.NewReader("id: 2\ndata: b\n\n"))
+	if a.LastEventID == "" {
+		body = io.MultiReader(strings.NewReader("id: 1\ndata: a\n\n"), readerFunc(func([]byte) (int, error) {
+			s.clock.Advance(s.breakAfter)
+			return 0, errCut
+		}))
+	}
+	return &lagoonhead.Answer{Status: http.StatusOK, Header: http.Header{}, Body: io.NopCloser(body)}, nil
+}
+
+type readerFunc func(p []byte) (int, error)
+
+func (f readerFunc) Read(p []byte) (int, error) { return f(p) }
+
+// Guards against a stream that is cut off instead of resumed because the time within which its caller
+// waits for the first event is over.
+func TestAStreamIsResumedLongAfterItsArrival(t *testing.T) {
+	for _, breakAfter := range []time.Duration{0, time.Second, 3 * time.Second} {
+		s := &resumingSender{breakAfter: breakAfter}
+		d := scriptedDispatcher(s)
+		s.clock = d.Timer.(*timer.Manual)
+		setEngines(d, map[lagoonhead.EndpointID]lagoonhead.Role{
+			"p": lagoonhead.RolePrefill, "q": lagoonhead.RolePrefill, "a": lagoonhead.RoleDecode, "b": lagoonhead.RoleDecode,
+		})
+		c := longPrompt(t)
+		c.URL.Path = "/patient/x"
+		sink := &recordingSink{}
+		require.NoError(t, d.Serve(t.Context(), c, sink), breakAfter)
+		require.Equal(t, "id: 1\ndata: a\n\nid: 2\ndata: b\n\n", sink.body.String())
+		require.Equal(t, 2, s.runs)
+	}
+}
--- a/dispatch/stream.go
+++ b/dispatch/stream.go
@@ -108,7 +108,8 @@
 			return nil, r.refuse("no engine of %s can take the prompt", r.service)
 		}
 		r.addStep("read at %s: apart %t, %d tokens, expected in %s", v.Endpoint.ID(), v.PrefillOnly, v.Tokens, v.Wait.Round(time.Millisecond))
-		if late := r.Timer.Now() + v.Wait - r.callerGiveUpTime(); late > 0 {
+		// A caller that has a part of the stream may wait on, and a refusal would cut it off.
+		if late := r.Timer.Now() + v.Wait - r.callerGiveUpTime(); late > 0 && !r.started {
 			r.cancelPrefill(v)
 			e := failf("forecast", lagoonhead.KindUnavailable, "the prompt would be read in %s", v.Wait)
 			e.retryAfter = late + busyRetryAfter
