--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -88,7 +88,8 @@
 	mu    sync.Mutex
 	board steer.Board
 	once  sync.Once
-	// inProgress holds the requests that are being served, with the functions that end them.
+	// inProgressMu guards inProgress, which holds the requests that are being served with the
+	// functions that end them.
 	inProgressMu sync.Mutex
 	inProgress   map[*request]context.CancelCauseFunc
 	vars         counters
@@ -160,8 +161,8 @@
 	}
 }
 
-// begin adds a request to those that Stop ends, and returns a function that removes it.
-func (d *Dispatcher) begin(r *request, abort context.CancelCauseFunc) (end func()) {
+// track adds a request to those that Stop ends, and returns a function that removes it.
+func (d *Dispatcher) track(r *request, abort context.CancelCauseFunc) (end func()) {
 	d.inProgressMu.Lock()
 	defer d.inProgressMu.Unlock()
 	d.inProgress[r] = abort
--- a/dispatch/request.go
+++ b/dispatch/request.go
@@ -73,7 +73,7 @@
 	ctx, abort := context.WithCancelCause(ctx)
 	defer abort(nil)
 	defer time.AfterFunc(r.remaining(), func() { abort(errDeadline) }).Stop()
-	defer r.begin(r, abort)()
+	defer r.track(r, abort)()
 	if err := r.checkSuspects(); err != nil {
 		return err
 	}
--- a/httponce/client_test.go
+++ b/httponce/client_test.go
@@ -134,7 +134,6 @@
 			l, err := net.Listen("tcp", "127.0.0.1:0")
 			require.NoError(t, err)
 			defer l.Close()
-			var sent atomic.Int64
 			ended := make(chan struct{})
 			go func() {
 				defer close(ended)
@@ -145,9 +144,8 @@
 				defer conn.Close()
 				_, err = conn.Write([]byte("HTTP/1.1 200 OK\r\nX-Begin: "))
 				part := []byte(strings.Repeat(line, 1000))
-				for n := 0; err == nil; {
-					n, err = conn.Write(part)
-					sent.Add(int64(n))
+				for err == nil {
+					_, err = conn.Write(part)
 				}
 			}()
 			ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -239,7 +239,8 @@
 		return
 	}
 	maps.DeleteFunc(r.departures, func(key string, d departure) bool {
-		return r.now-d.at > departureMemory && !(d.final && r.isRegistered(key, d.incarnation))
+		kept := d.final && r.isRegistered(key, d.incarnation)
+		return !kept && r.now-d.at > departureMemory
 	})
 	for key, e := range r.held {
 		r.endpoints[key] = e
