--- a/cmd/lagoonheadd/signal_test.go
+++ b/cmd/lagoonheadd/signal_test.go
@@ -2,11 +2,9 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
 	"io"
 	"net/http"
-	"net/http/httptest"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -16,85 +14,9 @@
 
 	"github.com/stretchr/testify/require"
 
-	"github.com/lagoonhead/lagoonhead"
-	"github.com/lagoonhead/lagoonhead/fakeplatform"
-	"github.com/lagoonhead/lagoonhead/platform"
 	"github.com/lagoonhead/lagoonhead/platform/fakewire"
-	"github.com/lagoonhead/lagoonhead/timer"
 )
 
-// platformGrace is the grace time of daemons that run with -platform.
-const platformGrace = 4 * time.Second
-
-// platformFleet is a fake platform with one endpoint, for daemons that run with -platform.
-type platformFleet struct {
-	storeAddress, cloudAddress string
-	endpoint                   *fakewire.Endpoint
-}
-
-// newPlatformFleet starts the platform and the endpoint, which serves bookings.
-func newPlatformFleet(t *testing.T, e *fakewire.Endpoint) *platformFleet {
-	t.Helper()
-	listen := func(h http.Handler) string {
-		s := httptest.NewServer(h)
-		t.Cleanup(func() {
-			s.CloseClientConnections()
-			s.Close()
-		})
-		return strings.TrimPrefix(s.URL, "http://")
-	}
-	kv := fakeplatform.NewKV(&timer.System{})
-	f := &platformFleet{endpoint: e, storeAddress: listen((&fakewire.Store{KV: kv}).Handler()), cloudAddress: listen(new(fakewire.Cloud).Handler())}
-	configuration, err := json.Marshal(map[string]any{
-		"version": 1, "services": []any{map[string]any{"name": "plain"}}, "limits": map[string]any{"max_body_bytes": 1 << 20},
-		"routes": []any{map[string]any{
-			"name": "book", "host": "h.example", "path_prefix": "/book/", "route_kind": "non_idempotent", "service": "plain",
-			"timeout_ms": 3000, "slo_ms": 500, "priority": 1, "max_attempts": 1,
-		}},
-		"tenants": []any{map[string]any{"name": "w", "api_keys": []string{frontDeskKey}}},
-	})
-	require.NoError(t, err)
-	for k, v := range map[string][]byte{
-		platform.ConfigurationKey:      configuration,
-		platform.EndpointPrefix + e.ID: e.Registration("plain", listen(e), "a", "ready"),
-	} {
-		_, err := kv.Put(t.Context(), lagoonhead.PutRequest{Key: k, Value: v, IfRevision: lagoonhead.AnyRevision})
-		require.NoError(t, err)
-	}
-	return f
-}
-
-// startDaemon starts a daemon and waits until it is ready. Its address is that for callers.
-func (f *platformFleet) startDaemon(t *testing.T) *process {
-	t.Helper()
-	ports := freePorts(t, 3)
-	settings, err := json.Marshal(map[string]any{
-		"node_name": "vm1", "ip": "127.0.0.1", "zone": "a",
-		"listen":   map[string]any{"front_addr": ports[0], "ready_addr": ports[1], "control_plane": ports[2]},
-		"limits":   map[string]any{"memory_mb": 500, "max_fds": 1000, "cpu_share": 1},
-		"platform": map[string]any{"address": f.storeAddress, "ttl_min_ms": 1000}, "cloud_api": map[string]any{"address": f.cloudAddress},
-		"bounds": map[string]any{"grace_s": platformGrace.Seconds(), "lease_ms": 3000, "report_window_s": 5, "fencing_enabled": true},
-	})
-	require.NoError(t, err)
-	p := newProcess("daemon", "vm1", "-platform")
-	p.address = ports[0]
-	p.cmd.Env = append(p.cmd.Env, platform.SettingsVariable+"="+writeFile(t, "settings.json", string(settings)))
-	log, err := p.cmd.StdoutPipe()
-	require.NoError(t, err)
-	p.log = log
-	p.start(t)
-	go func() { _, _ = io.Copy(p.output, log) }() // until the process ends or closeLog
-	eventually(t, "the daemon is ready", func() bool {
-		r, err := http.Get("http://" + ports[1] + "/-/readyz") //nolint:noctx // The address is a child process on loopback.
-		if err != nil {
-			return false
-		}
-		r.Body.Close()
-		return r.StatusCode == http.StatusOK
-	})
-	return p
-}
-
 // bookings sends bookings to a daemon from clients that keep using their connections, until
 // the daemon accepts none.
 type bookings struct {
@@ -161,8 +83,8 @@
 // Guards against a daemon that ends by a SIGHUP, before it drains or while it does, with
 // requests in progress.
 func TestHangupsEndNoRequest(t *testing.T) {
-	f := newPlatformFleet(t, &fakewire.Endpoint{ID: "s1", Pause: 100 * time.Millisecond})
-	p := f.startDaemon(t)
+	e := &fakewire.Endpoint{ID: "s1", Pause: 100 * time.Millisecond}
+	p := newPlatformFleet(t, e).startDaemon(t, "vm1")
 	var b bookings
 	b.start(p, 6)
 	for _, s := range []syscall.Signal{
@@ -173,8 +95,8 @@
 	}
 	b.wait.Wait()
 	require.NoError(t, p.cmd.Wait())
-	require.Empty(t, b.cutOff(f.endpoint), "bookings that ran and were not answered")
-	require.Greater(t, len(f.endpoint.Runs()), 20)
+	require.Empty(t, b.cutOff(e), "bookings that ran and were not answered")
+	require.Greater(t, len(e.Runs()), 20)
 }
 
 // Guards against a daemon of the project's own interface that ends by a SIGHUP.
@@ -204,8 +126,8 @@
 // Guards against a daemon that ends by a SIGPIPE, with requests in progress, once nothing reads
 // its log any more.
 func TestALogWithoutReaderEndsNoRequest(t *testing.T) {
-	f := newPlatformFleet(t, &fakewire.Endpoint{ID: "s1", Pause: 50 * time.Millisecond})
-	p := f.startDaemon(t)
+	e := &fakewire.Endpoint{ID: "s1", Pause: 50 * time.Millisecond}
+	p := newPlatformFleet(t, e).startDaemon(t, "vm1")
 	require.NoError(t, p.log.Close())
 	var b bookings
 	b.start(p, 2)
@@ -213,15 +135,15 @@
 	p.signal(t, syscall.SIGTERM)
 	b.wait.Wait()
 	require.NoError(t, p.cmd.Wait())
-	require.Empty(t, b.cutOff(f.endpoint), "bookings that ran and were not answered")
-	require.Greater(t, len(f.endpoint.Runs()), 5)
+	require.Empty(t, b.cutOff(e), "bookings that ran and were not answered")
+	require.Greater(t, len(e.Runs()), 5)
 }
 
 // Guards against bookings that are still running at the end of a planned stop and whose connections
 // end without an answer.
 func TestBookingsRunningAtTheEndOfAStopAreAnswered(t *testing.T) {
-	f := newPlatformFleet(t, &fakewire.Endpoint{ID: "s1", Pause: 1800 * time.Millisecond})
-	p := f.startDaemon(t)
+	e := &fakewire.Endpoint{ID: "s1", Pause: 1800 * time.Millisecond}
+	p := newPlatformFleet(t, e).startDaemon(t, "vm1")
 	var b bookings
 	for range 8 {
 		b.start(p, 1)
@@ -230,6 +152,6 @@
 	p.signal(t, syscall.SIGTERM)
 	b.wait.Wait()
 	require.NoError(t, p.cmd.Wait())
-	require.Empty(t, b.cutOff(f.endpoint), "bookings that ran and were not answered")
-	require.Greater(t, len(f.endpoint.Runs()), 8)
+	require.Empty(t, b.cutOff(e), "bookings that ran and were not answered")
+	require.Greater(t, len(e.Runs()), 8)
 }
