--- a/cmd/lagoonheadd/soak_test.go
+++ b/cmd/lagoonheadd/soak_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -191,7 +192,7 @@
 	}
 	r.Host = "h.example"
 	r.Header = http.Header{
-		"X-Request-Id": {q.id}, "Authorization": {"Bearer " + frontDeskKey}, "X-Deadline-Ms": {fmt.Sprint(soakDeadline.Milliseconds())},
+		"X-Request-Id": {q.id}, "Authorization": {"Bearer " + frontDeskKey}, "X-Deadline-Ms": {strconv.FormatInt(soakDeadline.Milliseconds(), 10)},
 	}
 	resp, err := c.Do(r)
 	if err != nil {
