fakewire: one builder of configurations and settings for tests

The tests of processes wrote the platform's messages themselves; the stand-in does now, for the fleets of package platform too. The bound of killMargin has a name. No change of behaviour.

--- a/cmd/lagoonheadd/platform_test.go
+++ b/cmd/lagoonheadd/platform_test.go
@@ -1,7 +1,6 @@
 package main
 
 import (
-	"encoding/json"
 	"io"
 	"net/http"
 	"net/http/httptest"
@@ -26,7 +25,7 @@
 	// grace is the grace time of daemons that are started from now on.
 	grace time.Duration
 	// version is the version of the configuration that was written last.
-	version int
+	version int64
 }
 
 func listenForTest(t *testing.T, h http.Handler) (address string) {
@@ -66,37 +65,26 @@
 func (f *platformFleet) configure(t *testing.T) {
 	t.Helper()
 	f.version++
-	route := func(name, kind, service string, attempts int) map[string]any {
-		return map[string]any{
-			"name": name, "host": "h.example", "path_prefix": "/" + name + "/", "route_kind": kind, "service": service, "resumable": attempts > 1,
-			"timeout_ms": 3000 + f.version%2*1000, "slo_ms": 500, "gap_slo_ms": 300, "priority": 1, "max_attempts": attempts,
-		}
-	}
-	configuration, err := json.Marshal(map[string]any{
-		"version": f.version, "limits": map[string]any{"max_body_bytes": 1 << 20, "idle_timeout_ms": 10000 + f.version%3*5000},
-		"routes": []any{route("book", "non_idempotent", "plain", 1), route("read", "streaming", "model", 3), route("tag", "streaming", "model", 1)},
-		"services": []any{
-			map[string]any{"name": "plain"},
-			map[string]any{"name": "model", "engine": map[string]any{"slots": 64, "kv_capacity": 100000, "kv_hold_s": 5, "switch_s": 3}},
+	timeout := 3*time.Second + time.Duration(f.version%2)*time.Second
+	f.put(t, platform.ConfigurationKey, fakewire.Configuration{
+		Version: f.version, EngineService: "model", PlainService: "plain", Keys: []string{frontDeskKey},
+		IdleTimeout: 10*time.Second + time.Duration(f.version%3)*5*time.Second,
+		Routes: []fakewire.Route{
+			{Name: "book", Kind: "non_idempotent", Service: "plain", MaxAttempts: 1, Timeout: timeout},
+			{Name: "read", Kind: "streaming", Service: "model", MaxAttempts: 3, Resumable: true, Timeout: timeout},
+			{Name: "tag", Kind: "streaming", Service: "model", MaxAttempts: 1, Timeout: timeout},
 		},
-		"tenants": []any{map[string]any{"name": "w", "api_keys": []string{frontDeskKey}}},
-	})
-	require.NoError(t, err)
-	f.put(t, platform.ConfigurationKey, configuration)
+	}.Encode())
 }
 
 // startDaemon starts a daemon and waits until it is ready. Its address is that for callers.
 func (f *platformFleet) startDaemon(t *testing.T, name string) *process {
 	t.Helper()
 	ports := freePorts(t, 3)
-	settings, err := json.Marshal(map[string]any{
-		"node_name": name, "ip": "127.0.0.1", "zone": "a",
-		"listen":   map[string]any{"front_addr": ports[0], "ready_addr": ports[1], "control_plane": ports[2]},
-		"limits":   map[string]any{"memory_mb": 500, "max_fds": 1000, "cpu_share": 1},
-		"platform": map[string]any{"address": f.storeAddress, "ttl_min_ms": 1000}, "cloud_api": map[string]any{"address": f.cloudAddress},
-		"bounds": map[string]any{"grace_s": f.grace.Seconds(), "lease_ms": 3000, "report_window_s": 5, "fencing_enabled": true},
-	})
-	require.NoError(t, err)
+	settings := fakewire.Settings{
+		VM: name, IP: "127.0.0.1", FailureDomain: "a", Callers: ports[0], Ready: ports[1], Peers: ports[2],
+		Store: f.storeAddress, Cloud: f.cloudAddress, Grace: f.grace,
+	}.Encode()
 	p := newProcess("daemon", name, "-platform")
 	p.address = ports[0]
 	p.cmd.Env = append(p.cmd.Env, platform.SettingsVariable+"="+writeFile(t, "settings.json", string(settings)))
@@ -104,7 +92,7 @@
 	require.NoError(t, err)
 	p.log = log
 	p.start(t)
-	go func() { _, _ = io.Copy(p.output, log) }() // until the process ends or closeLog
+	go func() { _, _ = io.Copy(p.output, log) }() // until the process ends or log is closed
 	eventually(t, "the daemon is ready", func() bool {
 		r, err := http.Get("http://" + ports[1] + "/-/readyz") //nolint:noctx // The address is a child process on loopback.
 		if err != nil {
--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -35,9 +35,9 @@
 	// balancer probes once a second and removes a daemon after two failed probes.
 	drainDelay = 2500 * time.Millisecond
 	// killMargin is the part of the grace time that remains when the requests still in progress
-	// are ended, if that is less than a ninth of the grace time: before its last sixth an endpoint
-	// at work is no reason to end a request.
-	killMargin = 700 * time.Millisecond
+	// are ended. It is at most one part of maxKillMargin, so that no request is ended before the
+	// last sixth of the grace time.
+	killMargin, maxKillMargin = 700 * time.Millisecond, 9
 	// answerTime is how long requests that are ended have to send their answers.
 	answerTime = 200 * time.Millisecond
 	// drainPollInterval is the time between checks whether requests are in progress.
@@ -210,7 +210,7 @@
 	d.leaving.Store(true)
 	d.Log.Info("draining")
 	grace := d.Settings.Grace
-	end, cancel := context.WithTimeout(context.Background(), grace-min(killMargin, grace/9))
+	end, cancel := context.WithTimeout(context.Background(), grace-min(killMargin, grace/maxKillMargin))
 	defer cancel()
 	_ = d.Timer.Sleep(end, min(drainDelay, grace/2)) // an error means only that the grace time is over
 	d.refusing.Store(true)
