--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -378,6 +378,7 @@
 	d.vars.Set("dutyLease", d.dutySession.Vars())
 	d.vars.Set("duties", d.keeper.Vars())
 	d.vars.Set("members", d.members.vars())
+	d.vars.Set("endpoints", d.endpoints.vars())
 	d.vars.Set("heartbeats", d.exchanger.Vars())
 	d.vars.Set("suspects", d.suspects.Vars())
 	d.vars.Set("promptParts", d.parts.Vars())
--- a/entry/state.go
+++ b/entry/state.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"expvar"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -148,6 +149,13 @@
 	return list
 }
 
+// vars returns the number of registered endpoints that have said that they leave.
+func (p *endpoints) vars() *expvar.Map {
+	v := new(expvar.Map)
+	v.Set("leaving", expvar.Func(func() any { return len(p.roster.Departing()) }))
+	return v
+}
+
 // mergeDepartures takes over what a peer tells of processes that leave.
 func (p *endpoints) mergeDepartures(vm lagoonhead.VMID, list []*peer.Departure) {
 	for _, d := range list {
