entry: log and count why callers' connections are closed unread

The counters did not say whether the processor or the descriptors were the reason, and the platform does not read them. The guard's own count of closed connections is gone, as entry has it.

--- a/entry/connections.go
+++ b/entry/connections.go
@@ -5,6 +5,9 @@
 	"net"
 	"sync"
 	"sync/atomic"
+	"time"
+
+	"go.uber.org/zap"
 )
 
 const (
@@ -18,6 +21,8 @@
 	// requests wait unread for connections that cannot be accepted.
 	crowdedShare   = 0.35
 	maxCallerShare = 0.55
+	// closedLogInterval is the time between two log lines on connections that were closed.
+	closedLogInterval = time.Second
 )
 
 // connections limits the connections of callers by the descriptors of the process.
@@ -28,8 +33,11 @@
 	// overloaded.
 	overloaded func() bool
 
-	open    atomic.Int64
-	refused expvar.Int
+	open atomic.Int64
+	// closedBehind and closedCrowded count the connections that were closed at once because
+	// the processor is overloaded, and because there are too many.
+	closedBehind, closedCrowded expvar.Int
+	loggedBehind, loggedCrowded int64
 }
 
 func newConnections(descriptors int, overloaded func() bool) *connections {
@@ -41,10 +49,22 @@
 func (c *connections) vars() *expvar.Map {
 	m := new(expvar.Map)
 	m.Set("open", expvar.Func(func() any { return c.open.Load() }))
-	m.Set("refused", &c.refused)
+	m.Set("closedBehind", &c.closedBehind)
+	m.Set("closedCrowded", &c.closedCrowded)
 	return m
 }
 
+// logClosed logs how many connections were closed since its last call. A line for each would
+// cost more than the close.
+func (c *connections) logClosed(log *zap.Logger) {
+	behind, crowded := c.closedBehind.Value(), c.closedCrowded.Value()
+	if behind != c.loggedBehind || crowded != c.loggedCrowded {
+		log.Warn("connections of callers closed unread", zap.Int64("behind", behind-c.loggedBehind),
+			zap.Int64("crowded", crowded-c.loggedCrowded), zap.Int64("open", c.open.Load()))
+	}
+	c.loggedBehind, c.loggedCrowded = behind, crowded
+}
+
 // crowded reports whether callers' connections are to be closed after the answer.
 func (c *connections) crowded() bool { return c.most > 0 && c.open.Load() > c.crowdedFrom }
 
@@ -65,11 +85,14 @@
 			return nil, err
 		}
 		open, most := l.connections.open.Add(1), l.connections.most
-		if (most == 0 || open <= most) && !l.connections.overloaded() {
+		closed := &l.connections.closedBehind
+		if most > 0 && open > most {
+			closed = &l.connections.closedCrowded
+		} else if !l.connections.overloaded() {
 			return &limitedConn{Conn: c, release: sync.OnceFunc(func() { l.connections.open.Add(-1) })}, nil
 		}
 		l.connections.open.Add(-1)
-		l.connections.refused.Add(1)
+		closed.Add(1)
 		_ = c.Close() // the connection is given up
 	}
 }
--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -354,6 +354,10 @@
 			timer.Every(ctx, d.Timer, demandInterval, d.sampleDemand)
 			return nil
 		},
+		func(ctx context.Context) error {
+			timer.Every(ctx, d.Timer, closedLogInterval, func(time.Duration) { d.connections.logClosed(d.Log) })
+			return nil
+		},
 	}
 	monitor := &overload.Monitor{Guard: &d.guard, Timer: d.Timer, Log: d.Log}
 	d.vars.Set("processor", monitor.Vars())
--- a/overload/guard.go
+++ b/overload/guard.go
@@ -59,7 +59,7 @@
 	// busied gets an element when the lag has to be measured. It is created by becomesBusy.
 	busied chan struct{}
 
-	refused, closed expvar.Int
+	refused expvar.Int
 }
 
 // Observe records the lag that was measured interval after the one before it. It returns the
@@ -168,11 +168,7 @@
 
 // Closes reports whether a new connection is to be closed before anything is read from it.
 func (g *Guard) Closes() bool {
-	if !g.closes(rand.Float64()) {
-		return false
-	}
-	g.closed.Add(1)
-	return true
+	return g.closes(rand.Float64())
 }
 
 func (g *Guard) closes(x float64) bool {
--- a/overload/monitor.go
+++ b/overload/monitor.go
@@ -29,13 +29,12 @@
 }
 
 // Vars returns the lag in seconds while it is measured (lagSeconds), the number of backlogs, and
-// how many requests were refused and connections closed because of them.
+// how many requests were refused because of them.
 func (m *Monitor) Vars() *expvar.Map {
 	v := new(expvar.Map)
 	v.Set("lagSeconds", &m.lag)
 	v.Set("backlogs", &m.backlogs)
 	v.Set("refused", &m.Guard.refused)
-	v.Set("closed", &m.Guard.closed)
 	return v
 }
 
