httprefuse: answer requests on connections that are not served

The cause: entry/connections.go closed such connections as it accepted them. The request has arrived by then, and a close with unread input resets the connection. A request that had waited in the accept queue was closed late, and a change of the configuration adds to that wait.

A Refuser now reads the header section, writes 503 with the identifier and Retry-After and closes only after all input was read. Where the request has arrived whole that is a read, a write and a close in the accepting goroutine; else a goroutine waits, with bounds on time and number.

With the close in place of Refuse TestAnOverloadedDaemonAnswersEachRequest fails too.

--- a/cmd/lagoonheadd/platform.go
+++ b/cmd/lagoonheadd/platform.go
@@ -71,7 +71,7 @@
 		Callers: func(d *dispatch.Dispatcher, c entry.CallerLimits) *http.Server {
 			return platform.NewServer(&platform.Ingress{Dispatcher: d, Limits: c})
 		},
-		Ready: platform.ReadyHandler,
+		Refusal: platform.Refusal, Ready: platform.ReadyHandler,
 		Usage: func(t *lease.Tenure) lagoonhead.UsageReporter {
 			return &platform.UsageReporter{Orders: ordersFor(t), Fence: t.Epoch()}
 		},
--- a/entry/connections.go
+++ b/entry/connections.go
@@ -3,11 +3,15 @@
 import (
 	"expvar"
 	"net"
+	"net/http"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
+
+	"github.com/lagoonhead/lagoonhead/httprefuse"
+	"github.com/lagoonhead/lagoonhead/overload"
 )
 
 const (
@@ -15,62 +19,81 @@
 	// others are for sockets.
 	fileDescriptors = 200
 	// crowdedShare is the share of the sockets from which on callers' connections are
-	// closed after the answer, and maxCallerShare the share that callers may take. The
+	// closed after the answer, maxCallerShare the share that callers may take, and
+	// maxWaitingShare the share of those beyond it whose requests are being refused. The
 	// rest is for endpoints, the store, peers and the load balancer's probes: without it a
 	// flood of callers that keep their connections open cuts the daemon off from them, and
 	// requests wait unread for connections that cannot be accepted.
-	crowdedShare   = 0.35
-	maxCallerShare = 0.55
-	// closedLogInterval is the time between two log lines on connections that were closed.
-	closedLogInterval = time.Second
+	crowdedShare    = 0.35
+	maxCallerShare  = 0.55
+	maxWaitingShare = 0.1
+	// defaultMaxWaiting replaces maxWaitingShare where the number of descriptors is not known.
+	defaultMaxWaiting = 256
+	// refusedLogInterval is the time between two log lines on connections that are not served.
+	refusedLogInterval = time.Second
 )
 
-// connections limits the connections of callers by the descriptors of the process.
+// connections limits the connections of callers by the descriptors of the process. Requests on
+// connections that are not served are refused.
 type connections struct {
 	// crowdedFrom and most are 0 if there is no limit.
 	crowdedFrom, most int64
-	// overloaded reports whether a new connection is closed because the processor is
+	// overloaded reports whether a new connection is not served because the processor is
 	// overloaded.
 	overloaded func() bool
+	refuser    httprefuse.Refuser
 
 	open atomic.Int64
-	// closedBehind and closedCrowded count the connections that were closed at once because
-	// the processor is overloaded, and because there are too many.
-	closedBehind, closedCrowded expvar.Int
-	loggedBehind, loggedCrowded int64
+	// refusedBehind and refusedCrowded count the connections that were not served because the
+	// processor is overloaded, and because there are too many.
+	refusedBehind, refusedCrowded expvar.Int
+	logged                        refusedCounts
 }
 
-func newConnections(descriptors int, overloaded func() bool) *connections {
+// refusedCounts are counts of connections that were not served.
+type refusedCounts struct{ behind, crowded, dropped int64 }
+
+// newConnections returns the limit of a process with a number of descriptors. response returns the
+// response to a request that is refused with an error.
+func newConnections(descriptors int, overloaded func() bool, response func(r *http.Request, err error) *http.Response) *connections {
 	sockets := float64(max(0, descriptors-fileDescriptors))
-	return &connections{crowdedFrom: int64(crowdedShare * sockets), most: int64(maxCallerShare * sockets), overloaded: overloaded}
+	c := &connections{crowdedFrom: int64(crowdedShare * sockets), most: int64(maxCallerShare * sockets), overloaded: overloaded}
+	c.refuser.MaxWaiting = int64(maxWaitingShare * sockets)
+	if descriptors == 0 {
+		c.refuser.MaxWaiting = defaultMaxWaiting
+	}
+	c.refuser.Response = func(r *http.Request) *http.Response {
+		return response(r, overload.Refusal("connection", "the connection is not served"))
+	}
+	return c
 }
 
-// vars returns the number of open connections, and of those that were closed at once.
+// vars returns the number of open connections, and of those that were not served.
 func (c *connections) vars() *expvar.Map {
 	m := new(expvar.Map)
+	m.Set("refusals", c.refuser.Vars())
 	m.Set("open", expvar.Func(func() any { return c.open.Load() }))
-	m.Set("closedBehind", &c.closedBehind)
-	m.Set("closedCrowded", &c.closedCrowded)
+	m.Set("refusedBehind", &c.refusedBehind)
+	m.Set("refusedCrowded", &c.refusedCrowded)
 	return m
 }
 
-// logClosed logs how many connections were closed since its last call. A line for each would
-// cost more than the close.
-func (c *connections) logClosed(log *zap.Logger) {
-	behind, crowded := c.closedBehind.Value(), c.closedCrowded.Value()
-	if behind != c.loggedBehind || crowded != c.loggedCrowded {
-		log.Warn("connections of callers closed unread", zap.Int64("behind", behind-c.loggedBehind),
-			zap.Int64("crowded", crowded-c.loggedCrowded), zap.Int64("open", c.open.Load()))
+// logRefused logs how many connections were not served since its last call. A line for each would
+// cost more than the refusal.
+func (c *connections) logRefused(log *zap.Logger) {
+	now := refusedCounts{c.refusedBehind.Value(), c.refusedCrowded.Value(), c.refuser.Dropped()}
+	if now != c.logged {
+		log.Warn("connections of callers refused", zap.Int64("behind", now.behind-c.logged.behind), zap.Int64("crowded", now.crowded-c.logged.crowded),
+			zap.Int64("dropped", now.dropped-c.logged.dropped), zap.Int64("open", c.open.Load()))
 	}
-	c.loggedBehind, c.loggedCrowded = behind, crowded
+	c.logged = now
 }
 
 // crowded reports whether callers' connections are to be closed after the answer.
 func (c *connections) crowded() bool { return c.most > 0 && c.open.Load() > c.crowdedFrom }
 
-// limit returns a listener that closes a new connection at once while there are too many or
-// the processor is overloaded: its caller can turn to another daemon, as nothing of its
-// request was read.
+// limit returns a listener that refuses the request on a new connection while there are too many
+// connections or the processor is overloaded.
 func (c *connections) limit(l net.Listener) net.Listener { return &limitedListener{l, c} }
 
 type limitedListener struct {
@@ -85,15 +108,15 @@
 			return nil, err
 		}
 		open, most := l.connections.open.Add(1), l.connections.most
-		closed := &l.connections.closedBehind
+		refused := &l.connections.refusedBehind
 		if most > 0 && open > most {
-			closed = &l.connections.closedCrowded
+			refused = &l.connections.refusedCrowded
 		} else if !l.connections.overloaded() {
 			return &limitedConn{Conn: c, release: sync.OnceFunc(func() { l.connections.open.Add(-1) })}, nil
 		}
 		l.connections.open.Add(-1)
-		closed.Add(1)
-		_ = c.Close() // the connection is given up
+		refused.Add(1)
+		l.connections.refuser.Refuse(c)
 	}
 }
 
--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -95,6 +95,9 @@
 	DecodeRegistration               func(key string, value []byte) (lagoonhead.Endpoint, error)
 	// Callers returns the HTTP server for callers.
 	Callers func(d *dispatch.Dispatcher, c CallerLimits) *http.Server
+	// Refusal returns the response to a caller's request that is refused with an error before its
+	// body is read.
+	Refusal func(r *http.Request, err error) *http.Response
 	// Ready returns the handler of the load balancer's readiness probes.
 	Ready func(ready func() error) http.Handler
 	// Usage and Orders return the clients that report usage and send orders with the
@@ -170,7 +173,7 @@
 	if d.LogVars != nil {
 		d.vars.Set("log", d.LogVars)
 	}
-	d.connections = newConnections(d.Settings.MaxDescriptors, d.guard.Closes)
+	d.connections = newConnections(d.Settings.MaxDescriptors, d.guard.RefusesConnection, d.Platform.Refusal)
 	d.vars.Set("connections", d.connections.vars())
 	d.buildState()
 	d.buildWork()
@@ -355,7 +358,7 @@
 			return nil
 		},
 		func(ctx context.Context) error {
-			timer.Every(ctx, d.Timer, closedLogInterval, func(time.Duration) { d.connections.logClosed(d.Log) })
+			timer.Every(ctx, d.Timer, refusedLogInterval, func(time.Duration) { d.connections.logRefused(d.Log) })
 			return nil
 		},
 	}
--- /dev/null
+++ b/httprefuse/refuser.go
@@ -0,0 +1,176 @@
+package httprefuse
+
+import (
+	"bufio"
+	"bytes"
+	"expvar"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+const (
+	// maxArrived is the number of bytes that are read without waiting.
+	maxArrived = 16 << 10
+	// maxHeaderBytes bounds the header section of a request.
+	maxHeaderBytes = 64 << 10
+	// headerTimeout bounds the wait for a header section, and lingerTimeout the wait for the
+	// client to close the connection after the response.
+	headerTimeout, lingerTimeout = time.Second, time.Second
+)
+
+var endOfHeader = []byte("\r\n\r\n")
+
+// Refuser refuses requests. Set the exported fields before the first call of Refuse.
+type Refuser struct {
+	// Response returns the response to a request. It has no body.
+	Response func(r *http.Request) *http.Response
+	// MaxWaiting is the number of connections that may wait at the same time for the rest of a
+	// request or for the client to close. A connection beyond it is closed at once.
+	MaxWaiting int64
+
+	waiting                   atomic.Int64
+	buffers                   sync.Pool // of *buffer
+	answered, silent, dropped expvar.Int
+}
+
+// buffer holds what is read without waiting, and the response.
+type buffer struct {
+	arrived  [maxArrived]byte
+	in       bytes.Reader
+	request  *bufio.Reader
+	response bytes.Buffer
+}
+
+// Vars returns the number of requests that got a response (answered), of connections on which no
+// request came (silent), and of connections that were closed although a request may have come that
+// got no response (dropped).
+func (f *Refuser) Vars() *expvar.Map {
+	v := new(expvar.Map)
+	v.Set("answered", &f.answered)
+	v.Set("silent", &f.silent)
+	v.Set("dropped", &f.dropped)
+	return v
+}
+
+// Dropped returns the number of connections that were closed although a request may have come that
+// got no response.
+func (f *Refuser) Dropped() int64 { return f.dropped.Value() }
+
+// Refuse refuses the first request on a connection and closes the connection. It does not wait: a
+// request that has not arrived whole is refused by a goroutine.
+func (f *Refuser) Refuse(c net.Conn) {
+	b, ok := f.buffers.Get().(*buffer)
+	if !ok {
+		b = &buffer{request: bufio.NewReader(nil)}
+	}
+	defer f.buffers.Put(b)
+	arrived := b.arrived[:readArrived(c, b.arrived[:])]
+	if !bytes.Contains(arrived, endOfHeader) {
+		f.refuseLater(c, bytes.Clone(arrived))
+		return
+	}
+	b.in.Reset(arrived)
+	b.request.Reset(&b.in)
+	r, ok := f.respond(c, b.request, &b.response)
+	if !ok {
+		_ = c.Close() // the client has left
+		return
+	}
+	if r != nil {
+		if _, err := io.Copy(io.Discard, r.Body); err == nil {
+			_ = c.Close() // the whole request was read, so the close does not reset the connection
+			return
+		}
+	}
+	f.await(c, linger)
+}
+
+// refuseLater refuses a request whose header section has not arrived whole.
+func (f *Refuser) refuseLater(c net.Conn, arrived []byte) {
+	f.await(c, func(c net.Conn) {
+		_ = c.SetReadDeadline(time.Now().Add(headerTimeout)) // fails only on a closed connection
+		in := bufio.NewReader(io.LimitReader(io.MultiReader(bytes.NewReader(arrived), c), maxHeaderBytes))
+		if _, err := in.Peek(1); err != nil {
+			f.silent.Add(1)
+			return
+		}
+		if _, ok := f.respond(c, in, new(bytes.Buffer)); ok {
+			linger(c)
+		}
+	})
+}
+
+// await calls do in a goroutine and closes the connection then. If too many connections wait, it
+// closes the connection at once.
+func (f *Refuser) await(c net.Conn, do func(c net.Conn)) {
+	if f.waiting.Add(1) > f.MaxWaiting {
+		f.waiting.Add(-1)
+		f.dropped.Add(1)
+		_ = c.Close() // counted above
+		return
+	}
+	go func() {
+		defer f.waiting.Add(-1)
+		defer c.Close()
+		do(c)
+	}()
+}
+
+// respond reads the header section of a request and writes the response. It returns nil for a
+// request that cannot be read, and whether a response was written.
+func (f *Refuser) respond(c net.Conn, in *bufio.Reader, out *bytes.Buffer) (r *http.Request, ok bool) {
+	r, err := http.ReadRequest(in)
+	var w *http.Response
+	var timeout net.Error
+	switch {
+	case err == nil:
+		w = f.Response(r)
+	case errors.As(err, &timeout) && timeout.Timeout():
+		r, w = nil, &http.Response{StatusCode: http.StatusRequestTimeout}
+	default:
+		r, w = nil, &http.Response{StatusCode: http.StatusBadRequest}
+	}
+	w.ProtoMajor, w.ProtoMinor, w.Close = 1, 1, true
+	out.Reset()
+	_ = w.Write(out) // a buffer takes all
+	if _, err := c.Write(out.Bytes()); err != nil {
+		f.dropped.Add(1)
+		return nil, false
+	}
+	f.answered.Add(1)
+	return r, true
+}
+
+// linger ends the response and reads what the client still sends, since closing a connection with
+// unread input would reset it and could destroy the response.
+func linger(c net.Conn) {
+	if w, ok := c.(interface{ CloseWrite() error }); ok {
+		_ = w.CloseWrite() // an error means that the client has left
+	}
+	_ = c.SetReadDeadline(time.Now().Add(lingerTimeout)) // fails only on a closed connection
+	_, _ = io.Copy(io.Discard, c)                        // ends with the deadline, or when the client has left
+}
+
+// readArrived reads what has arrived on a connection without waiting, and returns its length.
+func readArrived(c net.Conn, p []byte) (n int) {
+	s, ok := c.(syscall.Conn)
+	if !ok {
+		return 0
+	}
+	raw, err := s.SyscallConn()
+	if err != nil {
+		return 0 // the connection is closed, which refuseLater finds too
+	}
+	_ = raw.Read(func(fd uintptr) bool {
+		n, _ = syscall.Read(int(fd), p) // the input that follows an error is read by refuseLater
+		return true
+	})
+	return max(0, n)
+}
--- a/overload/guard.go
+++ b/overload/guard.go
@@ -28,8 +28,8 @@
 	rise, maxExcess, fall = 4.0, 4.0, 0.4
 	// maxElapsed bounds the time for which one sample counts.
 	maxElapsed = 500 * time.Millisecond
-	// maxRefused is the largest part of the requests that is refused. The rest is served also
-	// when most connections are closed.
+	// maxRefused is the largest part of the requests that is refused on connections that are
+	// served. The rest is served also when most connections are not.
 	maxRefused = 0.8
 	// minUnderWay is the number of requests under way below which nothing is turned away: so few
 	// do not keep the processor busy for as long as target, so the lag has another cause, for
@@ -37,8 +37,8 @@
 	minUnderWay = 32
 	// measuredFrom is the number of requests under way from which on the lag is measured.
 	measuredFrom = minUnderWay / 2
-	// maxClosed is the largest part of the connections that is closed.
-	maxClosed = 0.9
+	// maxUnserved is the largest part of the connections that is not served.
+	maxUnserved = 0.9
 	// minRetryAfter is the least time after which callers of refused requests may come again,
 	// and retrySpread the random part by which their return is spread.
 	minRetryAfter, retrySpread = 500 * time.Millisecond, 500 * time.Millisecond
@@ -51,7 +51,7 @@
 	// samples holds the lags of the last window, the newest last.
 	samples []time.Duration
 	// pressure is the refused part of the requests up to maxRefused; what exceeds that is the
-	// closed part of the connections. It rises while there is a backlog and falls while there
+	// part of the connections that is not served. It rises while there is a backlog and falls while there
 	// is none, so it settles where the processor is just busy.
 	pressure float64
 	// underWay is the number of requests that were begun and have not ended.
@@ -75,7 +75,7 @@
 	elapsed := min(interval+lag, maxElapsed).Seconds()
 	smallest = g.smallest()
 	if excess := smallest - target; excess > 0 {
-		g.pressure = min(maxRefused+maxClosed, g.pressure+rise*elapsed*min(maxExcess, excess.Seconds()/target.Seconds()))
+		g.pressure = min(maxRefused+maxUnserved, g.pressure+rise*elapsed*min(maxExcess, excess.Seconds()/target.Seconds()))
 	} else {
 		g.pressure = max(0, g.pressure-fall*elapsed)
 	}
@@ -109,8 +109,14 @@
 		return nil
 	}
 	g.refused.Add(1)
+	return Refusal("begin", "the processor is overloaded")
+}
+
+// Refusal returns the error of a request that is refused for a reason, of KindUnavailable with a
+// time to return.
+func Refusal(op, reason string) error {
 	return &Error{
-		Fault:      lagoonhead.Fault{Op: "overload.begin", Kind: lagoonhead.KindUnavailable, Err: errors.New("the processor is overloaded")},
+		Fault:      lagoonhead.Fault{Op: "overload." + op, Kind: lagoonhead.KindUnavailable, Err: errors.New(reason)},
 		retryAfter: minRetryAfter + time.Duration(rand.Float64()*float64(retrySpread)),
 	}
 }
@@ -166,12 +172,11 @@
 	return g.underWay
 }
 
-// Closes reports whether a new connection is to be closed before anything is read from it.
-func (g *Guard) Closes() bool {
-	return g.closes(rand.Float64())
-}
+// RefusesConnection reports whether a new connection is not to be served. Refusing the request on
+// it where it is accepted costs less than what Begin refuses.
+func (g *Guard) RefusesConnection() bool { return g.refusesConnection(rand.Float64()) }
 
-func (g *Guard) closes(x float64) bool {
+func (g *Guard) refusesConnection(x float64) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	return g.underWay >= minUnderWay && x < g.pressure-maxRefused
--- a/overload/load_test.go
+++ b/overload/load_test.go
@@ -90,7 +90,7 @@
 func (p *processor) request(sent time.Duration, attempt int) {
 	arrived := p.now
 	p.do(acceptCost, func() {
-		if p.guard.closes(p.rng.Float64()) {
+		if p.guard.refusesConnection(p.rng.Float64()) {
 			return // the caller turns to another VM
 		}
 		p.do(readCost, func() {
--- a/overload/monitor_test.go
+++ b/overload/monitor_test.go
@@ -89,10 +89,10 @@
 		g.Observe(time.Second)
 	}
 	for range minUnderWay {
-		require.False(t, g.closes(0))
+		require.False(t, g.refusesConnection(0))
 		require.False(t, g.begin(0))
 	}
-	require.True(t, g.closes(0))
+	require.True(t, g.refusesConnection(0))
 	require.True(t, g.begin(0))
 	g.End()
 	require.False(t, g.begin(0))
