A stopping daemon answers requests that arrive at the end of its drain

Callers saw: a request that was sent in whole near the end of a planned stop was reset or its connection ended without an answer.

Cause: at the end of the drain http.Server.Shutdown closes the listener, which resets the connections that still wait to be accepted, and from then on net/http drops each request whose header it has just read. After answerTime the connections that are left were closed, whatever was on them.

Change: callerListener ends the connections instead. It closes the listener when no connection waits to be accepted, and makes the reads between requests fail on each connection on which no byte waits to be read, so that the connection's own goroutine decides and nothing is read and then dropped. Requests that are still arriving have up to a second, if the grace time allows it.

TestFinishAnswersWhatArrives covers connections that are unused, kept and in use. A request that crosses the close of a connection on which nothing had arrived still gets no answer.

--- /dev/null
+++ b/entry/callerlistener_test.go
@@ -0,0 +1,118 @@
+package entry
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/lagoonhead/lagoonhead/timer"
+)
+
+// Guards against requests that get no answer because their connection looks unused when it is closed,
+// and against connections without a request that are left open.
+func TestFinishAnswersWhatArrives(t *testing.T) {
+	const first, second = "POST /a HTTP/1.1\r\nHost: h\r\nContent-Le", "ngth: 4\r\n\r\nbody"
+	type step struct {
+		text   string
+		answer bool // wait for an answer after the text was sent
+	}
+	for _, c := range []struct {
+		name string
+		// before and beside are sent before finish is called and while it runs.
+		before, beside []step
+		// state is the state of the connection in which finish is called.
+		state http.ConnState
+	}{
+		{"unused", nil, nil, http.StateNew},
+		{"kept", []step{{first + second, true}}, nil, http.StateIdle},
+		{"first header arrives", []step{{first, false}}, []step{{second, true}}, http.StateNew},
+		{"next header arrives", []step{{first + second, true}, {first, false}}, []step{{second, true}}, http.StateIdle},
+		{"answer is not ready", []step{{first + second, false}}, []step{{"", true}}, http.StateActive},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			socket, err := net.Listen("tcp", "127.0.0.1:0")
+			require.NoError(t, err)
+			l := newCallerListener(socket, socket.(syscall.Conn))
+			finishing := make(chan struct{})
+			s := &http.Server{
+				ConnState: l.stateChanged,
+				Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+					_, _ = io.Copy(io.Discard, r.Body) // the answer tells whether the body arrived
+					if c.state == http.StateActive {
+						<-finishing
+						time.Sleep(100 * time.Millisecond)
+					}
+				}),
+			}
+			served := make(chan error, 1)
+			go func() { served <- s.Serve(l) }()
+			defer s.Close()
+			conn, err := net.Dial("tcp", socket.Addr().String())
+			require.NoError(t, err)
+			defer conn.Close()
+			in := bufio.NewReader(conn)
+			send := func(steps []step) {
+				for _, v := range steps {
+					_, err := io.WriteString(conn, v.text)
+					require.NoError(t, err)
+					if !v.answer {
+						continue
+					}
+					res, err := http.ReadResponse(in, nil)
+					require.NoError(t, err)
+					require.Equal(t, http.StatusOK, res.StatusCode)
+					_, err = io.Copy(io.Discard, res.Body)
+					require.NoError(t, err)
+				}
+			}
+			send(c.before)
+			time.Sleep(100 * time.Millisecond) // the server has read what was sent
+			ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+			defer cancel()
+			left := make(chan int)
+			go func() { left <- l.finish(ctx, &timer.System{}) }()
+			close(finishing)
+			time.Sleep(50 * time.Millisecond)
+			send(c.beside)
+			require.Zero(t, <-left)
+			_, err = in.ReadByte()
+			require.ErrorIs(t, err, io.EOF)
+			require.ErrorIs(t, <-served, http.ErrServerClosed)
+		})
+	}
+}
+
+// Guards against requests that were sent in whole but not read when their connection is closed, since
+// the processor is behind.
+func TestFinishAnswersWhatIsNotRead(t *testing.T) {
+	socket, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	l := newCallerListener(socket, socket.(syscall.Conn))
+	conn, err := net.Dial("tcp", socket.Addr().String())
+	require.NoError(t, err)
+	defer conn.Close()
+	accepted, err := l.Accept()
+	require.NoError(t, err)
+	go l.Accept() // ends with the listener
+	_, err = io.WriteString(conn, "request")
+	require.NoError(t, err)
+	require.Eventually(t, accepted.(*callerConn).readable, 5*time.Second, time.Millisecond)
+	ctx, cancel := context.WithTimeout(t.Context(), 300*time.Millisecond)
+	defer cancel()
+	left := make(chan int, 1)
+	go func() { left <- l.finish(ctx, &timer.System{}) }()
+	time.Sleep(100 * time.Millisecond)
+	require.NoError(t, accepted.SetReadDeadline(time.Now().Add(time.Minute)))
+	p := make([]byte, 100)
+	n, err := accepted.Read(p)
+	require.NoError(t, err)
+	require.Equal(t, "request", string(p[:n]))
+	require.Equal(t, 1, <-left, "the request has no answer yet")
+}
--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"runtime/debug"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -38,8 +39,10 @@
 	// are ended. It is at most one part of maxKillMargin, so that no request is ended before the
 	// last sixth of the grace time.
 	killMargin, maxKillMargin = 700 * time.Millisecond, 9
-	// answerTime is how long requests that are ended have to send their answers.
-	answerTime = 200 * time.Millisecond
+	// answerTime is how long requests that are ended have to send their answers, and closeTime how
+	// long requests have that are still arriving when all others are answered, if the grace time
+	// allows it.
+	answerTime, closeTime = 200 * time.Millisecond, time.Second
 	// drainPollInterval is the time between checks whether requests are in progress.
 	drainPollInterval = 10 * time.Millisecond
 	// maxAdmitWait is how long admission waits for tokens that a peer may lend.
@@ -220,11 +223,13 @@
 		d.Log.Warn("drain ended with requests still running", zap.Int("count", n))
 		d.dispatcher.Stop()
 	}
-	closing, cancel := context.WithTimeout(context.Background(), answerTime)
+	deadline, _ := end.Deadline()
+	closing, cancel := context.WithTimeout(context.Background(), max(answerTime, min(closeTime, time.Until(deadline))))
 	defer cancel()
-	if err := s.callers.Shutdown(closing); err != nil {
-		d.Log.Warn("connections of callers closed with requests on them", zap.Error(err))
+	if n := s.callerListener.finish(closing, d.Timer); n > 0 {
+		d.Log.Warn("connections of callers closed with requests on them", zap.Int("count", n))
 	}
+	_ = s.callers.Close() // an error does not matter, since the process ends
 }
 
 // beginRequest begins a request of a caller, whose end calls guard.End, or returns an error of
@@ -387,8 +392,9 @@
 
 // servers holds the HTTP servers of the daemon with their listeners.
 type servers struct {
-	callers *http.Server
-	all     []server
+	callers        *http.Server
+	callerListener *callerListener
+	all            []server
 }
 
 type server struct {
@@ -417,7 +423,10 @@
 			return nil, &Error{lagoonhead.Fault{Op: "entry.listen", Kind: lagoonhead.KindUnavailable, Err: err}}
 		}
 		if v.server == s.callers {
-			listener = d.connections.limit(listener)
+			socket, _ := listener.(syscall.Conn)
+			s.callerListener = newCallerListener(d.connections.limit(listener), socket)
+			s.callers.ConnState = s.callerListener.stateChanged
+			listener = s.callerListener
 		}
 		s.all = append(s.all, server{v.server, listener})
 	}
