--- a/cmd/lagoonheadd/platform.go
+++ b/cmd/lagoonheadd/platform.go
@@ -69,7 +69,7 @@
 		ConfigurationKey: platform.ConfigurationKey, EndpointPrefix: platform.EndpointPrefix,
 		DecodeConfiguration: platform.DecodeConfiguration, DecodeRegistration: platform.DecodeRegistration,
 		Callers: func(d *dispatch.Dispatcher, c entry.CallerLimits) *http.Server {
-			return platform.NewServer(&platform.Ingress{Dispatcher: d, Limits: c})
+			return platform.NewServer(&platform.Ingress{Dispatcher: d, Limits: c, Log: log})
 		},
 		Ready: platform.ReadyHandler,
 		Usage: func(t *lease.Tenure) lagoonhead.UsageReporter {
