The daemon drains before it ends because a background task failed

Callers saw: all connections of a daemon ended without an answer when a background task panicked or returned an error, for example that of a listener.

Cause: a panic ended the process, and an error ended the context of all tasks, which closes the servers without a drain.

Change: a panic of a task becomes its error, which is logged as "background task failed" with the stack. The daemon then drains as at SIGTERM and ends with the error. Panics in goroutines that a task starts itself still end the process at once.

Test: TestAFailedTaskEndsNoRequest ended the test process with the panic before; after, the request in progress is answered 200 and Run returns the error.

--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -187,25 +187,42 @@
 	return err
 }
 
+// run runs the tasks until ctx ends or one of them fails, then drains.
 func (d *Daemon) run(ctx context.Context, s *servers) error {
+	stopping, stop := context.WithCancel(ctx)
+	defer stop()
 	inner, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
-	group, inner := errgroup.WithContext(inner)
+	var group errgroup.Group
 	for _, t := range append(d.tasks(), s.tasks()...) {
-		group.Go(func() error { return t(inner) })
+		group.Go(func() error {
+			err := t.runRecovering(inner)
+			if err != nil {
+				d.Log.Error("background task failed", zap.Error(err))
+				stop()
+			}
+			return err
+		})
 	}
 	group.Go(func() error {
-		select {
-		case <-ctx.Done():
-			d.drain(s)
-		case <-inner.Done():
-		}
+		<-stopping.Done()
+		d.drain(s)
 		cancel()
 		return nil
 	})
 	return group.Wait()
 }
 
+// runRecovering runs the task. A panic becomes an error, so that the process drains before it ends.
+func (t task) runRecovering(ctx context.Context) (err error) {
+	defer func() {
+		if v := recover(); v != nil {
+			err = failf("task", lagoonhead.KindInternal, "panic: %v\n%s", v, debug.Stack())
+		}
+	}()
+	return t(ctx)
+}
+
 // drain stops serving callers within the grace time. Once the load balancer has had time to notice,
 // new requests are refused. Connections are closed after the requests in progress have ended, so
 // that a request on an open connection gets an answer.
