An error of accept ends no daemon, and is logged

Callers saw: all connections of a daemon ended when accept failed with an error that net/http does not take for temporary, such as ENOBUFS, ENOMEM or EPERM, on any of its listeners. Errors that it does take for temporary, such as EMFILE, were written to standard error only.

Change: acceptListener makes all errors of accept temporary, except that the listener was closed, and logs "connection cannot be accepted". The counter acceptFailed is that of callers.

Test: in TestAcceptErrorsEndNoServer the server ended with ENOBUFS and a connection was reset before; after, the connection is answered.

--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -439,8 +439,11 @@
 			s.close()
 			return nil, &Error{lagoonhead.Fault{Op: "entry.listen", Kind: lagoonhead.KindUnavailable, Err: err}}
 		}
+		socket, _ := listener.(syscall.Conn)
+		accepting := &acceptListener{Listener: listener, log: d.Log}
+		listener = accepting
 		if v.server == s.callers {
-			socket, _ := listener.(syscall.Conn)
+			d.vars.Set("acceptFailed", &accepting.failed)
 			s.callerListener = newCallerListener(d.connections.limit(listener), socket)
 			s.callers.ConnState = s.callerListener.stateChanged
 			listener = s.callerListener
