The HTTP servers of the daemon write to its log

What net/http reports (errors of accept, panics of handlers, superfluous headers) went to standard error as plain text, apart from the structured log, and was in no file that operators read.

Change: all servers of the daemon have an ErrorLog that writes warnings to its logger.

Test: TestTheHTTPServersWriteToTheLog found no line before and one after.

--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -421,6 +421,10 @@
 
 func (d *Daemon) listen() (*servers, error) {
 	newServer := func(h http.Handler) *http.Server { return &http.Server{Handler: h, ReadHeaderTimeout: time.Second} }
+	errorLog, err := zap.NewStdLogAt(d.Log, zap.WarnLevel)
+	if err != nil {
+		return nil, &Error{lagoonhead.Fault{Op: "entry.listen", Kind: lagoonhead.KindInternal, Err: err}}
+	}
 	p := &peer.Server{Config: noConfiguration{}, Lender: d.admit, Usage: noUsageCopies{}, Heartbeats: d.heartbeats, Counts: d.heartbeats}
 	s := &servers{callers: d.Platform.Callers(d.dispatcher, CallerLimits{d.closesConnections, d.bodyLimit, d.beginRequest, d.guard.End})}
 	l := d.Settings.Listen
@@ -434,6 +438,7 @@
 		if v.address == "" {
 			continue
 		}
+		v.server.ErrorLog = errorLog
 		listener, err := net.Listen("tcp", v.address)
 		if err != nil {
 			s.close()
