Connections that end without an answer, and cut answers, are logged and counted

Nothing told of a connection that the daemon closed while a request on it had no answer. The counter of cut answers was not served, and "request not served" did not tell whether the caller had got a part.

Change: callerListener logs "connection closed without an answer" and counts such connections (unanswered), or those whose caller had closed its side first (callersLeft). The counts of the handler for callers are served as answers, and "request not served" has the field begun.

--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -282,7 +282,8 @@
 		fields = r.logFields()
 	}
 	fields = append(fields, zap.String("kind", lagoonhead.KindOf(err).String()), zap.Bool("notRun", NotRun(err)),
-		zap.Duration("retryAfter", RetryAfter(err)), zap.Bool("callerLeft", ctx.Err() != nil), zap.Error(err))
+		zap.Duration("retryAfter", RetryAfter(err)), zap.Bool("callerLeft", ctx.Err() != nil),
+		zap.Bool("begun", r != nil && r.started), zap.Error(err))
 	d.Log.Warn("request not served", fields...)
 }
 
--- a/entry/callerlistener.go
+++ b/entry/callerlistener.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"expvar"
 	"net"
 	"net/http"
 	"os"
@@ -10,6 +11,7 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"go.uber.org/zap"
 	"golang.org/x/sys/unix"
 
 	"github.com/lagoonhead/lagoonhead/timer"
@@ -22,6 +24,11 @@
 	net.Listener
 	// socket is the listening socket below Listener. It may be nil.
 	socket syscall.Conn
+	log    *zap.Logger
+
+	// unanswered counts the connections that this process closed while a request on them had no
+	// byte of an answer, and callersLeft those of which the caller had closed its side before.
+	unanswered, callersLeft expvar.Int
 
 	mu       sync.Mutex
 	finished bool
@@ -31,8 +38,8 @@
 	ended chan struct{}
 }
 
-func newCallerListener(l net.Listener, socket syscall.Conn) *callerListener {
-	return &callerListener{Listener: l, socket: socket, open: make(map[*callerConn]struct{}), ended: make(chan struct{})}
+func newCallerListener(l net.Listener, socket syscall.Conn, log *zap.Logger) *callerListener {
+	return &callerListener{Listener: l, socket: socket, log: log, open: make(map[*callerConn]struct{}), ended: make(chan struct{})}
 }
 
 // Accept returns the next connection, or http.ErrServerClosed after finish.
@@ -101,6 +108,12 @@
 	mu sync.Mutex
 	// unanswered is true from the first byte of a request to the end of its answer.
 	unanswered bool
+	// answering is true from the first byte of the answer on.
+	answering bool
+	// left is true when the caller has closed its side.
+	left bool
+	// closed is true after Close.
+	closed bool
 	// ending is true when the connection is to be closed as soon as no request is on it.
 	ending bool
 	// interrupted is true while the read deadline is one of callerConn, not of the server.
@@ -130,10 +143,24 @@
 	if n == 0 && errors.Is(err, os.ErrDeadlineExceeded) && c.resume() {
 		n, err = c.Conn.Read(p)
 	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
 	if n > 0 {
-		c.mu.Lock()
 		c.unanswered = true
-		c.mu.Unlock()
+	}
+	if err != nil && !c.closed && !errors.Is(err, os.ErrDeadlineExceeded) {
+		c.left = true
+	}
+	return n, err
+}
+
+// Write writes to the connection.
+func (c *callerConn) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	if n > 0 {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		c.answering = true
 	}
 	return n, err
 }
@@ -171,7 +198,7 @@
 func (c *callerConn) becomeIdle() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.unanswered = false
+	c.unanswered, c.answering = false, false
 }
 
 // Close closes the connection.
@@ -179,9 +206,26 @@
 	c.listener.mu.Lock()
 	delete(c.listener.open, c)
 	c.listener.mu.Unlock()
+	c.recordEnd()
 	return c.Conn.Close()
 }
 
+// recordEnd counts and logs the end of a connection on which a request, or a part of one, has no
+// answer.
+func (c *callerConn) recordEnd() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	lost := !c.closed && c.unanswered && !c.answering
+	c.closed = true
+	switch {
+	case lost && c.left:
+		c.listener.callersLeft.Add(1)
+	case lost:
+		c.listener.unanswered.Add(1)
+		c.listener.log.Warn("connection closed without an answer", zap.Stringer("caller", c.RemoteAddr()))
+	}
+}
+
 // NetConn returns the connection of the operating system, of which options can be set.
 func (c *callerConn) NetConn() net.Conn {
 	if w, ok := c.Conn.(interface{ NetConn() net.Conn }); ok {
--- a/entry/callerlistener_test.go
+++ b/entry/callerlistener_test.go
@@ -11,6 +11,8 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zaptest/observer"
 
 	"github.com/lagoonhead/lagoonhead/timer"
 )
@@ -39,7 +41,7 @@
 		t.Run(c.name, func(t *testing.T) {
 			socket, err := net.Listen("tcp", "127.0.0.1:0")
 			require.NoError(t, err)
-			l := newCallerListener(socket, socket.(syscall.Conn))
+			l := newCallerListener(socket, socket.(syscall.Conn), zap.NewNop())
 			finishing := make(chan struct{})
 			s := &http.Server{
 				ConnState: l.stateChanged,
@@ -94,7 +96,7 @@
 func TestFinishAnswersWhatIsNotRead(t *testing.T) {
 	socket, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
-	l := newCallerListener(socket, socket.(syscall.Conn))
+	l := newCallerListener(socket, socket.(syscall.Conn), zap.NewNop())
 	conn, err := net.Dial("tcp", socket.Addr().String())
 	require.NoError(t, err)
 	defer conn.Close()
@@ -116,3 +118,57 @@
 	require.Equal(t, "request", string(p[:n]))
 	require.Equal(t, 1, <-left, "the request has no answer yet")
 }
+
+// Guards against connections that end without an answer and of which nothing tells.
+func TestConnectionsWithoutAnAnswerAreCounted(t *testing.T) {
+	for _, c := range []struct {
+		name, text              string
+		leave                   bool // close the caller's side after text was sent
+		unanswered, callersLeft int
+	}{
+		{"answered", "GET / HTTP/1.1\r\nHost: h\r\n\r\n", false, 0, 0},
+		{"invalid", "GET / HTTP/1.1\r\n\r\n", false, 0, 0},
+		{"cut in the answer", "GET /begun HTTP/1.1\r\nHost: h\r\n\r\n", false, 0, 0},
+		{"unused", "", false, 0, 0},
+		{"cut", "GET /cut HTTP/1.1\r\nHost: h\r\n\r\n", false, 1, 0},
+		{"header does not end", "GET / HTTP/1.1\r\nHost", false, 0, 0},
+		{"caller leaves", "GET /wait HTTP/1.1\r\nHost: h\r\n\r\n", true, 0, 1},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			socket, err := net.Listen("tcp", "127.0.0.1:0")
+			require.NoError(t, err)
+			core, lines := observer.New(zap.WarnLevel)
+			l := newCallerListener(socket, socket.(syscall.Conn), zap.New(core))
+			s := &http.Server{
+				ConnState: l.stateChanged, ReadHeaderTimeout: 300 * time.Millisecond, IdleTimeout: 300 * time.Millisecond,
+				Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+					if r.URL.Path == "/begun" {
+						_ = http.NewResponseController(w).Flush()
+					}
+					if r.URL.Path == "/wait" {
+						<-r.Context().Done()
+					}
+					if r.URL.Path != "/" {
+						panic(http.ErrAbortHandler)
+					}
+				}),
+			}
+			go s.Serve(l)
+			defer s.Close()
+			conn, err := net.Dial("tcp", socket.Addr().String())
+			require.NoError(t, err)
+			defer conn.Close()
+			_, err = io.WriteString(conn, c.text)
+			require.NoError(t, err)
+			if c.leave {
+				require.NoError(t, conn.(*net.TCPConn).CloseWrite())
+			}
+			_, err = io.ReadAll(conn)
+			require.NoError(t, err)
+			require.Eventually(t, func() bool { return len(l.list()) == 0 }, 5*time.Second, time.Millisecond)
+			require.EqualValues(t, c.unanswered, l.unanswered.Value())
+			require.EqualValues(t, c.callersLeft, l.callersLeft.Value())
+			require.Equal(t, c.unanswered, lines.FilterMessage("connection closed without an answer").Len())
+		})
+	}
+}
--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -427,6 +427,9 @@
 	}
 	p := &peer.Server{Config: noConfiguration{}, Lender: d.admit, Usage: noUsageCopies{}, Heartbeats: d.heartbeats, Counts: d.heartbeats}
 	s := &servers{callers: d.Platform.Callers(d.dispatcher, CallerLimits{d.closesConnections, d.bodyLimit, d.beginRequest, d.guard.End})}
+	if h, ok := s.callers.Handler.(interface{ Vars() *expvar.Map }); ok {
+		d.vars.Set("answers", h.Vars())
+	}
 	l := d.Settings.Listen
 	for _, v := range []struct {
 		address string
@@ -449,7 +452,9 @@
 		listener = accepting
 		if v.server == s.callers {
 			d.vars.Set("acceptFailed", &accepting.failed)
-			s.callerListener = newCallerListener(d.connections.limit(listener), socket)
+			s.callerListener = newCallerListener(d.connections.limit(listener), socket, d.Log)
+			d.vars.Set("unanswered", &s.callerListener.unanswered)
+			d.vars.Set("callersLeft", &s.callerListener.callersLeft)
 			s.callers.ConnState = s.callerListener.stateChanged
 			listener = s.callerListener
 		}
