httpdrain: the end of callers' connections in a package of its own

The own interface needs the same at its drains, and there is to be one copy. A connection is now closed only when nothing has come on it for 300 ms, since the next request may be on its way; at a stop of the platform form all have been quiet for longer by then. The drain waits for requests that are being refused, too, whose answers ended with the process before. Tests of httpdrain, entry, httprefuse and those of stops in platform passed.

--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -20,6 +20,7 @@
 	"github.com/lagoonhead/lagoonhead/billing"
 	"github.com/lagoonhead/lagoonhead/catalog"
 	"github.com/lagoonhead/lagoonhead/dispatch"
+	"github.com/lagoonhead/lagoonhead/httpdrain"
 	"github.com/lagoonhead/lagoonhead/lease"
 	"github.com/lagoonhead/lagoonhead/metrics"
 	"github.com/lagoonhead/lagoonhead/mirror"
@@ -246,9 +247,11 @@
 	deadline, _ := end.Deadline()
 	closing, cancel := context.WithTimeout(context.Background(), max(answerTime, min(closeTime, time.Until(deadline))))
 	defer cancel()
-	if n := s.callerListener.finish(closing, d.Timer); n > 0 {
+	if n := s.callerListener.Finish(closing, d.Timer); n > 0 {
 		d.Log.Warn("connections of callers closed with requests on them", zap.Int("count", n))
 	}
+	for d.connections.refuser.Waiting() > 0 && d.Timer.Sleep(closing, drainPollInterval) == nil {
+	}
 	_ = s.callers.Close() // an error does not matter, since the process ends
 }
 
@@ -417,7 +420,7 @@
 // servers holds the HTTP servers of the daemon with their listeners.
 type servers struct {
 	callers        *http.Server
-	callerListener *callerListener
+	callerListener *httpdrain.Listener
 	all            []server
 }
 
@@ -459,10 +462,9 @@
 		listener = accepting
 		if v.server == s.callers {
 			d.vars.Set("acceptFailed", &accepting.failed)
-			s.callerListener = newCallerListener(d.connections.limit(listener), socket, d.Log)
-			d.vars.Set("unanswered", &s.callerListener.unanswered)
-			d.vars.Set("callersLeft", &s.callerListener.callersLeft)
-			s.callers.ConnState = s.callerListener.stateChanged
+			s.callerListener = &httpdrain.Listener{Listener: d.connections.limit(listener), Socket: socket, Log: d.Log}
+			d.vars.Set("closed", s.callerListener.Vars())
+			s.callers.ConnState = s.callerListener.StateChanged
 			listener = s.callerListener
 		}
 		s.all = append(s.all, server{v.server, listener})
--- a/entry/callerlistener.go
+++ b/httpdrain/listener.go
@@ -1,4 +1,4 @@
-package entry
+package httpdrain
 
 import (
 	"context"
@@ -17,33 +17,48 @@
 	"github.com/lagoonhead/lagoonhead/timer"
 )
 
-// callerListener accepts the connections of callers and keeps those that are open. Its finish
-// replaces http.Server.Shutdown, which resets the connections that wait to be accepted and drops
-// requests that are read after it was called.
-type callerListener struct {
+const (
+	// pollInterval is the time between checks whether connections have ended.
+	pollInterval = 10 * time.Millisecond
+	// quietTime is how long nothing has come on a connection that Finish closes. The next request
+	// may be on its way until then.
+	quietTime = 300 * time.Millisecond
+)
+
+// Listener accepts the connections of a server and keeps those that are open. Set the exported
+// fields before the first call of Accept.
+type Listener struct {
 	net.Listener
-	// socket is the listening socket below Listener. It may be nil.
-	socket syscall.Conn
-	log    *zap.Logger
+	// Socket is the listening socket below Listener. It may be nil, and then the connections that
+	// wait to be accepted when Finish is called are reset.
+	Socket syscall.Conn
+	// Log gets a line for each connection that this process closed while a request on it had no
+	// byte of an answer.
+	Log *zap.Logger
 
-	// unanswered counts the connections that this process closed while a request on them had no
-	// byte of an answer, and callersLeft those of which the caller had closed its side before.
+	// unanswered counts these connections, and callersLeft those of which the caller had closed its
+	// side before.
 	unanswered, callersLeft expvar.Int
 
 	mu       sync.Mutex
 	finished bool
-	open     map[*callerConn]struct{}
+	open     map[*conn]struct{}
 	// ended is closed when Accept has returned http.ErrServerClosed, after which there is no
-	// connection that is not in open.
+	// connection that is not in open. Finish creates it.
 	ended chan struct{}
 }
 
-func newCallerListener(l net.Listener, socket syscall.Conn, log *zap.Logger) *callerListener {
-	return &callerListener{Listener: l, socket: socket, log: log, open: make(map[*callerConn]struct{}), ended: make(chan struct{})}
+// Vars returns the number of connections that were closed while a request on them had no byte of an
+// answer: by this process (unanswered), or after the caller had closed its side (callersLeft).
+func (l *Listener) Vars() *expvar.Map {
+	m := new(expvar.Map)
+	m.Set("unanswered", &l.unanswered)
+	m.Set("callersLeft", &l.callersLeft)
+	return m
 }
 
-// Accept returns the next connection, or http.ErrServerClosed after finish.
-func (l *callerListener) Accept() (net.Conn, error) {
+// Accept returns the next connection, or http.ErrServerClosed after Finish.
+func (l *Listener) Accept() (net.Conn, error) {
 	c, err := l.Listener.Accept()
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -54,44 +69,49 @@
 		}
 		return nil, err
 	}
-	v := &callerConn{Conn: c, listener: l}
+	v := &conn{Conn: c, listener: l, quietSince: time.Now()}
+	if l.open == nil {
+		l.open = make(map[*conn]struct{})
+	}
 	l.open[v] = struct{}{}
 	return v, nil
 }
 
-// stateChanged is the ConnState hook of the server.
-func (l *callerListener) stateChanged(c net.Conn, s http.ConnState) {
-	if v, ok := c.(*callerConn); ok && s == http.StateIdle {
+// StateChanged is the ConnState hook of the server.
+func (l *Listener) StateChanged(c net.Conn, s http.ConnState) {
+	if v, ok := c.(*conn); ok && s == http.StateIdle {
 		v.becomeIdle()
 	}
 }
 
-// finish closes the listener once no connection waits to be accepted, and each connection once no
-// request on it waits to be read or answered. It returns the number of connections on which some
-// are left when ctx ends.
-func (l *callerListener) finish(ctx context.Context, t timer.Timer) (left int) {
-	for l.socket != nil && readable(l.socket) && t.Sleep(ctx, drainPollInterval) == nil {
+// Finish closes the listener once no connection waits to be accepted, and each connection once no
+// request on it waits to be read or answered. The handler should ask callers to close their
+// connections meanwhile. Finish returns the number of connections that are left when ctx ends, and
+// must be called once, while the server accepts.
+func (l *Listener) Finish(ctx context.Context, t timer.Timer) (left int) {
+	for l.Socket != nil && readable(l.Socket) && t.Sleep(ctx, pollInterval) == nil {
 	}
+	ended := make(chan struct{})
 	l.mu.Lock()
-	l.finished = true
+	l.finished, l.ended = true, ended
 	l.mu.Unlock()
 	l.Close()
 	select {
-	case <-l.ended:
+	case <-ended:
 	case <-ctx.Done():
 	}
-	for _, c := range l.list() {
-		c.end()
-	}
 	for {
-		left = len(l.list())
-		if left == 0 || t.Sleep(ctx, drainPollInterval) != nil {
-			return left
+		open := l.list()
+		for _, c := range open {
+			c.endIfQuiet()
+		}
+		if len(open) == 0 || t.Sleep(ctx, pollInterval) != nil {
+			return len(open)
 		}
 	}
 }
 
-func (l *callerListener) list() (list []*callerConn) {
+func (l *Listener) list() (list []*conn) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for c := range l.open {
@@ -100,10 +120,10 @@
 	return list
 }
 
-// callerConn is a connection of a caller.
-type callerConn struct {
+// conn is a connection of a caller.
+type conn struct {
 	net.Conn
-	listener *callerListener
+	listener *Listener
 
 	mu sync.Mutex
 	// unanswered is true from the first byte of a request to the end of its answer.
@@ -116,29 +136,32 @@
 	closed bool
 	// ending is true when the connection is to be closed as soon as no request is on it.
 	ending bool
-	// interrupted is true while the read deadline is one of callerConn, not of the server.
+	// quietSince is when the connection was accepted or the last request answered.
+	quietSince time.Time
+	// interrupted is true while the read deadline is one of conn, not of the server.
 	interrupted bool
 }
 
-// end ends the connection once no request on it waits to be read or answered. The server closes it
-// when a read between two requests fails.
-func (c *callerConn) end() {
+// endIfQuiet ends a connection on which nothing has come for quietTime. The server closes it when a
+// read between two requests fails.
+func (c *conn) endIfQuiet() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.ending = true
-	if !c.unanswered {
-		c.interrupt()
+	if c.ending || c.unanswered || time.Since(c.quietSince) < quietTime {
+		return
 	}
+	c.ending = true
+	c.interrupt()
 }
 
 // interrupt makes the read in progress and later ones fail. The caller holds mu.
-func (c *callerConn) interrupt() {
+func (c *conn) interrupt() {
 	c.interrupted = true
 	_ = c.Conn.SetReadDeadline(time.Unix(1, 0)) // an error means that the connection is closed already
 }
 
 // Read reads from the connection. If it was interrupted, it fails only if there is nothing to read.
-func (c *callerConn) Read(p []byte) (int, error) {
+func (c *conn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
 	if n == 0 && errors.Is(err, os.ErrDeadlineExceeded) && c.resume() {
 		n, err = c.Conn.Read(p)
@@ -155,7 +178,7 @@
 }
 
 // Write writes to the connection.
-func (c *callerConn) Write(p []byte) (int, error) {
+func (c *conn) Write(p []byte) (int, error) {
 	n, err := c.Conn.Write(p)
 	if n > 0 {
 		c.mu.Lock()
@@ -167,7 +190,7 @@
 
 // resume removes the deadline of an interrupted connection, if a part of a request was read or
 // waits to be read, and reports whether it has done so.
-func (c *callerConn) resume() bool {
+func (c *conn) resume() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if !c.interrupted || !c.unanswered && !c.readable() {
@@ -177,13 +200,13 @@
 	return c.Conn.SetReadDeadline(time.Time{}) == nil
 }
 
-func (c *callerConn) readable() bool {
+func (c *conn) readable() bool {
 	s, ok := c.NetConn().(syscall.Conn)
 	return ok && readable(s)
 }
 
 // SetReadDeadline sets the deadline of the server, unless the connection is to be closed.
-func (c *callerConn) SetReadDeadline(t time.Time) error {
+func (c *conn) SetReadDeadline(t time.Time) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.ending && !c.unanswered {
@@ -195,14 +218,14 @@
 }
 
 // becomeIdle records that the last request has been answered.
-func (c *callerConn) becomeIdle() {
+func (c *conn) becomeIdle() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.unanswered, c.answering = false, false
+	c.unanswered, c.answering, c.quietSince = false, false, time.Now()
 }
 
 // Close closes the connection.
-func (c *callerConn) Close() error {
+func (c *conn) Close() error {
 	c.listener.mu.Lock()
 	delete(c.listener.open, c)
 	c.listener.mu.Unlock()
@@ -212,7 +235,7 @@
 
 // recordEnd counts and logs the end of a connection on which a request, or a part of one, has no
 // answer.
-func (c *callerConn) recordEnd() {
+func (c *conn) recordEnd() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	lost := !c.closed && c.unanswered && !c.answering
@@ -222,12 +245,12 @@
 		c.listener.callersLeft.Add(1)
 	case lost:
 		c.listener.unanswered.Add(1)
-		c.listener.log.Warn("connection closed without an answer", zap.Stringer("caller", c.RemoteAddr()))
+		c.listener.Log.Warn("connection closed without an answer", zap.Stringer("caller", c.RemoteAddr()))
 	}
 }
 
 // NetConn returns the connection of the operating system, of which options can be set.
-func (c *callerConn) NetConn() net.Conn {
+func (c *conn) NetConn() net.Conn {
 	if w, ok := c.Conn.(interface{ NetConn() net.Conn }); ok {
 		return w.NetConn()
 	}
@@ -235,7 +258,7 @@
 }
 
 // CloseWrite lets the HTTP server end a connection without a reset that could destroy the answer.
-func (c *callerConn) CloseWrite() error {
+func (c *conn) CloseWrite() error {
 	if w, ok := c.Conn.(interface{ CloseWrite() error }); ok {
 		return w.CloseWrite()
 	}
--- a/entry/callerlistener_test.go
+++ b/httpdrain/listener_test.go
@@ -1,4 +1,4 @@
-package entry
+package httpdrain
 
 import (
 	"bufio"
@@ -41,10 +41,10 @@
 		t.Run(c.name, func(t *testing.T) {
 			socket, err := net.Listen("tcp", "127.0.0.1:0")
 			require.NoError(t, err)
-			l := newCallerListener(socket, socket.(syscall.Conn), zap.NewNop())
+			l := &Listener{Listener: socket, Socket: socket.(syscall.Conn), Log: zap.NewNop()}
 			finishing := make(chan struct{})
 			s := &http.Server{
-				ConnState: l.stateChanged,
+				ConnState: l.StateChanged,
 				Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 					_, _ = io.Copy(io.Discard, r.Body) // the answer tells whether the body arrived
 					if c.state == http.StateActive {
@@ -56,13 +56,13 @@
 			served := make(chan error, 1)
 			go func() { served <- s.Serve(l) }()
 			defer s.Close()
-			conn, err := net.Dial("tcp", socket.Addr().String())
+			client, err := net.Dial("tcp", socket.Addr().String())
 			require.NoError(t, err)
-			defer conn.Close()
-			in := bufio.NewReader(conn)
+			defer client.Close()
+			in := bufio.NewReader(client)
 			send := func(steps []step) {
 				for _, v := range steps {
-					_, err := io.WriteString(conn, v.text)
+					_, err := io.WriteString(client, v.text)
 					require.NoError(t, err)
 					if !v.answer {
 						continue
@@ -79,7 +79,7 @@
 			ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
 			defer cancel()
 			left := make(chan int)
-			go func() { left <- l.finish(ctx, &timer.System{}) }()
+			go func() { left <- l.Finish(ctx, &timer.System{}) }()
 			close(finishing)
 			time.Sleep(50 * time.Millisecond)
 			send(c.beside)
@@ -96,20 +96,20 @@
 func TestFinishAnswersWhatIsNotRead(t *testing.T) {
 	socket, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
-	l := newCallerListener(socket, socket.(syscall.Conn), zap.NewNop())
-	conn, err := net.Dial("tcp", socket.Addr().String())
+	l := &Listener{Listener: socket, Socket: socket.(syscall.Conn), Log: zap.NewNop()}
+	client, err := net.Dial("tcp", socket.Addr().String())
 	require.NoError(t, err)
-	defer conn.Close()
+	defer client.Close()
 	accepted, err := l.Accept()
 	require.NoError(t, err)
 	go l.Accept() // ends with the listener
-	_, err = io.WriteString(conn, "request")
+	_, err = io.WriteString(client, "request")
 	require.NoError(t, err)
-	require.Eventually(t, accepted.(*callerConn).readable, 5*time.Second, time.Millisecond)
+	require.Eventually(t, accepted.(*conn).readable, 5*time.Second, time.Millisecond)
 	ctx, cancel := context.WithTimeout(t.Context(), 300*time.Millisecond)
 	defer cancel()
 	left := make(chan int, 1)
-	go func() { left <- l.finish(ctx, &timer.System{}) }()
+	go func() { left <- l.Finish(ctx, &timer.System{}) }()
 	time.Sleep(100 * time.Millisecond)
 	require.NoError(t, accepted.SetReadDeadline(time.Now().Add(time.Minute)))
 	p := make([]byte, 100)
@@ -138,9 +138,9 @@
 			socket, err := net.Listen("tcp", "127.0.0.1:0")
 			require.NoError(t, err)
 			core, lines := observer.New(zap.WarnLevel)
-			l := newCallerListener(socket, socket.(syscall.Conn), zap.New(core))
+			l := &Listener{Listener: socket, Socket: socket.(syscall.Conn), Log: zap.New(core)}
 			s := &http.Server{
-				ConnState: l.stateChanged, ReadHeaderTimeout: 300 * time.Millisecond, IdleTimeout: 300 * time.Millisecond,
+				ConnState: l.StateChanged, ReadHeaderTimeout: 300 * time.Millisecond, IdleTimeout: 300 * time.Millisecond,
 				Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 					if r.URL.Path == "/begun" {
 						_ = http.NewResponseController(w).Flush()
@@ -155,15 +155,15 @@
 			}
 			go s.Serve(l)
 			defer s.Close()
-			conn, err := net.Dial("tcp", socket.Addr().String())
+			client, err := net.Dial("tcp", socket.Addr().String())
 			require.NoError(t, err)
-			defer conn.Close()
-			_, err = io.WriteString(conn, c.text)
+			defer client.Close()
+			_, err = io.WriteString(client, c.text)
 			require.NoError(t, err)
 			if c.leave {
-				require.NoError(t, conn.(*net.TCPConn).CloseWrite())
+				require.NoError(t, client.(*net.TCPConn).CloseWrite())
 			}
-			_, err = io.ReadAll(conn)
+			_, err = io.ReadAll(client)
 			require.NoError(t, err)
 			require.Eventually(t, func() bool { return len(l.list()) == 0 }, 5*time.Second, time.Millisecond)
 			require.EqualValues(t, c.unanswered, l.unanswered.Value())
--- a/httprefuse/refuser.go
+++ b/httprefuse/refuser.go
@@ -63,6 +63,10 @@
 // got no response.
 func (f *Refuser) Dropped() int64 { return f.dropped.Value() }
 
+// Waiting returns the number of connections that wait for the rest of a request or for the client to
+// close.
+func (f *Refuser) Waiting() int64 { return f.waiting.Load() }
+
 // Refuse refuses the first request on a connection and closes the connection. It does not wait: a
 // request that has not arrived whole is refused by a goroutine.
 func (f *Refuser) Refuse(c net.Conn) {
