overload: requests that are turned away count as load

The guard turns nothing away with fewer than 32 requests under way, since so few are not the cause of the lag. In a flood there are so few because the others were turned away: all waiting connections were accepted then, and most of their requests refused by Begin, which costs twice as much as a refusal on the connection. Connections were refused only once 0.8 of the requests were.

What was turned away in an interval counts as under way now. The parts of the connections and of the requests that are turned away rise together, that of the connections up to all.

--- a/overload/guard.go
+++ b/overload/guard.go
@@ -29,16 +29,15 @@
 	// maxElapsed bounds the time for which one sample counts.
 	maxElapsed = 500 * time.Millisecond
 	// maxRefused is the largest part of the requests that is refused on connections that are
-	// served. The rest is served also when most connections are not.
+	// served. The rest is served also when new connections are not.
 	maxRefused = 0.8
-	// minUnderWay is the number of requests under way below which nothing is turned away: so few
-	// do not keep the processor busy for as long as target, so the lag has another cause, for
-	// example a host that is busy, and turning requests away would not shorten it.
+	// minUnderWay is the number of requests under way below which nothing is turned away, counting
+	// those that were turned away in an interval: so few do not keep the processor busy for as
+	// long as target, so the lag has another cause, for example a host that is busy, and turning
+	// requests away would not shorten it.
 	minUnderWay = 32
 	// measuredFrom is the number of requests under way from which on the lag is measured.
 	measuredFrom = minUnderWay / 2
-	// maxUnserved is the largest part of the connections that is not served.
-	maxUnserved = 0.9
 	// minRetryAfter is the least time after which callers of refused requests may come again,
 	// and retrySpread the random part by which their return is spread.
 	minRetryAfter, retrySpread = 500 * time.Millisecond, 500 * time.Millisecond
@@ -50,12 +49,17 @@
 	mu sync.Mutex
 	// samples holds the lags of the last window, the newest last.
 	samples []time.Duration
-	// pressure is the refused part of the requests up to maxRefused; what exceeds that is the
-	// part of the connections that is not served. It rises while there is a backlog and falls while there
-	// is none, so it settles where the processor is just busy.
+	// pressure is the part of the new connections that is not served, and maxRefused times it that
+	// of the requests that are refused on the others. Both rise together, since a refusal of Begin
+	// costs more. It rises while there is a backlog and falls while there is none, so it settles
+	// where the processor is just busy.
 	pressure float64
 	// underWay is the number of requests that were begun and have not ended.
 	underWay int
+	// turnedAway counts the requests and connections that were turned away since the last sample,
+	// and recentlyTurnedAway is their number per interval before it. Without them the guard would
+	// admit all connections of a flood whenever it had turned away enough.
+	turnedAway, recentlyTurnedAway int
 	// busied gets an element when the lag has to be measured. It is created by becomesBusy.
 	busied chan struct{}
 
@@ -72,10 +76,12 @@
 	for len(g.samples) > minSamples && covered(g.samples[1:]) >= window {
 		g.samples = g.samples[1:]
 	}
+	g.recentlyTurnedAway = int(float64(g.turnedAway) * interval.Seconds() / (interval + lag).Seconds())
+	g.turnedAway = 0
 	elapsed := min(interval+lag, maxElapsed).Seconds()
 	smallest = g.smallest()
 	if excess := smallest - target; excess > 0 {
-		g.pressure = min(maxRefused+maxUnserved, g.pressure+rise*elapsed*min(maxExcess, excess.Seconds()/target.Seconds()))
+		g.pressure = min(1, g.pressure+rise*elapsed*min(maxExcess, excess.Seconds()/target.Seconds()))
 	} else {
 		g.pressure = max(0, g.pressure-fall*elapsed)
 	}
@@ -125,7 +131,7 @@
 func (g *Guard) begin(x float64) (refused bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if g.underWay >= minUnderWay && x < min(maxRefused, g.pressure) {
+	if g.turnsAway(x, maxRefused*g.pressure) {
 		return true
 	}
 	if g.underWay++; g.underWay == measuredFrom {
@@ -179,5 +185,15 @@
 func (g *Guard) refusesConnection(x float64) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.underWay >= minUnderWay && x < g.pressure-maxRefused
+	return g.turnsAway(x, g.pressure)
+}
+
+// turnsAway reports whether to turn away a request or connection when a part of them is to be turned
+// away, and counts it; x is random, from 0 to 1. The caller holds mu.
+func (g *Guard) turnsAway(x, part float64) bool {
+	if g.underWay+g.recentlyTurnedAway < minUnderWay || x >= part {
+		return false
+	}
+	g.turnedAway++
+	return true
 }
--- a/overload/monitor_test.go
+++ b/overload/monitor_test.go
@@ -98,6 +98,31 @@
 	require.False(t, g.begin(0))
 }
 
+// Guards against all connections of a flood being admitted whenever few requests are under way
+// because the others were turned away, and against turning away after the flood.
+func TestWhatIsTurnedAwayCountsAsLoad(t *testing.T) {
+	var g Guard
+	for range 10 {
+		g.Observe(target * 10)
+	}
+	for range minUnderWay {
+		require.False(t, g.begin(1))
+	}
+	for range 13 * minUnderWay { // the sample below covers 13 times the interval
+		require.True(t, g.refusesConnection(0))
+	}
+	for range minUnderWay {
+		g.End()
+	}
+	require.False(t, g.refusesConnection(0))
+	g.Observe(target * 10)
+	require.True(t, g.refusesConnection(0))
+	require.True(t, g.begin(0))
+	g.Observe(target * 10)
+	require.False(t, g.refusesConnection(0))
+	require.False(t, g.begin(0))
+}
+
 // Guards against a lag that is measured while there is nothing to protect, or not measured once
 // there is.
 func TestTheLagIsMeasuredWhileRequestsAreUnderWay(t *testing.T) {
