--- a/httprefuse/refuser.go
+++ b/httprefuse/refuser.go
@@ -131,7 +131,7 @@
 	var timeout net.Error
 	switch {
 	case err == nil:
-		w = f.Response(r)
+		w = f.Response(r) //nolint:bodyclose // it has no body
 	case errors.As(err, &timeout) && timeout.Timeout():
 		r, w = nil, &http.Response{StatusCode: http.StatusRequestTimeout}
 	default:
