caller: answer requests in the accept queue at the end of a drain

Callers saw their connection reset, with the whole request sent, when a drain ended while the connection waited in the accept queue. The listener was closed by http.Server.Shutdown, and the kernel resets what is queued. Nothing in the log or the counters told of it.

The listener now accepts until the queue is empty and stops listening right after it was seen empty. The requests are refused as not run. A connection whose handshake ends between the two system calls is still reset.

--- a/caller/drain.go
+++ b/caller/drain.go
@@ -35,13 +35,32 @@
 		return drainError(ctx.Err())
 	}
 	s.Log.Info("all requests have ended")
+	if err := s.endAccept(ctx); err != nil {
+		return err
+	}
 	// Shutdown waits until the last responses are written and closes idle connections.
 	if err := s.http.Shutdown(ctx); err != nil {
 		return drainError(err)
 	}
+	s.endDrain()
 	return nil
 }
 
+// endAccept closes the listener once the connections in its accept queue are accepted, whose
+// requests may have been sent already.
+func (s *Server) endAccept(ctx context.Context) error {
+	if s.Listener == nil {
+		return nil
+	}
+	s.listener.startClosing()
+	select {
+	case <-s.acceptEnded:
+		return nil
+	case <-ctx.Done():
+		return drainError(ctx.Err())
+	}
+}
+
 func drainError(err error) error {
 	return fault("caller.drain", lagoonhead.KindTimeout, errors.Wrap(err, "requests are still running"))
 }
--- a/caller/server.go
+++ b/caller/server.go
@@ -115,6 +115,10 @@
 
 	once             sync.Once
 	http             *http.Server
+	listener         drainListener
+	acceptEnded      chan struct{} // closed when Run accepts no more connections
+	drained          chan struct{} // closed by endDrain when Drain has finished
+	endDrain         func()
 	vars             counters
 	tracker          tracker
 	inFlight         endpointCounts
@@ -132,6 +136,9 @@
 	if s.Tracer == nil {
 		s.Tracer = noop.NewTracerProvider().Tracer("")
 	}
+	s.listener.Listener = s.Listener
+	s.acceptEnded, s.drained = make(chan struct{}), make(chan struct{})
+	s.endDrain = sync.OnceFunc(func() { close(s.drained) })
 	s.http = &http.Server{
 		Handler:           s.mux(),
 		ReadHeaderTimeout: s.Limits.HeaderTimeout,
@@ -153,10 +160,19 @@
 	s.once.Do(s.setUp)
 	stop := context.AfterFunc(ctx, func() { _ = s.http.Close() })
 	defer stop()
-	if err := s.http.Serve(s.Listener); !errors.Is(err, http.ErrServerClosed) {
-		return fault("caller.serve", lagoonhead.KindUnavailable, err)
+	err := s.http.Serve(&s.listener)
+	close(s.acceptEnded)
+	switch {
+	case errors.Is(err, errListenerClosed):
+		select {
+		case <-s.drained:
+		case <-ctx.Done():
+		}
+		return nil
+	case errors.Is(err, http.ErrServerClosed):
+		return nil
 	}
-	return nil
+	return fault("caller.serve", lagoonhead.KindUnavailable, err)
 }
 
 func (s *Server) mux() http.Handler {
