caller: answer requests that cross the end of a drain

A caller got no answer to a whole request when the last running request ended while it was being read: http.Server.Shutdown closes connections on which the headers have not been read completely, and all that look idle, also those whose next request follows the last response at once. Nothing in the log or the counters told of it.

A response that begins during the drain closes its connection, whenever its request arrived.

--- a/caller/drain.go
+++ b/caller/drain.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"time"
 
 	"github.com/cockroachdb/errors"
 
@@ -38,7 +39,9 @@
 	if err := s.endAccept(ctx); err != nil {
 		return err
 	}
-	// Shutdown waits until the last responses are written and closes idle connections.
+	if err := s.closeConnections(ctx); err != nil {
+		return err
+	}
 	if err := s.http.Shutdown(ctx); err != nil {
 		return drainError(err)
 	}
@@ -61,6 +64,20 @@
 	}
 }
 
+// closePollTime is the time between two looks at the connections that are still open.
+const closePollTime = 5 * time.Millisecond
+
+// closeConnections closes the connections without a request, and waits until the others have
+// got their responses, which close them.
+func (s *Server) closeConnections(ctx context.Context) error {
+	for s.connections.closeQuiet() > 0 {
+		if err := s.Timer.Sleep(ctx, closePollTime); err != nil {
+			return drainError(err)
+		}
+	}
+	return nil
+}
+
 func drainError(err error) error {
 	return fault("caller.drain", lagoonhead.KindTimeout, errors.Wrap(err, "requests are still running"))
 }
--- a/caller/drain_test.go
+++ b/caller/drain_test.go
@@ -4,14 +4,17 @@
 	"bufio"
 	"context"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/lagoonhead/lagoonhead"
 	"github.com/lagoonhead/lagoonhead/timer"
 )
 
@@ -106,3 +109,93 @@
 	}
 	require.NoError(t, <-drained)
 }
+
+// Guards against a drain that closes a connection without an answer because its request has
+// not been read completely.
+func TestDrainAnswersRequestsThatArriveMeanwhile(t *testing.T) {
+	for _, cut := range []int{1, 20, len(rawCompletion()) - len(validBody) - 1, len(rawCompletion()) - 1} {
+		t.Run(strconv.Itoa(cut), func(t *testing.T) {
+			s, address, resume := runTestServer(t)
+			close(resume)
+			c := dial(t, address)
+			text := rawCompletion()
+			_, err := c.Write([]byte(text[:cut]))
+			require.NoError(t, err)
+			time.Sleep(20 * time.Millisecond)
+			drained := startDrain(t, s)
+			if cut < len(text)-len(validBody) {
+				<-s.acceptEnded
+				time.Sleep(20 * time.Millisecond)
+			}
+			_, err = c.Write([]byte(text[cut:]))
+			require.NoError(t, err)
+			if cut < len(text)-len(validBody) {
+				requireRefused(t, c)
+			} else {
+				res, err := http.ReadResponse(bufio.NewReader(c), nil)
+				require.NoError(t, err)
+				res.Body.Close()
+				require.Equal(t, http.StatusOK, res.StatusCode)
+			}
+			require.NoError(t, <-drained)
+		})
+	}
+}
+
+// Guards against a drain that resets a connection whose caller sends its next request right
+// after the response to one that was running.
+func TestDrainAnswersTheNextRequest(t *testing.T) {
+	s, address, resume := runTestServer(t)
+	close(resume)
+	release := make(chan struct{})
+	s.Engines.(*stub).engine = func(_ context.Context, _ lagoonhead.Endpoint, c lagoonhead.Completion) (lagoonhead.EventStream, error) {
+		return &releasedStream{newScriptedStream(c.ResumeOffset), release}, nil
+	}
+	c := dial(t, address)
+	body := `{"stream":true,` + validBody[1:]
+	_, err := fmt.Fprintf(c, "POST /v1/chat/completions HTTP/1.1\r\nHost: h\r\nAuthorization: Bearer kA\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
+	require.NoError(t, err)
+	r := bufio.NewReader(c)
+	res, err := http.ReadResponse(r, nil)
+	require.NoError(t, err)
+	require.Equal(t, http.StatusOK, res.StatusCode)
+	drained := startDrain(t, s)
+	close(release)
+	_, err = io.Copy(io.Discard, res.Body)
+	require.NoError(t, err)
+	time.Sleep(20 * time.Millisecond)
+	_, err = c.Write([]byte(rawCompletion()))
+	require.NoError(t, err)
+	requireRefused(t, c)
+	require.NoError(t, <-drained)
+}
+
+// releasedStream waits for release after its first event.
+type releasedStream struct {
+	*scriptedStream
+	release chan struct{}
+}
+
+func (r *releasedStream) Next() (lagoonhead.StreamEvent, error) {
+	if r.next > 0 {
+		<-r.release
+	}
+	return r.scriptedStream.Next()
+}
+
+// Guards against a drain that waits for connections without a request.
+func TestDrainClosesIdleConnections(t *testing.T) {
+	s, address, resume := runTestServer(t)
+	close(resume)
+	c := dial(t, address)
+	_, err := c.Write([]byte(rawCompletion()))
+	require.NoError(t, err)
+	res, err := http.ReadResponse(bufio.NewReader(c), nil)
+	require.NoError(t, err)
+	require.False(t, res.Close)
+	_, err = io.Copy(io.Discard, res.Body)
+	require.NoError(t, err)
+	require.NoError(t, <-startDrain(t, s))
+	_, err = c.Read(make([]byte, 1))
+	require.ErrorIs(t, err, io.EOF)
+}
--- a/caller/exchange.go
+++ b/caller/exchange.go
@@ -72,17 +72,13 @@
 	ctx := propagator.Extract(r.Context(), propagation.HeaderCarrier(r.Header))
 	x := &exchange{
 		server: s, id: lagoonhead.RequestID(uuid.NewString()), arrived: s.Timer.Now(),
-		auth: r.Header.Values(headerAuth), runState: runNo, writer: &responseWriter{ResponseWriter: w},
+		auth: r.Header.Values(headerAuth), runState: runNo, writer: &responseWriter{ResponseWriter: w, closing: s.tracker.draining},
 	}
 	r.Header.Del(headerAuth)
 	ctx, x.span = s.Tracer.Start(ctx, "caller.request", trace.WithSpanKind(trace.SpanKindServer))
 	x.span.SetAttributes(attribute.String("http.request.method", r.Method), attribute.String("lagoonhead.request", string(x.id)))
 	x.httpRequest = r.WithContext(ctx)
 	w.Header().Set(headerRequestID, string(x.id))
-	if s.tracker.draining() {
-		// The load balancer then opens its next connection to another daemon.
-		w.Header().Set("Connection", "close")
-	}
 	return x
 }
 
@@ -237,18 +233,28 @@
 // responseWriter records whether the response has begun.
 type responseWriter struct {
 	http.ResponseWriter
+	// closing reports whether the connection shall be closed after the response.
+	closing func() bool
 	started bool
 }
 
+func (w *responseWriter) start() {
+	if !w.started && w.closing() {
+		// The load balancer then opens its next connection to another daemon.
+		w.Header().Set("Connection", "close")
+	}
+	w.started = true
+}
+
 // WriteHeader begins the response.
 func (w *responseWriter) WriteHeader(status int) {
-	w.started = true
+	w.start()
 	w.ResponseWriter.WriteHeader(status)
 }
 
 // Write writes a part of the body, and begins the response if it has not begun.
 func (w *responseWriter) Write(p []byte) (int, error) {
-	w.started = true
+	w.start()
 	return w.ResponseWriter.Write(p)
 }
 
--- a/caller/server.go
+++ b/caller/server.go
@@ -116,6 +116,7 @@
 	once             sync.Once
 	http             *http.Server
 	listener         drainListener
+	connections      connections
 	acceptEnded      chan struct{} // closed when Run accepts no more connections
 	drained          chan struct{} // closed by endDrain when Drain has finished
 	endDrain         func()
@@ -144,6 +145,7 @@
 		ReadHeaderTimeout: s.Limits.HeaderTimeout,
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    s.Limits.MaxHeaderBytes + headerSlack,
+		ConnState:         s.connections.set,
 		ErrorLog:          zap.NewStdLog(s.Log.Named("http")),
 	}
 }
