caller: let callers read a refusal while they send the body

A request that was refused before its body was read (401, 404, 413, 503) and had "Connection: close" got a reset while the caller still sent the body, so that the caller or its load balancer saw a failed connection. On a connection that stays open the refusal waited for a body that stalls, without a limit. No log line or counter told of either.

TestRefusalsAreReadable had 10 failing cases of 48 before: "the body cannot be sent" for 900 bytes to 3 MB with "Connection: close", and no answer within 3 s for 900 bytes and 80 KB that stall. All pass now.

--- a/caller/exchange.go
+++ b/caller/exchange.go
@@ -35,6 +35,8 @@
 	// runState says whether an endpoint can have run the request. It is set to runUnknown
 	// before any byte of the request may be sent.
 	runState runState
+	// bodyRead is true once the body is being read.
+	bodyRead bool
 	// streaming is true once the relay writes a streamed response.
 	streaming bool
 	// notes are the parts of the reason in the decision record of the request.
@@ -49,7 +51,9 @@
 		if err := s.tracker.enter(s.Limits.MaxInFlight); err != nil {
 			w.Header().Set("Connection", "close")
 			s.vars.notAccepted.Add(1)
-			writeError(w, fault("caller.accept", lagoonhead.KindUnavailable, err), runNo)
+			respondBeforeBody(w, r, s.Limits.MaxBodyBytes, func() {
+				writeError(w, fault("caller.accept", lagoonhead.KindUnavailable, err), runNo)
+			})
 			return
 		}
 		defer s.tracker.leave()
@@ -194,7 +198,7 @@
 		s.vars.callersGone.Add(1)
 	}
 	if !x.writer.started {
-		writeError(x.writer, err, x.runState)
+		x.writeError(err)
 		return
 	}
 	if x.streaming {
@@ -204,6 +208,15 @@
 	panic(http.ErrAbortHandler)
 }
 
+func (x *exchange) writeError(err error) {
+	write := func() { writeError(x.writer, err, x.runState) }
+	if x.bodyRead {
+		write()
+		return
+	}
+	respondBeforeBody(x.writer, x.httpRequest, x.server.Limits.MaxBodyBytes, write)
+}
+
 // note adds a part to the reason in the decision record of the request.
 func (x *exchange) note(format string, args ...any) {
 	x.notes = append(x.notes, fmt.Sprintf(format, args...))
--- a/caller/read.go
+++ b/caller/read.go
@@ -25,6 +25,7 @@
 	if x.httpRequest.ContentLength > l.MaxBodyBytes {
 		return nil, tooLarge(l.MaxBodyBytes)
 	}
+	x.bodyRead = true
 	stop := x.limitReadTime(l.BodyTimeout)
 	defer stop()
 	b, err := io.ReadAll(http.MaxBytesReader(x.writer, x.httpRequest.Body, l.MaxBodyBytes))
