daemon: drain when a background task fails

The failure of any background task, for example of the operator listener, cancelled all others at once: the connections of callers were closed with requests running, and only the error at the exit told why.

The daemon now logs the failure and drains before it ends the other tasks.

TestFailedTaskDrainsTheDaemon failed before: "the connection ended without an answer", unexpected EOF, for a request that was running. It passes now.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"os"
+	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -37,7 +38,8 @@
 
 // Run builds the components and runs them until ctx ends, then drains the daemon: it
 // fails its readiness probes, keeps accepting connections for Settings.Drain.Delay, and
-// waits at most Settings.Drain.InFlightTimeout more for the requests in flight.
+// waits at most Settings.Drain.InFlightTimeout more for the requests in flight. A background
+// task that fails drains the daemon too.
 func (d *Daemon) Run(ctx context.Context) error {
 	d.incarnation = lagoonhead.Incarnation(string(d.Settings.VM.ID) + "/" + uuid.NewString())
 	tracing, err := newTracing(ctx, d.Settings, os.Stderr)
@@ -65,19 +67,25 @@
 func (d *Daemon) run(ctx context.Context, tasks []task, tracing tracing) error {
 	inner, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
-	group, inner := errgroup.WithContext(inner)
+	var group errgroup.Group
+	failed := make(chan struct{})
+	reportFailure := sync.OnceFunc(func() { close(failed) })
 	for _, t := range tasks {
-		group.Go(func() error { return t(inner) })
+		group.Go(func() error {
+			err := t(inner)
+			if err != nil && inner.Err() == nil {
+				d.Log.Error("a background task failed", zap.Error(err))
+				reportFailure()
+			}
+			return err
+		})
 	}
-	group.Go(func() error {
-		select {
-		case <-ctx.Done():
-			d.drain()
-		case <-inner.Done():
-		}
-		cancel()
-		return nil
-	})
+	select {
+	case <-ctx.Done():
+	case <-failed:
+	}
+	d.drain()
+	cancel()
 	err := group.Wait()
 	end, stop := context.WithTimeout(context.WithoutCancel(ctx), time.Second)
 	defer stop()
