caller: send the status of a response before cutting it off

A service call whose response broke off early (longer than 32 KiB or of unknown length) ended without a status: the first bytes were still buffered when the handler was aborted. The caller could not tell whether the call had run, and only the decision record told of it.

The buffered bytes are now sent before the connection is closed, so that the caller gets the status, Lagoonhead-Run and an incomplete body. The log line "response cut off" and the counter responsesCutOff tell of it.

TestIncompleteResponseHasAStatus failed before with "EOF" instead of a response, and passes now.

--- a/caller/exchange.go
+++ b/caller/exchange.go
@@ -204,6 +204,10 @@
 	if x.streaming {
 		return // the relay has sent the error as an event
 	}
+	s.vars.cutOff.Add(1)
+	s.Log.Warn("response cut off", zap.String("request", string(x.id)), zap.Error(err))
+	// The caller gets the status and the run state, also when they are still buffered.
+	_ = http.NewResponseController(x.writer).Flush()
 	// Closing the connection shows the caller that the response is incomplete.
 	panic(http.ErrAbortHandler)
 }
--- a/caller/services_test.go
+++ b/caller/services_test.go
@@ -56,6 +56,12 @@
 // newBookingServer returns the stub of a server that has two booking services, its store
 // of claims, the services, and the base URL of the service route.
 func newBookingServer(t *testing.T) (*stub, *memoryStore, []*fakeservice.Service, string) {
+	t.Helper()
+	_, st, m, all, url := newServicesServer(t)
+	return st, m, all, url
+}
+
+func newServicesServer(t *testing.T) (*Server, *stub, *memoryStore, []*fakeservice.Service, string) {
 	t.Helper()
 	s, st, srv, tm := newTestServer(t)
 	m := &memoryStore{entries: map[string]lagoonhead.Entry{}}
@@ -73,7 +79,7 @@
 		all = append(all, f)
 		st.endpoints = append(st.endpoints, fakeservice.Endpoint(id, "bookings", fs.URL))
 	}
-	return st, m, all, srv.URL + "/services/bookings"
+	return s, st, m, all, srv.URL + "/services/bookings"
 }
 
 // Guards against a booking that runs twice although it has an idempotency key, and
@@ -200,3 +206,22 @@
 	}
 	require.Error(t, err)
 }
+
+// Guards against a response that breaks off while its first bytes are buffered, whose caller
+// gets neither the status nor the run state, and which nothing reports.
+func TestIncompleteResponseHasAStatus(t *testing.T) {
+	s, st, _, _, url := newServicesServer(t)
+	srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Length", "100000") // too long to be read ahead
+		_, _ = io.WriteString(w, "part")
+		_ = http.NewResponseController(w).Flush()
+		panic(http.ErrAbortHandler)
+	}))
+	t.Cleanup(srv.Close)
+	st.endpoints = []lagoonhead.Endpoint{fakeservice.Endpoint("b", "bookings", srv.URL)}
+	res, body := post(t, url+"/bookings", "kA", `{"crates":3}`)
+	require.Equal(t, http.StatusOK, res.StatusCode)
+	require.Equal(t, string(runYes), res.Header.Get(headerRun))
+	require.Equal(t, "part (broken off)", body)
+	require.Equal(t, "1", s.Vars().Get("responsesCutOff").String())
+}
