caller, daemon: report connections that end without an answer

At the end of the server, connections with running requests were closed without a count: the log said at most that the drain had ended with requests still running. The lack of descriptors and other messages of net/http had the level info for callers, and did not go to the log for peers and operators.

The log line "connections closed with requests that are not answered" and the counter connectionsAborted now tell how many. The messages of net/http go to the log with the level warn.

TestLackOfDescriptorsIsReported failed with the level info; a request that waits meanwhile is answered. TestAbortedRequestsAreReported is new with the counter.

--- a/caller/connections.go
+++ b/caller/connections.go
@@ -42,6 +42,18 @@
 	c.open[n] = connectionState{s, time.Now()}
 }
 
+// active returns the number of connections with a request.
+func (c *connections) active() (n int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, s := range c.open {
+		if s.state == http.StateActive {
+			n++
+		}
+	}
+	return n
+}
+
 // closeQuiet closes the connections that have no request, and returns how many are open.
 // http.Server.Shutdown would also close those whose request has arrived and was not yet read
 // completely.
--- a/caller/drain_test.go
+++ b/caller/drain_test.go
@@ -7,12 +7,16 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"strconv"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zaptest/observer"
 
 	"github.com/lagoonhead/lagoonhead"
 	"github.com/lagoonhead/lagoonhead/timer"
@@ -32,13 +36,13 @@
 
 // runTestServer runs the server of newTestServer on a listener of its own, which accepts
 // once resume is closed.
-func runTestServer(t *testing.T) (s *Server, address string, resume chan struct{}) {
+func runTestServer(t *testing.T, log *zap.Logger) (s *Server, address string, resume chan struct{}) {
 	t.Helper()
 	c, _, _, _ := newTestServer(t)
 	s = &Server{
 		Directories: c.Directories, Gate: c.Gate, Admitter: c.Admitter, Placer: c.Placer, Engines: c.Engines,
 		Suspects: c.Suspects, Parts: c.Parts, Usage: c.Usage, Decisions: c.Decisions, Relay: c.Relay, Sealer: c.Sealer,
-		Timer: &timer.System{}, Limits: Limits{DrainDelay: time.Millisecond},
+		Timer: &timer.System{}, Log: log, Limits: Limits{DrainDelay: time.Millisecond},
 	}
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
@@ -93,7 +97,7 @@
 
 // Guards against a drain that resets connections with whole requests in the accept queue.
 func TestDrainAnswersRequestsInTheAcceptQueue(t *testing.T) {
-	s, address, resume := runTestServer(t)
+	s, address, resume := runTestServer(t, nil)
 	var list []net.Conn
 	for range 20 {
 		c := dial(t, address)
@@ -115,7 +119,7 @@
 func TestDrainAnswersRequestsThatArriveMeanwhile(t *testing.T) {
 	for _, cut := range []int{1, 20, len(rawCompletion()) - len(validBody) - 1, len(rawCompletion()) - 1} {
 		t.Run(strconv.Itoa(cut), func(t *testing.T) {
-			s, address, resume := runTestServer(t)
+			s, address, resume := runTestServer(t, nil)
 			close(resume)
 			c := dial(t, address)
 			text := rawCompletion()
@@ -145,7 +149,7 @@
 // Guards against a drain that resets a connection whose caller sends its next request right
 // after the response to one that was running.
 func TestDrainAnswersTheNextRequest(t *testing.T) {
-	s, address, resume := runTestServer(t)
+	s, address, resume := runTestServer(t, nil)
 	close(resume)
 	release := make(chan struct{})
 	s.Engines.(*stub).engine = func(_ context.Context, _ lagoonhead.Endpoint, c lagoonhead.Completion) (lagoonhead.EventStream, error) {
@@ -185,7 +189,7 @@
 
 // Guards against a drain that waits for connections without a request.
 func TestDrainClosesIdleConnections(t *testing.T) {
-	s, address, resume := runTestServer(t)
+	s, address, resume := runTestServer(t, nil)
 	close(resume)
 	c := dial(t, address)
 	_, err := c.Write([]byte(rawCompletion()))
@@ -199,3 +203,55 @@
 	_, err = c.Read(make([]byte, 1))
 	require.ErrorIs(t, err, io.EOF)
 }
+
+// Guards against connections that the end of the server closes with requests, and of which
+// neither a log line nor a counter tells.
+func TestAbortedRequestsAreReported(t *testing.T) {
+	core, logs := observer.New(zap.WarnLevel)
+	s, address, resume := runTestServer(t, zap.New(core))
+	close(resume)
+	c := dial(t, address)
+	_, err := c.Write([]byte(rawCompletion()[:len(rawCompletion())-1]))
+	require.NoError(t, err)
+	require.Eventually(t, func() bool { return s.tracker.count() == 1 }, time.Minute, time.Millisecond)
+	s.abort()
+	require.Equal(t, 1, logs.FilterField(zap.Int("connections", 1)).Len())
+	require.Equal(t, "1", s.Vars().Get("connectionsAborted").String())
+}
+
+// exhaustedListener fails once, as one does when the process has no more descriptors.
+type exhaustedListener struct {
+	net.Listener
+	failed bool
+}
+
+func (l *exhaustedListener) Accept() (net.Conn, error) {
+	if !l.failed {
+		l.failed = true
+		return nil, &net.OpError{Op: "accept", Net: "tcp", Err: os.NewSyscallError("accept4", syscall.EMFILE)}
+	}
+	return l.Listener.Accept()
+}
+
+// Guards against a lack of descriptors that ends the server, resets connections or is not
+// logged.
+func TestLackOfDescriptorsIsReported(t *testing.T) {
+	c, _, _, _ := newTestServer(t)
+	core, logs := observer.New(zap.WarnLevel)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	s := &Server{
+		Listener: &exhaustedListener{Listener: l}, Gate: c.Gate, Directories: c.Directories, Decisions: c.Decisions,
+		Timer: &timer.System{}, Log: zap.New(core),
+	}
+	conn := dial(t, l.Addr().String())
+	_, err = conn.Write([]byte("GET /healthz HTTP/1.1\r\nHost: h\r\n\r\n"))
+	require.NoError(t, err)
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan error, 1)
+	go func() { ended <- s.Run(ctx) }()
+	requireStatus(t, conn, http.StatusOK)
+	cancel()
+	require.NoError(t, <-ended)
+	require.Equal(t, 1, logs.FilterMessageSnippet("too many open files").Len())
+}
--- a/caller/server.go
+++ b/caller/server.go
@@ -140,13 +140,15 @@
 	s.listener.Listener = s.Listener
 	s.acceptEnded, s.drained = make(chan struct{}), make(chan struct{})
 	s.endDrain = sync.OnceFunc(func() { close(s.drained) })
+	// It never fails for this level.
+	errorLog, _ := zap.NewStdLogAt(s.Log.Named("http"), zap.WarnLevel)
 	s.http = &http.Server{
 		Handler:           s.mux(),
 		ReadHeaderTimeout: s.Limits.HeaderTimeout,
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    s.Limits.MaxHeaderBytes + headerSlack,
 		ConnState:         s.connections.set,
-		ErrorLog:          zap.NewStdLog(s.Log.Named("http")),
+		ErrorLog:          errorLog,
 	}
 }
 
@@ -160,7 +162,7 @@
 // requests in flight, so call Drain first.
 func (s *Server) Run(ctx context.Context) error {
 	s.once.Do(s.setUp)
-	stop := context.AfterFunc(ctx, func() { _ = s.http.Close() })
+	stop := context.AfterFunc(ctx, s.abort)
 	defer stop()
 	err := s.http.Serve(&s.listener)
 	close(s.acceptEnded)
@@ -177,6 +179,15 @@
 	return fault("caller.serve", lagoonhead.KindUnavailable, err)
 }
 
+// abort closes all connections.
+func (s *Server) abort() {
+	if n := s.connections.active(); n > 0 {
+		s.vars.aborted.Add(int64(n))
+		s.Log.Warn("connections closed with requests that are not answered", zap.Int("connections", n))
+	}
+	_ = s.http.Close()
+}
+
 func (s *Server) mux() http.Handler {
 	m := http.NewServeMux()
 	m.Handle("/v1/chat/completions", s.endpoint(http.MethodPost, (*exchange).completion))
--- a/caller/vars.go
+++ b/caller/vars.go
@@ -10,7 +10,7 @@
 	requests, completions, streams, resumes, serviceCalls expvar.Int
 	retries, budgetEmpty, crashes, panics, callersGone    expvar.Int
 	promptTokens, outputTokens, usageEstimated            expvar.Int
-	suspectsRefused, notAccepted, cutOff                  expvar.Int
+	suspectsRefused, notAccepted, cutOff, aborted         expvar.Int
 	errors                                                expvar.Map
 }
 
@@ -34,6 +34,7 @@
 	m.Set("suspectsRefused", &c.suspectsRefused)
 	m.Set("notAccepted", &c.notAccepted)
 	m.Set("responsesCutOff", &c.cutOff)
+	m.Set("connectionsAborted", &c.aborted)
 	m.Set("errors", &c.errors)
 	m.Set("inFlight", expvar.Func(func() any { return t.count() }))
 	return m
--- a/daemon/build.go
+++ b/daemon/build.go
@@ -223,7 +223,7 @@
 		return err
 	}
 	s := &peer.Server{Config: b.config, Lender: b.admit, Usage: b.usage, Heartbeats: b.heartbeats, Token: b.pool.Token}
-	b.add("", serveHTTP(l, s.Handler()), nil)
+	b.add("", serveHTTP(l, s.Handler(), b.log), nil)
 	return nil
 }
 
--- a/daemon/operator.go
+++ b/daemon/operator.go
@@ -70,7 +70,7 @@
 	mux := http.NewServeMux()
 	mux.Handle("/", o.Handler())
 	mux.Handle("GET "+pathVars, guard.Wrap(http.HandlerFunc(b.serveVars)))
-	b.add("", serveHTTP(l, mux), nil)
+	b.add("", serveHTTP(l, mux, b.log), nil)
 	return nil
 }
 
--- a/daemon/serve.go
+++ b/daemon/serve.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"go.uber.org/zap"
 
 	"github.com/lagoonhead/lagoonhead"
 )
@@ -19,9 +20,13 @@
 )
 
 // serveHTTP returns a task that serves HTTP on a listener until its context ends.
-func serveHTTP(l net.Listener, h http.Handler) task {
+func serveHTTP(l net.Listener, h http.Handler, log *zap.Logger) task {
 	return func(ctx context.Context) error {
-		s := &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
+		errorLog, err := zap.NewStdLogAt(log.Named("http"), zap.WarnLevel)
+		if err != nil {
+			return fail("serve", lagoonhead.KindInternal, err)
+		}
+		s := &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, ErrorLog: errorLog}
 		stop := context.AfterFunc(ctx, func() { _ = s.Close() })
 		defer stop()
 		if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) {
