daemon: open the listener for callers last

A daemon whose start failed, for example because the port for operators was taken, had opened the listener for callers before. Connections that were established meanwhile were reset at the exit, with whole requests.

The listener is now opened once everything else has been built, so that the callers are refused the connection.

--- a/daemon/build.go
+++ b/daemon/build.go
@@ -5,7 +5,6 @@
 	"crypto/rand"
 	"expvar"
 	"hash/maphash"
-	"net"
 
 	"go.opentelemetry.io/otel/trace"
 	"go.uber.org/zap"
@@ -66,7 +65,7 @@
 	tasks []task
 }
 
-func (d *Daemon) build(l net.Listener, tracing tracing) ([]task, error) {
+func (d *Daemon) build(tracing tracing) ([]task, error) {
 	b := &builder{
 		settings: d.Settings, timer: d.Timer, log: d.Log, incarnation: d.incarnation,
 		resumeKey: d.ResumeKey, tracer: tracing.provider.Tracer("lagoonhead/caller"), vars: new(expvar.Map),
@@ -75,7 +74,7 @@
 	}
 	for _, step := range []func() error{
 		b.buildPeers, b.buildConfig, b.buildPlacement, b.buildLimits,
-		func() error { return b.buildCaller(l) }, b.buildHeartbeats, b.buildDuties, b.buildOperator,
+		b.buildCaller, b.buildHeartbeats, b.buildDuties, b.buildOperator,
 	} {
 		if err := step(); err != nil {
 			return nil, err
@@ -159,7 +158,7 @@
 	return nil
 }
 
-func (b *builder) buildCaller(l net.Listener) error {
+func (b *builder) buildCaller() error {
 	s := b.settings
 	sealer, err := newSealer(b.resumeKey, s.Resume)
 	if err != nil {
@@ -175,7 +174,7 @@
 	services := &service.Client{Budget: budget, Suspects: b.suspects}
 	b.vars.Set("services", services.Vars())
 	b.caller = &caller.Server{
-		Listener: l, Directories: b.config, Gate: b.config, Admitter: b.admit, Placer: b.classes,
+		Directories: b.config, Gate: b.config, Admitter: b.admit, Placer: b.classes,
 		Engines: streamer, Suspects: b.suspects, Parts: b.parts, Usage: b.usage, Decisions: b.decisions,
 		Services: services, Claims: claims, Budget: budget, Relay: streamRelay, Sealer: sealer,
 		Timer: b.timer, Log: b.log, Tracer: b.tracer,
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -46,15 +46,16 @@
 	if err != nil {
 		return err
 	}
-	l, err := d.callerListener()
+	tasks, err := d.build(tracing)
 	if err != nil {
 		return err
 	}
-	tasks, err := d.build(l, tracing)
+	// It is opened last, because a start that fails resets the connections in its accept queue.
+	l, err := d.callerListener()
 	if err != nil {
-		l.Close()
 		return err
 	}
+	d.caller.Listener = l
 	if d.OnStarted != nil {
 		d.OnStarted(l.Addr().String())
 	}
--- a/daemon/daemon_test.go
+++ b/daemon/daemon_test.go
@@ -16,6 +16,7 @@
 
 	"github.com/lagoonhead/lagoonhead/caller"
 	"github.com/lagoonhead/lagoonhead/explain"
+	"github.com/lagoonhead/lagoonhead/freeport"
 	"github.com/lagoonhead/lagoonhead/settings"
 	"github.com/lagoonhead/lagoonhead/timer"
 )
@@ -66,3 +67,39 @@
 	require.Equal(t, http.StatusServiceUnavailable, res.StatusCode)
 	require.ErrorContains(t, <-ended, "broken")
 }
+
+// Guards against a start that fails after the listener for callers is open, which resets the
+// connections in its accept queue.
+func TestFailedStartOpensNoCallerListener(t *testing.T) {
+	taken, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer taken.Close()
+	address, err := freeport.Find()
+	require.NoError(t, err)
+	d := &Daemon{Timer: &timer.System{}, Log: zap.NewNop()}
+	d.Settings.VM.ID = "vm1"
+	d.Settings.Listen = settings.Listen{Caller: address, Peer: "127.0.0.1:0", Operator: taken.Addr().String()}
+	ended := make(chan error, 1)
+	accepted := make(chan struct{})
+	go func() {
+		for {
+			select {
+			case <-ended:
+				return
+			default:
+			}
+			if c, err := net.Dial("tcp", address); err == nil {
+				c.Close()
+				close(accepted)
+				return
+			}
+		}
+	}()
+	require.ErrorContains(t, d.Run(t.Context()), "address already in use")
+	ended <- nil
+	select {
+	case <-accepted:
+		require.Fail(t, "a connection was established")
+	default:
+	}
+}
