--- a/caller/exchange.go
+++ b/caller/exchange.go
@@ -35,6 +35,8 @@
 	// runState says whether an endpoint can have run the request. It is set to runUnknown
 	// before any byte of the request may be sent.
 	runState runState
+	// bodyRead is true once the body is being read.
+	bodyRead bool
 	// streaming is true once the relay writes a streamed response.
 	streaming bool
 	// notes are the parts of the reason in the decision record of the request.
@@ -49,7 +51,9 @@
 		if err := s.tracker.enter(s.Limits.MaxInFlight); err != nil {
 			w.Header().Set("Connection", "close")
 			s.vars.notAccepted.Add(1)
-			writeError(w, fault("caller.accept", lagoonhead.KindUnavailable, err), runNo)
+			respondBeforeBody(w, r, s.Limits.MaxBodyBytes, func() {
+				writeError(w, fault("caller.accept", lagoonhead.KindUnavailable, err), runNo)
+			})
 			return
 		}
 		defer s.tracker.leave()
@@ -72,17 +76,13 @@
 	ctx := propagator.Extract(r.Context(), propagation.HeaderCarrier(r.Header))
 	x := &exchange{
 		server: s, id: lagoonhead.RequestID(uuid.NewString()), arrived: s.Timer.Now(),
-		auth: r.Header.Values(headerAuth), runState: runNo, writer: &responseWriter{ResponseWriter: w},
+		auth: r.Header.Values(headerAuth), runState: runNo, writer: &responseWriter{ResponseWriter: w, closing: s.tracker.draining},
 	}
 	r.Header.Del(headerAuth)
 	ctx, x.span = s.Tracer.Start(ctx, "caller.request", trace.WithSpanKind(trace.SpanKindServer))
 	x.span.SetAttributes(attribute.String("http.request.method", r.Method), attribute.String("lagoonhead.request", string(x.id)))
 	x.httpRequest = r.WithContext(ctx)
 	w.Header().Set(headerRequestID, string(x.id))
-	if s.tracker.draining() {
-		// The load balancer then opens its next connection to another daemon.
-		w.Header().Set("Connection", "close")
-	}
 	return x
 }
 
@@ -198,16 +198,29 @@
 		s.vars.callersGone.Add(1)
 	}
 	if !x.writer.started {
-		writeError(x.writer, err, x.runState)
+		x.writeError(err)
 		return
 	}
 	if x.streaming {
 		return // the relay has sent the error as an event
 	}
+	s.vars.cutOff.Add(1)
+	s.Log.Warn("response cut off", zap.String("request", string(x.id)), zap.Error(err))
+	// The caller gets the status and the run state, also when they are still buffered.
+	_ = http.NewResponseController(x.writer).Flush()
 	// Closing the connection shows the caller that the response is incomplete.
 	panic(http.ErrAbortHandler)
 }
 
+func (x *exchange) writeError(err error) {
+	write := func() { writeError(x.writer, err, x.runState) }
+	if x.bodyRead {
+		write()
+		return
+	}
+	respondBeforeBody(x.writer, x.httpRequest, x.server.Limits.MaxBodyBytes, write)
+}
+
 // note adds a part to the reason in the decision record of the request.
 func (x *exchange) note(format string, args ...any) {
 	x.notes = append(x.notes, fmt.Sprintf(format, args...))
@@ -237,18 +250,28 @@
 // responseWriter records whether the response has begun.
 type responseWriter struct {
 	http.ResponseWriter
+	// closing reports whether the connection shall be closed after the response.
+	closing func() bool
 	started bool
 }
 
+func (w *responseWriter) start() {
+	if !w.started && w.closing() {
+		// The load balancer then opens its next connection to another daemon.
+		w.Header().Set("Connection", "close")
+	}
+	w.started = true
+}
+
 // WriteHeader begins the response.
 func (w *responseWriter) WriteHeader(status int) {
-	w.started = true
+	w.start()
 	w.ResponseWriter.WriteHeader(status)
 }
 
 // Write writes a part of the body, and begins the response if it has not begun.
 func (w *responseWriter) Write(p []byte) (int, error) {
-	w.started = true
+	w.start()
 	return w.ResponseWriter.Write(p)
 }
 
--- a/caller/server.go
+++ b/caller/server.go
@@ -115,6 +115,11 @@
 
 	once             sync.Once
 	http             *http.Server
+	listener         drainListener
+	connections      connections
+	acceptEnded      chan struct{} // closed when Run accepts no more connections
+	drained          chan struct{} // closed by endDrain when Drain has finished
+	endDrain         func()
 	vars             counters
 	tracker          tracker
 	inFlight         endpointCounts
@@ -132,12 +137,18 @@
 	if s.Tracer == nil {
 		s.Tracer = noop.NewTracerProvider().Tracer("")
 	}
+	s.listener.Listener = s.Listener
+	s.acceptEnded, s.drained = make(chan struct{}), make(chan struct{})
+	s.endDrain = sync.OnceFunc(func() { close(s.drained) })
+	// It never fails for this level.
+	errorLog, _ := zap.NewStdLogAt(s.Log.Named("http"), zap.WarnLevel)
 	s.http = &http.Server{
 		Handler:           s.mux(),
 		ReadHeaderTimeout: s.Limits.HeaderTimeout,
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    s.Limits.MaxHeaderBytes + headerSlack,
-		ErrorLog:          zap.NewStdLog(s.Log.Named("http")),
+		ConnState:         s.connections.set,
+		ErrorLog:          errorLog,
 	}
 }
 
@@ -151,12 +162,30 @@
 // requests in flight, so call Drain first.
 func (s *Server) Run(ctx context.Context) error {
 	s.once.Do(s.setUp)
-	stop := context.AfterFunc(ctx, func() { _ = s.http.Close() })
+	stop := context.AfterFunc(ctx, s.abort)
 	defer stop()
-	if err := s.http.Serve(s.Listener); !errors.Is(err, http.ErrServerClosed) {
-		return fault("caller.serve", lagoonhead.KindUnavailable, err)
+	err := s.http.Serve(&s.listener)
+	close(s.acceptEnded)
+	switch {
+	case errors.Is(err, errListenerClosed):
+		select {
+		case <-s.drained:
+		case <-ctx.Done():
+		}
+		return nil
+	case errors.Is(err, http.ErrServerClosed):
+		return nil
+	}
+	return fault("caller.serve", lagoonhead.KindUnavailable, err)
+}
+
+// abort closes all connections.
+func (s *Server) abort() {
+	if n := s.connections.active(); n > 0 {
+		s.vars.aborted.Add(int64(n))
+		s.Log.Warn("connections closed with requests that are not answered", zap.Int("connections", n))
 	}
-	return nil
+	_ = s.http.Close()
 }
 
 func (s *Server) mux() http.Handler {
