caller: use httpdrain for the end of a drain

The own interface had a second copy of what httpdrain does. The listener's socket stops listening in the same step in which its accept queue is seen empty, as the copy did; closing it takes effect only once the accepting goroutine runs.

--- a/caller/drain.go
+++ b/caller/drain.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"sync"
-	"time"
 
 	"github.com/cockroachdb/errors"
 
@@ -36,11 +35,8 @@
 		return drainError(ctx.Err())
 	}
 	s.Log.Info("all requests have ended")
-	if err := s.endAccept(ctx); err != nil {
-		return err
-	}
-	if err := s.closeConnections(ctx); err != nil {
-		return err
+	if s.Listener != nil && s.listener.Finish(ctx, s.Timer) > 0 {
+		return drainError(ctx.Err())
 	}
 	if err := s.http.Shutdown(ctx); err != nil {
 		return drainError(err)
@@ -49,35 +45,6 @@
 	return nil
 }
 
-// endAccept closes the listener once the connections in its accept queue are accepted, whose
-// requests may have been sent already.
-func (s *Server) endAccept(ctx context.Context) error {
-	if s.Listener == nil {
-		return nil
-	}
-	s.listener.startClosing()
-	select {
-	case <-s.acceptEnded:
-		return nil
-	case <-ctx.Done():
-		return drainError(ctx.Err())
-	}
-}
-
-// closePollTime is the time between two looks at the connections that are still open.
-const closePollTime = 5 * time.Millisecond
-
-// closeConnections closes the connections without a request, and waits until the others have
-// got their responses, which close them.
-func (s *Server) closeConnections(ctx context.Context) error {
-	for s.connections.closeQuiet() > 0 {
-		if err := s.Timer.Sleep(ctx, closePollTime); err != nil {
-			return drainError(err)
-		}
-	}
-	return nil
-}
-
 func drainError(err error) error {
 	return fault("caller.drain", lagoonhead.KindTimeout, errors.Wrap(err, "requests are still running"))
 }
--- a/caller/server.go
+++ b/caller/server.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -14,6 +15,7 @@
 	"go.uber.org/zap"
 
 	"github.com/lagoonhead/lagoonhead"
+	"github.com/lagoonhead/lagoonhead/httpdrain"
 	"github.com/lagoonhead/lagoonhead/relay"
 	"github.com/lagoonhead/lagoonhead/service"
 	"github.com/lagoonhead/lagoonhead/timer"
@@ -115,8 +117,7 @@
 
 	once             sync.Once
 	http             *http.Server
-	listener         drainListener
-	connections      connections
+	listener         httpdrain.Listener
 	acceptEnded      chan struct{} // closed when Run accepts no more connections
 	drained          chan struct{} // closed by endDrain when Drain has finished
 	endDrain         func()
@@ -137,7 +138,8 @@
 	if s.Tracer == nil {
 		s.Tracer = noop.NewTracerProvider().Tracer("")
 	}
-	s.listener.Listener = s.Listener
+	s.listener.Listener, s.listener.Log = s.Listener, s.Log
+	s.listener.Socket, _ = s.Listener.(syscall.Conn)
 	s.acceptEnded, s.drained = make(chan struct{}), make(chan struct{})
 	s.endDrain = sync.OnceFunc(func() { close(s.drained) })
 	// It never fails for this level.
@@ -147,7 +149,7 @@
 		ReadHeaderTimeout: s.Limits.HeaderTimeout,
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    s.Limits.MaxHeaderBytes + headerSlack,
-		ConnState:         s.connections.set,
+		ConnState:         s.listener.StateChanged,
 		ErrorLog:          errorLog,
 	}
 }
@@ -166,22 +168,19 @@
 	defer stop()
 	err := s.http.Serve(&s.listener)
 	close(s.acceptEnded)
-	switch {
-	case errors.Is(err, errListenerClosed):
+	if errors.Is(err, http.ErrServerClosed) {
 		select {
 		case <-s.drained:
 		case <-ctx.Done():
 		}
 		return nil
-	case errors.Is(err, http.ErrServerClosed):
-		return nil
 	}
 	return fault("caller.serve", lagoonhead.KindUnavailable, err)
 }
 
 // abort closes all connections.
 func (s *Server) abort() {
-	if n := s.connections.active(); n > 0 {
+	if n := s.listener.Unanswered(); n > 0 {
 		s.vars.aborted.Add(int64(n))
 		s.Log.Warn("connections closed with requests that are not answered", zap.Int("connections", n))
 	}
--- a/entry/acceptlistener.go
+++ b/entry/acceptlistener.go
@@ -3,6 +3,7 @@
 import (
 	"expvar"
 	"net"
+	"syscall"
 
 	"github.com/cockroachdb/errors"
 	"go.uber.org/zap"
@@ -16,10 +17,11 @@
 }
 
 // Accept returns the next connection. All its errors are temporary, except that the listener was
-// closed: accept reports a lack of descriptors or memory, and errors of one connection.
+// closed or does not listen any more (EINVAL): accept reports a lack of descriptors or memory, and
+// errors of one connection.
 func (l *acceptListener) Accept() (net.Conn, error) {
 	c, err := l.Listener.Accept()
-	if err == nil || errors.Is(err, net.ErrClosed) {
+	if err == nil || errors.Is(err, net.ErrClosed) || errors.Is(err, syscall.EINVAL) {
 		return c, err
 	}
 	l.failed.Add(1)
--- a/httpdrain/listener.go
+++ b/httpdrain/listener.go
@@ -89,12 +89,10 @@
 // connections meanwhile. Finish returns the number of connections that are left when ctx ends, and
 // must be called once, while the server accepts.
 func (l *Listener) Finish(ctx context.Context, t timer.Timer) (left int) {
-	for l.Socket != nil && readable(l.Socket) && t.Sleep(ctx, pollInterval) == nil {
-	}
 	ended := make(chan struct{})
-	l.mu.Lock()
-	l.finished, l.ended = true, ended
-	l.mu.Unlock()
+	for !l.stop(ended, ctx.Err() != nil) {
+		_ = t.Sleep(ctx, pollInterval) // the next call of stop is the last if ctx has ended
+	}
 	l.Close()
 	select {
 	case <-ended:
@@ -111,6 +109,29 @@
 	}
 }
 
+// stop makes the socket stop listening if no connection waits to be accepted, or always if force is
+// set, and reports whether it did. Accept closes ended then.
+func (l *Listener) stop(ended chan struct{}, force bool) bool {
+	l.mu.Lock() // Accept looks at finished after its error
+	defer l.mu.Unlock()
+	l.finished = l.Socket == nil || stopIfEmpty(l.Socket) || force
+	l.ended = ended
+	return l.finished
+}
+
+// Unanswered returns the number of connections with a request, or a part of one, that has no whole
+// answer.
+func (l *Listener) Unanswered() (n int) {
+	for _, c := range l.list() {
+		c.mu.Lock()
+		if c.unanswered {
+			n++
+		}
+		c.mu.Unlock()
+	}
+	return n
+}
+
 func (l *Listener) list() (list []*conn) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -265,17 +286,33 @@
 	return nil
 }
 
-// readable reports whether a read from a connection, or an accept from a listener, returns at once.
-func readable(s syscall.Conn) bool {
+// readable reports whether a connection has input or was closed by its peer.
+func readable(s syscall.Conn) (ready bool) {
 	raw, err := s.SyscallConn()
 	if err != nil {
 		return false
 	}
-	var ready bool
+	err = raw.Control(func(fd uintptr) { ready = isReadable(fd) })
+	return ready && err == nil
+}
+
+// stopIfEmpty makes a socket stop listening if no connection waits to be accepted. The two system
+// calls are adjacent, because the kernel resets a connection that is established between them.
+func stopIfEmpty(s syscall.Conn) (stopped bool) {
+	raw, err := s.SyscallConn()
+	if err != nil {
+		return true
+	}
 	err = raw.Control(func(fd uintptr) {
-		f := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLIN}}
-		n, err := unix.Poll(f, 0)
-		ready = err == nil && n > 0 && f[0].Revents&unix.POLLIN != 0
+		if stopped = !isReadable(fd); stopped {
+			_ = unix.Shutdown(int(fd), unix.SHUT_RD) // the listener is closed anyway
+		}
 	})
-	return err == nil && ready
+	return stopped || err != nil
+}
+
+func isReadable(fd uintptr) bool {
+	f := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLIN}}
+	n, err := unix.Poll(f, 0)
+	return err == nil && n > 0
 }
