--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"runtime/debug"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -38,8 +39,10 @@
 	// are ended. It is at most one part of maxKillMargin, so that no request is ended before the
 	// last sixth of the grace time.
 	killMargin, maxKillMargin = 700 * time.Millisecond, 9
-	// answerTime is how long requests that are ended have to send their answers.
-	answerTime = 200 * time.Millisecond
+	// answerTime is how long requests that are ended have to send their answers, and closeTime how
+	// long requests have that are still arriving when all others are answered, if the grace time
+	// allows it.
+	answerTime, closeTime = 200 * time.Millisecond, time.Second
 	// drainPollInterval is the time between checks whether requests are in progress.
 	drainPollInterval = 10 * time.Millisecond
 	// maxAdmitWait is how long admission waits for tokens that a peer may lend.
@@ -187,25 +190,42 @@
 	return err
 }
 
+// run runs the tasks until ctx ends or one of them fails, then drains.
 func (d *Daemon) run(ctx context.Context, s *servers) error {
+	stopping, stop := context.WithCancel(ctx)
+	defer stop()
 	inner, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
-	group, inner := errgroup.WithContext(inner)
+	var group errgroup.Group
 	for _, t := range append(d.tasks(), s.tasks()...) {
-		group.Go(func() error { return t(inner) })
+		group.Go(func() error {
+			err := t.runRecovering(inner)
+			if err != nil {
+				d.Log.Error("background task failed", zap.Error(err))
+				stop()
+			}
+			return err
+		})
 	}
 	group.Go(func() error {
-		select {
-		case <-ctx.Done():
-			d.drain(s)
-		case <-inner.Done():
-		}
+		<-stopping.Done()
+		d.drain(s)
 		cancel()
 		return nil
 	})
 	return group.Wait()
 }
 
+// runRecovering runs the task. A panic becomes an error, so that the process drains before it ends.
+func (t task) runRecovering(ctx context.Context) (err error) {
+	defer func() {
+		if v := recover(); v != nil {
+			err = failf("task", lagoonhead.KindInternal, "panic: %v\n%s", v, debug.Stack())
+		}
+	}()
+	return t(ctx)
+}
+
 // drain stops serving callers within the grace time. Once the load balancer has had time to notice,
 // new requests are refused. Connections are closed after the requests in progress have ended, so
 // that a request on an open connection gets an answer.
@@ -223,11 +243,13 @@
 		d.Log.Warn("drain ended with requests still running", zap.Int("count", n))
 		d.dispatcher.Stop()
 	}
-	closing, cancel := context.WithTimeout(context.Background(), answerTime)
+	deadline, _ := end.Deadline()
+	closing, cancel := context.WithTimeout(context.Background(), max(answerTime, min(closeTime, time.Until(deadline))))
 	defer cancel()
-	if err := s.callers.Shutdown(closing); err != nil {
-		d.Log.Warn("connections of callers closed with requests on them", zap.Error(err))
+	if n := s.callerListener.finish(closing, d.Timer); n > 0 {
+		d.Log.Warn("connections of callers closed with requests on them", zap.Int("count", n))
 	}
+	_ = s.callers.Close() // an error does not matter, since the process ends
 }
 
 // beginRequest begins a request of a caller, whose end calls guard.End, or returns an error of
@@ -394,8 +416,9 @@
 
 // servers holds the HTTP servers of the daemon with their listeners.
 type servers struct {
-	callers *http.Server
-	all     []server
+	callers        *http.Server
+	callerListener *callerListener
+	all            []server
 }
 
 type server struct {
@@ -405,8 +428,15 @@
 
 func (d *Daemon) listen() (*servers, error) {
 	newServer := func(h http.Handler) *http.Server { return &http.Server{Handler: h, ReadHeaderTimeout: time.Second} }
+	errorLog, err := zap.NewStdLogAt(d.Log, zap.WarnLevel)
+	if err != nil {
+		return nil, &Error{lagoonhead.Fault{Op: "entry.listen", Kind: lagoonhead.KindInternal, Err: err}}
+	}
 	p := &peer.Server{Config: noConfiguration{}, Lender: d.admit, Usage: noUsageCopies{}, Heartbeats: d.heartbeats, Counts: d.heartbeats}
 	s := &servers{callers: d.Platform.Callers(d.dispatcher, CallerLimits{d.closesConnections, d.bodyLimit, d.beginRequest, d.guard.End})}
+	if h, ok := s.callers.Handler.(interface{ Vars() *expvar.Map }); ok {
+		d.vars.Set("answers", h.Vars())
+	}
 	l := d.Settings.Listen
 	for _, v := range []struct {
 		address string
@@ -418,13 +448,22 @@
 		if v.address == "" {
 			continue
 		}
+		v.server.ErrorLog = errorLog
 		listener, err := net.Listen("tcp", v.address)
 		if err != nil {
 			s.close()
 			return nil, &Error{lagoonhead.Fault{Op: "entry.listen", Kind: lagoonhead.KindUnavailable, Err: err}}
 		}
+		socket, _ := listener.(syscall.Conn)
+		accepting := &acceptListener{Listener: listener, log: d.Log}
+		listener = accepting
 		if v.server == s.callers {
-			listener = d.connections.limit(listener)
+			d.vars.Set("acceptFailed", &accepting.failed)
+			s.callerListener = newCallerListener(d.connections.limit(listener), socket, d.Log)
+			d.vars.Set("unanswered", &s.callerListener.unanswered)
+			d.vars.Set("callersLeft", &s.callerListener.callersLeft)
+			s.callers.ConnState = s.callerListener.stateChanged
+			listener = s.callerListener
 		}
 		s.all = append(s.all, server{v.server, listener})
 	}
