cmd/lagoonheadd: failing test of requests at the end of a stop

Shutdown makes net/http drop requests that it reads from then on, and closing the listener resets what waits in the accept queue.

The test sends requests on new connections until the process is gone.

--- a/cmd/lagoonheadd/flood_soak_test.go
+++ b/cmd/lagoonheadd/flood_soak_test.go
@@ -122,6 +122,38 @@
 	require.True(t, s.protected(), "the overload protection refused no connections")
 }
 
+// Guards against whole requests on new connections that end without an answer when a stopping daemon
+// closes its listener and connections.
+func TestRequestsAtTheEndOfAStopAreAnswered(t *testing.T) {
+	e := &fakewire.Endpoint{ID: "s1", Pause: 5 * time.Millisecond}
+	s := &floodSoak{soak: &soak{platformFleet: newPlatformFleet(t, e), endpoints: []*fakewire.Endpoint{e}}}
+	p := s.startDaemon(t, "vm1")
+	s.processes = []*process{p}
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	var clients sync.WaitGroup
+	for i := range 8 {
+		clients.Go(func() {
+			c := &rawClient{soak: s}
+			defer c.close()
+			for n := 0; ctx.Err() == nil; n++ {
+				q := soakRequest{id: fmt.Sprint("client ", i, " request ", n), path: "/book/x", daemon: p}
+				s.record(&q, c.send)
+				c.close()
+				time.Sleep(time.Millisecond)
+			}
+		})
+	}
+	time.Sleep(200 * time.Millisecond)
+	p.terminated = time.Now()
+	p.signal(t, syscall.SIGTERM)
+	require.NoError(t, p.cmd.Wait())
+	p.ended = time.Now()
+	cancel()
+	clients.Wait()
+	s.checkAnswers(t)
+}
+
 // noteProcesses keeps the processes of the daemons, for their logs.
 func (s *floodSoak) noteProcesses() {
 	for i := range s.daemons {
