httprefuse: a request that has arrived whole needs no waiting place

Input that has arrived is now read to its end without waiting, also what follows the request. The bound takes what callers leave of their places. Each connection is counted once; clients that have left are counted apart.

--- a/entry/connections.go
+++ b/entry/connections.go
@@ -20,7 +20,7 @@
 	fileDescriptors = 200
 	// crowdedShare is the share of the sockets from which on callers' connections are
 	// closed after the answer, maxCallerShare the share that callers may take, and
-	// maxWaitingShare the share of those beyond it whose requests are being refused. The
+	// maxWaitingShare the share beyond it for callers whose requests are being refused. The
 	// rest is for endpoints, the store, peers and the load balancer's probes: without it a
 	// flood of callers that keep their connections open cuts the daemon off from them, and
 	// requests wait unread for connections that cannot be accepted.
@@ -58,9 +58,12 @@
 func newConnections(descriptors int, overloaded func() bool, response func(r *http.Request, err error) *http.Response) *connections {
 	sockets := float64(max(0, descriptors-fileDescriptors))
 	c := &connections{crowdedFrom: int64(crowdedShare * sockets), most: int64(maxCallerShare * sockets), overloaded: overloaded}
-	c.refuser.MaxWaiting = int64(maxWaitingShare * sockets)
-	if descriptors == 0 {
-		c.refuser.MaxWaiting = defaultMaxWaiting
+	reserved := int64(maxWaitingShare * sockets)
+	c.refuser.MaxWaiting = func() int64 {
+		if c.most == 0 {
+			return defaultMaxWaiting
+		}
+		return reserved + max(0, c.most-c.open.Load())
 	}
 	c.refuser.Response = func(r *http.Request) *http.Response {
 		return response(r, overload.Refusal("connection", "the connection is not served"))
--- a/entry/connections_test.go
+++ b/entry/connections_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -36,7 +37,7 @@
 	var served, refused atomic.Int64
 	for i := range requests {
 		w.Go(func() {
-			name := fmt.Sprint(i)
+			name := strconv.Itoa(i)
 			status, got, err := ask(l.Addr().String(), name, i*300)
 			switch {
 			case err != nil:
--- a/httprefuse/bench_test.go
+++ b/httprefuse/bench_test.go
@@ -134,7 +134,7 @@
 // it does not serve. The requests wait in the accept queue, as on a server that is behind. On the
 // loopback interface the kernel's work for a packet counts as the sender's.
 func BenchmarkRefusal(b *testing.B) {
-	f := &Refuser{MaxWaiting: 2 * benchBatch, Response: benchResponse}
+	f := &Refuser{MaxWaiting: atMost(2 * benchBatch), Response: benchResponse}
 	for _, v := range []struct {
 		name   string
 		size   int
--- a/httprefuse/refuser.go
+++ b/httprefuse/refuser.go
@@ -16,8 +16,11 @@
 )
 
 const (
-	// maxArrived is the number of bytes that are read without waiting.
-	maxArrived = 16 << 10
+	// maxFirstRead is the number of bytes in which a header section is looked for without waiting.
+	maxFirstRead = 16 << 10
+	// maxArrived is the number of bytes that are read without waiting, so that a client that sends
+	// without end does not keep others from being accepted.
+	maxArrived = 512 << 10
 	// maxHeaderBytes bounds the header section of a request.
 	maxHeaderBytes = 64 << 10
 	// headerTimeout bounds the wait for a header section, and lingerTimeout the wait for the
@@ -31,36 +34,35 @@
 type Refuser struct {
 	// Response returns the response to a request. It has no body.
 	Response func(r *http.Request) *http.Response
-	// MaxWaiting is the number of connections that may wait at the same time for the rest of a
+	// MaxWaiting returns the number of connections that may wait at the same time for the rest of a
 	// request or for the client to close. A connection beyond it is closed at once.
-	MaxWaiting int64
+	MaxWaiting func() int64
 
-	waiting                   atomic.Int64
-	buffers                   sync.Pool // of *buffer
-	answered, silent, dropped expvar.Int
+	waiting                         atomic.Int64
+	buffers                         sync.Pool // of *buffer
+	answered, silent, left, dropped expvar.Int
 }
 
 // buffer holds what is read without waiting, and the response.
 type buffer struct {
-	arrived  [maxArrived]byte
-	in       bytes.Reader
+	arrived  [maxFirstRead]byte
 	request  *bufio.Reader
 	response bytes.Buffer
 }
 
-// Vars returns the number of requests that got a response (answered), of connections on which no
-// request came (silent), and of connections that were closed although a request may have come that
-// got no response (dropped).
+// Vars returns the number of connections by how they ended: a response was sent (answered), no
+// request came (silent), the client had left (left), or the connection was closed although a request
+// may have come, which got no response or one that the close may have destroyed (dropped).
 func (f *Refuser) Vars() *expvar.Map {
 	v := new(expvar.Map)
 	v.Set("answered", &f.answered)
 	v.Set("silent", &f.silent)
+	v.Set("left", &f.left)
 	v.Set("dropped", &f.dropped)
 	return v
 }
 
-// Dropped returns the number of connections that were closed although a request may have come that
-// got no response.
+// Dropped returns the number of connections that were closed although a request may have come.
 func (f *Refuser) Dropped() int64 { return f.dropped.Value() }
 
 // Waiting returns the number of connections that wait for the rest of a request or for the client to
@@ -75,25 +77,28 @@
 		b = &buffer{request: bufio.NewReader(nil)}
 	}
 	defer f.buffers.Put(b)
-	arrived := b.arrived[:readArrived(c, b.arrived[:])]
+	rest := &arrivedReader{conn: c, left: maxArrived}
+	n, _ := rest.Read(b.arrived[:]) // refuseLater meets the error again
+	arrived := b.arrived[:n]
 	if !bytes.Contains(arrived, endOfHeader) {
 		f.refuseLater(c, bytes.Clone(arrived))
 		return
 	}
-	b.in.Reset(arrived)
-	b.request.Reset(&b.in)
+	b.request.Reset(io.MultiReader(bytes.NewReader(arrived), rest))
 	r, ok := f.respond(c, b.request, &b.response)
 	if !ok {
 		_ = c.Close() // the client has left
 		return
 	}
-	if r != nil {
-		if _, err := io.Copy(io.Discard, r.Body); err == nil {
-			_ = c.Close() // the whole request was read, so the close does not reset the connection
-			return
-		}
+	if r != nil && rest.discard(r.Body) {
+		f.answered.Add(1)
+		_ = c.Close() // all input was read, so the close does not reset the connection
+		return
 	}
-	f.await(c, linger)
+	f.await(c, func(c net.Conn) {
+		linger(c)
+		f.answered.Add(1)
+	})
 }
 
 // refuseLater refuses a request whose header section has not arrived whole.
@@ -107,6 +112,7 @@
 		}
 		if _, ok := f.respond(c, in, new(bytes.Buffer)); ok {
 			linger(c)
+			f.answered.Add(1)
 		}
 	})
 }
@@ -114,7 +120,7 @@
 // await calls do in a goroutine and closes the connection then. If too many connections wait, it
 // closes the connection at once.
 func (f *Refuser) await(c net.Conn, do func(c net.Conn)) {
-	if f.waiting.Add(1) > f.MaxWaiting {
+	if f.waiting.Add(1) > f.MaxWaiting() {
 		f.waiting.Add(-1)
 		f.dropped.Add(1)
 		_ = c.Close() // counted above
@@ -128,7 +134,7 @@
 }
 
 // respond reads the header section of a request and writes the response. It returns nil for a
-// request that cannot be read, and whether a response was written.
+// request that cannot be read, and false if the client had left.
 func (f *Refuser) respond(c net.Conn, in *bufio.Reader, out *bytes.Buffer) (r *http.Request, ok bool) {
 	r, err := http.ReadRequest(in)
 	var w *http.Response
@@ -145,10 +151,9 @@
 	out.Reset()
 	_ = w.Write(out) // a buffer takes all
 	if _, err := c.Write(out.Bytes()); err != nil {
-		f.dropped.Add(1)
+		f.left.Add(1)
 		return nil, false
 	}
-	f.answered.Add(1)
 	return r, true
 }
 
@@ -162,19 +167,51 @@
 	_, _ = io.Copy(io.Discard, c)                        // ends with the deadline, or when the client has left
 }
 
-// readArrived reads what has arrived on a connection without waiting, and returns its length.
-func readArrived(c net.Conn, p []byte) (n int) {
-	s, ok := c.(syscall.Conn)
-	if !ok {
-		return 0
+// errNotArrived is the error of reading more than has arrived.
+var errNotArrived = errors.New("httprefuse: no more input has arrived")
+
+// arrivedReader reads what has arrived on a connection without waiting, and at most left bytes.
+type arrivedReader struct {
+	conn net.Conn
+	left int
+}
+
+// Read reads what has arrived. It returns errNotArrived instead of waiting.
+func (a *arrivedReader) Read(p []byte) (n int, err error) {
+	s, ok := a.conn.(syscall.Conn)
+	if !ok || a.left == 0 {
+		return 0, errNotArrived
 	}
 	raw, err := s.SyscallConn()
 	if err != nil {
-		return 0 // the connection is closed, which refuseLater finds too
+		return 0, err
 	}
-	_ = raw.Read(func(fd uintptr) bool {
-		n, _ = syscall.Read(int(fd), p) // the input that follows an error is read by refuseLater
+	p = p[:min(len(p), a.left)]
+	var failure error
+	err = raw.Read(func(fd uintptr) bool {
+		n, failure = syscall.Read(int(fd), p)
 		return true
 	})
-	return max(0, n)
+	switch {
+	case err != nil:
+		return 0, err
+	case errors.Is(failure, syscall.EAGAIN):
+		return 0, errNotArrived
+	case failure != nil:
+		return 0, failure
+	case n == 0 && len(p) > 0:
+		return 0, io.EOF
+	}
+	a.left -= n
+	return n, nil
+}
+
+// discard reads the body of a request and what follows it, and reports whether the body had arrived
+// whole and nothing that has arrived is left to read.
+func (a *arrivedReader) discard(body io.Reader) bool {
+	if _, err := io.Copy(io.Discard, body); err != nil {
+		return false
+	}
+	_, err := io.Copy(io.Discard, a)
+	return err == nil || errors.Is(err, errNotArrived) && a.left > 0
 }
--- a/httprefuse/refuser_test.go
+++ b/httprefuse/refuser_test.go
@@ -37,6 +37,8 @@
 	return l.Addr().String()
 }
 
+func atMost(n int64) func() int64 { return func() int64 { return n } }
+
 type script struct {
 	Name   string
 	Pieces []string
@@ -55,7 +57,7 @@
 	for _, s := range scripts {
 		t.Run(s.Name, func(t *testing.T) {
 			t.Parallel()
-			f := &Refuser{MaxWaiting: 100}
+			f := &Refuser{MaxWaiting: atMost(100)}
 			c, err := net.Dial("tcp", refuseAll(t, f))
 			require.NoError(t, err)
 			defer c.Close()
@@ -81,7 +83,8 @@
 			rest, err := io.ReadAll(in)
 			require.NoError(t, err, "the connection ends without a reset")
 			require.Empty(t, rest)
-			require.EqualValues(t, 1, f.answered.Value())
+			require.NoError(t, c.Close())
+			require.Eventually(t, func() bool { return f.answered.Value() == 1 }, eventTimeout, time.Millisecond)
 			require.Zero(t, f.Dropped())
 		})
 	}
@@ -90,7 +93,7 @@
 // Guards against requests that are reset when a burst of them waits to be accepted.
 func TestRequestsThatWaitedToBeAcceptedGetAResponse(t *testing.T) {
 	const requests = 100
-	f := &Refuser{MaxWaiting: 1}
+	f := &Refuser{MaxWaiting: atMost(1)}
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
 	defer l.Close()
@@ -120,7 +123,7 @@
 // Guards against connections without a request that are kept, and against ones that get a response
 // to no request.
 func TestAConnectionWithoutARequestIsClosed(t *testing.T) {
-	f := &Refuser{MaxWaiting: 1}
+	f := &Refuser{MaxWaiting: atMost(1)}
 	c, err := net.Dial("tcp", refuseAll(t, f))
 	require.NoError(t, err)
 	defer c.Close()
@@ -134,7 +137,7 @@
 
 // Guards against connections that wait without a bound, and against closes that nothing tells of.
 func TestConnectionsBeyondTheBoundAreCounted(t *testing.T) {
-	f := &Refuser{MaxWaiting: 2}
+	f := &Refuser{MaxWaiting: atMost(2)}
 	address := refuseAll(t, f)
 	for range 5 {
 		c, err := net.Dial("tcp", address)
