httpdrain: Finish leaves time for requests and waits for refusals

On new connections could use up all the time of the end of a drain, so that idle connections and refusals in progress were cut; requests on refused connections were not waited for; and a request that arrived together with the one before it was taken for answered. Half of the time is for the accept queue now, Pending tells of refusals, and the state of the server tells of requests that no read shows.

--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -250,8 +250,6 @@
 	if n := s.callerListener.Finish(closing, d.Timer); n > 0 {
 		d.Log.Warn("connections of callers closed with requests on them", zap.Int("count", n))
 	}
-	for d.connections.refuser.Waiting() > 0 && d.Timer.Sleep(closing, drainPollInterval) == nil {
-	}
 	_ = s.callers.Close() // an error does not matter, since the process ends
 }
 
@@ -462,7 +460,7 @@
 		listener = accepting
 		if v.server == s.callers {
 			d.vars.Set("acceptFailed", &accepting.failed)
-			s.callerListener = &httpdrain.Listener{Listener: d.connections.limit(listener), Socket: socket, Log: d.Log}
+			s.callerListener = &httpdrain.Listener{Listener: d.connections.limit(listener), Socket: socket, Log: d.Log, Pending: d.connections.refuser.Waiting}
 			d.vars.Set("closed", s.callerListener.Vars())
 			s.callers.ConnState = s.callerListener.StateChanged
 			listener = s.callerListener
--- a/httpdrain/listener.go
+++ b/httpdrain/listener.go
@@ -35,6 +35,9 @@
 	// Log gets a line for each connection that this process closed while a request on it had no
 	// byte of an answer.
 	Log *zap.Logger
+	// Pending returns the number of connections that Accept did not return and that Finish is to
+	// wait for. It may be nil.
+	Pending func() int64
 
 	// unanswered counts these connections, and callersLeft those of which the caller had closed its
 	// side before.
@@ -79,7 +82,11 @@
 
 // StateChanged is the ConnState hook of the server.
 func (l *Listener) StateChanged(c net.Conn, s http.ConnState) {
-	if v, ok := c.(*conn); ok && s == http.StateIdle {
+	v, ok := c.(*conn)
+	switch {
+	case ok && s == http.StateActive:
+		v.becomeActive()
+	case ok && s == http.StateIdle:
 		v.becomeIdle()
 	}
 }
@@ -90,8 +97,10 @@
 // must be called once, while the server accepts.
 func (l *Listener) Finish(ctx context.Context, t timer.Timer) (left int) {
 	ended := make(chan struct{})
-	for !l.stop(ended, ctx.Err() != nil) {
-		_ = t.Sleep(ctx, pollInterval) // the next call of stop is the last if ctx has ended
+	accepting, cancel := halfOf(ctx)
+	defer cancel()
+	for !l.stop(ended, accepting.Err() != nil) {
+		_ = t.Sleep(accepting, pollInterval) // the next call of stop is the last if the time is over
 	}
 	l.Close()
 	select {
@@ -103,12 +112,25 @@
 		for _, c := range open {
 			c.endIfQuiet()
 		}
-		if len(open) == 0 || t.Sleep(ctx, pollInterval) != nil {
-			return len(open)
+		left = len(open)
+		if l.Pending != nil {
+			left += int(l.Pending())
+		}
+		if left == 0 || t.Sleep(ctx, pollInterval) != nil {
+			return left
 		}
 	}
 }
 
+// halfOf returns a context with half of the time that ctx has left. The rest is for the requests that
+// were accepted.
+func halfOf(ctx context.Context) (context.Context, context.CancelFunc) {
+	if end, ok := ctx.Deadline(); ok {
+		return context.WithTimeout(ctx, time.Until(end)/2)
+	}
+	return context.WithCancel(ctx)
+}
+
 // stop makes the socket stop listening if no connection waits to be accepted, or always if force is
 // set, and reports whether it did. Accept closes ended then.
 func (l *Listener) stop(ended chan struct{}, force bool) bool {
@@ -238,6 +260,14 @@
 	return c.Conn.SetReadDeadline(t)
 }
 
+// becomeActive records that the header of a request was read. It may have arrived together with the
+// request before it, so that no read of the connection tells of it.
+func (c *conn) becomeActive() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.unanswered = true
+}
+
 // becomeIdle records that the last request has been answered.
 func (c *conn) becomeIdle() {
 	c.mu.Lock()
