--- a/caller/server.go
+++ b/caller/server.go
@@ -182,7 +182,7 @@
 func (s *Server) abort() {
 	if n := s.listener.Unanswered(); n > 0 {
 		s.vars.aborted.Add(int64(n))
-		s.Log.Warn("connections closed with requests that are not answered", zap.Int("connections", n))
+		s.Log.Warn("connections closed with requests that are not answered", zap.Int("count", n))
 	}
 	_ = s.http.Close()
 }
--- a/overload/load_test.go
+++ b/overload/load_test.go
@@ -25,8 +25,7 @@
 	playEnd = 2 * loadEnd
 
 	acceptCost = 50 * time.Microsecond
-	// refuseCost is that of a refusal on a connection that is not served. BenchmarkRefusal of
-	// httprefuse measures it beside acceptCost and readCost: 23 µs beside 23 µs and 56 µs.
+	// refuseCost is that of a refusal on a connection that is not served (package httprefuse).
 	refuseCost  = 60 * time.Microsecond
 	readCost    = 150 * time.Microsecond
 	placeCost   = 700 * time.Microsecond
