--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -40,10 +40,8 @@
 	// are ended. It is at most one part of maxKillMargin, so that no request is ended before the
 	// last sixth of the grace time.
 	killMargin, maxKillMargin = 700 * time.Millisecond, 9
-	// answerTime is how long requests that are ended have to send their answers, and closeTime how
-	// long requests have that are still arriving when all others are answered, if the grace time
-	// allows it.
-	answerTime, closeTime = 200 * time.Millisecond, time.Second
+	// answerTime is how long requests that are ended have to send their answers.
+	answerTime = 200 * time.Millisecond
 	// drainPollInterval is the time between checks whether requests are in progress.
 	drainPollInterval = 10 * time.Millisecond
 	// maxAdmitWait is how long admission waits for tokens that a peer may lend.
@@ -245,7 +243,7 @@
 		d.dispatcher.Stop()
 	}
 	deadline, _ := end.Deadline()
-	closing, cancel := context.WithTimeout(context.Background(), max(answerTime, min(closeTime, time.Until(deadline))))
+	closing, cancel := context.WithTimeout(context.Background(), max(answerTime, time.Until(deadline)))
 	defer cancel()
 	if n := s.callerListener.Finish(closing, d.Timer); n > 0 {
 		d.Log.Warn("connections of callers closed with requests on them", zap.Int("count", n))
