httppool: a transport that sends each request once and tells answers apart

Cause: the transport of net/http, which stood between the Sender and the connection, decides two things by itself. It sends a request without a body once more when its kept connection ends before the answer (GET, HEAD, OPTIONS, TRACE), so that a stream that may not be resumed runs twice, and repeats count for nothing. And it takes whatever comes next on a connection for the answer to the request on it; the identifier was compared behind it, where a copy of a refusal cannot be told from a second refusal of the same request, and where the request's own answer, next on the connection, is out of reach.

Change: a transport of our own. It writes a request with http.Request.Write once, never with an identifier that its connection has carried before, and reads responses with http.ReadResponse until the one that names the request; those that name an earlier request of the connection are discarded and told to the dispatcher (step in the request's log line, counter extraResponses). A request whose kept connection turns out to be closed, or to have sent something, before the write goes to another connection; after the write there is no second one.

Result: TestCopyOfARefusalRefusesNothing, TestRequestsOnKeptConnectionsAreSentOnce and TestAnswersBehindExtraOnesAreDelivered failed before and pass. The control of TestNoHiddenReplay, which shows that the test notices hidden repeats, uses net/http itself now, since ours has none.

--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -103,6 +103,8 @@
 	sends, retries, prefills, resumes, unusedHandles expvar.Int
 	// departures counts the endpoints that first said to this daemon that they leave.
 	departures expvar.Int
+	// extraResponses counts the responses that endpoints sent once more for earlier requests.
+	extraResponses expvar.Int
 	// silencesMoved counts the attempts that were given up because their endpoint was silent for
 	// too long, and silencesWaited those that went on because the request could not move.
 	silencesMoved, silencesWaited expvar.Int
@@ -126,7 +128,8 @@
 			"calls": &c.calls, "served": &c.served, "refused": &c.refused, "failed": &c.failed,
 			"abandoned": &c.abandoned, "sends": &c.sends, "repeats": &c.retries, "prefills": &c.prefills,
 			"resumes": &c.resumes, "handlesNotTaken": &c.unusedHandles, "endpointsLeaving": &c.departures,
-			"silencesMoved": &c.silencesMoved, "silencesWaited": &c.silencesWaited,
+			"extraResponses": &c.extraResponses,
+			"silencesMoved":  &c.silencesMoved, "silencesWaited": &c.silencesWaited,
 		} {
 			c.all.Set(name, v)
 		}
--- a/dispatch/request.go
+++ b/dispatch/request.go
@@ -151,6 +151,7 @@
 		Endpoint: e, ID: r.call.ID, Method: r.call.Method, Host: r.call.Host, URL: r.call.URL,
 		Header: r.call.Header, Body: r.call.Body, Urgency: r.urgency, TimeLeft: max(r.remaining(), time.Millisecond),
 		LastEventID: r.call.LastEventID, OnStatus: func(s lagoonhead.EndpointStatus) { r.recordStatus(e, s) },
+		OnExtra: func(id lagoonhead.RequestID, status int) { r.recordExtra(e, id, status) },
 	}
 	if r.workspace != nil {
 		a.Workspace = r.workspace.ID
@@ -263,6 +264,12 @@
 	}
 }
 
+// recordExtra records a response that an endpoint sent once more for an earlier request.
+func (r *request) recordExtra(e lagoonhead.Endpoint, id lagoonhead.RequestID, status int) {
+	r.vars.extraResponses.Add(1)
+	r.addStep("%s sent a response with status %d to request %q once more", e.ID(), status, id)
+}
+
 // recordLimit records the limit that an endpoint names.
 func (r *request) recordLimit(e lagoonhead.Endpoint, perSecond float64) {
 	now := r.Timer.Now()
--- a/engine/body.go
+++ b/engine/body.go
@@ -32,21 +32,16 @@
 	return n, nil
 }
 
-// Close does nothing, because net/http may call it during a Read in another goroutine.
+// Close does nothing; net/http calls it when the request has been written.
 func (b *releasingBody) Close() error { return nil }
 
-// setStreamingBody sets the body of a completion request. net/http calls GetBody only
-// when it finds an idle connection closed before a byte was written.
+// setStreamingBody sets the body of a completion request.
 func setStreamingBody(r *http.Request, body []byte) error {
 	b, err := streamingBody(body)
 	if err != nil {
 		return err
 	}
 	r.Body, r.ContentLength = &releasingBody{unread: b}, int64(len(b))
-	r.GetBody = func() (io.ReadCloser, error) {
-		b, err := streamingBody(body)
-		return &releasingBody{unread: b}, err
-	}
 	return nil
 }
 
--- a/engine/querier.go
+++ b/engine/querier.go
@@ -60,12 +60,12 @@
 	ctx, stop := withTimeout(ctx, q.Timer, limit)
 	defer stop()
 	var x httppool.Exchange
-	r, err := http.NewRequestWithContext(x.Trace(ctx), http.MethodGet, e.Address()+path, nil)
+	r, err := http.NewRequestWithContext(ctx, http.MethodGet, e.Address()+path, nil)
 	if err != nil {
 		return fail(op, lagoonhead.KindInvalid, err)
 	}
 	t := q.pools.Get(e.Address())
-	res, err := t.RoundTrip(r)
+	res, err := t.Do(r, &x)
 	if err != nil {
 		q.pools.Drop(e.Address(), t)
 		return fail(op, kindOfFailure(ctx, err, x.Written()), err)
--- a/engine/stream.go
+++ b/engine/stream.go
@@ -29,7 +29,7 @@
 	exchange httppool.Exchange
 	span     trace.Span
 
-	transport *http.Transport
+	transport *httppool.Transport
 	// response is nil until the response headers have been checked.
 	response   *http.Response
 	parser     *parser
@@ -65,7 +65,7 @@
 func (s *stream) start(r *http.Request) error {
 	s.transport = s.streamer.pools.Get(s.endpoint.Address())
 	s.reading.Store(true)
-	res, err := s.transport.RoundTrip(r)
+	res, err := s.transport.Do(r, &s.exchange)
 	s.reading.Store(false)
 	s.readCount.Add(1)
 	if err != nil {
--- a/engine/streamer.go
+++ b/engine/streamer.go
@@ -143,7 +143,7 @@
 		streamer: s, endpoint: e, request: string(c.Request.ID()),
 		nextOffset: c.ResumeOffset + 1, ctx: ctx, cancel: cancel, span: span,
 	}
-	r, err := http.NewRequestWithContext(v.exchange.Trace(ctx), http.MethodPost, e.Address()+pathCompletions, nil)
+	r, err := http.NewRequestWithContext(ctx, http.MethodPost, e.Address()+pathCompletions, nil)
 	if err == nil {
 		err = setStreamingBody(r, c.Body)
 	}
@@ -179,7 +179,7 @@
 }
 
 // dropPool drops the connection pool t, so that the next request to the endpoint dials.
-func (s *Streamer) dropPool(e lagoonhead.Endpoint, t *http.Transport) {
+func (s *Streamer) dropPool(e lagoonhead.Endpoint, t *httppool.Transport) {
 	s.counters.dropped.Add(1)
 	s.pools.Drop(e.Address(), t)
 }
@@ -198,13 +198,13 @@
 		return fail(op, lagoonhead.KindInternal, err)
 	}
 	var x httppool.Exchange
-	r, err := http.NewRequestWithContext(x.Trace(ctx), http.MethodPost, e.Address()+pathCancel, bytes.NewReader(b))
+	r, err := http.NewRequestWithContext(ctx, http.MethodPost, e.Address()+pathCancel, bytes.NewReader(b))
 	if err != nil {
 		return fail(op, lagoonhead.KindInvalid, err)
 	}
 	r.Header.Set("Content-Type", contentJSON)
 	t := s.pools.Get(e.Address())
-	res, err := t.RoundTrip(r)
+	res, err := t.Do(r, &x)
 	if err != nil {
 		s.dropPool(e, t)
 		return fail(op, kindOfFailure(ctx, err, x.Written()), err)
--- a/forward.go
+++ b/forward.go
@@ -52,6 +52,10 @@
 	// OnStatus, if set, is called for each response of the endpoint, before the method of
 	// Sender returns.
 	OnStatus func(s EndpointStatus)
+	// OnExtra, if set, is called for each response that was discarded because it was sent once
+	// more for an earlier request on the connection, with what it names: that request, or an
+	// empty string, and its status.
+	OnExtra func(id RequestID, status int)
 }
 
 // EndpointStatus is what an endpoint says of itself in a response.
--- a/httppool/conn.go
+++ b/httppool/conn.go
@@ -1,17 +1,45 @@
 package httppool
 
 import (
+	"bufio"
+	"bytes"
 	"context"
+	"io"
 	"net"
 	"net/http"
-	"net/http/httptrace"
+	"slices"
 	"sync/atomic"
 	"syscall"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+	"github.com/cockroachdb/errors"
 	"golang.org/x/sys/unix"
 )
 
+const (
+	// maxHeaderBytes bounds the header of a response.
+	maxHeaderBytes = 64 << 10
+	// maxInterim bounds the interim responses before a response, and maxExtra the extra ones.
+	maxInterim, maxExtra = 5, 64
+	// maxExtraBytes bounds the body of an extra response.
+	maxExtraBytes = 1 << 20
+	// maxRequests is the number of requests after which a connection is closed. It bounds the
+	// identifiers that the connection remembers.
+	maxRequests = 1000
+	// earlyResponseTime is how long a response is waited for when the request cannot be written: a
+	// peer may respond and close before it has read the whole request.
+	earlyResponseTime = 50 * time.Millisecond
+)
+
+var (
+	// ErrWrongRequest means that a response names a request that its connection never carried.
+	ErrWrongRequest  = errors.New("the response belongs to another request")
+	errHeaderTooLong = errors.New("the header of the response is too long")
+	errTooManyExtra  = errors.New("too many responses that belong to no request")
+	errTimeout       = errors.New("no response within the time limit")
+)
+
 // NewDialer returns a dialer with a timeout for connecting. userTimeout is
 // TCP_USER_TIMEOUT: a connection is closed when sent bytes stay unacknowledged for this
 // time.
@@ -31,87 +59,279 @@
 	}
 }
 
-// countingConn counts the bytes that may have been handed to the kernel. A write is
-// counted before it starts, because the response can arrive before Write returns.
-type countingConn struct {
+// conn is a connection that carries one request at a time.
+type conn struct {
 	net.Conn
+	transport *Transport
+	address   string
+	// socket is the connection below TLS, or nil if it has no file descriptor.
+	socket syscall.Conn
+	in     headerLimiter
+	reader *bufio.Reader
+	// ids holds the hashes of the identifiers of the requests that the connection has carried.
+	ids []uint64
+	// idleSince is the time at which the connection became idle.
+	idleSince time.Time
+	// written is the number of bytes that may have been handed to the kernel.
 	written atomic.Int64
 }
 
-// Write writes b and counts it, without the bytes that were not written in the end.
-func (c *countingConn) Write(b []byte) (int, error) {
+func newConn(t *Transport, address string, socket, c net.Conn) *conn {
+	v := &conn{Conn: c, transport: t, address: address}
+	v.socket, _ = socket.(syscall.Conn)
+	v.in.Reader = c
+	v.reader = bufio.NewReader(&v.in)
+	return v
+}
+
+// Write writes b and counts it, without the bytes that were not written in the end. A write is
+// counted before it starts, because the response can arrive before Write returns.
+func (c *conn) Write(b []byte) (int, error) {
 	c.written.Add(int64(len(b)))
 	n, err := c.Conn.Write(b)
 	c.written.Add(int64(n - len(b)))
 	return n, err
 }
 
-// NewTransport returns a connection pool without proxy, compression and HTTP/2. Idle
-// connections are closed after idleTimeout.
-func NewTransport(d *net.Dialer, idleTimeout time.Duration) *http.Transport {
-	return &http.Transport{
-		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
-			c, err := d.DialContext(ctx, network, address)
-			if err != nil {
-				return nil, err
-			}
-			return &countingConn{Conn: c}, nil
-		},
-		MaxIdleConnsPerHost:    maxIdlePerAddress,
-		IdleConnTimeout:        idleTimeout,
-		DisableCompression:     true,
-		MaxResponseHeaderBytes: maxHeaderBytes,
+// headerLimiter fails after left bytes while a header is being read.
+type headerLimiter struct {
+	io.Reader
+	inHeader bool
+	left     int
+}
+
+// Read implements io.Reader.
+func (l *headerLimiter) Read(p []byte) (int, error) {
+	if !l.inHeader {
+		return l.Reader.Read(p)
 	}
+	if l.left <= 0 {
+		return 0, errHeaderTooLong
+	}
+	n, err := l.Reader.Read(p[:min(len(p), l.left)])
+	l.left -= n
+	return n, err
 }
 
-// Exchange records whether bytes of one request were sent. The zero value is ready for
-// use.
-type Exchange struct {
-	conn atomic.Pointer[countingConn]
-	// writtenBefore is the count of conn when the request got it.
-	writtenBefore atomic.Int64
-	// uncounted is true when the connection is not a countingConn.
-	uncounted atomic.Bool
-	reused    atomic.Bool
-}
-
-// Trace returns the context with which the request must be sent to be recorded.
-func (x *Exchange) Trace(ctx context.Context) context.Context {
-	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: x.gotConn})
-}
-
-// gotConn records the connection for the request. It can be called twice: net/http uses
-// another connection when the first one failed before a byte was written.
-func (x *Exchange) gotConn(i httptrace.GotConnInfo) {
-	x.reused.Store(i.Reused)
-	c, ok := i.Conn.(*countingConn)
-	if !ok {
-		x.uncounted.Store(true)
+// carried reports whether the connection has carried a request with the identifier.
+func (c *conn) carried(id string) bool {
+	return c.transport.IDHeader != "" && slices.Contains(c.ids, xxhash.Sum64String(id))
+}
+
+// isOpen reports whether the peer has neither closed the idle connection nor sent anything on it.
+// It does not wait.
+func (c *conn) isOpen() bool {
+	if c.socket == nil {
+		return true
+	}
+	raw, err := c.socket.SyscallConn()
+	if err != nil {
+		return false
+	}
+	var readErr error
+	var b [1]byte
+	err = raw.Read(func(fd uintptr) bool {
+		_, readErr = unix.Read(int(fd), b[:])
+		return true
+	})
+	return err == nil && errors.Is(readErr, unix.EAGAIN)
+}
+
+// exchange sends the request once and returns its response. encoded is the whole request, or nil
+// if it is too large to be encoded in advance. After an error the connection is closed.
+func (c *conn) exchange(r *http.Request, encoded *bytes.Buffer, x *Exchange) (*http.Response, error) {
+	ctx := r.Context()
+	id := c.transport.requestID(r)
+	c.ids = append(c.ids, xxhash.Sum64String(id))
+	e := &exchange{conn: c, ctx: ctx, keep: !r.Close && r.Method != http.MethodHead}
+	e.stop = context.AfterFunc(ctx, func() { c.Close() })
+	if encoded != nil {
+		_, err := c.Write(encoded.Bytes())
+		e.wrote(err)
+	} else {
+		go func() { e.wrote(r.Write(c)) }()
+	}
+	var expired *time.Timer
+	if limit := c.transport.ResponseTimeout; limit > 0 {
+		expired = time.AfterFunc(limit, func() {
+			e.timedOut.Store(true)
+			c.Close()
+		})
+	}
+	res, err := c.readResponse(id, x)
+	if expired != nil && !expired.Stop() && err == nil {
+		err = errTimeout
+	}
+	if err != nil {
+		e.end(false)
+		return nil, e.cause(err)
+	}
+	res.Request = r
+	if r.Method == http.MethodHead {
+		res.Body = http.NoBody
+	}
+	e.keep = e.keep && !res.Close
+	if res.Body == http.NoBody {
+		e.end(true)
+		return res, nil
+	}
+	res.Body = &responseBody{body: res.Body, exchange: e}
+	return res, nil
+}
+
+// readResponse reads the response to the request with the identifier. It discards interim responses
+// and extra ones: those that the peer has sent once more for earlier requests on the connection.
+func (c *conn) readResponse(id string, x *Exchange) (*http.Response, error) {
+	for interim, extra := 0, 0; interim <= maxInterim && extra <= maxExtra; {
+		c.in.inHeader, c.in.left = true, maxHeaderBytes
+		res, err := http.ReadResponse(c.reader, nil)
+		c.in.inHeader = false
+		if err != nil {
+			return nil, err
+		}
+		if res.StatusCode >= http.StatusContinue && res.StatusCode < http.StatusOK && res.StatusCode != http.StatusSwitchingProtocols {
+			interim++
+			continue
+		}
+		own, err := c.owns(res, id)
+		if own || err != nil {
+			return res, err
+		}
+		extra++
+		n, err := io.CopyN(io.Discard, res.Body, maxExtraBytes)
+		if err == nil {
+			return nil, errors.Wrapf(errTooManyExtra, "one with more than %d bytes", n)
+		}
+		if !errors.Is(err, io.EOF) {
+			return nil, err
+		}
+		if x.OnExtra != nil {
+			x.OnExtra(res)
+		}
+	}
+	return nil, errTooManyExtra
+}
+
+// owns reports whether a response belongs to the request with the identifier, the last one on the
+// connection. If it does not, it is an extra response to an earlier request: no identifier travels
+// twice on a connection. A response that names no request belongs to the only one. One that names
+// a request that the connection never carried is an error.
+func (c *conn) owns(res *http.Response, id string) (bool, error) {
+	if c.transport.IDHeader == "" {
+		return true, nil
+	}
+	got := res.Header.Get(c.transport.IDHeader)
+	only := len(c.ids) == 1
+	switch {
+	case got == id || got == "" && only:
+		return true, nil
+	case !only && (got == "" || c.carried(got)):
+		return false, nil
+	default:
+		return false, errors.Wrapf(ErrWrongRequest, "%q", got)
+	}
+}
+
+// exchange is the state of a request on its connection.
+type exchange struct {
+	conn *conn
+	ctx  context.Context
+	// stop removes the function that closes the connection when ctx ends.
+	stop func() bool
+	// keep reports that the connection may be used again.
+	keep bool
+	// written is true once the whole request has been written, and writeErr is set if it could
+	// not be.
+	written  atomic.Bool
+	writeErr atomic.Pointer[error]
+	timedOut atomic.Bool
+	ended    atomic.Bool
+}
+
+// wrote records that the write of the request has ended.
+func (e *exchange) wrote(err error) {
+	if err == nil {
+		e.written.Store(true)
 		return
 	}
-	x.writtenBefore.Store(c.written.Load())
-	x.conn.Store(c)
+	e.writeErr.Store(&err)
+	_ = e.conn.SetReadDeadline(time.Now().Add(earlyResponseTime)) // fails only on a closed connection
 }
 
-// Written reports whether a byte of the request can have been sent. For a connection
-// that does not count bytes it reports true.
-func (x *Exchange) Written() bool {
-	c := x.conn.Load()
-	if c == nil {
-		return x.uncounted.Load()
+// end ends the exchange. The connection is kept if the response is whole and nothing follows it.
+func (e *exchange) end(whole bool) {
+	if !e.ended.CompareAndSwap(false, true) {
+		return
 	}
-	return c.written.Load() > x.writtenBefore.Load()
+	open := e.stop()
+	c := e.conn
+	if whole && open && e.keep && e.written.Load() && c.reader.Buffered() == 0 && len(c.ids) < maxRequests {
+		c.transport.put(c)
+		return
+	}
+	c.Close()
 }
 
-// Connected reports whether a connection was available for the request.
-func (x *Exchange) Connected() bool { return x.conn.Load() != nil || x.uncounted.Load() }
+// cause returns why reading failed with err.
+func (e *exchange) cause(err error) error {
+	if cause := context.Cause(e.ctx); cause != nil {
+		return errors.CombineErrors(cause, err)
+	}
+	if e.timedOut.Load() {
+		return errors.CombineErrors(errTimeout, err)
+	}
+	if writeErr := e.writeErr.Load(); writeErr != nil {
+		return errors.CombineErrors(*writeErr, err)
+	}
+	return err
+}
 
-// Reused reports whether the connection had carried another request before.
-func (x *Exchange) Reused() bool { return x.reused.Load() }
+// responseBody is the body of a response. Its end or its Close ends the exchange.
+type responseBody struct {
+	body     io.Reader
+	exchange *exchange
+}
 
-// CloseConn closes the connection of the request, so that no other request gets it.
-func (x *Exchange) CloseConn() {
-	if c := x.conn.Load(); c != nil {
-		_ = c.Close() // the connection is given up
+// Read reads the body.
+func (b *responseBody) Read(p []byte) (int, error) {
+	n, err := b.body.Read(p)
+	switch {
+	case err == nil:
+	case errors.Is(err, io.EOF):
+		b.exchange.end(true)
+	default:
+		err = b.exchange.cause(err)
+		b.exchange.end(false)
 	}
+	return n, err
+}
+
+// Close closes the connection unless the body has been read to its end.
+func (b *responseBody) Close() error {
+	b.exchange.end(false)
+	return nil
+}
+
+// Exchange records what became of one request. The zero value is ready for use.
+type Exchange struct {
+	// OnExtra, if set, is called for each response that is discarded because it belongs to an
+	// earlier request on the connection. Its body has been read.
+	OnExtra func(res *http.Response)
+
+	conn          *conn
+	writtenBefore int64
+	reused        bool
 }
+
+func (x *Exchange) begin(c *conn) {
+	x.conn, x.writtenBefore, x.reused = c, c.written.Load(), len(c.ids) > 0
+}
+
+// Written reports whether a byte of the request can have been sent.
+func (x *Exchange) Written() bool { return x.conn != nil && x.conn.written.Load() > x.writtenBefore }
+
+// Connected reports whether a connection was available for the request.
+func (x *Exchange) Connected() bool { return x.conn != nil }
+
+// Reused reports whether the connection had carried another request before.
+func (x *Exchange) Reused() bool { return x.reused }
--- a/httppool/pools.go
+++ b/httppool/pools.go
@@ -2,20 +2,13 @@
 
 import (
 	"net"
-	"net/http"
 	"sync"
 	"time"
 )
 
-const (
-	// maxPools bounds the number of pools; it is above the number of engines that the
-	// system is designed for.
-	maxPools = 4096
-	// maxIdlePerAddress bounds the idle connections to an address.
-	maxIdlePerAddress = 64
-	// maxHeaderBytes bounds the headers of a response.
-	maxHeaderBytes = 64 << 10
-)
+// maxPools bounds the number of pools; it is above the number of engines that the
+// system is designed for.
+const maxPools = 4096
 
 // Pools keeps one connection pool for each address. A connection can stop working for
 // good while new ones work, and what breaks one connection often breaks the others to the
@@ -23,26 +16,24 @@
 // exported fields before use.
 type Pools struct {
 	Dialer *net.Dialer
-	// IdleTimeout is the time after which idle connections are closed. It must be below
-	// the idle timeouts of the servers, so that a request is seldom sent on a connection
-	// that the server is closing.
+	// IdleTimeout is that of the pools.
 	IdleTimeout time.Duration
 
 	mu        sync.Mutex
-	byAddress map[string]*http.Transport
+	byAddress map[string]*Transport
 }
 
 // Get returns the pool of an address and creates it if there is none. When the number of
 // pools is at its bound, an arbitrary other one is dropped, and the next request to that
 // address must dial.
-func (p *Pools) Get(address string) *http.Transport {
+func (p *Pools) Get(address string) *Transport {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if t := p.byAddress[address]; t != nil {
 		return t
 	}
 	if p.byAddress == nil {
-		p.byAddress = make(map[string]*http.Transport)
+		p.byAddress = make(map[string]*Transport)
 	}
 	for a, t := range p.byAddress {
 		if len(p.byAddress) < maxPools {
@@ -58,7 +49,7 @@
 
 // Drop discards the pool t of an address, so that the next request to it dials. Requests
 // in flight on connections of t are not affected.
-func (p *Pools) Drop(address string, t *http.Transport) {
+func (p *Pools) Drop(address string, t *Transport) {
 	p.mu.Lock()
 	if p.byAddress[address] == t {
 		delete(p.byAddress, address)
--- a/service/client.go
+++ b/service/client.go
@@ -6,7 +6,6 @@
 	"expvar"
 	"io"
 	"net/http"
-	"net/http/httptrace"
 	"net/url"
 	"strings"
 	"sync"
@@ -15,6 +14,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/lagoonhead/lagoonhead"
+	"github.com/lagoonhead/lagoonhead/httppool"
 )
 
 // Limits are the limits of size and time for calls.
@@ -48,8 +48,8 @@
 
 	once sync.Once
 	// pooled reuses connections; unpooled opens one for each call.
-	pooled   *http.Transport
-	unpooled *http.Transport
+	pooled   *httppool.Transport
+	unpooled *httppool.Transport
 	vars     counters
 }
 
@@ -213,10 +213,7 @@
 // roundTrip sends the request to an endpoint and returns its response, unless the response
 // is a refusal or too large.
 func (a *attempts) roundTrip(ctx context.Context, e lagoonhead.Endpoint) (*http.Response, error) {
-	var conn connState
-	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
-		GotConn: func(i httptrace.GotConnInfo) { conn = connState{open: true, reused: i.Reused} },
-	})
+	var x httppool.Exchange
 	req, err := a.request(ctx, e)
 	if err != nil {
 		return nil, fault("service.request", lagoonhead.KindInvalid, err)
@@ -225,10 +222,9 @@
 	if a.call.Idempotent {
 		t = a.client.pooled
 	}
-	// Unlike http.Client, RoundTrip follows no redirects.
-	res, err := t.RoundTrip(req)
+	res, err := t.Do(req, &x)
 	if err != nil {
-		return nil, fault("service.roundTrip", failureKind(err, conn), err)
+		return nil, fault("service.roundTrip", failureKind(err, &x), err)
 	}
 	if err := refusal(res, a.call.Idempotent); err != nil {
 		_, _ = io.CopyN(io.Discard, res.Body, 4<<10)
@@ -274,24 +270,20 @@
 	}
 	req.Header = requestHeader(a.call)
 	if len(a.call.Body) > 0 {
-		// Without GetBody, which is left unset, net/http cannot send the body twice.
 		req.Body = io.NopCloser(bytes.NewReader(a.call.Body))
 		req.ContentLength = int64(len(a.call.Body))
 	}
 	return req, nil
 }
 
-// connState describes the connection of an attempt, as traced by httptrace.
-type connState struct{ open, reused bool }
-
 // failureKind returns the kind of error for a failed round trip. Without a connection
 // no byte can have been sent, so the call did not run. The endpoint may close a reused
 // connection because it was idle, so only the loss of a new one counts as a crash.
-func failureKind(err error, c connState) lagoonhead.Kind {
-	if !c.open {
+func failureKind(err error, x *httppool.Exchange) lagoonhead.Kind {
+	if !x.Connected() {
 		return lagoonhead.KindUnavailable
 	}
-	if !c.reused && isClosed(err) {
+	if !x.Reused() && isClosed(err) {
 		return lagoonhead.KindCrashed
 	}
 	return lagoonhead.KindUnknown
--- a/service/client_test.go
+++ b/service/client_test.go
@@ -101,7 +101,7 @@
 	}
 	t.Run("control", func(t *testing.T) {
 		all, p := newServices(t, 1)
-		tr := newTransport(defaultDialTimeout, defaultHeaderTimeout, true)
+		tr := new(http.Transport) // repeats calls by itself, which the test must notice
 		get := func() (*http.Response, error) {
 			r, err := http.NewRequest(http.MethodGet, p.endpoints[0].Address()+"/availability", nil)
 			require.NoError(t, err)
--- a/service/transport.go
+++ b/service/transport.go
@@ -1,7 +1,6 @@
 package service
 
 import (
-	"net/http"
 	"time"
 
 	"github.com/lagoonhead/lagoonhead/httppool"
@@ -18,13 +17,12 @@
 	idleConnsPerHost = 16
 )
 
-// newTransport returns a transport that uses neither a proxy nor HTTP/2. Without
-// keepAlive each call gets a new connection, which rules out hidden retries: net/http
-// retries a request only after a failure on a reused connection.
-func newTransport(dialTimeout, headerTimeout time.Duration, keepAlive bool) *http.Transport {
+// newTransport returns a transport. Without keepAlive each call gets a new connection, so that
+// a failure before the request is written is recognized with certainty.
+func newTransport(dialTimeout, headerTimeout time.Duration, keepAlive bool) *httppool.Transport {
 	t := httppool.NewTransport(httppool.NewDialer(dialTimeout, userTimeout), idleTimeout)
-	t.DisableKeepAlives = !keepAlive
-	t.MaxIdleConnsPerHost = idleConnsPerHost
-	t.ResponseHeaderTimeout = headerTimeout
+	t.SingleUse = !keepAlive
+	t.MaxIdle = idleConnsPerHost
+	t.ResponseTimeout = headerTimeout
 	return t
 }
