httppool: an acknowledged request had reached an open connection

Change: when a connection ends without a response, the transport asks the kernel whether the peer has acknowledged the whole request. If so, the peer had not closed the connection when the request arrived, and the end counts as a crash. A connection that was closed, or dropped without notice, acknowledges nothing; there the 20 ms hold as before.

--- a/httppool/conn.go
+++ b/httppool/conn.go
@@ -137,6 +137,21 @@
 	return err == nil && errors.Is(readErr, unix.EAGAIN)
 }
 
+// allAcknowledged reports whether the peer's kernel has acknowledged all that was written. It does so
+// only while the peer has not closed the connection. It is false if that is not known.
+func (c *conn) allAcknowledged() bool {
+	if c.socket == nil {
+		return false
+	}
+	raw, err := c.socket.SyscallConn()
+	if err != nil {
+		return false
+	}
+	queued, queueErr := 0, error(nil)
+	err = raw.Control(func(fd uintptr) { queued, queueErr = unix.IoctlGetInt(int(fd), unix.SIOCOUTQ) })
+	return err == nil && queueErr == nil && queued == 0
+}
+
 // exchange sends the request once and returns its response. encoded is the whole request, or nil
 // if it is too large to be encoded in advance. After an error the connection is closed.
 func (c *conn) exchange(r *http.Request, encoded *bytes.Buffer, x *Exchange) (*http.Response, error) {
@@ -163,6 +178,7 @@
 		err = errTimeout
 	}
 	if err != nil {
+		x.acknowledged = c.allAcknowledged()
 		e.end(false)
 		return nil, e.cause(err)
 	}
@@ -321,6 +337,7 @@
 	conn          *conn
 	writtenBefore int64
 	reused        bool
+	acknowledged  bool
 }
 
 func (x *Exchange) begin(c *conn) {
@@ -333,5 +350,9 @@
 // Connected reports whether a connection was available for the request.
 func (x *Exchange) Connected() bool { return x.conn != nil }
 
+// Acknowledged reports, after an error, whether the peer has acknowledged the whole request: it had not
+// closed the connection when the request arrived.
+func (x *Exchange) Acknowledged() bool { return x.acknowledged }
+
 // Reused reports whether the connection had carried another request before.
 func (x *Exchange) Reused() bool { return x.reused }
