--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -40,6 +40,9 @@
 	Prompt    steer.Prompt
 	// LastEventID is the ID of the last event that the caller has received, or empty.
 	LastEventID string
+	// Resumes is the ID of the request that brought the first event of the stream that the
+	// caller takes up behind LastEventID, or empty.
+	Resumes lagoonhead.RequestID
 }
 
 // Sink receives the answer. Start is called at most once, before the other methods.
