lagoonhead: a pin to one software version, and memory of streams' versions

The eligibility of an endpoint for a stream that goes on is one rule for the interface of the platform and for the chat interface, so VersionPin stands in the root package. Its zero value allows every version; the empty version is a version of its own, since a registration may name it.

StreamVersions is what a dispatcher needs to know of streams that began at another VM.

--- a/routing.go
+++ b/routing.go
@@ -1,6 +1,10 @@
 package lagoonhead
 
-import "time"
+import (
+	"context"
+	"strconv"
+	"time"
+)
 
 // EngineState is the state of one endpoint as known to one daemon, for routing. The
 // figures that come from the endpoint's load report lag behind the actual load.
@@ -100,3 +104,40 @@
 	// is meant for the decision log only.
 	Reason(now time.Duration, r *RouteRequest, engines []EngineState, c Choice) string
 }
+
+// VersionPin restricts the endpoints of a request to one software version of their service.
+// The zero value allows every version.
+type VersionPin struct {
+	software string
+	set      bool
+}
+
+// PinVersion returns a pin that allows only the given software version. Endpoints that name no
+// version count as endpoints of one version, the empty one.
+func PinVersion(software string) VersionPin { return VersionPin{software: software, set: true} }
+
+// Allows reports whether the request may be sent to e.
+func (p VersionPin) Allows(e Endpoint) bool { return !p.set || e.Software() == p.software }
+
+// Version returns the software version; ok is false if every version is allowed.
+func (p VersionPin) Version() (software string, ok bool) { return p.software, p.set }
+
+// String returns the version for logs.
+func (p VersionPin) String() string {
+	if !p.set {
+		return "any version"
+	}
+	return "version " + strconv.Quote(p.software)
+}
+
+// StreamVersions remembers at which software version of a service each stream began. A stream
+// may go on only at that version, also when the caller takes it up with a later request.
+type StreamVersions interface {
+	// Begin records that the stream of the request begins at the software version. It is called
+	// before the caller gets the first event, and returns once enough other VMs know it or after
+	// a short bound.
+	Begin(ctx context.Context, service string, id RequestID, software string)
+	// Find returns the version at which the stream of the request began and, for logs, where that
+	// was learnt. ok is false if it is not known.
+	Find(ctx context.Context, service string, id RequestID) (software, source string, ok bool)
+}
