steer: choices are bound to a software version

What engines of two software versions write, events as well as KV caches, does not fit together, and engines do not check it. Choices had no regard to the version.

PrefillRequest and RunRequest have a VersionPin, which target.eligible checks, so that PickPrefill, PickRun, ReserveRun and HasRoom follow one rule; LimitWait skips endpoints of other versions. In a service that has had several versions, an engine that only prefills is chosen only if an engine of its version can run the request then; the homes of shared parts are among those engines. An endpoint whose registration names another version is another process.

OnlyVersion says which version a service has if this daemon has seen one only; it is the safe answer where nothing is known of a stream's beginning.

HasRoom, LimitWait and homes have other parameters in existing tests; what these check is unchanged.

--- a/dispatch/request.go
+++ b/dispatch/request.go
@@ -307,7 +307,7 @@
 func (r *request) refuse(format string, args ...any) error {
 	e := failf("place", lagoonhead.KindUnavailable, format, args...)
 	now := r.Timer.Now()
-	r.WithBoard(func(b *steer.Board) { e.retryAfter = max(busyRetryAfter, b.LimitWait(now, r.service)) })
+	r.WithBoard(func(b *steer.Board) { e.retryAfter = max(busyRetryAfter, b.LimitWait(now, r.service, lagoonhead.VersionPin{})) })
 	return e
 }
 
--- a/dispatch/silence.go
+++ b/dispatch/silence.go
@@ -114,7 +114,7 @@
 func (w *silenceWatch) takeMove() bool {
 	now := w.Timer.Now()
 	ok := false
-	w.WithBoard(func(b *steer.Board) { ok = b.HasRoom(now, w.service, w.avoid) })
+	w.WithBoard(func(b *steer.Board) { ok = b.HasRoom(now, steer.RunRequest{Service: w.service, Avoid: w.avoid}) })
 	for ok && w.taken < w.needed {
 		if ok = w.RetryBudget.Take(w.service); ok {
 			w.taken++
--- a/steer/board.go
+++ b/steer/board.go
@@ -27,6 +27,9 @@
 	// Board.PeerInterval, if that is longer than minReportTTL. The intervals between reports
 	// are random, and one in twenty is longer than this multiple.
 	ttlIntervals = 3
+	// maxVersionServices bounds the services of which the software versions are kept. More are
+	// errors of another writer.
+	maxVersionServices = 1 << 10
 )
 
 // Part is a segment of a prompt that several requests may share.
@@ -189,6 +192,8 @@
 
 	targets  map[lagoonhead.EndpointID]*target
 	services map[string][]*target
+	// versions holds the software versions that were seen of each service.
+	versions map[string]seenVersions
 	// rates holds the mean prefill rate by service, in tokens per millisecond.
 	rates map[string]float64
 	// sent counts the tokens that all daemons sent for prefill, by service.
@@ -198,6 +203,36 @@
 	runSearchStart uint64
 }
 
+// seenVersions are the software versions of the endpoints of a service since the daemon started.
+type seenVersions struct {
+	first string
+	// several is true once another version than the first was seen.
+	several bool
+}
+
+// addVersion records the software version of an endpoint.
+func (b *Board) addVersion(e lagoonhead.Endpoint) {
+	if b.versions == nil {
+		b.versions = make(map[string]seenVersions)
+	}
+	v, ok := b.versions[e.Serves()]
+	if !ok {
+		if len(b.versions) >= maxVersionServices {
+			return
+		}
+		v.first = e.Software()
+	}
+	v.several = v.several || v.first != e.Software()
+	b.versions[e.Serves()] = v
+}
+
+// OnlyVersion returns the software version of the service; ok is false if this daemon has seen no
+// endpoint of it, or endpoints of several versions, also such as are gone.
+func (b *Board) OnlyVersion(service string) (software string, ok bool) {
+	v, ok := b.versions[service]
+	return v.first, ok && !v.several
+}
+
 // CacheCapacity returns the KV cache capacity of an engine of the service, in tokens.
 type CacheCapacity func(service string) int
 
@@ -222,6 +257,7 @@
 			t.changingUntil = 0
 		}
 		t.endpoint = e
+		b.addVersion(e)
 		next[e.ID()] = t
 		services[e.Serves()] = append(services[e.Serves()], t)
 	}
@@ -374,7 +410,7 @@
 // restarted since.
 func (b *Board) findTarget(e lagoonhead.Endpoint) *target {
 	t := b.targets[e.ID()]
-	if t == nil || t.endpoint.Incarnation() != e.Incarnation() || t.endpoint.Address() != e.Address() {
+	if t == nil || t.endpoint.Incarnation() != e.Incarnation() || t.endpoint.Address() != e.Address() || t.endpoint.Software() != e.Software() {
 		return nil
 	}
 	return t
--- a/steer/limit.go
+++ b/steer/limit.go
@@ -110,11 +110,11 @@
 	}
 }
 
-// LimitWait returns the time after which this VM may send a request to an endpoint of the
-// service that runs requests, if all of them have limits; else 0.
-func (b *Board) LimitWait(now time.Duration, service string) (least time.Duration) {
+// LimitWait returns the time after which this VM may send a request that is bound to a software
+// version to an endpoint of the service that runs requests, if all of them have limits; else 0.
+func (b *Board) LimitWait(now time.Duration, service string, v lagoonhead.VersionPin) (least time.Duration) {
 	for _, t := range b.services[service] {
-		if t.endpoint.Role() == lagoonhead.RolePrefill {
+		if t.endpoint.Role() == lagoonhead.RolePrefill || !v.Allows(t.endpoint) {
 			continue
 		}
 		wait, ok := b.limitWait(now, t)
@@ -134,7 +134,7 @@
 func (b *Board) ReserveRun(now time.Duration, r RunRequest) (e lagoonhead.Endpoint, reserved, ok bool) {
 	limited := false
 	for _, t := range b.services[r.Service] {
-		if t.endpoint.Role() == lagoonhead.RolePrefill || !t.eligible(now, r.Avoid, false) {
+		if t.endpoint.Role() == lagoonhead.RolePrefill || !t.eligible(now, r.Avoid, r.Version, false) {
 			continue
 		}
 		if t.limit.perSecond == 0 {
@@ -152,7 +152,7 @@
 // Usable reports whether an endpoint may get a request apart from its limit.
 func (b *Board) Usable(now time.Duration, e lagoonhead.Endpoint) bool {
 	t := b.findTarget(e)
-	return t != nil && t.eligible(now, nil, true)
+	return t != nil && t.eligible(now, nil, lagoonhead.VersionPin{}, true)
 }
 
 // ReturnToLimit gives back to the limit of an endpoint a request that was not sent.
--- a/steer/load_test.go
+++ b/steer/load_test.go
@@ -167,7 +167,7 @@
 
 func (p *fixedHomes) pick(at time.Duration, a arrival) (int, bool) {
 	if part, _ := a.prompt.shared(); part != 0 {
-		i := p.index[p.board.homes(model, part)[0].endpoint.ID()]
+		i := p.index[p.board.homes(part, PrefillRequest{Service: model}, nil)[0].endpoint.ID()]
 		p.queued[i] += a.prompt.Tokens
 		return i, true
 	}
--- a/steer/pick.go
+++ b/steer/pick.go
@@ -72,6 +72,8 @@
 	Retryable bool
 	// Avoid lists the endpoints that must not be chosen.
 	Avoid []lagoonhead.EndpointID
+	// Version is the software version that the request is bound to.
+	Version lagoonhead.VersionPin
 }
 
 // RunRequest holds the inputs of PickRun.
@@ -85,6 +87,9 @@
 	Retryable bool
 	// Avoid lists the endpoints that must not be chosen.
 	Avoid []lagoonhead.EndpointID
+	// Version is the software version that the request is bound to: that of the stream that
+	// goes on, or that of the engine that keeps the KV cache of the prompt.
+	Version lagoonhead.VersionPin
 }
 
 // PickPrefill chooses the engine that prefills the prompt: one that only prefills, or one
@@ -93,7 +98,8 @@
 // requests on the engine lose, and the engine's failure rate. An engine that is done when
 // the prompt is due is preferred to one that costs less. An engine that is excluded after
 // failures is chosen only if there is no other; one whose limit does not allow another request
-// is never chosen. ok is false when there is none.
+// is never chosen. Neither is one that only prefills, unless an engine of its software version
+// can run the request. ok is false when there is none.
 func (b *Board) PickPrefill(now time.Duration, r PrefillRequest) (c PrefillChoice, ok bool) {
 	if c, ok = b.pickPrefill(now, r, true); !ok {
 		c, ok = b.pickPrefill(now, r, false)
@@ -106,11 +112,12 @@
 
 func (b *Board) pickPrefill(now time.Duration, r PrefillRequest, healthy bool) (c PrefillChoice, ok bool) {
 	part, shared := r.Prompt.shared()
-	homes := b.homes(r.Service, part)
+	handOver := b.handOverVersions(now, r, healthy)
+	homes := b.homes(part, r, handOver)
 	var best time.Duration
 	for pass := range 2 {
 		for _, t := range b.services[r.Service] {
-			if !t.eligible(now, r.Avoid, healthy) || !b.allows(now, t) {
+			if !t.eligible(now, r.Avoid, r.Version, healthy) || !b.allows(now, t) || !handOver.allow(t) {
 				continue
 			}
 			v, cost, fits := b.evaluate(now, t, r, part, shared, homes)
@@ -136,6 +143,30 @@
 	return c, ok
 }
 
+// handOverVersions are the software versions at which a prompt may be prefilled apart from its
+// run, or nil if every version may. A KV cache is not moved between versions.
+type handOverVersions map[string]bool
+
+// handOverVersions returns the versions with an engine that can run the request. Where the
+// service has had one version and the request is bound to none, it returns nil.
+func (b *Board) handOverVersions(now time.Duration, r PrefillRequest, healthy bool) handOverVersions {
+	if _, bound := r.Version.Version(); !bound && !b.versions[r.Service].several {
+		return nil
+	}
+	versions := make(handOverVersions)
+	for _, t := range b.services[r.Service] {
+		if b.canRun(now, t, r.Avoid, r.Version, healthy) {
+			versions[t.endpoint.Software()] = true
+		}
+	}
+	return versions
+}
+
+// allow reports whether a prompt that is prefilled at a target can run afterwards.
+func (v handOverVersions) allow(t *target) bool {
+	return v == nil || t.endpoint.Role() != lagoonhead.RolePrefill || v[t.endpoint.Software()]
+}
+
 // evaluate returns the prefill of a prompt at a target with its cost. fits is false when it
 // would delay the other requests of the target for longer than callers accept.
 func (b *Board) evaluate(now time.Duration, t *target, r PrefillRequest, part uint64, shared int, homes [2]*target) (v PrefillChoice, cost time.Duration, fits bool) {
@@ -166,14 +197,15 @@
 }
 
 // homes returns the preferred engine of a shared part, and the one that is preferred when
-// the first has a long queue: those with the highest rendezvous hashes.
-func (b *Board) homes(service string, part uint64) (homes [2]*target) {
+// the first has a long queue: of those whose software version suits the request, the ones with
+// the highest rendezvous hashes.
+func (b *Board) homes(part uint64, r PrefillRequest, handOver handOverVersions) (homes [2]*target) {
 	if part == 0 {
 		return homes
 	}
 	var highest [2]uint64
-	for _, t := range b.services[service] {
-		if t.endpoint.Role() != lagoonhead.RolePrefill || t.endpoint.Leaving() {
+	for _, t := range b.services[r.Service] {
+		if t.endpoint.Role() != lagoonhead.RolePrefill || t.endpoint.Leaving() || !r.Version.Allows(t.endpoint) || !handOver.allow(t) {
 			continue
 		}
 		h := mix(part, t.seed)
@@ -188,8 +220,16 @@
 	return homes
 }
 
-func (t *target) eligible(now time.Duration, avoid []lagoonhead.EndpointID, healthy bool) bool {
-	return !t.endpoint.Leaving() && now >= t.changingUntil && (!healthy || t.health.usable(now)) && !slices.Contains(avoid, t.endpoint.ID())
+// eligible reports whether a target may get a request that is bound to a software version, apart
+// from its role and its limit.
+func (t *target) eligible(now time.Duration, avoid []lagoonhead.EndpointID, v lagoonhead.VersionPin, healthy bool) bool {
+	return !t.endpoint.Leaving() && v.Allows(t.endpoint) && now >= t.changingUntil &&
+		(!healthy || t.health.usable(now)) && !slices.Contains(avoid, t.endpoint.ID())
+}
+
+// canRun reports whether a target may get a request to run now.
+func (b *Board) canRun(now time.Duration, t *target, avoid []lagoonhead.EndpointID, v lagoonhead.VersionPin, healthy bool) bool {
+	return t.endpoint.Role() != lagoonhead.RolePrefill && t.eligible(now, avoid, v, healthy) && b.allows(now, t)
 }
 
 // BeginPrefill records that a prompt is sent for prefill.
@@ -254,8 +294,8 @@
 
 // PickRun chooses the endpoint that runs a request: the one with the emptiest batch and
 // the lowest failure rate, in the failure domain Near if the difference is small. Engines
-// that only prefill are left out, and so are endpoints whose limit does not allow another
-// request; an endpoint that is excluded after failures is chosen only if there is no other.
+// that only prefill are left out, and so are endpoints of other software versions than the
+// request is bound to and those whose limit does not allow another request; an endpoint that is excluded after failures is chosen only if there is no other.
 // With Spread it draws one at random, the emptier the likelier. ok is false when there is none.
 func (b *Board) PickRun(now time.Duration, r RunRequest) (e lagoonhead.Endpoint, ok bool) {
 	if e, ok = b.pickRun(now, r, true); !ok {
@@ -274,7 +314,7 @@
 	for i := range list {
 		// The start of the search rotates, so that equal endpoints are chosen round-robin.
 		t := list[(i+int(b.runSearchStart%uint64(len(list))))%len(list)]
-		if t.endpoint.Role() == lagoonhead.RolePrefill || !t.eligible(now, r.Avoid, healthy) || !b.allows(now, t) {
+		if !b.canRun(now, t, r.Avoid, r.Version, healthy) {
 			continue
 		}
 		load := b.runLoad(now, t, r)
@@ -309,17 +349,16 @@
 	return load + float64(b.risk(now, t, r.Retryable))/float64(fullBatchCost)
 }
 
-// HasRoom reports whether an endpoint of the service that is not in avoid can run a request now.
-func (b *Board) HasRoom(now time.Duration, service string, avoid []lagoonhead.EndpointID) bool {
-	return slices.ContainsFunc(b.services[service], func(t *target) bool {
-		return t.endpoint.Role() != lagoonhead.RolePrefill && t.eligible(now, avoid, true) && b.allows(now, t) &&
-			b.running(now, t) < t.endpoint.Slots()
+// HasRoom reports whether an endpoint can run the request now.
+func (b *Board) HasRoom(now time.Duration, r RunRequest) bool {
+	return slices.ContainsFunc(b.services[r.Service], func(t *target) bool {
+		return b.canRun(now, t, r.Avoid, r.Version, true) && b.running(now, t) < t.endpoint.Slots()
 	})
 }
 
 // HasRole reports whether an engine of the service with the role can get work.
 func (b *Board) HasRole(now time.Duration, service string, r lagoonhead.Role) bool {
 	return slices.ContainsFunc(b.services[service], func(t *target) bool {
-		return t.endpoint.Role() == r && t.eligible(now, nil, true)
+		return t.endpoint.Role() == r && t.eligible(now, nil, lagoonhead.VersionPin{}, true)
 	})
 }
