dispatch: a stream that no endpoint can run is refused at once

A stream without a described prompt, for which no endpoint was left, was placed again and again: a refusal by placement counted as a failed send that may be repeated, but raised no count of sends. Each round took a send from the retry budget of the service until it was used up, or the deadline passed.

Without a KV cache, a run that can't be placed ends the request now; with one, the prompt may still be prefilled elsewhere, which counts as a send.

--- a/dispatch/dispatcher_test.go
+++ b/dispatch/dispatcher_test.go
@@ -251,6 +251,21 @@
 	}
 }
 
+// Guards against a stream that no endpoint can run and that takes sends from the retry budget again
+// and again without sending anything.
+func TestAStreamThatNoEndpointCanRunIsRefusedAtOnce(t *testing.T) {
+	s := &scriptedSender{t: t}
+	d := scriptedDispatcher(s)
+	granted := &countedRetries{left: 10}
+	d.RetryBudget = granted
+	setEngines(d, nil)
+	u, err := url.Parse("http://h/resumable/x")
+	require.NoError(t, err)
+	err = d.Serve(t.Context(), &Call{ID: "r", Method: http.MethodPost, Host: "h", URL: u}, &recordingSink{})
+	require.True(t, NotRun(err), "%v", err)
+	require.Zero(t, granted.taken)
+}
+
 // prefillingSender prefills every prompt and answers every run with a stream. While failing is
 // set it refuses prefills.
 type prefillingSender struct {
--- a/dispatch/stream.go
+++ b/dispatch/stream.go
@@ -59,7 +59,13 @@
 		if err != nil {
 			return r.finalError(ctx, err)
 		}
-		err = r.run(ctx, choice, handle)
+		e, err := r.beginRun(choice, handle)
+		if err != nil && handle == nil {
+			return r.finalError(ctx, err)
+		}
+		if err == nil {
+			err = r.run(ctx, e, choice, handle)
+		}
 		if err == nil {
 			handle = nil
 			r.Suspects.Finished(r.demand.Fingerprint())
@@ -223,13 +229,9 @@
 	return len(prefillClassBounds)
 }
 
-// run has an engine run the request and forwards its events. If v is set, that engine also
-// prefills the prompt.
-func (r *request) run(ctx context.Context, v *steer.PrefillChoice, h *lagoonhead.KVHandle) error {
-	e, err := r.beginRun(v, h)
-	if err != nil {
-		return err
-	}
+// run has the engine that beginRun chose run the request and forwards its events. If v is set, that
+// engine also prefills the prompt.
+func (r *request) run(ctx context.Context, e lagoonhead.Endpoint, v *steer.PrefillChoice, h *lagoonhead.KVHandle) error {
 	defer r.endRun(e)
 	began := r.Timer.Now()
 	endPrefillOnce := func(took time.Duration) {
