dispatch: a stream goes on only at the software version that began it

Callers got streams with events from two software versions of a service: an attempt that broke off was moved to any other engine, and a caller that took a stream up was served by any.

A stream is bound to the version of the engine that sends its first event, before the caller gets that event. StreamVersions is told then, unless the route is not resumable. A resume within the answer, the KV cache that it fetches and the silence watch use endpoints of that version only; where none can take it, the stream is cut as before.

A request with Last-Event-Id asks StreamVersions for the version of the stream that Resumes names, at the other services of a split route too, before it is admitted. If the version is not known, or no endpoint of it is left, the request is refused at once with a time to return. Without Resumes, without a StreamVersions and on routes that are not resumable it is served only if this daemon has seen one version of the service since it started.

A run behind a separate prefill goes to an engine of the version that keeps the KV cache.

--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -83,8 +83,11 @@
 	Sender      lagoonhead.Sender
 	Usage       UsageCounter
 	RetryBudget RetryBudget
-	Timer       timer.Timer
-	Log         *zap.Logger
+	// Versions may be nil. Then a stream is taken up only at a service of which this daemon has
+	// seen one software version.
+	Versions lagoonhead.StreamVersions
+	Timer    timer.Timer
+	Log      *zap.Logger
 	// Domain is the failure domain of this daemon.
 	Domain lagoonhead.FailureDomain
 
@@ -104,6 +107,9 @@
 	all                                              expvar.Map
 	calls, served, refused, failed, abandoned        expvar.Int
 	sends, retries, prefills, resumes, unusedHandles expvar.Int
+	// takeUps counts the requests that take a stream up, takeUpsUnknown those for which the software
+	// version of the stream was not known, and takeUpsRefused all that were refused.
+	takeUps, takeUpsUnknown, takeUpsRefused expvar.Int
 	// departures counts the endpoints that first said to this daemon that they leave.
 	departures expvar.Int
 	// silencesMoved counts the attempts that were given up because their endpoint was silent for
@@ -129,6 +135,7 @@
 			"calls": &c.calls, "served": &c.served, "refused": &c.refused, "failed": &c.failed,
 			"abandoned": &c.abandoned, "sends": &c.sends, "repeats": &c.retries, "prefills": &c.prefills,
 			"resumes": &c.resumes, "handlesNotTaken": &c.unusedHandles, "endpointsLeaving": &c.departures,
+			"takeUps": &c.takeUps, "takeUpsUnknown": &c.takeUpsUnknown, "takeUpsRefused": &c.takeUpsRefused,
 			"silencesMoved": &c.silencesMoved, "silencesWaited": &c.silencesWaited,
 		} {
 			c.all.Set(name, v)
@@ -276,6 +283,9 @@
 		d.vars.abandoned.Add(1)
 	case NotRun(err):
 		d.vars.refused.Add(1)
+		if r != nil && r.takeUp {
+			d.vars.takeUpsRefused.Add(1)
+		}
 	default:
 		d.vars.failed.Add(1)
 	}
--- a/dispatch/plain.go
+++ b/dispatch/plain.go
@@ -41,7 +41,7 @@
 			last = err
 			break
 		}
-		e, err := r.pickRun(r.Domain, false)
+		e, err := r.pickRun(nil)
 		if err != nil {
 			break
 		}
@@ -62,7 +62,7 @@
 		return r.deliver(fallback)
 	}
 	if last == nil {
-		return r.refuse("no endpoint of %s can take the request", r.service)
+		return r.refuse(lagoonhead.VersionPin{}, "the request")
 	}
 	return r.finalError(ctx, last)
 }
@@ -77,7 +77,7 @@
 	if r.mayMove() {
 		watch := r.watchSilence(e, cancel)
 		defer r.endWatch(watch)
-		watch.restart(r.remaining() / 2)
+		watch.restart(r.remaining()/2, lagoonhead.VersionPin{})
 	}
 	a := r.newAttempt(e)
 	a.NewConnection = r.route.RetryPolicy == catalog.RetryNever
--- a/dispatch/request.go
+++ b/dispatch/request.go
@@ -46,6 +46,11 @@
 	usageCounted bool
 	// started is true once the sink has got the beginning of an answer.
 	started bool
+	// takeUp is true if the caller takes up a stream that began with another request.
+	takeUp bool
+	// version is the software version of the stream, which it may not leave. It is set before the
+	// caller gets the first event, or is that at which a stream that is taken up began.
+	version lagoonhead.VersionPin
 	// steps describes each decision on the request, with its time since the arrival.
 	steps []string
 }
@@ -77,6 +82,9 @@
 	if err := r.checkSuspects(); err != nil {
 		return err
 	}
+	if err := r.findVersion(ctx); err != nil {
+		return err
+	}
 	reservation, err := r.admit(ctx)
 	if err != nil {
 		return err
@@ -274,26 +282,33 @@
 	}
 }
 
-// pickRun chooses the endpoint of the next run and counts the run there. transfer reports
-// whether the KV cache of the prompt is in the failure domain near.
-func (r *request) pickRun(near lagoonhead.FailureDomain, transfer bool) (lagoonhead.Endpoint, error) {
+// pickRun chooses the endpoint of the next run and counts the run there. source is the engine that
+// keeps the KV cache of the prompt, or nil.
+func (r *request) pickRun(source *lagoonhead.Endpoint) (lagoonhead.Endpoint, error) {
 	now := r.Timer.Now()
 	var e lagoonhead.Endpoint
 	var ok bool
+	q := r.runRequest(source)
 	r.WithBoard(func(b *steer.Board) {
-		if e, ok = b.PickRun(now, r.runRequest(near, transfer)); ok {
+		if e, ok = b.PickRun(now, q); ok {
 			b.AddRunning(e, 1)
 		}
 	})
 	if !ok {
-		return e, r.refuse("no endpoint of %s can take the request", r.service)
+		return e, r.refuse(q.Version, "the request")
 	}
 	r.addStep("run at %s in %s", e.ID(), e.FailureDomain())
 	return e, nil
 }
 
-func (r *request) runRequest(near lagoonhead.FailureDomain, transfer bool) steer.RunRequest {
-	return steer.RunRequest{Service: r.service, Near: near, Transfer: transfer, Retryable: r.retryable(), Avoid: r.avoid}
+// runRequest describes the next run. source is the engine that keeps the KV cache of the prompt, or
+// nil. A KV cache is not moved to an engine of another software version.
+func (r *request) runRequest(source *lagoonhead.Endpoint) steer.RunRequest {
+	q := steer.RunRequest{Service: r.service, Near: r.Domain, Retryable: r.retryable(), Avoid: r.avoid, Version: r.version}
+	if source != nil {
+		q.Near, q.Transfer, q.Version = source.FailureDomain(), true, lagoonhead.PinVersion(source.Software())
+	}
+	return q
 }
 
 func (r *request) endRun(e lagoonhead.Endpoint) {
@@ -304,10 +319,21 @@
 // that failed are tried again after some hundred milliseconds.
 const busyRetryAfter = 300 * time.Millisecond
 
-func (r *request) refuse(format string, args ...any) error {
-	e := failf("place", lagoonhead.KindUnavailable, format, args...)
+// refuse returns the error of a request, or a part of it, that no endpoint of its software version
+// can take.
+func (r *request) refuse(v lagoonhead.VersionPin, what string) error {
 	now := r.Timer.Now()
-	r.WithBoard(func(b *steer.Board) { e.retryAfter = max(busyRetryAfter, b.LimitWait(now, r.service, lagoonhead.VersionPin{})) })
+	after, serves := busyRetryAfter, true
+	r.WithBoard(func(b *steer.Board) {
+		after = max(after, b.LimitWait(now, r.service, v))
+		serves = b.HasVersion(r.service, v)
+	})
+	e := failf("place", lagoonhead.KindUnavailable, "no endpoint of %s at %s can take %s", r.service, v, what)
+	if _, bound := v.Version(); bound && !serves {
+		e = failf("place", lagoonhead.KindUnavailable, "no endpoint of %s at %s is registered and stays", r.service, v)
+		after = max(after, versionRetryAfter)
+	}
+	e.retryAfter = after
 	return e
 }
 
--- a/dispatch/silence.go
+++ b/dispatch/silence.go
@@ -21,6 +21,8 @@
 	*Dispatcher
 	cancel  context.CancelCauseFunc
 	service string
+	// version is the software version to which the request is bound, guarded by mu.
+	version lagoonhead.VersionPin
 	// avoid lists the endpoints that can't take the request, with that of the attempt.
 	avoid []lagoonhead.EndpointID
 	// needed is the number of sends that the move takes from the retry budget.
@@ -62,10 +64,12 @@
 	}
 }
 
-// restart makes the attempt be abandoned after a silence of at least the given time.
-func (w *silenceWatch) restart(after time.Duration) {
+// restart makes the attempt be abandoned after a silence of at least the given time, if an endpoint
+// that the version allows can take the request then.
+func (w *silenceWatch) restart(after time.Duration, v lagoonhead.VersionPin) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	w.version = v
 	w.arm(after)
 }
 
@@ -114,7 +118,9 @@
 func (w *silenceWatch) takeMove() bool {
 	now := w.Timer.Now()
 	ok := false
-	w.WithBoard(func(b *steer.Board) { ok = b.HasRoom(now, steer.RunRequest{Service: w.service, Avoid: w.avoid}) })
+	w.WithBoard(func(b *steer.Board) {
+		ok = b.HasRoom(now, steer.RunRequest{Service: w.service, Avoid: w.avoid, Version: w.version})
+	})
 	for ok && w.taken < w.needed {
 		if ok = w.RetryBudget.Take(w.service); ok {
 			w.taken++
--- a/dispatch/stream.go
+++ b/dispatch/stream.go
@@ -83,7 +83,7 @@
 		}
 		if r.started {
 			r.vars.resumes.Add(1)
-			r.addStep("resume behind event %s", r.call.LastEventID)
+			r.addStep("resume behind event %s, %s", r.call.LastEventID, r.version)
 		}
 	}
 }
@@ -111,7 +111,7 @@
 	for {
 		v, ok := r.pickPrefill()
 		if !ok {
-			return nil, r.refuse("no engine of %s can take the prompt", r.service)
+			return nil, r.refuse(r.version, "the prompt")
 		}
 		r.addStep("read at %s: apart %t, %d tokens, expected in %s", v.Endpoint.ID(), v.PrefillOnly, v.Tokens, v.Wait.Round(time.Millisecond))
 		// A caller that has a part of the stream may wait on, and a refusal would cut it off.
@@ -147,7 +147,7 @@
 	now := r.Timer.Now()
 	q := steer.PrefillRequest{
 		Service: r.service, Prompt: r.call.Prompt, Due: r.prefillDue(), MaxPause: r.route.PauseObjective,
-		Retryable: r.retryable(), Avoid: r.avoid,
+		Retryable: r.retryable(), Avoid: r.avoid, Version: r.version,
 	}
 	r.returnReservation()
 	r.WithBoard(func(b *steer.Board) {
@@ -157,7 +157,7 @@
 		if v.PrefillOnly {
 			var e lagoonhead.Endpoint
 			var reserved bool
-			if e, reserved, ok = b.ReserveRun(now, r.runRequest(v.Endpoint.FailureDomain(), true)); !ok {
+			if e, reserved, ok = b.ReserveRun(now, r.runRequest(&v.Endpoint)); !ok {
 				b.ReturnToLimit(v.Endpoint)
 				return
 			}
@@ -249,7 +249,7 @@
 	if r.mayMove() {
 		watch := r.watchSilence(e, cancel)
 		defer r.endWatch(watch)
-		pauseWatch, restartWatch = watch.pause, func() { watch.restart(r.silenceTimeout()) }
+		pauseWatch, restartWatch = watch.pause, func() { watch.restart(r.silenceTimeout(), r.version) }
 		restartWatch()
 	}
 	a := r.newAttempt(e)
@@ -270,6 +270,7 @@
 	answered := false
 	err = r.relayEvents(ans, pauseWatch, restartWatch, func() {
 		answered = true
+		r.beginVersion(ctx, e)
 		endPrefillOnce(r.Timer.Now() - began)
 		if h != nil {
 			now := r.Timer.Now()
@@ -297,9 +298,9 @@
 		if e, ok := r.beginReservedRun(); ok {
 			return e, nil
 		}
-		return r.pickRun(h.Engine.FailureDomain(), true)
+		return r.pickRun(&h.Engine)
 	}
-	return r.pickRun(r.Domain, false)
+	return r.pickRun(nil)
 }
 
 // beginReservedRun counts the run at the engine that was reserved for it, if there is one that
@@ -402,7 +403,7 @@
 		return
 	}
 	r.started = true
-	r.addStep("first event")
+	r.addStep("first event, %s", r.version)
 	r.vars.firstEventLatency.Record(r.Timer.Now() - r.arrived)
 	r.sink.Start(ans.Status, ans.Header)
 }
--- a/routing.go
+++ b/routing.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"strconv"
 	"time"
 )
 
@@ -124,10 +123,13 @@
 
 // String returns the version for logs.
 func (p VersionPin) String() string {
-	if !p.set {
+	switch {
+	case !p.set:
 		return "any version"
+	case p.software == "":
+		return "the empty version"
 	}
-	return "version " + strconv.Quote(p.software)
+	return "version " + p.software
 }
 
 // StreamVersions remembers at which software version of a service each stream began. A stream
--- a/steer/board.go
+++ b/steer/board.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/bits"
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -233,6 +234,11 @@
 	return v.first, ok && !v.several
 }
 
+// HasVersion reports whether an endpoint that the pin allows is registered and does not leave.
+func (b *Board) HasVersion(service string, v lagoonhead.VersionPin) bool {
+	return slices.ContainsFunc(b.services[service], func(t *target) bool { return v.Allows(t.endpoint) && !t.endpoint.Leaving() })
+}
+
 // CacheCapacity returns the KV cache capacity of an engine of the service, in tokens.
 type CacheCapacity func(service string) int
 
