dispatch: logs and counters tell the software version of a stream

Nothing in the log said at which software version a stream began or went on, so that an event of another version in it could not be traced.

A request's line has the software version to which its stream is bound, and the request that the caller resumes; its steps say at which version the first event came, each move and take-up happened, and where the version was learnt; the error says why a take-up was refused. Registrations are logged with the version. takeUps, takeUpsUnknown and takeUpsRefused count.

--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -300,13 +300,20 @@
 }
 
 // logFields returns the log fields of a request: its identifiers, the version of the
-// configuration it was served with, and each decision with its inputs.
+// configuration it was served with, the software version of its stream, and each decision with its
+// inputs.
 func (r *request) logFields() []zap.Field {
 	f := []zap.Field{
 		zap.String("request", string(r.call.ID)), zap.String("route", r.route.Name), zap.Int64("configVersion", r.configVersion),
 		zap.String("service", r.service), zap.Duration("took", r.Timer.Now()-r.arrived), zap.Int("sends", r.sends), zap.Int("runs", r.runs),
 		zap.String("fingerprint", strconv.FormatUint(r.demand.Fingerprint(), 16)), zap.Strings("steps", r.steps),
 	}
+	if software, ok := r.version.Version(); ok {
+		f = append(f, zap.String("software", software))
+	}
+	if r.takeUp {
+		f = append(f, zap.String("resumes", string(r.call.Resumes)))
+	}
 	if r.workspace != nil {
 		f = append(f, zap.String("workspace", string(r.workspace.ID)), zap.Int64("tokens", r.demand.Charge()))
 	}
--- a/dispatch/version.go
+++ b/dispatch/version.go
@@ -24,6 +24,9 @@
 	if !ok {
 		r.vars.takeUpsUnknown.Add(1)
 		e := failf("takeUp", lagoonhead.KindUnavailable, "the software version of %s at which the stream of request %s began is not known", r.service, r.call.Resumes)
+		if r.call.Resumes == "" {
+			e = failf("takeUp", lagoonhead.KindUnavailable, "the caller names no stream, and more than one software version of %s, or none, was seen", r.service)
+		}
 		e.retryAfter = versionRetryAfter
 		return e
 	}
@@ -67,5 +70,7 @@
 	if r.Versions == nil || !r.route.Resumable {
 		return
 	}
+	began := r.Timer.Now()
 	r.Versions.Begin(ctx, r.service, r.call.ID, e.Software())
+	r.addStep("the version was told to other VMs in %s", (r.Timer.Now() - began).Round(100*time.Microsecond))
 }
--- a/dispatch/version_test.go
+++ b/dispatch/version_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http"
 	"net/url"
 	"os"
@@ -10,6 +11,8 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/stretchr/testify/require"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zaptest/observer"
 	"go.yaml.in/yaml/v3"
 
 	"github.com/lagoonhead/lagoonhead"
@@ -261,3 +264,46 @@
 	require.True(t, NotRun(takeUp()))
 	require.Equal(t, map[string]bool{"second": true}, s.services)
 }
+
+// Guards against streams whose software version, or the reason why they were refused, cannot be told
+// from the log and the counters.
+func TestTheLogTellsTheVersionOfAStream(t *testing.T) {
+	core, lines := observer.New(zap.InfoLevel)
+	sender := &versionSender{scriptedSender: scriptedSender{t: t}, at: make([]string, 3)}
+	sink := &recordingSink{}
+	d := versionDispatcher(versionCase{Engines: map[lagoonhead.EndpointID]string{"a": "v1", "b": "v1"}}, sender, &memory{
+		t: t, sink: sink, known: map[lagoonhead.RequestID]string{"r": "v1"},
+	})
+	d.Log = zap.New(core)
+	const event = "id: 1\ndata: a\n\n"
+	sender.script = []scriptedSend{{Status: 200, Body: event, Cut: true}, {After: "1", Status: 200, Body: event}, {After: "1", Status: 200, Body: event}}
+	u, err := url.Parse("http://h/resumable/x")
+	require.NoError(t, err)
+	line := func(c Call) map[string]any {
+		c.ID, c.Method, c.Host, c.URL = "r", http.MethodPost, "h", u
+		_ = d.Serve(t.Context(), &c, sink)
+		return lines.TakeAll()[0].ContextMap()
+	}
+
+	begun := line(Call{})
+	require.Equal(t, "v1", begun["software"])
+	steps := fmt.Sprint(begun["steps"])
+	for _, step := range []string{"the version was told to other VMs in", "first event, version v1", "resume behind event 1, version v1"} {
+		require.Contains(t, steps, step)
+	}
+	takenUp := line(Call{LastEventID: "1", Resumes: "r"})
+	require.Equal(t, "v1", takenUp["software"])
+	require.Equal(t, "r", takenUp["resumes"])
+	require.Contains(t, fmt.Sprint(takenUp["steps"]), "takes up the stream of request r behind event 1, version v1, learnt from a test")
+	unknown := line(Call{LastEventID: "1", Resumes: "other"})
+	require.NotContains(t, unknown, "software")
+	require.Equal(t, "other", unknown["resumes"])
+	require.Contains(t, unknown["error"], "the software version of s at which the stream of request other began is not known")
+	setVersions(d, map[lagoonhead.EndpointID]string{"a": "v1.1"})
+	require.Contains(t, line(Call{LastEventID: "1", Resumes: "r"})["error"], "no endpoint of s at version v1 is registered and stays")
+
+	vars := d.Vars()
+	for name, want := range map[string]string{"takeUps": "3", "takeUpsUnknown": "1", "takeUpsRefused": "2"} {
+		require.Equal(t, want, vars.Get(name).String(), name)
+	}
+}
--- a/entry/state.go
+++ b/entry/state.go
@@ -116,7 +116,7 @@
 		return
 	}
 	p.roster.Put(e.Key, v)
-	p.log.Info("endpoint registered", zap.String("endpoint", string(v.ID())), zap.String("service", v.Serves()),
+	p.log.Info("endpoint registered", zap.String("endpoint", string(v.ID())), zap.String("service", v.Serves()), zap.String("software", v.Software()),
 		zap.String("role", string(v.Role())), zap.Bool("leaving", v.Leaving()), zap.String("supply", string(v.Supply())),
 		zap.String("failureDomain", string(v.FailureDomain())), zap.String("address", v.Address()))
 }
