steer: a prompt is not prefilled where the engines to run it are crowded

A prompt that is prefilled apart can run only at the software version of the engine that keeps its KV cache. The cost of a prefill had no regard to the run, which was the same for all engines of the service; with several versions a few engines that decode would get the prompts of many that prefill.

The cost has what a run costs at the emptiest engine of the version beyond that at the emptiest of all. With one version, or equally full ones, nothing changes.

--- a/steer/pick.go
+++ b/steer/pick.go
@@ -1,6 +1,7 @@
 package steer
 
 import (
+	"math"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -29,6 +30,9 @@
 	// fullBatchCost is how much later the first event comes in a full batch than in an empty
 	// one.
 	fullBatchCost = 100 * time.Millisecond
+	// queueCost is how much later the first event comes for each further batch of requests that wait
+	// at an engine whose batch is full.
+	queueCost = time.Second
 	// minSharedTokens is the length of the shortest shared prefix, in tokens, that is tracked
 	// in the cache estimate. A shorter one is prefilled again in some milliseconds.
 	minSharedTokens = 1024
@@ -121,6 +125,9 @@
 				continue
 			}
 			v, cost, fits := b.evaluate(now, t, r, part, shared, homes)
+			if v.PrefillOnly {
+				cost += handOver[t.endpoint.Software()]
+			}
 			// A prompt whose prefill would delay running requests for too long is
 			// prefilled among them only if there is no other engine.
 			if !fits && pass == 0 {
@@ -144,8 +151,9 @@
 }
 
 // handOverVersions are the software versions at which a prompt may be prefilled apart from its
-// run, or nil if every version may. A KV cache is not moved between versions.
-type handOverVersions map[string]bool
+// run, or nil if every version may. A KV cache is not moved between versions. The values are the costs
+// of a run at the emptiest engine of the version, beyond those at the emptiest of all.
+type handOverVersions map[string]time.Duration
 
 // handOverVersions returns the versions with an engine that can run the request. Where the
 // service has had one version and the request is bound to none, it returns nil.
@@ -154,17 +162,31 @@
 		return nil
 	}
 	versions := make(handOverVersions)
+	least := time.Duration(math.MaxInt64)
 	for _, t := range b.services[r.Service] {
-		if b.canRun(now, t, r.Avoid, r.Version, healthy) {
-			versions[t.endpoint.Software()] = true
+		if !b.canRun(now, t, r.Avoid, r.Version, healthy) {
+			continue
 		}
+		load := float64(b.running(now, t)) / float64(max(1, t.endpoint.Slots()))
+		cost := time.Duration(load*float64(fullBatchCost) + max(0, load-1)*float64(queueCost))
+		if other, ok := versions[t.endpoint.Software()]; !ok || cost < other {
+			versions[t.endpoint.Software()] = cost
+		}
+		least = min(least, cost)
+	}
+	for v := range versions {
+		versions[v] -= least
 	}
 	return versions
 }
 
 // allow reports whether a prompt that is prefilled at a target can run afterwards.
 func (v handOverVersions) allow(t *target) bool {
-	return v == nil || t.endpoint.Role() != lagoonhead.RolePrefill || v[t.endpoint.Software()]
+	if v == nil || t.endpoint.Role() != lagoonhead.RolePrefill {
+		return true
+	}
+	_, ok := v[t.endpoint.Software()]
+	return ok
 }
 
 // evaluate returns the prefill of a prompt at a target with its cost. fits is false when it
--- a/steer/version_test.go
+++ b/steer/version_test.go
@@ -52,6 +52,8 @@
 		case "", "leaving":
 		case "full":
 			b.AddRunning(e, e.Slots())
+		case "crowded":
+			b.AddRunning(e, 100*e.Slots())
 		case "failing":
 			b.RecordResult(now, e, Unreachable)
 		case "limited":
