relay: resume tokens have the software version of the engine

In the chat interface a caller resumes a stream by a sealed token, on the engine that ran the request. An engine of the same identifier whose software has been replaced by another version was accepted.

The token has the version, and VersionPin decides, as on the platform; another version is answered like an engine that is gone (410). A token without a version, which older daemons seal, stands for the empty version.

TestResumeOnAnotherSoftwareVersion, TestATokenWithoutASoftwareVersion with a token that the former code sealed; TestTokens checks both forms.

--- a/caller/completion.go
+++ b/caller/completion.go
@@ -391,7 +391,7 @@
 // on the same engine only, because no other one has the rest of the response.
 func (c *completionRun) transfer(e lagoonhead.Endpoint, events lagoonhead.EventStream, after int64) relay.Transfer {
 	return relay.Transfer{
-		Request: c.request, Endpoint: e.ID(), Stream: events, AfterOffset: after, IncludeUsage: c.includeUsage,
+		Request: c.request, Endpoint: e.ID(), Software: e.Software(), Stream: events, AfterOffset: after, IncludeUsage: c.includeUsage,
 		Resume: func(ctx context.Context, after int64) (lagoonhead.EventStream, lagoonhead.EndpointID, error) {
 			v, err := c.openStream(ctx, e, after)
 			return v, e.ID(), err
--- a/caller/resume.go
+++ b/caller/resume.go
@@ -18,12 +18,12 @@
 	if err != nil {
 		return err
 	}
-	e, ok := x.findEngine(body.model, token.Endpoint())
+	e, ok := x.findEngine(body.model, token.Endpoint(), token.Pin())
 	x.id = token.Request()
 	x.writer.Header().Set(headerRequestID, string(x.id))
 	x.runState = runYes
 	if !ok {
-		return refusal(http.StatusGone, lagoonhead.KindNotFound, "resume_gone", "the endpoint that ran the request is gone")
+		return refusal(http.StatusGone, lagoonhead.KindNotFound, "resume_gone", "the endpoint that ran the request is gone, or its software has another version")
 	}
 	req, err := x.newRequest(body.model)
 	if err != nil {
@@ -49,9 +49,10 @@
 	}
 }
 
-func (x *exchange) findEngine(model string, id lagoonhead.EndpointID) (lagoonhead.Endpoint, bool) {
+// findEngine returns the engine with the identifier, if the pin allows it.
+func (x *exchange) findEngine(model string, id lagoonhead.EndpointID, v lagoonhead.VersionPin) (lagoonhead.Endpoint, bool) {
 	for _, e := range x.directory.Endpoints(lagoonhead.EndpointKindEngine, model) {
-		if e.ID() == id {
+		if e.ID() == id && v.Allows(e) {
 			return e, true
 		}
 	}
--- a/caller/resume_test.go
+++ b/caller/resume_test.go
@@ -69,6 +69,29 @@
 	require.Equal(t, string(runYes), res.Header.Get(headerRun))
 }
 
+// Guards against a stream that is resumed on an engine whose software has another version than the one
+// that began it.
+func TestResumeOnAnotherSoftwareVersion(t *testing.T) {
+	version := func(st *stub, software string) {
+		for i, e := range st.endpoints {
+			st.endpoints[i] = e.WithSoftware(software)
+		}
+	}
+	_, st, srv, _ := newTestServer(t)
+	version(st, "v1")
+	st.engine = breakingEngine(2, lagoonhead.KindUnknown)
+	_, first := postCompletion(t, srv.URL, "kA", streamBody)
+	ids := eventID.FindAllStringSubmatch(first, -1)
+	require.Len(t, ids, 2)
+	for software, want := range map[string]int{"v1": http.StatusOK, "v1.1": http.StatusGone, "": http.StatusGone} {
+		_, st, srv, _ := newTestServer(t)
+		version(st, software)
+		res, body := postCompletion(t, srv.URL, "kA", streamBody, "Last-Event-ID", ids[1][1])
+		require.Equal(t, want, res.StatusCode, body)
+		require.Equal(t, want == http.StatusOK, len(st.attempts()) > 0, "version %q", software)
+	}
+}
+
 // Guards against spans and engine requests outside the caller's trace, and against a
 // key that reaches an engine.
 func TestTraceAndHeaders(t *testing.T) {
--- a/relay/output.go
+++ b/relay/output.go
@@ -64,7 +64,7 @@
 // writeEvent writes one event and does not flush.
 func (o *output) writeEvent(e lagoonhead.EndpointID, v lagoonhead.StreamEvent) error {
 	if o.sealer == nil || e != o.endpoint {
-		s, err := o.relay.Sealer.stream(e, o.transfer.Request.ID(), o.transfer.Request.Workspace())
+		s, err := o.relay.Sealer.stream(NewResumePoint(e, o.transfer.Request.ID(), o.transfer.Request.Workspace(), 0).WithSoftware(o.transfer.Software))
 		if err != nil {
 			return err
 		}
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -78,6 +78,9 @@
 	Request *lagoonhead.Request
 	// Endpoint is the engine that Stream was opened on.
 	Endpoint lagoonhead.EndpointID
+	// Software is the software version of Endpoint, and of each one on which Resume reopens the
+	// response.
+	Software string
 	// Stream is the open response. The Relay closes it.
 	Stream lagoonhead.EventStream
 	// AfterOffset is the offset of the last event that the caller has, or -1 for a new
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -232,6 +232,13 @@
 // Guards against a token that can be opened after one bit was altered or it was
 // truncated, with another key, or for another workspace.
 func TestTokens(t *testing.T) {
+	for _, software := range []string{"", "v1.1"} {
+		t.Run(software, func(t *testing.T) { checkTokens(t, software) })
+	}
+}
+
+// checkTokens checks the tokens of an engine with a software version.
+func checkTokens(t *testing.T, software string) {
 	oldKey, newKey := bytes.Repeat([]byte{1}, KeyBytes), bytes.Repeat([]byte{2}, KeyBytes)
 	oldOnly, err := NewSealer(oldKey)
 	require.NoError(t, err)
@@ -239,7 +246,7 @@
 	require.NoError(t, err)
 	newOnly, err := NewSealer(newKey)
 	require.NoError(t, err)
-	p := NewResumePoint("e1", "r1", "w1", 1<<40)
+	p := NewResumePoint("e1", "r1", "w1", 1<<40).WithSoftware(software)
 	token, err := oldOnly.Seal(p)
 	require.NoError(t, err)
 	got, err := newAndOld.Open(token, "w1")
@@ -264,6 +271,22 @@
 	require.Equal(t, lagoonhead.KindInvalid, lagoonhead.KindOf(err))
 }
 
+// Guards against a token of an older daemon that is refused, or that allows an engine that names its
+// software version.
+func TestATokenWithoutASoftwareVersion(t *testing.T) {
+	const sealed = "AW7q_BvUYfRLktyHMYcz4hAAAAAAAAAAKTOuSW0cEM0R7eSxkJNDKFxbtvuXlCj2qBs"
+	s, err := NewSealer(bytes.Repeat([]byte{1}, KeyBytes))
+	require.NoError(t, err)
+	p, err := s.Open(sealed, "w1")
+	require.NoError(t, err)
+	require.Equal(t, NewResumePoint("e1", "r1", "w1", 41), p)
+	e := lagoonhead.NewEndpoint("e1", lagoonhead.EndpointKindEngine, "m", "", "d")
+	require.True(t, p.Pin().Allows(e))
+	require.False(t, p.Pin().Allows(e.WithSoftware("v1")))
+	require.True(t, p.WithSoftware("v1").Pin().Allows(e.WithSoftware("v1")))
+	require.False(t, p.WithSoftware("v1").Pin().Allows(e))
+}
+
 // engineJob starts a request whose response is resumed on the same engine.
 func engineJob(ctx context.Context, s *engine.Streamer, e lagoonhead.Endpoint, id lagoonhead.RequestID, body []byte) (Transfer, error) {
 	c := lagoonhead.Completion{Request: lagoonhead.NewRequest(id, "w1", "m", 0), Body: body, ResumeOffset: -1}
--- a/relay/token.go
+++ b/relay/token.go
@@ -18,12 +18,15 @@
 	// KeyBytes is the size of a key of a Sealer.
 	KeyBytes = 32
 
-	tokenVersion = 1
-	saltBytes    = 16
-	offsetBytes  = 8
-	nonceBytes   = 12
-	headerBytes  = 1 + saltBytes + offsetBytes
-	keyInfo      = "lagoonhead resume token"
+	// plainTokenVersion is the format of tokens of endpoints that name no software version, and of
+	// all tokens of older daemons. tokenVersion has the software version too.
+	plainTokenVersion = 1
+	tokenVersion      = 2
+	saltBytes         = 16
+	offsetBytes       = 8
+	nonceBytes        = 12
+	headerBytes       = 1 + saltBytes + offsetBytes
+	keyInfo           = "lagoonhead resume token"
 )
 
 // tokenEncoding is strict, because otherwise the unused bits of the last character
@@ -36,6 +39,7 @@
 	request   lagoonhead.RequestID
 	workspace lagoonhead.WorkspaceID
 	offset    int64
+	software  string
 }
 
 // NewResumePoint returns the position after the event with the given offset.
@@ -43,6 +47,13 @@
 	return ResumePoint{endpoint: e, request: r, workspace: w, offset: offset}
 }
 
+// WithSoftware returns a copy of a response of an engine that runs the given version of its software.
+func (p ResumePoint) WithSoftware(version string) ResumePoint { p.software = version; return p }
+
+// Pin returns the pin to the software version of the engine, which alone can resume the response. It
+// is the empty version if the engine named none, or an older daemon sealed the token.
+func (p ResumePoint) Pin() lagoonhead.VersionPin { return lagoonhead.PinVersion(p.software) }
+
 // Endpoint returns the engine that ran the request.
 func (p ResumePoint) Endpoint() lagoonhead.EndpointID { return p.endpoint }
 
@@ -58,8 +69,9 @@
 // Sealer encrypts (seals) and decrypts (opens) resume tokens. It is safe for concurrent
 // use.
 //
-// A token is the base64 form of the version, the salt of the stream key, the offset, and
-// the ciphertext of the endpoint, the request and the workspace.
+// A token is the base64 form of the format version, the salt of the stream key, the offset, and
+// the ciphertext of the endpoint, the request, the workspace and, unless it is empty, the software
+// version.
 type Sealer struct {
 	keys [][]byte
 }
@@ -101,17 +113,22 @@
 // concurrent use.
 type streamSealer struct {
 	aead cipher.AEAD
-	// header is the version, the salt and the offset.
+	// header is the format version, the salt and the offset.
 	header    [headerBytes]byte
 	nonce     [nonceBytes]byte
 	plaintext []byte
 	token     []byte
 }
 
-// stream returns a streamSealer, with a new salt, for a stream from one endpoint.
-func (s *Sealer) stream(e lagoonhead.EndpointID, r lagoonhead.RequestID, w lagoonhead.WorkspaceID) (*streamSealer, error) {
+// stream returns a streamSealer, with a new salt, for the stream of p.
+func (s *Sealer) stream(p ResumePoint) (*streamSealer, error) {
 	v := &streamSealer{}
-	v.header[0] = tokenVersion
+	v.header[0] = plainTokenVersion
+	v.plaintext = appendString(appendString(appendString(nil, string(p.endpoint)), string(p.request)), string(p.workspace))
+	if p.software != "" {
+		v.header[0] = tokenVersion
+		v.plaintext = appendString(v.plaintext, p.software)
+	}
 	salt := v.header[1 : 1+saltBytes]
 	if _, err := rand.Read(salt); err != nil {
 		return nil, fail("relay.seal", lagoonhead.KindInternal, err)
@@ -120,7 +137,6 @@
 	if v.aead, err = streamKey(s.keys[0], salt); err != nil {
 		return nil, fail("relay.seal", lagoonhead.KindInternal, err)
 	}
-	v.plaintext = appendString(appendString(appendString(nil, string(e)), string(r)), string(w))
 	v.token = make([]byte, 0, headerBytes+len(v.plaintext)+v.aead.Overhead())
 	return v, nil
 }
@@ -136,7 +152,7 @@
 
 // Seal returns the token for a point.
 func (s *Sealer) Seal(p ResumePoint) (string, error) {
-	v, err := s.stream(p.endpoint, p.request, p.workspace)
+	v, err := s.stream(p)
 	if err != nil {
 		return "", err
 	}
@@ -148,7 +164,7 @@
 // with KindInvalid for any other invalid token.
 func (s *Sealer) Open(token string, w lagoonhead.WorkspaceID) (ResumePoint, error) {
 	b, err := tokenEncoding.DecodeString(token)
-	if err != nil || len(b) < headerBytes || b[0] != tokenVersion {
+	if err != nil || len(b) < headerBytes || (b[0] != plainTokenVersion && b[0] != tokenVersion) {
 		return ResumePoint{}, invalidTokenError()
 	}
 	for _, k := range s.keys {
@@ -181,11 +197,16 @@
 	e, plain, ok1 := cutString(plain)
 	r, plain, ok2 := cutString(plain)
 	w, plain, ok3 := cutString(plain)
+	software, ok4 := "", true
+	if b[0] == tokenVersion {
+		software, plain, ok4 = cutString(plain)
+	}
 	offset := int64(binary.BigEndian.Uint64(b[1+saltBytes : headerBytes]))
-	if !ok1 || !ok2 || !ok3 || len(plain) != 0 || offset < 0 {
+	if !ok1 || !ok2 || !ok3 || !ok4 || len(plain) != 0 || offset < 0 {
 		return p, false
 	}
-	return NewResumePoint(lagoonhead.EndpointID(e), lagoonhead.RequestID(r), lagoonhead.WorkspaceID(w), offset), true
+	p = NewResumePoint(lagoonhead.EndpointID(e), lagoonhead.RequestID(r), lagoonhead.WorkspaceID(w), offset)
+	return p.WithSoftware(software), true
 }
 
 // appendString appends s with its length as a prefix.
