--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -40,6 +40,9 @@
 	Prompt    steer.Prompt
 	// LastEventID is the ID of the last event that the caller has received, or empty.
 	LastEventID string
+	// Resumes is the ID of the request that brought the first event of the stream that the
+	// caller takes up behind LastEventID, or empty.
+	Resumes lagoonhead.RequestID
 }
 
 // Sink receives the answer. Start is called at most once, before the other methods.
@@ -80,8 +83,11 @@
 	Sender      lagoonhead.Sender
 	Usage       UsageCounter
 	RetryBudget RetryBudget
-	Timer       timer.Timer
-	Log         *zap.Logger
+	// Versions may be nil. Then a stream is taken up only at a service of which this daemon has
+	// seen one software version.
+	Versions lagoonhead.StreamVersions
+	Timer    timer.Timer
+	Log      *zap.Logger
 	// Domain is the failure domain of this daemon.
 	Domain lagoonhead.FailureDomain
 
@@ -101,6 +107,9 @@
 	all                                              expvar.Map
 	calls, served, refused, failed, abandoned        expvar.Int
 	sends, retries, prefills, resumes, unusedHandles expvar.Int
+	// takeUps counts the requests that take a stream up, takeUpsUnknown those for which the software
+	// version of the stream was not known, and takeUpsRefused all that were refused.
+	takeUps, takeUpsUnknown, takeUpsRefused expvar.Int
 	// departures counts the endpoints that first said to this daemon that they leave.
 	departures expvar.Int
 	// extraResponses counts the responses that endpoints sent once more for earlier requests.
@@ -129,7 +138,8 @@
 			"abandoned": &c.abandoned, "sends": &c.sends, "repeats": &c.retries, "prefills": &c.prefills,
 			"resumes": &c.resumes, "handlesNotTaken": &c.unusedHandles, "endpointsLeaving": &c.departures,
 			"extraResponses": &c.extraResponses,
-			"silencesMoved":  &c.silencesMoved, "silencesWaited": &c.silencesWaited,
+			"takeUps":        &c.takeUps, "takeUpsUnknown": &c.takeUpsUnknown, "takeUpsRefused": &c.takeUpsRefused,
+			"silencesMoved": &c.silencesMoved, "silencesWaited": &c.silencesWaited,
 		} {
 			c.all.Set(name, v)
 		}
@@ -276,6 +286,9 @@
 		d.vars.abandoned.Add(1)
 	case NotRun(err):
 		d.vars.refused.Add(1)
+		if r != nil && r.takeUp {
+			d.vars.takeUpsRefused.Add(1)
+		}
 	default:
 		d.vars.failed.Add(1)
 	}
@@ -290,13 +303,20 @@
 }
 
 // logFields returns the log fields of a request: its identifiers, the version of the
-// configuration it was served with, and each decision with its inputs.
+// configuration it was served with, the software version of its stream, and each decision with its
+// inputs.
 func (r *request) logFields() []zap.Field {
 	f := []zap.Field{
 		zap.String("request", string(r.call.ID)), zap.String("route", r.route.Name), zap.Int64("configVersion", r.configVersion),
 		zap.String("service", r.service), zap.Duration("took", r.Timer.Now()-r.arrived), zap.Int("sends", r.sends), zap.Int("runs", r.runs),
 		zap.String("fingerprint", strconv.FormatUint(r.demand.Fingerprint(), 16)), zap.Strings("steps", r.steps),
 	}
+	if software, ok := r.version.Version(); ok {
+		f = append(f, zap.String("software", software))
+	}
+	if r.takeUp {
+		f = append(f, zap.String("resumes", string(r.call.Resumes)))
+	}
 	if r.workspace != nil {
 		f = append(f, zap.String("workspace", string(r.workspace.ID)), zap.Int64("tokens", r.demand.Charge()))
 	}
