peer: calls that tell and find the software versions of streams

Cause: a VM cannot learn at which software version a stream began at another VM, and engines do not check it. Change: TellStreams (Commands) names streams by service and version; FindStream (Queries) returns the version of one stream, or the versions of the service that the receiver has seen. A server without a StreamKeeper answers Unimplemented.

--- a/peer/contract_test.go
+++ b/peer/contract_test.go
@@ -71,10 +71,20 @@
 	return &UsageCountsResponse{Counts: []*UsageCount{{Window: r.GetOldestWindow()}}}
 }
 
+func (d *daemon) TellStreams(r *TellStreamsRequest) *TellStreamsResponse {
+	g := r.GetGroups()[0]
+	d.record("streams " + g.GetService() + " " + g.GetSoftware() + " " + strconv.FormatUint(g.GetStreams()[0], 16) + " of " + r.GetVm())
+	return &TellStreamsResponse{}
+}
+
+func (d *daemon) FindStream(r *FindStreamRequest) *FindStreamResponse {
+	return &FindStreamResponse{Known: true, Software: r.GetService() + " " + strconv.FormatUint(r.GetStream(), 16)}
+}
+
 // serve starts a Server over d and returns its address host:port.
 func serve(t *testing.T, d *daemon, token string) string {
 	t.Helper()
-	s := &Server{Config: d, Lender: d, Usage: d, Heartbeats: d, Counts: d, Token: token}
+	s := &Server{Config: d, Lender: d, Usage: d, Heartbeats: d, Counts: d, Streams: d, Token: token}
 	srv := httptest.NewServer(s.Handler())
 	t.Cleanup(srv.Close)
 	return strings.TrimPrefix(srv.URL, "http://")
@@ -108,6 +118,13 @@
 			return "", err
 		}
 		return strconv.FormatInt(r.GetCounts()[0].GetWindow(), 10), nil
+	case "tellStreams":
+		g := &StreamGroup{Service: "chat", Software: "v2", Streams: []uint64{0xfedcba9876543210}}
+		_, err := c.TellStreams(ctx, &TellStreamsRequest{Vm: "vm2", Groups: []*StreamGroup{g}})
+		return "", err
+	case "findStream":
+		r, err := q.FindStream(ctx, &FindStreamRequest{Service: "chat", Stream: 0xfedcba9876543210})
+		return r.GetSoftware(), err
 	case "tooLarge":
 		_, err := c.Exchange(ctx, &Heartbeat{Vm: strings.Repeat("x", maxRequestBytes)})
 		return "", err
--- a/peer/server.go
+++ b/peer/server.go
@@ -36,6 +36,12 @@
 	UsageCounts(r *UsageCountsRequest) *UsageCountsResponse
 }
 
+// StreamKeeper keeps the software versions at which streams began.
+type StreamKeeper interface {
+	TellStreams(r *TellStreamsRequest) *TellStreamsResponse
+	FindStream(r *FindStreamRequest) *FindStreamResponse
+}
+
 // HeartbeatSource builds and answers heartbeats.
 type HeartbeatSource interface {
 	// Heartbeat returns a new heartbeat of this daemon, to be sent to a peer as a request.
@@ -53,6 +59,8 @@
 	Heartbeats HeartbeatSource
 	// Counts is nil if this daemon has no counts by usage window.
 	Counts UsageCounter
+	// Streams is nil if this daemon keeps no software versions of streams.
+	Streams StreamKeeper
 	// Token is the shared bearer token that requests must carry. It is empty if the
 	// listener authenticates by mutual TLS or is allowed to be without authentication.
 	Token string
@@ -102,6 +110,16 @@
 	return q.server.Counts.UsageCounts(r), nil
 }
 
+func (q queries) FindStream(_ context.Context, r *FindStreamRequest) (*FindStreamResponse, error) {
+	if q.server.Streams == nil {
+		return nil, errNoStreams
+	}
+	return q.server.Streams.FindStream(r), nil
+}
+
+// errNoStreams is the answer to calls about streams of a daemon without a StreamKeeper.
+var errNoStreams = twirp.NewError(twirp.Unimplemented, "no software versions of streams are kept")
+
 type commands struct{ server *Server }
 
 func (c commands) Exchange(_ context.Context, h *Heartbeat) (*Heartbeat, error) {
@@ -119,3 +137,10 @@
 func (c commands) HandUsage(ctx context.Context, r *HandUsageRequest) (*HandUsageResponse, error) {
 	return c.server.Usage.HandUsage(ctx, r)
 }
+
+func (c commands) TellStreams(_ context.Context, r *TellStreamsRequest) (*TellStreamsResponse, error) {
+	if c.server.Streams == nil {
+		return nil, errNoStreams
+	}
+	return c.server.Streams.TellStreams(r), nil
+}
