entry: streams have the software version at which they began

Cause: the daemon dropped the versions of registrations. Change: the daemon observes the versions with each change of the endpoints, answers peers about streams, leaves out endpoints of a version that is not announced yet, and keeps in the store which services have several versions, for VMs that start when no other is left. Result: none by itself until the dispatcher uses origin.Tracker.

--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -140,6 +140,9 @@
 	services        map[string]*Service
 	workspacesByKey map[string]*Workspace
 	workspaces      map[lagoonhead.WorkspaceID]*Workspace
+	// longestTimeout is explained at LongestTimeout.
+	longestTimeout time.Duration
+	noTimeout      bool
 }
 
 // New returns a Catalog with the content of s. The caller must not modify s afterwards.
@@ -154,6 +157,7 @@
 	for i := range s.Routes {
 		r := &s.Routes[i]
 		c.routesByHost[r.Host] = append(c.routesByHost[r.Host], r)
+		c.longestTimeout, c.noTimeout = max(c.longestTimeout, r.Timeout), c.noTimeout || r.Timeout == 0
 	}
 	for _, rs := range c.routesByHost {
 		slices.SortStableFunc(rs, func(a, b *Route) int { return cmp.Compare(len(b.Prefix), len(a.Prefix)) })
@@ -184,6 +188,9 @@
 // Service returns the service with the given name, or nil.
 func (c *Catalog) Service(name string) *Service { return c.services[name] }
 
+// LongestTimeout returns the longest timeout of all routes. ok is false if a route sets none.
+func (c *Catalog) LongestTimeout() (d time.Duration, ok bool) { return c.longestTimeout, !c.noTimeout }
+
 // Route returns the route of the host whose prefix is the longest one that path begins
 // with, or nil if there is none. A port in host is ignored.
 func (c *Catalog) Route(host, path string) *Route {
--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"runtime/debug"
+	"sync"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -24,6 +25,7 @@
 	"github.com/lagoonhead/lagoonhead/lease"
 	"github.com/lagoonhead/lagoonhead/metrics"
 	"github.com/lagoonhead/lagoonhead/mirror"
+	"github.com/lagoonhead/lagoonhead/origin"
 	"github.com/lagoonhead/lagoonhead/overload"
 	"github.com/lagoonhead/lagoonhead/peer"
 	"github.com/lagoonhead/lagoonhead/roster"
@@ -151,14 +153,20 @@
 	suspects     *suspect.Table
 	parts        *suspect.Parts
 	refusedParts *refusedParts
-	admit        *admit.Runner
-	tally        *billing.Tally
-	dispatcher   *dispatch.Dispatcher
-	heartbeats   *heartbeats
-	roleChanges  roleChanges
-	connections  *connections // of callers
-	guard        overload.Guard
-	meters       meters
+	// versions knows at which software versions streams began, and mixedVersions keeps in the
+	// store which services have several.
+	versions      *origin.Tracker
+	mixedVersions *mixedVersions
+	// boardMu makes an update of the board use the newest list of endpoints.
+	boardMu     sync.Mutex
+	admit       *admit.Runner
+	tally       *billing.Tally
+	dispatcher  *dispatch.Dispatcher
+	heartbeats  *heartbeats
+	roleChanges roleChanges
+	connections *connections // of callers
+	guard       overload.Guard
+	meters      meters
 }
 
 // task is a background task. It runs until its context ends.
@@ -289,7 +297,8 @@
 	}
 	d.members = &members{
 		self: s.VM, domain: s.FailureDomain, log: d.Log, wall: func() time.Time { return d.tally.Timer.Wall() }, slotsChanged: func() { d.admit.ReadSlots() },
-		refusedParts: func(value []byte) { d.refusedParts.read(value) }, refusedPartsLost: func() { d.refusedParts.lost() }, vms: make(map[string]lagoonhead.VM),
+		refusedParts: func(value []byte) { d.refusedParts.read(value) }, refusedPartsLost: func() { d.refusedParts.lost() },
+		mixedVersions: func(value []byte) { d.mixedVersions.read(value) }, vms: make(map[string]lagoonhead.VM),
 	}
 	for _, a := range s.Seeds {
 		if a != s.Listen.Peers {
@@ -308,9 +317,13 @@
 	d.copied = &copiedStore{Store: d.store, timer: d.Timer, copy: d.copy}
 }
 
-// updateBoard passes the live endpoints to the board, from which the dispatcher chooses.
+// updateBoard passes the live endpoints to the board, from which the dispatcher chooses. Those of
+// a software version that the other VMs may not know yet are left out.
 func (d *Daemon) updateBoard() {
+	d.boardMu.Lock()
+	defer d.boardMu.Unlock()
 	list, _ := d.endpoints.roster.Endpoints()
+	list = d.versions.Observe(list)
 	cat := d.config.Catalog()
 	cacheTokens := func(service string) int {
 		if cat == nil || cat.Service(service) == nil || cat.Service(service).Engine == nil {
@@ -329,6 +342,8 @@
 	d.suspects = &suspect.Table{Timer: d.Timer, Log: d.Log}
 	d.parts = &suspect.Parts{Timer: d.Timer, Log: d.Log, Probes: d.probesPart}
 	d.refusedParts = &refusedParts{parts: d.parts, store: d.copied, timer: d.Timer, log: d.Log, writes: d.storesRefusedParts}
+	d.versions = d.newVersions()
+	d.mixedVersions = &mixedVersions{tracker: d.versions, store: d.copied, timer: d.Timer, log: d.Log, writes: d.storesMixedVersions, starting: d.isStarting}
 	d.exchanger = &peer.Exchanger{
 		Pool: d.pool, Timer: d.Timer, Self: s.VM, Peers: d.attachment.peers, Timeout: exchangeTimeout,
 		OnFailure: func(v lagoonhead.VM) { d.attachment.fail(v.ID()) },
@@ -369,7 +384,7 @@
 
 func (d *Daemon) tasks() []task {
 	tasks := []task{
-		d.session.Run, d.dutySession.Run, d.keepPresence, d.keeper.Run, d.exchanger.Run, d.admit.Run, d.refusedParts.run,
+		d.session.Run, d.dutySession.Run, d.keepPresence, d.keeper.Run, d.exchanger.Run, d.admit.Run, d.refusedParts.run, d.mixedVersions.run,
 		func(ctx context.Context) error {
 			timer.Every(ctx, d.Timer, lapsedInterval, func(time.Duration) { d.endpoints.removeLapsed() })
 			return nil
@@ -410,6 +425,7 @@
 	d.vars.Set("heartbeats", d.exchanger.Vars())
 	d.vars.Set("suspects", d.suspects.Vars())
 	d.vars.Set("promptParts", d.parts.Vars())
+	d.vars.Set("streamVersions", d.versions.Vars())
 	return tasks
 }
 
@@ -431,7 +447,7 @@
 	if err != nil {
 		return nil, &Error{lagoonhead.Fault{Op: "entry.listen", Kind: lagoonhead.KindInternal, Err: err}}
 	}
-	p := &peer.Server{Config: noConfiguration{}, Lender: d.admit, Usage: noUsageCopies{}, Heartbeats: d.heartbeats, Counts: d.heartbeats}
+	p := &peer.Server{Config: noConfiguration{}, Lender: d.admit, Usage: noUsageCopies{}, Heartbeats: d.heartbeats, Counts: d.heartbeats, Streams: d.versions}
 	s := &servers{callers: d.Platform.Callers(d.dispatcher, CallerLimits{d.closesConnections, d.bodyLimit, d.beginRequest, d.guard.End})}
 	if h, ok := s.callers.Handler.(interface{ Vars() *expvar.Map }); ok {
 		d.vars.Set("answers", h.Vars())
--- a/entry/members.go
+++ b/entry/members.go
@@ -60,6 +60,9 @@
 	// refusedPartsLost when the key is gone.
 	refusedParts     func(value []byte)
 	refusedPartsLost func()
+	// mixedVersions is called with the value of the key of the services with several software
+	// versions, which is empty when the key is gone.
+	mixedVersions func(value []byte)
 	// seeds are the peers of the settings, with placeholders as identifiers.
 	seeds []lagoonhead.VM
 
@@ -156,7 +159,8 @@
 	return m.era, m.eraSeen
 }
 
-// Put adds a VM, or reports a change of the slot table or of the refused prompt parts.
+// Put adds a VM, or reports a change of the slot table, of the refused prompt parts or of the
+// services with several software versions.
 func (m *members) Put(e lagoonhead.Entry) {
 	switch e.Key {
 	case slotsKey:
@@ -165,6 +169,9 @@
 	case refusedPartsKey:
 		m.refusedParts(e.Value)
 		return
+	case mixedVersionsKey:
+		m.mixedVersions(e.Value)
+		return
 	}
 	name, ok := strings.CutPrefix(e.Key, memberPrefix)
 	if !ok {
@@ -182,11 +189,16 @@
 	m.log.Info("peer seen", zap.String("peer", name), zap.String("address", p.PeerAddress))
 }
 
-// Removed removes a VM, or reports that the key of the refused prompt parts is gone.
+// Removed removes a VM, or reports that the key of the refused prompt parts or of the services
+// with several software versions is gone.
 func (m *members) Removed(key string) {
-	if key == refusedPartsKey {
+	switch key {
+	case refusedPartsKey:
 		m.refusedPartsLost()
 		return
+	case mixedVersionsKey:
+		m.mixedVersions(nil)
+		return
 	}
 	name, ok := strings.CutPrefix(key, memberPrefix)
 	if !ok {
