origin: a new version waits for half of the hubs; a VM that starts holds versions that the fleet may not know

Change: a version is held until all hubs are told, or for 2.5 s and until half of them are, for 30 s at most. The store's key has the versions that are announced, which a VM that starts uses at once.

--- a/entry/mixedversions.go
+++ b/entry/mixedversions.go
@@ -19,7 +19,7 @@
 const (
 	// mixedVersionsKey holds the services that have served with several software versions lately.
 	// VMs tell each other of them; the key is for those that start when no other is left, and
-	// cannot see in the registrations which versions have gone.
+	// cannot see in the registrations which versions have gone, and which all VMs know.
 	mixedVersionsKey = fleetPrefix + "mixedVersions"
 	// mixedVersionsInterval is the time between checks whether the key is up to date.
 	mixedVersionsInterval = 500 * time.Millisecond
--- a/origin/book.go
+++ b/origin/book.go
@@ -10,10 +10,16 @@
 	"github.com/lagoonhead/lagoonhead"
 )
 
-// HoldTime is how long a VM holds back a version that is new to a service unless all hubs have
-// been told of it. It is longer than the age up to which a VM's copy of the registrations counts
-// as fresh, so that each fresh copy shows the version by then.
-const HoldTime = 2500 * time.Millisecond
+const (
+	// HoldTime is how long a VM holds back a version that is new to a service unless all hubs have
+	// been told of it. It is longer than the age up to which a VM's copy of the registrations
+	// counts as fresh, so that each fresh copy shows the version by then.
+	HoldTime = 2500 * time.Millisecond
+	// maxHoldTime is how long a VM holds it back while it cannot tell half of the hubs. Most hubs
+	// may be cut off from the store and from this VM; they take the versions that they know for
+	// all, since they are most. It is bounded for networks that carry no calls between VMs.
+	maxHoldTime = 30 * time.Second
+)
 
 // version is a software version of a service.
 type version struct {
@@ -22,10 +28,9 @@
 	// boot at which one last was, or at which a peer named the version.
 	registered bool
 	lastSeen   time.Duration
-	// cleared is true once each hub knows the version or it was held for HoldTime. held is true
-	// while it is not used, which is until heldUntil at the latest.
+	// cleared is true once an announcement of the version is over. Until then the version is held,
+	// which means that it is not used, unless it was the only one when it was first registered.
 	cleared, held bool
-	heldUntil     time.Duration
 }
 
 // Group holds streams that began at one software version of a service.
@@ -40,8 +45,8 @@
 	// Groups holds the versions of the service, with the streams of this VM whose homes have not
 	// been told.
 	Groups []Group
-	// End is the time since boot after which versions are used although hubs do not respond.
-	End      time.Duration
+	// began is the time since boot at which it began.
+	began    time.Duration
 	versions []*version
 }
 
@@ -63,9 +68,7 @@
 	services map[string]map[string]*version
 	// unannounced holds the services with a version that was not announced.
 	unannounced map[string]bool
-	// observed is true once endpoints have been observed.
-	observed bool
-	streams  streams
+	streams     streams
 	// expiredAt is the time of the last removal of versions.
 	expiredAt time.Duration
 }
@@ -96,12 +99,9 @@
 func (b *Book) SetLifetime(d time.Duration) { b.lifetime = d }
 
 // Observe takes over the versions of the registered endpoints and reports whether there is
-// something to announce. A version that is new to a service with another one is held, except
-// those of the first observation: a VM that starts cannot tell which of them is the new one.
+// something to announce. A version of a service with others is held until it is cleared.
 func (b *Book) Observe(now time.Duration, list []lagoonhead.Endpoint) bool {
 	b.expire(now)
-	first := !b.observed
-	b.observed = b.observed || len(list) > 0
 	seen := make(map[*version]bool)
 	for _, e := range list {
 		seen[b.add(now, e.Serves(), e.Software())] = true
@@ -109,10 +109,10 @@
 	for v := range seen {
 		switch {
 		case v.cleared || v.held:
-		case first || len(b.services[v.service]) == 1:
+		case len(b.services[v.service]) == 1:
 			v.cleared = true
 		default:
-			v.held, v.heldUntil = true, now+HoldTime
+			v.held = true
 			b.unannounced[v.service] = true
 		}
 	}
@@ -127,10 +127,10 @@
 }
 
 // Usable returns the endpoints whose version is not held.
-func (b *Book) Usable(now time.Duration, list []lagoonhead.Endpoint) []lagoonhead.Endpoint {
+func (b *Book) Usable(list []lagoonhead.Endpoint) []lagoonhead.Endpoint {
 	out := make([]lagoonhead.Endpoint, 0, len(list))
 	for _, e := range list {
-		if v := b.services[e.Serves()][e.Software()]; v == nil || !v.held || now >= v.heldUntil {
+		if v := b.services[e.Serves()][e.Software()]; v == nil || !v.held {
 			out = append(out, e)
 		}
 	}
@@ -184,7 +184,7 @@
 	if len(b.unannounced) == 0 {
 		return nil
 	}
-	a := &Announcement{End: now + HoldTime}
+	a := &Announcement{began: now}
 	for _, service := range slices.Sorted(maps.Keys(b.unannounced)) {
 		untold := b.streams.takeUntold(service)
 		for _, software := range slices.Sorted(maps.Keys(b.services[service])) {
@@ -197,12 +197,26 @@
 	return a
 }
 
-// Announced ends an announcement and releases its versions: if all hubs have been told, else those
-// that have been held for HoldTime.
-func (b *Book) Announced(now time.Duration, a *Announcement, all bool) {
+// Over reports whether an announcement is over, when the given number of the hubs know it. Those
+// that do not have had the time to see the versions in the registrations.
+func (a *Announcement) Over(now time.Duration, told, hubs int) bool {
+	took := now - a.began
+	return (told >= hubs && hubs > 0) || (took >= HoldTime && 2*told >= hubs) || took >= maxHoldTime
+}
+
+// Announced ends an announcement and clears its versions.
+func (b *Book) Announced(a *Announcement) {
 	for _, v := range a.versions {
-		if all || (v.held && now >= v.heldUntil) {
-			v.cleared, v.held = true, false
+		v.cleared, v.held = true, false
+	}
+}
+
+// Learn takes over versions by service that another VM has cleared.
+func (b *Book) Learn(now time.Duration, versions map[string][]string) {
+	for service, list := range versions {
+		for _, software := range list {
+			v := b.add(now, service, software)
+			v.lastSeen, v.cleared, v.held = now, true, false
 		}
 	}
 }
@@ -216,14 +230,20 @@
 	return Answer{Versions: slices.Sorted(maps.Keys(b.services[service]))}
 }
 
-// Mixed returns the services that have served with several versions lately, with the versions in
-// ascending order.
+// Mixed returns the services that have served with several versions lately, with the versions that
+// are cleared, in ascending order.
 func (b *Book) Mixed(now time.Duration) map[string][]string {
 	b.expire(now)
 	list := make(map[string][]string)
 	for name, s := range b.services {
-		if len(s) > 1 {
-			list[name] = slices.Sorted(maps.Keys(s))
+		if len(s) <= 1 {
+			continue
+		}
+		list[name] = nil
+		for _, software := range slices.Sorted(maps.Keys(s)) {
+			if s[software].cleared {
+				list[name] = append(list[name], software)
+			}
 		}
 	}
 	return list
--- a/origin/book_test.go
+++ b/origin/book_test.go
@@ -34,34 +34,44 @@
 	now += time.Second
 	list := registered("v1", "v2")
 	require.True(t, b.Observe(now, list))
-	require.Equal(t, list[:1], b.Usable(now, list))
+	require.Equal(t, list[:1], b.Usable(list))
 	require.True(t, b.Begin(now, "s", "v1", 2))
 	a := b.Announce(now)
 	require.Equal(t, []Group{{"s", "v1", []uint64{1}}, {"s", "v2", nil}}, a.Groups)
 	require.Nil(t, b.Announce(now), "one announcement is enough")
 
-	b.Announced(now, a, false)
-	require.Equal(t, list[:1], b.Usable(now, list), "a hub does not know it and has not had the time to see it")
-	b.Announced(now, a, true)
-	require.Equal(t, list, b.Usable(now, list))
+	require.Equal(t, list[:1], b.Usable(list), "not all hubs have been told")
+	b.Announced(a)
+	require.Equal(t, list, b.Usable(list))
 	require.False(t, b.Observe(now, list))
-	require.Equal(t, list, b.Usable(now, list))
+	require.Equal(t, list, b.Usable(list))
 }
 
-// Guards against a new version that is never used because a hub does not respond.
-func TestAVersionIsHeldForABoundedTime(t *testing.T) {
+// Guards against a new version that is never used because hubs do not respond, and against one that
+// a VM uses while most hubs are cut off and take the old one for the only one.
+func TestHowLongAVersionIsHeld(t *testing.T) {
 	b := NewBook(testLifetime)
 	now := time.Hour
 	b.Observe(now, registered("v1"))
 	list := registered("v1", "v2")
 	b.Observe(now, list)
 	a := b.Announce(now)
-	require.Len(t, b.Usable(now+HoldTime-1, list), 1)
-	require.Len(t, b.Usable(now+HoldTime, list), 2)
-	require.Equal(t, now+HoldTime, a.End)
-	b.Announced(a.End, a, false)
-	require.False(t, b.Observe(a.End, list))
-	require.Len(t, b.Usable(a.End, list), 2)
+	for _, c := range []struct {
+		after      time.Duration
+		told, hubs int
+		want       bool
+	}{
+		{0, 6, 6, true}, {0, 1, 1, true}, {0, 5, 6, false}, {0, 0, 0, false},
+		{HoldTime - 1, 5, 6, false}, {HoldTime, 5, 6, true}, {HoldTime, 3, 6, true}, {HoldTime, 1, 2, true}, {HoldTime, 4, 7, true},
+		{HoldTime, 2, 6, false}, {HoldTime, 3, 7, false}, {HoldTime, 0, 6, false},
+		{maxHoldTime - 1, 2, 6, false}, {maxHoldTime, 1, 6, true},
+	} {
+		require.Equal(t, c.want, a.Over(now+c.after, c.told, c.hubs), c)
+	}
+	require.Equal(t, list[:1], b.Usable(list))
+	b.Announced(a)
+	require.False(t, b.Observe(now+HoldTime, list))
+	require.Equal(t, list, b.Usable(list))
 }
 
 // Guards against a version that a peer named first, and that this VM uses although other hubs may
@@ -76,18 +86,33 @@
 	require.Equal(t, []uint64{1}, first.Groups[0].Streams)
 	list := registered("v1", "v2")
 	require.True(t, b.Observe(now, list))
-	require.Len(t, b.Usable(now, list), 1)
+	require.Len(t, b.Usable(list), 1)
 	require.NotNil(t, b.Announce(now))
 }
 
-// Guards against a VM that starts while two versions serve and uses neither.
-func TestAVMThatStartsHoldsNoVersion(t *testing.T) {
+// Guards against a VM that starts while two versions serve and uses neither, and against one that
+// uses a version that others may not know.
+func TestAVMThatStartsHoldsVersionsThatAreNotCleared(t *testing.T) {
+	now := time.Hour
+	list := registered("v1", "v2", "v3")
+	other := NewBook(testLifetime)
+	other.Observe(now, list[:1])
+	other.Observe(now, list[:2])
+	require.Equal(t, map[string][]string{"s": {"v1"}}, other.Mixed(now))
+	other.Announced(other.Announce(now))
+	require.Equal(t, map[string][]string{"s": {"v1", "v2"}}, other.Mixed(now))
+
 	b := NewBook(testLifetime)
-	require.False(t, b.Observe(time.Hour, nil))
-	b.Record(time.Hour, []Group{{Service: "s", Software: "v1"}, {Service: "s", Software: "v2"}})
-	list := registered("v1", "v2")
-	require.True(t, b.Observe(time.Hour, list), "others may not know both")
-	require.Equal(t, list, b.Usable(time.Hour, list))
+	require.False(t, b.Observe(now, nil))
+	b.Learn(now, other.Mixed(now))
+	require.True(t, b.Observe(now, list))
+	require.Equal(t, list[:2], b.Usable(list))
+
+	late := NewBook(testLifetime)
+	late.Observe(now, list)
+	require.Empty(t, late.Usable(list))
+	late.Learn(now, other.Mixed(now))
+	require.Equal(t, list[:2], late.Usable(list))
 }
 
 // Guards against versions of one service that count for another.
--- a/origin/inquiry_test.go
+++ b/origin/inquiry_test.go
@@ -12,7 +12,9 @@
 // Guards against a version that is guessed, and against a stream that is refused although its
 // version is sure.
 func TestInquiries(t *testing.T) {
-	known := func(v string) witness { return witness{vm: "home", hub: true, Answer: Answer{Known: true, Software: v}} }
+	known := func(v string) witness {
+		return witness{vm: "home", hub: true, Answer: Answer{Known: true, Software: v}}
+	}
 	single := func(hub, fresh bool, v string) witness {
 		return witness{hub: hub, fresh: fresh, Answer: Answer{Versions: []string{v}}}
 	}
--- a/origin/sim_test.go
+++ b/origin/sim_test.go
@@ -24,14 +24,14 @@
 	simCut = 5 * time.Second
 	// simFresh is the age up to which a copy of the registrations counts as fresh.
 	simFresh = 2200 * time.Millisecond
-	simEnd   = 40 * time.Second
+	simEnd   = time.Minute
 	// simStreams is the mean time between two new streams of a VM.
-	simStreams = 60 * time.Millisecond
+	simStreams = 100 * time.Millisecond
 )
 
 // simTrouble says what happens in a simulation besides new versions.
 type simTrouble struct {
-	kills, peerCuts, storeCuts, lostCalls bool
+	kills, peerCuts, storeCuts, partitions, lostCalls bool
 }
 
 // simStream is a stream of the simulation.
@@ -67,7 +67,7 @@
 	byID    map[lagoonhead.VMID]*simVM
 	// registered has the versions in the store, key what the store keeps of mixed services.
 	registered []string
-	key        []string
+	key        map[string][]string
 	nextKey    uint64
 	process    int
 	counts     simCounts
@@ -129,18 +129,14 @@
 }
 
 func (s *sim) learn(m *simVM) {
-	for _, v := range s.key {
-		if m.book.Record(s.now, []Group{{Service: "s", Software: v}}) {
-			s.announce(m)
-		}
-	}
+	m.book.Learn(s.now, s.key)
 }
 
 // store has the first hub that runs keep in the store which versions there are.
 func (s *sim) store(m *simVM) {
 	first := slices.IndexFunc(s.vms, func(v *simVM) bool { return v.process > 0 && v.hub })
 	if first >= 0 && s.vms[first] == m && !m.noStore && m.read {
-		s.key = m.book.Mixed(s.now)["s"]
+		s.key = m.book.Mixed(s.now)
 	}
 	s.whileUp(m, 500*time.Millisecond, func() { s.store(m) })
 }
@@ -176,10 +172,10 @@
 		waiting := 1
 		end := func() {
 			waiting--
-			switch all := len(told) >= len(s.hubs) && s.toldAll(told); {
+			switch {
 			case waiting > 0:
-			case all || s.now >= a.End:
-				m.book.Announced(s.now, a, all)
+			case a.Over(s.now, s.known(told), len(s.hubs)):
+				m.book.Announced(a)
 			default:
 				s.whileUp(m, announceInterval, round)
 			}
@@ -207,8 +203,14 @@
 	round()
 }
 
-func (s *sim) toldAll(told map[lagoonhead.VMID]bool) bool {
-	return !slices.ContainsFunc(s.hubs, func(v lagoonhead.VM) bool { return !told[v.ID()] })
+// known returns the number of hubs that have been told.
+func (s *sim) known(told map[lagoonhead.VMID]bool) (n int) {
+	for _, v := range s.hubs {
+		if told[v.ID()] {
+			n++
+		}
+	}
+	return n
 }
 
 func (s *sim) record(m *simVM, groups []Group) {
@@ -223,7 +225,7 @@
 	if !m.read {
 		return
 	}
-	usable := m.book.Usable(s.now, registered(m.list...))
+	usable := m.book.Usable(registered(m.list...))
 	if len(usable) == 0 {
 		return
 	}
@@ -352,22 +354,32 @@
 // plan adds what happens to the versions and the VMs.
 func (s *sim) plan() {
 	at := 5 * time.Second
+	changes := []time.Duration{}
 	for i := 2; at < simEnd-5*time.Second; i++ {
 		name := fmt.Sprint("v", i)
+		changes = append(changes, at)
 		s.after(at, func() { s.registered = append(s.registered, name) })
-		if s.rand.IntN(3) > 0 {
+		// After a long pause the others have forgotten the former version.
+		long := s.rand.IntN(2) == 0
+		if long || s.rand.IntN(3) > 0 {
 			s.after(at+s.upTo(4*time.Second), func() {
 				if len(s.registered) > 1 {
-					s.registered = s.registered[1:]
+					s.registered = s.registered[len(s.registered)-1:]
 				}
 			})
 		}
 		at += 3*time.Second + s.upTo(8*time.Second)
+		if long {
+			at += simLifetime + simCut
+		}
 	}
 	for range 6 {
 		m := s.vms[s.rand.IntN(len(s.vms))]
 		at := s.upTo(simEnd - simCut)
-		switch s.rand.IntN(3) {
+		if s.rand.IntN(2) == 0 { // around a new version
+			at = changes[s.rand.IntN(len(changes))] + s.upTo(4*time.Second) - 3*time.Second
+		}
+		switch s.rand.IntN(4) {
 		case 0:
 			if s.trouble.kills {
 				s.after(at, func() { s.kill(m) })
@@ -381,6 +393,10 @@
 				s.after(at, func() { m.noStore = true })
 				s.after(at+s.upTo(simCut), func() { m.noStore = false })
 			}
+		case 3:
+			if s.trouble.partitions {
+				s.after(at, s.partition)
+			}
 		}
 	}
 }
@@ -393,6 +409,29 @@
 	s.after(s.upTo(2*time.Second), func() { s.start(m) })
 }
 
+// partition cuts some VMs off from the store and from the others.
+func (s *sim) partition() {
+	var inside, outside []*simVM
+	for _, v := range s.vms {
+		if s.rand.IntN(2) == 0 {
+			inside = append(inside, v)
+		} else {
+			outside = append(outside, v)
+		}
+	}
+	for _, v := range inside {
+		v.noStore, v.cut = true, make(map[lagoonhead.VMID]bool)
+		for _, o := range outside {
+			v.cut[o.ID()] = true
+		}
+	}
+	s.after(s.upTo(simCut), func() {
+		for _, v := range inside {
+			v.noStore, v.cut = false, nil
+		}
+	})
+}
+
 // cutOff cuts a VM off from some of the others.
 func (s *sim) cutOff(m *simVM) {
 	m.cut = make(map[lagoonhead.VMID]bool)
@@ -432,8 +471,9 @@
 		{"kills", 6, 6, simTrouble{kills: true}, 0.9},
 		{"cut off from the store", 6, 6, simTrouble{storeCuts: true}, 0.9},
 		{"cut off from peers", 6, 6, simTrouble{peerCuts: true}, 0.5},
-		{"all", 6, 6, simTrouble{true, true, true, true}, 0.5},
-		{"attached VMs", 20, 6, simTrouble{true, true, true, true}, 0.5},
+		{"partitions", 6, 6, simTrouble{partitions: true}, 0.5},
+		{"all", 6, 6, simTrouble{true, true, true, true, true}, 0.5},
+		{"attached VMs", 20, 6, simTrouble{true, true, true, true, true}, 0.5},
 		{"two VMs", 2, 2, simTrouble{kills: true, storeCuts: true}, 0.5},
 	} {
 		t.Run(c.name, func(t *testing.T) {
@@ -457,7 +497,10 @@
 	rapid.Check(t, func(t *rapid.T) {
 		vms := rapid.IntRange(1, 10).Draw(t, "vms")
 		hubCount := rapid.IntRange(1, vms).Draw(t, "hubs")
-		trouble := simTrouble{rapid.Bool().Draw(t, "kills"), rapid.Bool().Draw(t, "peerCuts"), rapid.Bool().Draw(t, "storeCuts"), rapid.Bool().Draw(t, "lostCalls")}
+		trouble := simTrouble{
+			kills: rapid.Bool().Draw(t, "kills"), peerCuts: rapid.Bool().Draw(t, "peerCuts"), storeCuts: rapid.Bool().Draw(t, "storeCuts"),
+			partitions: rapid.Bool().Draw(t, "partitions"), lostCalls: rapid.Bool().Draw(t, "lostCalls"),
+		}
 		n := newSim(rapid.Uint64().Draw(t, "seed"), vms, hubCount, trouble).run()
 		require.Zero(t, n.wrong)
 	})
--- a/origin/tracker.go
+++ b/origin/tracker.go
@@ -22,8 +22,9 @@
 	askBound = 100 * time.Millisecond
 	// callTimeout bounds a call that tells a home, and announceTimeout one that announces.
 	callTimeout, announceTimeout = 500 * time.Millisecond, 250 * time.Millisecond
-	// announceInterval is the time between two announcements to a hub that did not respond.
-	announceInterval = 250 * time.Millisecond
+	// announceInterval is the time between two announcements to a hub that did not respond, and
+	// startInterval the time between checks whether the hubs are known.
+	announceInterval, startInterval = 250 * time.Millisecond, 20 * time.Millisecond
 )
 
 // The sources of a version that Find returns beside the identifiers of VMs.
@@ -117,7 +118,7 @@
 	announce := false
 	usable := with(t, func(b *Book) []lagoonhead.Endpoint {
 		announce = b.Observe(now, list)
-		return b.Usable(now, list)
+		return b.Usable(list)
 	})
 	if announce {
 		go t.announce()
@@ -280,19 +281,20 @@
 	return &peer.TellStreamsResponse{}
 }
 
-// Learn takes over that services have served with several versions lately.
+// Learn takes over what Mixed returned at another VM.
 func (t *Tracker) Learn(versions map[string][]string) {
-	var groups []Group
-	for service, list := range versions {
-		for _, software := range list {
-			groups = append(groups, Group{Service: service, Software: software})
-		}
+	now := t.Timer.Now()
+	with(t, func(b *Book) bool {
+		b.Learn(now, versions)
+		return true
+	})
+	if len(versions) > 0 {
+		go t.announceAndRelease()
 	}
-	t.record(t.Timer.Now(), groups)
 }
 
-// Mixed returns the services that have served with several versions lately, with the versions in
-// ascending order.
+// Mixed returns the services that have served with several versions lately, with the versions
+// that may be used, in ascending order.
 func (t *Tracker) Mixed() map[string][]string {
 	now := t.Timer.Now()
 	return with(t, func(b *Book) map[string][]string { return b.Mixed(now) })
@@ -305,8 +307,7 @@
 }
 
 // announce tells all hubs of versions that they may not know, and each of the streams of this VM
-// that it is a home of, until all of them know it or have had HoldTime to see the versions in
-// the registrations themselves.
+// that it is a home of, until the announcement is over.
 func (t *Tracker) announce() {
 	now := t.Timer.Now()
 	a := with(t, func(b *Book) *Announcement { return b.Announce(now) })
@@ -316,30 +317,36 @@
 	t.vars.announcements.Add(1)
 	t.Log.Info("services with several software versions", zap.Any("versions", t.Mixed()))
 	told := make(map[lagoonhead.VMID]bool)
-	all := false
+	var known, hubs int
 	for {
-		if all = t.announceOnce(a, told); all || t.Timer.Now() >= a.End {
+		known, hubs = t.announceOnce(a, told)
+		if a.Over(t.Timer.Now(), known, hubs) {
 			break
 		}
-		if t.Timer.Sleep(context.Background(), announceInterval) != nil {
-			break
+		pause := announceInterval
+		if hubs == 0 {
+			pause = startInterval
 		}
+		_ = t.Timer.Sleep(context.Background(), pause) // it fails only if its context ends
 	}
-	now = t.Timer.Now()
 	with(t, func(b *Book) bool {
-		b.Announced(now, a, all)
+		b.Announced(a)
 		return true
 	})
-	t.Log.Info("software versions in use", zap.Bool("knownToAllHubs", all), zap.Duration("after", now-(a.End-HoldTime)))
+	t.Log.Info("software versions announced", zap.Int("told", known), zap.Int("hubs", hubs), zap.Duration("after", t.Timer.Now()-now))
 	t.OnRelease()
 }
 
-// announceOnce tells the hubs that have not been told yet and reports whether all have been.
-func (t *Tracker) announceOnce(a *Announcement, told map[lagoonhead.VMID]bool) bool {
+// announceAndRelease calls OnRelease even if there is nothing to announce.
+func (t *Tracker) announceAndRelease() {
+	t.announce()
+	t.OnRelease()
+}
+
+// announceOnce tells the hubs that have not been told yet, and returns the number of those that
+// have been and of all.
+func (t *Tracker) announceOnce(a *Announcement, told map[lagoonhead.VMID]bool) (known, all int) {
 	hubs := t.Hubs()
-	if len(hubs) == 0 {
-		return false
-	}
 	share := a.share(hubs)
 	type result struct {
 		vm lagoonhead.VMID
@@ -349,6 +356,7 @@
 	sent := 0
 	for _, v := range hubs {
 		if v.ID() == t.Self || told[v.ID()] {
+			known++
 			continue
 		}
 		sent++
@@ -360,13 +368,13 @@
 			results <- result{v.ID(), err == nil || errors.Is(err, syscall.ECONNREFUSED)}
 		}()
 	}
-	all := true
 	for range sent {
 		r := <-results
-		told[r.vm] = r.ok
-		all = all && r.ok
+		if told[r.vm] = r.ok; r.ok {
+			known++
+		}
 	}
-	return all
+	return known, len(hubs)
 }
 
 // share returns the groups for each hub: all versions, and the streams that it is a home of.
