--- a/origin/inquiry_test.go
+++ b/origin/inquiry_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strconv"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -75,7 +76,7 @@
 	count := make(map[lagoonhead.VMID]int)
 	const n = 6000
 	for i := range n {
-		key := Key("s", lagoonhead.RequestID(fmt.Sprint(i)))
+		key := Key("s", lagoonhead.RequestID(strconv.Itoa(i)))
 		h := homes(list, key)
 		require.Len(t, h, homeCount)
 		require.NotEqual(t, h[0].FailureDomain(), h[1].FailureDomain())
@@ -96,7 +97,7 @@
 // Guards against streams whose homes are not asked any more after a hub has left or joined.
 func TestFormerHomesAreAsked(t *testing.T) {
 	for i := range 500 {
-		key := Key("s", lagoonhead.RequestID(fmt.Sprint(i)))
+		key := Key("s", lagoonhead.RequestID(strconv.Itoa(i)))
 		before := homes(hubs(6, 3), key)
 		after := order(hubs(8, 3), key)[:firstAsked]
 		found := false
--- a/origin/sim_test.go
+++ b/origin/sim_test.go
@@ -143,7 +143,7 @@
 
 // reaches reports whether a call arrives.
 func (s *sim) reaches(a, b *simVM) bool {
-	return b.process > 0 && !a.cut[b.ID()] && !b.cut[a.ID()] && !(s.trouble.lostCalls && s.rand.IntN(50) == 0)
+	return b.process > 0 && !a.cut[b.ID()] && !b.cut[a.ID()] && (!s.trouble.lostCalls || s.rand.IntN(50) > 0)
 }
 
 // call has one VM call another and calls back with whether the call succeeded. A call that fails
--- a/origin/tracker_test.go
+++ b/origin/tracker_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net"
 	"net/http/httptest"
+	"strconv"
 	"strings"
 	"sync"
 	"testing"
@@ -113,7 +114,7 @@
 func TestOneVersionCostsNoCalls(t *testing.T) {
 	f := newFleet(t, 6)
 	for i := range 100 {
-		f.trackers[i%6].Begin(t.Context(), "s", lagoonhead.RequestID(fmt.Sprint(i)), "v1")
+		f.trackers[i%6].Begin(t.Context(), "s", lagoonhead.RequestID(strconv.Itoa(i)), "v1")
 	}
 	require.Zero(t, f.counter("calls"))
 	require.Zero(t, f.counter("asked"))
@@ -161,7 +162,7 @@
 	f := newFleet(t, 6, 2)
 	f.trackers[0].Learn(map[string][]string{"s": {"v1", "v2"}})
 	for i, found := 0, 0; found < 3; i++ {
-		id := lagoonhead.RequestID(fmt.Sprint(i))
+		id := lagoonhead.RequestID(strconv.Itoa(i))
 		key := Key("s", id)
 		h := homes(f.hubs, key)
 		if !contains(h, "vm2") || contains(h, "vm0") {
