--- a/entities.go
+++ b/entities.go
@@ -173,9 +173,8 @@
 // endpoint does not state which process it is.
 func (e Endpoint) WithIncarnation(i Incarnation) Endpoint { e.incarnation = i; return e }
 
-// WithSoftware returns a copy that runs the given version of its software, which is not the
-// version of the model's weights.
-func (e Endpoint) WithSoftware(v string) Endpoint { e.software = v; return e }
+// WithSoftware returns a copy that runs the given version of its software.
+func (e Endpoint) WithSoftware(version string) Endpoint { e.software = version; return e }
 
 // ID returns the identifier of the endpoint.
 func (e Endpoint) ID() EndpointID { return e.id }
@@ -214,8 +213,8 @@
 // endpoint states none.
 func (e Endpoint) Incarnation() Incarnation { return e.incarnation }
 
-// Software returns the version of the endpoint's software, or an empty string when the endpoint
-// states none.
+// Software returns the version of the endpoint's software, not of its model weights. The events
+// and KV caches of two versions of a service are incompatible.
 func (e Endpoint) Software() string { return e.software }
 
 // Request holds the attributes of a caller's request that admission and routing use. It
