--- a/cmd/lagoonheadd/versions_test.go
+++ b/cmd/lagoonheadd/versions_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net/http"
 	"strconv"
+	"strings"
 	"sync"
 	"syscall"
 	"testing"
@@ -27,7 +28,12 @@
 	for i := range list {
 		list[i] = f.startDaemon(t, vmName(i))
 	}
-	time.Sleep(time.Second) // the daemons hear of each other
+	for i, p := range list {
+		for j := range list {
+			seen := fmt.Sprintf(`"msg":"peer seen","vm":%q,"peer":%q`, vmName(i), vmName(j))
+			require.Eventually(t, func() bool { return strings.Contains(p.output.String(), seen) }, startTimeout, 10*time.Millisecond, seen)
+		}
+	}
 	all := make([]*fakewire.Stream, streams)
 	for i := range all {
 		all[i] = &fakewire.Stream{Path: fmt.Sprint("/read/", i), Header: http.Header{
