plan: each software version keeps an engine that decodes

A KV cache is not moved between software versions, and a stream goes on at its version only. Where all engines of a version prefill, they serve nobody, and the streams of the version cannot go on. Roles were chosen without regard to the version.

The last engine of a version that decodes is not ordered to prefill, and engines of a version that has none are the first to leave the prefill role. With one version nothing changes, since one engine at least decoded before.

Both parts of TestEachSoftwareVersionKeepsAnEngineThatDecodes failed without their part of the change.

--- a/plan/service.go
+++ b/plan/service.go
@@ -376,21 +376,37 @@
 }
 
 // candidate returns the index of an engine with the role, from the failure domain that
-// has the most of them, or -1. It skips engines ordered within the cooldown.
+// has the most of them, or -1. It skips engines ordered within the cooldown, and the last engine
+// that decodes of a software version: streams and KV caches do not go on at another version. For
+// the same reason engines of versions that none decodes are the first to leave the prefill role.
 func (s *ServicePlanner) candidate(now time.Duration, assigned []lagoonhead.Endpoint, role lagoonhead.Role, cooldown time.Duration) int {
 	count := make(map[lagoonhead.FailureDomain]int)
+	decoding := make(map[string]int)
 	for _, e := range assigned {
 		if e.Role() == role {
 			count[e.FailureDomain()]++
 		}
+		if e.Role() == lagoonhead.RoleDecode {
+			decoding[e.Software()]++
+		}
 	}
-	best := -1
+	best, bestLacking := -1, false
 	for i, e := range assigned {
 		if o, ok := s.roleOrders[e.ID()]; e.Role() != role || (ok && now-o.at < cooldown) {
 			continue
 		}
+		if role == lagoonhead.RoleDecode && decoding[e.Software()] == 1 {
+			continue
+		}
+		lacking := decoding[e.Software()] == 0
+		if best >= 0 && lacking != bestLacking {
+			if lacking {
+				best, bestLacking = i, true
+			}
+			continue
+		}
 		if best < 0 || cmp.Or(cmp.Compare(count[e.FailureDomain()], count[assigned[best].FailureDomain()]), cmp.Compare(assigned[best].ID(), e.ID())) > 0 {
-			best = i
+			best, bestLacking = i, lacking
 		}
 	}
 	return best
--- a/plan/service_test.go
+++ b/plan/service_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -188,6 +189,41 @@
 	}
 }
 
+// setRoles gives each engine a software version and a role; the last ones apply to the rest.
+func (s *simFleet) setRoles(versions []string, roles []lagoonhead.Role) {
+	for i, e := range s.engines {
+		s.engines[i] = e.WithSoftware(versions[min(i, len(versions)-1)]).WithRole(roles[min(i, len(roles)-1)])
+	}
+}
+
+// Guards against a software version whose streams and KV caches go nowhere because all of its engines
+// prefill.
+func TestEachSoftwareVersionKeepsAnEngineThatDecodes(t *testing.T) {
+	service := testService()
+	service.Scaling = nil
+	const prefill, decode = lagoonhead.RolePrefill, lagoonhead.RoleDecode
+	plan := func(s *simFleet, d PeakDemand) []RoleOrder {
+		var p ServicePlanner
+		p.Plan(time.Second, service, s.engines, d)
+		return p.Plan(time.Second+countStableTime, service, s.engines, d).Roles
+	}
+
+	s := firmFleet()
+	s.setRoles([]string{"v1", "v1.1"}, []lagoonhead.Role{decode})
+	orders := plan(s, PeakDemand{})
+	require.NotEmpty(t, orders)
+	for _, o := range orders {
+		require.Equal(t, "v1.1", o.Engine.Software(), "the only engine of v1 decodes")
+	}
+
+	s = firmFleet()
+	s.setRoles(append(slices.Repeat([]string{"v1.1"}, 10), "v1"), append(slices.Repeat([]lagoonhead.Role{prefill, prefill, prefill, decode, decode}, 2), prefill))
+	orders = plan(s, PeakDemand{Known: true, Prefill: 0.1, Decode: 12})
+	require.NotEmpty(t, orders)
+	require.Equal(t, "v1", orders[0].Engine.Software(), "none of its engines decodes")
+	require.Equal(t, decode, orders[0].Role)
+}
+
 // Guards against a demand that covers only one of two alternating mixes.
 func TestDemandKeepsThePeaksOfBothMixes(t *testing.T) {
 	var m DemandMeter
