--- a/roster/roster_test.go
+++ b/roster/roster_test.go
@@ -79,3 +79,29 @@
 		})
 	}
 }
+
+// Guards against an endpoint that loses its software version when its entry lapses, its process says
+// that it leaves, or the store comes back from a copy.
+func TestEndpointsKeepTheirSoftwareVersion(t *testing.T) {
+	r := New()
+	e := lagoonhead.NewEndpoint("a", lagoonhead.EndpointKindEngine, "m", "a:1", "d").WithSoftware("v1")
+	check := func() {
+		t.Helper()
+		list, _ := r.Endpoints()
+		require.Len(t, list, 1)
+		require.Equal(t, "v1", list[0].Software())
+	}
+	r.Seed("a", e)
+	check()
+	r.Put("a", e.WithLeaving(true))
+	r.Restored(time.Second, time.Minute)
+	r.Put("a", e)
+	check()
+	r.Synced(2 * time.Second)
+	r.RemoveMissing(2 * time.Minute)
+	check()
+	require.True(t, r.RecordLeaving("a", e.Incarnation()))
+	check()
+	list, _ := r.Endpoints()
+	require.True(t, list[0].Leaving())
+}
