origin, entry: a VM that starts asks what has served; a fresh hub alone is enough

And a take-up made calls while one version served: a second hub was asked because of suspended VMs. Change: a VM that starts asks all hubs which versions have served before its copy of the registrations counts as fresh. Two hubs write the key of the services with several versions. In the simulation a version leaves once the key has it: a fleet that is down or cut off from the store all that time cannot know of it.

--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -157,6 +157,7 @@
 	// store which services have several.
 	versions      *origin.Tracker
 	mixedVersions *mixedVersions
+	awake         *awake
 	// boardMu makes an update of the board use the newest list of endpoints.
 	boardMu     sync.Mutex
 	admit       *admit.Runner
@@ -342,8 +343,9 @@
 	d.suspects = &suspect.Table{Timer: d.Timer, Log: d.Log}
 	d.parts = &suspect.Parts{Timer: d.Timer, Log: d.Log, Probes: d.probesPart}
 	d.refusedParts = &refusedParts{parts: d.parts, store: d.copied, timer: d.Timer, log: d.Log, writes: d.storesRefusedParts}
+	d.awake = newAwake(d.Timer)
 	d.versions = d.newVersions()
-	d.mixedVersions = &mixedVersions{tracker: d.versions, store: d.copied, timer: d.Timer, log: d.Log, writes: d.storesMixedVersions, starting: d.isStarting}
+	d.mixedVersions = &mixedVersions{tracker: d.versions, store: d.copied, timer: d.Timer, log: d.Log, place: d.storesMixedVersions, starting: d.isStarting}
 	d.exchanger = &peer.Exchanger{
 		Pool: d.pool, Timer: d.Timer, Self: s.VM, Peers: d.attachment.peers, Timeout: exchangeTimeout,
 		OnFailure: func(v lagoonhead.VM) { d.attachment.fail(v.ID()) },
@@ -384,7 +386,7 @@
 
 func (d *Daemon) tasks() []task {
 	tasks := []task{
-		d.session.Run, d.dutySession.Run, d.keepPresence, d.keeper.Run, d.exchanger.Run, d.admit.Run, d.refusedParts.run, d.mixedVersions.run,
+		d.session.Run, d.dutySession.Run, d.keepPresence, d.keeper.Run, d.exchanger.Run, d.admit.Run, d.refusedParts.run, d.mixedVersions.run, d.awake.run, d.versions.Run,
 		func(ctx context.Context) error {
 			timer.Every(ctx, d.Timer, lapsedInterval, func(time.Duration) { d.endpoints.removeLapsed() })
 			return nil
--- a/entry/mixedversions.go
+++ b/entry/mixedversions.go
@@ -23,6 +23,10 @@
 	mixedVersionsKey = fleetPrefix + "mixedVersions"
 	// mixedVersionsInterval is the time between checks whether the key is up to date.
 	mixedVersionsInterval = 500 * time.Millisecond
+	// mixedVersionsWriters is the number of daemons that write the key. The second one stands in
+	// for the first and only adds registered versions: two that see a version go at different
+	// times would undo each other's writes.
+	mixedVersionsWriters = 2
 	// minStreamLifetime is the time for which a stream may at least be taken up after its
 	// beginning. The longest timeout of a route in the deployments is 10 s.
 	minStreamLifetime = time.Minute
@@ -31,8 +35,46 @@
 	// streamLifetimeMargin is for the time that a caller takes to come back, and for VMs that
 	// hear late that a version has gone.
 	streamLifetimeMargin = 10 * time.Second
+	// awakeInterval is the time between two signs that the process runs, and maxPause the time
+	// without one after which it counts as having been suspended.
+	awakeInterval, maxPause = 100 * time.Millisecond, 500 * time.Millisecond
+	// awakeTime is how long the process must have run without a pause for the age of its copy to
+	// count. What a watch returns after a pause may have come before it. A watch that began after
+	// the pause has ended by then.
+	awakeTime = WatchTimeout + 100*time.Millisecond
 )
 
+// awake knows how long the process has run without a pause.
+type awake struct {
+	timer timer.Timer
+
+	mu sync.Mutex
+	// seen is the time of the last sign, and since that of the end of the last pause.
+	seen, since time.Duration
+}
+
+func newAwake(t timer.Timer) *awake {
+	now := t.Now()
+	return &awake{timer: t, seen: now, since: now}
+}
+
+// check records a sign and returns for how long the process has run.
+func (a *awake) check() time.Duration {
+	now := a.timer.Now()
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if now-a.seen > maxPause {
+		a.since = now
+	}
+	a.seen = now
+	return now - a.since
+}
+
+func (a *awake) run(ctx context.Context) error {
+	timer.Every(ctx, a.timer, awakeInterval, func(time.Duration) { a.check() })
+	return nil
+}
+
 // newVersions returns the memory of the software versions at which streams began.
 func (d *Daemon) newVersions() *origin.Tracker {
 	return &origin.Tracker{
@@ -45,7 +87,7 @@
 // origin.HoldTime ago or later.
 func (d *Daemon) knowsVersions() bool {
 	age, ok := d.copy.Age(d.Timer.Now(), d.Platform.EndpointPrefix)
-	return ok && age <= maxUpdateAge && !d.isStarting()
+	return ok && age <= maxUpdateAge && d.awake.check() >= awakeTime && !d.isStarting()
 }
 
 // isStarting reports whether this daemon has not read the fleet's own keys yet.
@@ -64,10 +106,14 @@
 	return min(max(longest+streamLifetimeMargin, minStreamLifetime), maxStreamLifetime)
 }
 
-// storesMixedVersions reports whether this daemon writes the key. Only one does: two that see a
-// version go at different times would undo each other's writes.
-func (d *Daemon) storesMixedVersions() bool {
-	return !d.leaving.Load() && lease.IsCandidate(d.members.Hubs(), d.Settings.VM, mixedVersionsKey, 1)
+// storesMixedVersions returns the place of this daemon among the writers of the key, from 0, or -1
+// if it is none of them.
+func (d *Daemon) storesMixedVersions() int {
+	list := lease.Candidates(d.members.Hubs(), mixedVersionsKey, mixedVersionsWriters)
+	if d.leaving.Load() {
+		return -1
+	}
+	return slices.IndexFunc(list, func(v lagoonhead.VM) bool { return v.ID() == d.Settings.VM })
 }
 
 // mixedVersions keeps in the store which services have several software versions.
@@ -76,8 +122,8 @@
 	store   lagoonhead.Store
 	timer   timer.Timer
 	log     *zap.Logger
-	// writes reports whether this daemon writes the key.
-	writes func() bool
+	// place returns the place of this daemon among the writers of the key, or -1.
+	place func() int
 	// starting reports whether the fleet's own keys have not been read yet.
 	starting func() bool
 
@@ -97,10 +143,14 @@
 
 // write writes the key if it does not hold what this daemon knows.
 func (m *mixedVersions) write(ctx context.Context) error {
-	if !m.writes() {
+	place := m.place()
+	if place < 0 {
 		return nil
 	}
 	list := m.tracker.Mixed()
+	if place > 0 {
+		list = m.withStored(m.tracker.Registered(list))
+	}
 	if m.isStored(list) {
 		return nil
 	}
@@ -116,6 +166,18 @@
 	return err
 }
 
+// withStored returns the versions in list and those under the key.
+func (m *mixedVersions) withStored(list map[string][]string) map[string][]string {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for service, versions := range m.stored {
+		all := append(list[service], versions...)
+		slices.Sort(all)
+		list[service] = slices.Compact(all)
+	}
+	return list
+}
+
 func (m *mixedVersions) isStored(list map[string][]string) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
--- a/entry/mixedversions_test.go
+++ b/entry/mixedversions_test.go
@@ -58,7 +58,7 @@
 func TestMixedVersionsAreStored(t *testing.T) {
 	released := make(chan struct{}, 10)
 	store := &oneKeyStore{}
-	m := &mixedVersions{tracker: newTestTracker(released), store: store, log: zap.NewNop(), writes: func() bool { return true }, starting: func() bool { return false }}
+	m := &mixedVersions{tracker: newTestTracker(released), store: store, log: zap.NewNop(), place: func() int { return 0 }, starting: func() bool { return false }}
 	m.tracker.Observe([]lagoonhead.Endpoint{endpointOf("e1", "v1")})
 	require.NoError(t, m.write(t.Context()))
 	require.Zero(t, store.puts)
@@ -70,6 +70,17 @@
 	}
 	require.Equal(t, 1, store.puts)
 
+	second := &mixedVersions{tracker: newTestTracker(released), store: store, log: zap.NewNop(), place: func() int { return 1 }, starting: func() bool { return false }}
+	second.read(store.entry.Value)
+	second.tracker.Observe([]lagoonhead.Endpoint{endpointOf("e2", "v2")})
+	require.NoError(t, second.write(t.Context()))
+	require.Equal(t, 1, store.puts, "it removes nothing")
+	second.tracker.Observe([]lagoonhead.Endpoint{endpointOf("e2", "v2"), endpointOf("e3", "v3")})
+	<-released
+	require.NoError(t, second.write(t.Context()))
+	require.JSONEq(t, `{"s":["v1","v2","v3"]}`, string(store.entry.Value))
+	store.entry.Value = []byte(`{"s":["v1","v2"]}`)
+
 	starting := true
 	other := &mixedVersions{tracker: newTestTracker(released), log: zap.NewNop(), starting: func() bool { return starting }}
 	other.read(store.entry.Value)
@@ -87,6 +98,38 @@
 	require.Empty(t, third.stored)
 }
 
+// Guards against a daemon that was suspended and takes what its watch returned before for new.
+func TestAPauseOfTheProcess(t *testing.T) {
+	clock := timer.NewManual(time.Hour, time.Unix(0, 0))
+	d := &Daemon{Timer: clock, Log: zap.NewNop(), Platform: Platform{EndpointPrefix: "e/"}}
+	d.Settings.VM = "a"
+	d.buildState()
+	d.buildWork()
+	d.members.Put(lagoonhead.Entry{Key: memberPrefix + "a", Value: []byte(`{"failureDomain":"a","peerAddress":"10.0.0.1:1"}`)})
+	d.members.Applied()
+	pass := func(dt time.Duration) {
+		for range dt / awakeInterval {
+			clock.Advance(awakeInterval)
+			d.awake.check()
+			d.copy.Watched("e/", nil, 1, clock.Now())
+		}
+	}
+	d.copy.Listed("e/", nil, 1, clock.Now())
+	require.False(t, d.knowsVersions(), "it has just started")
+	pass(awakeTime)
+	require.True(t, d.knowsVersions())
+	clock.Advance(maxPause + 1)
+	d.copy.Watched("e/", nil, 1, clock.Now())
+	require.False(t, d.knowsVersions())
+	pass(awakeTime)
+	require.True(t, d.knowsVersions())
+	for range maxUpdateAge/awakeInterval + 1 {
+		clock.Advance(awakeInterval)
+		d.awake.check()
+	}
+	require.False(t, d.knowsVersions(), "the store has not responded")
+}
+
 // Guards against streams that are forgotten before their callers give up.
 func TestStreamLifetime(t *testing.T) {
 	d := &Daemon{config: &configuration{}}
--- a/origin/bench_test.go
+++ b/origin/bench_test.go
@@ -65,6 +65,9 @@
 	srv.Start()
 	b.Cleanup(srv.Close)
 	list = []lagoonhead.VM{lagoonhead.NewVM(r.Self, "a", "", false), lagoonhead.NewVM(other.Self, "b", strings.TrimPrefix(srv.URL, "http://"), false)}
+	_ = r.Run(context.Background()) // it ends at once
+	l.in.Store(0)
+	l.out.Store(0)
 	return r, l
 }
 
--- a/origin/book.go
+++ b/origin/book.go
@@ -230,6 +230,25 @@
 	return Answer{Versions: slices.Sorted(maps.Keys(b.services[service]))}
 }
 
+// Versions returns the versions of the services that have served with several lately.
+func (b *Book) Versions(now time.Duration) (list []Group) {
+	b.expire(now)
+	for name, s := range b.services {
+		for software := range s {
+			if len(s) > 1 {
+				list = append(list, Group{Service: name, Software: software})
+			}
+		}
+	}
+	return list
+}
+
+// Registered reports whether a version is registered.
+func (b *Book) Registered(service, software string) bool {
+	v := b.services[service][software]
+	return v != nil && v.registered
+}
+
 // Mixed returns the services that have served with several versions lately, with the versions that
 // are cleared, in ascending order.
 func (b *Book) Mixed(now time.Duration) map[string][]string {
--- a/origin/inquiry.go
+++ b/origin/inquiry.go
@@ -13,10 +13,6 @@
 	// firstAsked is the number of hubs that are asked at first: the homes, and those that were
 	// homes if up to two hubs have joined since.
 	firstAsked = 4
-	// freshWitnesses is the number of hubs with a fresh copy of the registrations that must have
-	// seen one version only, so that the others need not be waited for. A second one finds out
-	// a VM that was suspended and does not know yet that its copy is old.
-	freshWitnesses = 2
 )
 
 // order returns the hubs in the order in which they are homes of a stream: the first by rendezvous
@@ -88,7 +84,7 @@
 
 // decided reports whether further answers are not needed.
 func (q *inquiry) decided() bool {
-	return q.found != nil || (!q.mixed() && q.fresh >= min(freshWitnesses, q.hubs) && q.hubs > 0)
+	return q.found != nil || (!q.mixed() && q.fresh > 0)
 }
 
 // result returns the version and where it is known from. ok is false if it is not known: no VM
--- a/origin/sim_test.go
+++ b/origin/sim_test.go
@@ -54,6 +54,8 @@
 	list []string
 	asOf time.Duration
 	read bool
+	// caughtUp is true once the others have been asked what has served before.
+	caughtUp bool
 }
 
 // sim plays a fleet in which software versions come and go.
@@ -108,8 +110,9 @@
 // start starts the process of a VM.
 func (s *sim) start(m *simVM) {
 	s.process++
-	m.process, m.book, m.read = s.process, NewBook(simLifetime), false
+	m.process, m.book, m.read, m.caughtUp = s.process, NewBook(simLifetime), false, false
 	s.sync(m)
+	s.catchUp(m)
 	s.whileUp(m, s.upTo(2*simStreams), func() { s.newStreams(m) })
 	s.whileUp(m, s.upTo(500*time.Millisecond), func() { s.store(m) })
 }
@@ -128,6 +131,29 @@
 	s.whileUp(m, s.upTo(time.Second), func() { s.sync(m) })
 }
 
+// catchUp is Tracker.catchUp.
+func (s *sim) catchUp(m *simVM) {
+	left := 1
+	end := func() {
+		left--
+		m.caughtUp = m.caughtUp || left == 0
+	}
+	for _, v := range s.vms {
+		if !v.hub || v == m || v.process == 0 {
+			continue
+		}
+		left++
+		var groups []Group
+		s.call(m, v, announceTimeout, func() { groups = v.book.Versions(s.now) }, func(ok bool) {
+			if ok {
+				s.record(m, groups)
+			}
+			end()
+		})
+	}
+	end()
+}
+
 func (s *sim) learn(m *simVM) {
 	m.book.Learn(s.now, s.key)
 }
@@ -265,7 +291,7 @@
 }
 
 // fresh reports whether the copy of a VM is fresh.
-func (s *sim) fresh(m *simVM) bool { return m.read && s.now-m.asOf <= simFresh }
+func (s *sim) fresh(m *simVM) bool { return m.caughtUp && m.read && s.now-m.asOf <= simFresh }
 
 // takeUp has a caller take up a stream at a random VM that runs. It is Tracker.Find.
 func (s *sim) takeUp(v simStream) {
@@ -362,11 +388,7 @@
 		// After a long pause the others have forgotten the former version.
 		long := s.rand.IntN(2) == 0
 		if long || s.rand.IntN(3) > 0 {
-			s.after(at+s.upTo(4*time.Second), func() {
-				if len(s.registered) > 1 {
-					s.registered = s.registered[len(s.registered)-1:]
-				}
-			})
+			s.after(at+s.upTo(4*time.Second), s.leave)
 		}
 		at += 3*time.Second + s.upTo(8*time.Second)
 		if long {
@@ -401,6 +423,19 @@
 	}
 }
 
+// leave has all versions but the newest leave, once the store keeps that there are several. A
+// fleet of which no VM runs, or none reaches the store, from before a version comes until another
+// has gone cannot know of the latter.
+func (s *sim) leave() {
+	switch {
+	case len(s.registered) < 2:
+	case len(s.key["s"]) == 0:
+		s.after(100*time.Millisecond, s.leave)
+	default:
+		s.registered = s.registered[len(s.registered)-1:]
+	}
+}
+
 func (s *sim) kill(m *simVM) {
 	if m.process == 0 {
 		return
--- a/origin/tracker.go
+++ b/origin/tracker.go
@@ -4,6 +4,7 @@
 	"context"
 	"expvar"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -59,6 +60,8 @@
 	once   sync.Once
 	teller teller
 	vars   counters
+	// caughtUp is true once the hubs have been asked which versions have served before.
+	caughtUp atomic.Bool
 
 	mu   sync.Mutex
 	book *Book
@@ -111,6 +114,41 @@
 	return f(t.book)
 }
 
+// Run asks the hubs which versions have served before this process started. Until then the
+// registrations that it has read do not count as fresh: versions may have gone.
+func (t *Tracker) Run(ctx context.Context) error {
+	for len(t.Hubs()) == 0 {
+		if err := t.Timer.Sleep(ctx, startInterval); err != nil {
+			return nil
+		}
+	}
+	t.catchUp(ctx)
+	return nil
+}
+
+// catchUp asks all hubs, once.
+func (t *Tracker) catchUp(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, announceTimeout)
+	defer cancel()
+	var w sync.WaitGroup
+	for _, v := range t.Hubs() {
+		if v.ID() == t.Self {
+			continue
+		}
+		w.Go(func() {
+			r, err := t.Peers.Queries(v.PeerAddress()).FindStream(ctx, &peer.FindStreamRequest{})
+			if err == nil {
+				t.record(t.Timer.Now(), decodeGroups(r.GetMixed()))
+			}
+		})
+	}
+	w.Wait()
+	t.caughtUp.Store(true)
+}
+
+// fresh reports whether this VM knows all versions that served HoldTime ago or later.
+func (t *Tracker) fresh() bool { return t.caughtUp.Load() && t.Fresh() }
+
 // Observe takes over the registered endpoints and returns those that may be used. The others run a
 // version that is new to their service and not known to all hubs yet; OnRelease tells of them.
 func (t *Tracker) Observe(list []lagoonhead.Endpoint) []lagoonhead.Endpoint {
@@ -200,7 +238,7 @@
 	hubs := order(t.Hubs(), key)
 	q := inquiry{hubs: len(hubs)}
 	var others []lagoonhead.VM
-	self := witness{vm: t.Self, Answer: own, fresh: t.Fresh()}
+	self := witness{vm: t.Self, Answer: own, fresh: t.fresh()}
 	for _, v := range hubs {
 		if v.ID() == t.Self {
 			self.hub = true
@@ -267,20 +305,35 @@
 // FindStream answers a peer that asks for a stream.
 func (t *Tracker) FindStream(r *peer.FindStreamRequest) *peer.FindStreamResponse {
 	now := t.Timer.Now()
+	if r.GetService() == "" {
+		return &peer.FindStreamResponse{Mixed: encodeGroups(with(t, func(b *Book) []Group { return b.Versions(now) }))}
+	}
 	a := with(t, func(b *Book) Answer { return b.Answer(now, r.GetService(), r.GetStream()) })
-	return &peer.FindStreamResponse{Known: a.Known, Software: a.Software, Versions: a.Versions, Fresh: t.Fresh()}
+	return &peer.FindStreamResponse{Known: a.Known, Software: a.Software, Versions: a.Versions, Fresh: t.fresh()}
 }
 
 // TellStreams takes over what a peer tells of streams.
 func (t *Tracker) TellStreams(r *peer.TellStreamsRequest) *peer.TellStreamsResponse {
-	groups := make([]Group, 0, len(r.GetGroups()))
-	for _, g := range r.GetGroups() {
-		groups = append(groups, Group{g.GetService(), g.GetSoftware(), g.GetStreams()})
-	}
-	t.record(t.Timer.Now(), groups)
+	t.record(t.Timer.Now(), decodeGroups(r.GetGroups()))
 	return &peer.TellStreamsResponse{}
 }
 
+func decodeGroups(list []*peer.StreamGroup) []Group {
+	out := make([]Group, 0, len(list))
+	for _, g := range list {
+		out = append(out, Group{g.GetService(), g.GetSoftware(), g.GetStreams()})
+	}
+	return out
+}
+
+func encodeGroups(list []Group) []*peer.StreamGroup {
+	out := make([]*peer.StreamGroup, 0, len(list))
+	for _, g := range list {
+		out = append(out, &peer.StreamGroup{Service: g.Service, Software: g.Software, Streams: g.Streams})
+	}
+	return out
+}
+
 // Learn takes over what Mixed returned at another VM.
 func (t *Tracker) Learn(versions map[string][]string) {
 	now := t.Timer.Now()
@@ -300,6 +353,21 @@
 	return with(t, func(b *Book) map[string][]string { return b.Mixed(now) })
 }
 
+// Registered returns those of versions by service that are registered.
+func (t *Tracker) Registered(versions map[string][]string) map[string][]string {
+	return with(t, func(b *Book) map[string][]string {
+		out := make(map[string][]string)
+		for service, list := range versions {
+			for _, software := range list {
+				if b.Registered(service, software) {
+					out[service] = append(out[service], software)
+				}
+			}
+		}
+		return out
+	})
+}
+
 func (t *Tracker) record(now time.Duration, groups []Group) {
 	if with(t, func(b *Book) bool { return b.Record(now, groups) }) {
 		go t.announce()
@@ -403,10 +471,7 @@
 
 // call tells a VM of versions and streams.
 func (t *Tracker) call(ctx context.Context, to lagoonhead.VM, groups []Group) error {
-	r := &peer.TellStreamsRequest{Vm: string(t.Self)}
-	for _, g := range groups {
-		r.Groups = append(r.Groups, &peer.StreamGroup{Service: g.Service, Software: g.Software, Streams: g.Streams})
-	}
+	r := &peer.TellStreamsRequest{Vm: string(t.Self), Groups: encodeGroups(groups)}
 	t.vars.calls.Add(1)
 	_, err := t.Peers.Commands(to.PeerAddress()).TellStreams(ctx, r)
 	if err != nil {
--- a/origin/tracker_test.go
+++ b/origin/tracker_test.go
@@ -52,6 +52,9 @@
 		f.trackers = append(f.trackers, r)
 		require.Len(t, r.Observe(registered("v1")), 1)
 	}
+	for _, r := range f.trackers {
+		require.NoError(t, r.Run(t.Context()))
+	}
 	t.Cleanup(f.pool.CloseIdle)
 	return f
 }
@@ -122,6 +125,7 @@
 	require.Equal(t, []any{"v1", sourceLocal, true}, []any{software, source, ok})
 	software, source, ok = f.trackers[1].Find(t.Context(), "s", "unknown")
 	require.Equal(t, []any{"v1", sourceOnly, true}, []any{software, source, ok})
+	require.Zero(t, f.counter("asked"))
 	_, _, ok = f.trackers[1].Find(t.Context(), "other", "unknown")
 	require.False(t, ok)
 }
@@ -213,7 +217,8 @@
 	f.hubs = append(f.hubs, lagoonhead.NewVM("down", "d", "127.0.0.1:1", false))
 	list := registered("v1", "v2")
 	require.Len(t, f.trackers[0].Observe(list), 1)
-	require.EqualValues(t, "vm0", <-f.released)
+	for <-f.released != "vm0" { // the others announce it too
+	}
 	require.Len(t, f.trackers[0].Observe(list), 2)
 
 	f = newFleet(t, 3, 2)
@@ -221,8 +226,8 @@
 	for held := true; held; {
 		f.clock.Advance(announceInterval)
 		select {
-		case <-f.released:
-			held = false
+		case id := <-f.released:
+			held = id != "vm0"
 		case <-time.After(time.Millisecond):
 		}
 	}
@@ -230,6 +235,25 @@
 	require.Len(t, f.trackers[0].Observe(list), 2)
 }
 
+// Guards against a VM that starts after a version has gone and takes the other one for the only one
+// that has served.
+func TestAVMThatStartsAsksWhatHasServed(t *testing.T) {
+	f := newFleet(t, 3)
+	f.observe("v1", "v2")
+	for _, r := range f.trackers {
+		r.Observe(registered("v2"))
+	}
+	r := &Tracker{
+		Self: "vm0", Timer: f.clock, Log: zap.NewNop(), Peers: f.pool, Hubs: func() []lagoonhead.VM { return f.hubs },
+		Lifetime: func() time.Duration { return testLifetime }, Fresh: f.fresh, OnRelease: func() {},
+	}
+	require.Len(t, r.Observe(registered("v2")), 1)
+	require.False(t, r.FindStream(&peer.FindStreamRequest{Service: "s", Stream: 1}).GetFresh(), "it has not asked yet")
+	require.NoError(t, r.Run(t.Context()))
+	_, _, ok := r.Find(t.Context(), "s", "unknown")
+	require.False(t, ok)
+}
+
 // Guards against calls that pile up at a home: there is one at a time, and what comes meanwhile
 // goes with the next.
 func TestCallsAreCoalesced(t *testing.T) {
