httppool: an https request never goes out on a plain connection

Idle connections were kept by address only, so that a request with an https URL could get the plain connection to the same address. They are kept by scheme and address.

--- a/httppool/conn.go
+++ b/httppool/conn.go
@@ -63,7 +63,7 @@
 type conn struct {
 	net.Conn
 	transport *Transport
-	address   string
+	key       poolKey
 	// socket is the connection below TLS, or nil if it has no file descriptor.
 	socket syscall.Conn
 	in     headerLimiter
@@ -76,8 +76,8 @@
 	written atomic.Int64
 }
 
-func newConn(t *Transport, address string, socket, c net.Conn) *conn {
-	v := &conn{Conn: c, transport: t, address: address}
+func newConn(t *Transport, key poolKey, socket, c net.Conn) *conn {
+	v := &conn{Conn: c, transport: t, key: key}
 	v.socket, _ = socket.(syscall.Conn)
 	v.in.Reader = c
 	v.reader = bufio.NewReader(&v.in)
--- a/httppool/transport.go
+++ b/httppool/transport.go
@@ -47,13 +47,16 @@
 	IDHeader string
 
 	mu       sync.Mutex
-	idle     map[string][]*conn
+	idle     map[poolKey][]*conn
 	sweeping bool
 }
 
 // NewTransport returns a Transport whose idle connections are closed after idleTimeout.
 func NewTransport(d *net.Dialer, idleTimeout time.Duration) *Transport {
 	return &Transport{Dialer: d, IdleTimeout: idleTimeout}
+// poolKey tells what a connection can be used for. The address is host:port.
+type poolKey struct{ scheme, address string }
+
 }
 
 // Do sends the request once and returns its response, whose body must be closed. x, which must not
@@ -68,10 +71,10 @@
 	if err := context.Cause(ctx); err != nil {
 		return nil, err
 	}
-	address := dialAddress(r.URL)
-	c := t.take(address, t.requestID(r))
+	key := poolKey{r.URL.Scheme, dialAddress(r.URL)}
+	c := t.take(key, t.requestID(r))
 	if c == nil {
-		if c, err = t.dial(ctx, r.URL, address); err != nil {
+		if c, err = t.dial(ctx, r.URL, key); err != nil {
 			return nil, err
 		}
 	}
@@ -120,31 +123,31 @@
 	return net.JoinHostPort(u.Hostname(), port)
 }
 
-func (t *Transport) dial(ctx context.Context, u *url.URL, address string) (*conn, error) {
+func (t *Transport) dial(ctx context.Context, u *url.URL, key poolKey) (*conn, error) {
 	switch u.Scheme {
 	case "http", "https":
 	default:
 		return nil, errors.Newf("scheme %q is neither http nor https", u.Scheme)
 	}
-	socket, err := t.Dialer.DialContext(ctx, "tcp", address)
+	socket, err := t.Dialer.DialContext(ctx, "tcp", key.address)
 	if err != nil {
 		return nil, err
 	}
 	if u.Scheme == "http" {
-		return newConn(t, address, socket, socket), nil
+		return newConn(t, key, socket, socket), nil
 	}
 	c := tls.Client(socket, &tls.Config{ServerName: u.Hostname(), MinVersion: tls.VersionTLS12})
 	if err := c.HandshakeContext(ctx); err != nil {
 		socket.Close()
 		return nil, err
 	}
-	return newConn(t, address, socket, c), nil
+	return newConn(t, key, socket, c), nil
 }
 
-// take returns an idle connection to the address that has not carried the identifier, or nil.
-func (t *Transport) take(address, id string) *conn {
+// take returns an idle connection that has not carried the identifier, or nil.
+func (t *Transport) take(key poolKey, id string) *conn {
 	for {
-		c := t.pop(address, id)
+		c := t.pop(key, id)
 		if c == nil {
 			return nil
 		}
@@ -156,17 +159,17 @@
 }
 
 // pop removes the connection that became idle last from those that have not carried the identifier.
-func (t *Transport) pop(address, id string) *conn {
+func (t *Transport) pop(key poolKey, id string) *conn {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	list := t.idle[address]
+	list := t.idle[key]
 	for i := len(list) - 1; i >= 0; i-- {
 		c := list[i]
 		if c.carried(id) {
 			continue
 		}
-		if t.idle[address] = slices.Delete(list, i, i+1); len(list) == 1 {
-			delete(t.idle, address)
+		if t.idle[key] = slices.Delete(list, i, i+1); len(list) == 1 {
+			delete(t.idle, key)
 		}
 		return c
 	}
@@ -182,14 +185,14 @@
 	c.idleSince = time.Now()
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if len(t.idle[c.address]) >= limit {
+	if len(t.idle[c.key]) >= limit {
 		c.Close()
 		return
 	}
 	if t.idle == nil {
-		t.idle = make(map[string][]*conn)
+		t.idle = make(map[poolKey][]*conn)
 	}
-	t.idle[c.address] = append(t.idle[c.address], c)
+	t.idle[c.key] = append(t.idle[c.key], c)
 	if !t.sweeping {
 		t.sweeping = true
 		time.AfterFunc(t.IdleTimeout, t.sweep)
@@ -202,7 +205,7 @@
 	defer t.mu.Unlock()
 	now := time.Now()
 	next := time.Duration(-1)
-	for address, list := range t.idle {
+	for key, list := range t.idle {
 		list = slices.DeleteFunc(list, func(c *conn) bool {
 			left := t.IdleTimeout - now.Sub(c.idleSince)
 			if left <= 0 {
@@ -214,8 +217,8 @@
 			}
 			return false
 		})
-		if t.idle[address] = list; len(list) == 0 {
-			delete(t.idle, address)
+		if t.idle[key] = list; len(list) == 0 {
+			delete(t.idle, key)
 		}
 	}
 	if t.sweeping = next >= 0; t.sweeping {
