--- a/httppool/conn.go
+++ b/httppool/conn.go
@@ -186,7 +186,7 @@
 	if r.Method == http.MethodHead {
 		res.Body = http.NoBody
 	}
-	e.keep = e.keep && !res.Close
+	e.keep = e.keep && !res.Close && res.StatusCode != http.StatusSwitchingProtocols
 	if res.Body == http.NoBody {
 		e.end(true)
 		return res, nil
