httppool: a half-written request is not acknowledged

A request that was written in part counted as acknowledged, and so as one that crashes endpoints, when the peer closed the connection meanwhile. TestAPartOfARequestIsNotAcknowledged (found in the review) failed before.

--- a/httppool/conn.go
+++ b/httppool/conn.go
@@ -178,7 +178,7 @@
 		err = errTimeout
 	}
 	if err != nil {
-		x.acknowledged = c.allAcknowledged()
+		x.acknowledged = e.written.Load() && c.allAcknowledged()
 		e.end(false)
 		return nil, e.cause(err)
 	}
