--- a/httppool/conn.go
+++ b/httppool/conn.go
@@ -30,6 +30,9 @@
 	// earlyResponseTime is how long a response is waited for when the request cannot be written: a
 	// peer may respond and close before it has read the whole request.
 	earlyResponseTime = 50 * time.Millisecond
+	// unnamedResponseTime is how long a response is waited for behind one that names no request.
+	// That one may have been the response itself, from a peer that breaks the protocol.
+	unnamedResponseTime = 250 * time.Millisecond
 )
 
 var (
@@ -198,6 +201,7 @@
 // readResponse reads the response to the request with the identifier. It discards interim responses
 // and extra ones: those that the peer has sent once more for earlier requests on the connection.
 func (c *conn) readResponse(id string, x *Exchange) (*http.Response, error) {
+	waits := false
 	for interim, extra := 0, 0; interim <= maxInterim && extra <= maxExtra; {
 		c.in.inHeader, c.in.left = true, maxHeaderBytes
 		res, err := http.ReadResponse(c.reader, nil)
@@ -210,6 +214,9 @@
 			continue
 		}
 		own, err := c.owns(res, id)
+		if own && waits {
+			_ = c.SetReadDeadline(time.Time{}) // fails only on a closed connection
+		}
 		if own || err != nil {
 			return res, err
 		}
@@ -224,14 +231,18 @@
 		if x.OnExtra != nil {
 			x.OnExtra(res)
 		}
+		if res.Header.Get(c.transport.IDHeader) == "" {
+			_ = c.SetReadDeadline(time.Now().Add(unnamedResponseTime)) // fails only on a closed connection
+			waits = true
+		}
 	}
 	return nil, errTooManyExtra
 }
 
 // owns reports whether a response belongs to the request with the identifier, the last one on the
 // connection. If it does not, it is an extra response to an earlier request: no identifier travels
-// twice on a connection. A response that names no request belongs to the only one. One that names
-// a request that the connection never carried is an error.
+// twice on a connection. A response that names no request belongs to the only one, or to the last
+// one if IDOptional is set. One that names a request that the connection never carried is an error.
 func (c *conn) owns(res *http.Response, id string) (bool, error) {
 	if c.transport.IDHeader == "" {
 		return true, nil
@@ -239,7 +250,7 @@
 	got := res.Header.Get(c.transport.IDHeader)
 	only := len(c.ids) == 1
 	switch {
-	case got == id || got == "" && only:
+	case got == id || got == "" && (only || c.transport.IDOptional):
 		return true, nil
 	case !only && (got == "" || c.carried(got)):
 		return false, nil
@@ -262,6 +273,8 @@
 	writeErr atomic.Pointer[error]
 	timedOut atomic.Bool
 	ended    atomic.Bool
+	// detached is true once the end of ctx does not matter any more.
+	detached bool
 }
 
 // wrote records that the write of the request has ended.
@@ -279,7 +292,7 @@
 	if !e.ended.CompareAndSwap(false, true) {
 		return
 	}
-	open := e.stop()
+	open := e.detached || e.stop()
 	c := e.conn
 	if whole && open && e.keep && e.written.Load() && c.reader.Buffered() == 0 && len(c.ids) < maxRequests {
 		c.transport.put(c)
@@ -296,7 +309,7 @@
 	if e.timedOut.Load() {
 		return errors.CombineErrors(errTimeout, err)
 	}
-	if writeErr := e.writeErr.Load(); writeErr != nil {
+	if writeErr := e.writeErr.Load(); writeErr != nil && !IsEnd(err) {
 		return errors.CombineErrors(*writeErr, err)
 	}
 	return err
@@ -322,6 +335,26 @@
 	return n, err
 }
 
+// Discard reads the rest of a body that is not used and closes it. It does not wait, and the end of the
+// request's context does not end it. The connection is closed if the rest has more than maxBytes or
+// takes longer than timeout.
+func Discard(body io.ReadCloser, maxBytes int64, timeout time.Duration) {
+	if b, ok := body.(*responseBody); ok {
+		b.exchange.detached = b.exchange.stop()
+	}
+	expired := time.AfterFunc(timeout, func() { body.Close() })
+	go func() {
+		defer expired.Stop()
+		_, _ = io.CopyN(io.Discard, body, maxBytes) // the connection is closed if this fails
+		body.Close()
+	}()
+}
+
+// IsEnd reports whether an error means that the peer has closed or reset the connection.
+func IsEnd(err error) bool {
+	return errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE)
+}
+
 // Close closes the connection unless the body has been read to its end.
 func (b *responseBody) Close() error {
 	b.exchange.end(false)
