httponce: interim responses end no request

A response with status 103 passed for the answer to an order, whose outcome was unknown then. TestInterimResponsesEndNoOrder (found in the review) failed before.

--- a/httponce/client.go
+++ b/httponce/client.go
@@ -80,12 +80,18 @@
 		return nil, fail("write", k, err)
 	}
 	in := &io.LimitedReader{R: conn, N: maxHeaderBytes}
-	resp, err := http.ReadResponse(bufio.NewReader(in), r)
-	if err != nil {
-		return nil, fail("read", lagoonhead.KindUnknown, err)
+	buffered := bufio.NewReader(in)
+	for {
+		resp, err := http.ReadResponse(buffered, r)
+		if err != nil {
+			return nil, fail("read", lagoonhead.KindUnknown, err)
+		}
+		if resp.StatusCode >= http.StatusContinue && resp.StatusCode < http.StatusOK && resp.StatusCode != http.StatusSwitchingProtocols {
+			continue // an interim response; maxHeaderBytes bounds all of them
+		}
+		in.N = math.MaxInt64 // the reader of the body limits it
+		return resp, nil
 	}
-	in.N = math.MaxInt64 // the reader of the body limits it
-	return resp, nil
 }
 
 func (c *Client) dial(ctx context.Context, r *http.Request) (net.Conn, error) {
