engine, service: extra responses and ends of kept connections, as in the platform's form

Copies of refusals and answers passed for those of the next request, a call that crashes an endpoint on a reused connection was not known to, and one whose engine had closed the connection was accused. The pools know the identifiers now; servers of the own interface may leave them out, so that only a named response is extra. An end counts as a crash on a new connection, or once the request was acknowledged. Responses outside the protocol are no ends.

--- a/engine/errors.go
+++ b/engine/errors.go
@@ -4,11 +4,11 @@
 	"context"
 	"net"
 	"net/http"
-	"strings"
 
 	"github.com/cockroachdb/errors"
 
 	"github.com/lagoonhead/lagoonhead"
+	"github.com/lagoonhead/lagoonhead/httppool"
 )
 
 // Error is the error type of the package.
@@ -56,8 +56,7 @@
 	case errors.As(err, &timeout) && timeout.Timeout():
 		// TCP_USER_TIMEOUT closes a connection whose peer does not acknowledge data.
 		return lagoonhead.KindTimeout
-	case strings.Contains(err.Error(), "malformed"):
-		// net/http has no exported error type for a response that is not HTTP.
+	case !httppool.IsEnd(err):
 		return lagoonhead.KindUnknown
 	}
 	return lagoonhead.KindCrashed
--- a/engine/stream.go
+++ b/engine/stream.go
@@ -68,6 +68,9 @@
 	res, err := s.transport.Do(r, &s.exchange)
 	s.reading.Store(false)
 	s.readCount.Add(1)
+	if errors.Is(err, httppool.ErrWrongRequest) {
+		return s.protocolError("engine.stream", errors.CombineErrors(ErrWrongRequest, err))
+	}
 	if err != nil {
 		return s.connectionError("engine.stream", err)
 	}
@@ -114,6 +117,9 @@
 // pool of the endpoint unless the caller canceled the request.
 func (s *stream) connectionError(op string, err error) error {
 	kind := kindOfFailure(s.ctx, err, s.response != nil || s.exchange.Written())
+	if kind == lagoonhead.KindCrashed && s.response == nil && s.exchange.Reused() && !s.exchange.Acknowledged() {
+		kind = lagoonhead.KindUnknown // the engine may have closed the connection before
+	}
 	cause := context.Cause(s.ctx)
 	if cause != nil {
 		err = cause
--- a/engine/streamer.go
+++ b/engine/streamer.go
@@ -68,6 +68,7 @@
 func (s *Streamer) init() {
 	s.once.Do(func() {
 		s.pools.Dialer, s.pools.IdleTimeout = dialer(s.DialTimeout, s.UserTimeout), idleConnTimeout
+		s.pools.IDHeader = HeaderRequestID
 		s.open = make(map[*stream]struct{})
 		c := &s.counters
 		for _, v := range []struct {
--- a/httppool/pools.go
+++ b/httppool/pools.go
@@ -16,8 +16,9 @@
 // exported fields before use.
 type Pools struct {
 	Dialer *net.Dialer
-	// IdleTimeout is that of the pools.
+	// IdleTimeout is that of the pools, and IDHeader their IDHeader, with IDOptional set.
 	IdleTimeout time.Duration
+	IDHeader    string
 
 	mu        sync.Mutex
 	byAddress map[string]*Transport
@@ -43,6 +44,7 @@
 		t.CloseIdleConnections()
 	}
 	t := NewTransport(p.Dialer, p.IdleTimeout)
+	t.IDHeader, t.IDOptional = p.IDHeader, true
 	p.byAddress[address] = t
 	return t
 }
--- a/httppool/transport.go
+++ b/httppool/transport.go
@@ -45,18 +45,21 @@
 	// IDHeader is the header field with the identifier of a request, which servers repeat in the
 	// response. Empty means that responses name no request.
 	IDHeader string
+	// IDOptional means that servers may leave out the identifier in responses. Then only
+	// responses that name an earlier request are known as extra.
+	IDOptional bool
 
 	mu       sync.Mutex
 	idle     map[poolKey][]*conn
 	sweeping bool
 }
 
-// NewTransport returns a Transport whose idle connections are closed after idleTimeout.
-func NewTransport(d *net.Dialer, idleTimeout time.Duration) *Transport {
-	return &Transport{Dialer: d, IdleTimeout: idleTimeout}
 // poolKey tells what a connection can be used for. The address is host:port.
 type poolKey struct{ scheme, address string }
 
+// NewTransport returns a Transport whose idle connections are closed after idleTimeout.
+func NewTransport(d *net.Dialer, idleTimeout time.Duration) *Transport {
+	return &Transport{Dialer: d, IdleTimeout: idleTimeout}
 }
 
 // Do sends the request once and returns its response, whose body must be closed. x, which must not
--- a/service/answer.go
+++ b/service/answer.go
@@ -3,7 +3,6 @@
 import (
 	"io"
 	"sync"
-	"syscall"
 
 	"github.com/cockroachdb/errors"
 
@@ -60,9 +59,3 @@
 	})
 	return err
 }
-
-// isClosed reports whether err means that the endpoint closed or reset the connection.
-func isClosed(err error) bool {
-	return errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) ||
-		errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE)
-}
--- a/service/client.go
+++ b/service/client.go
@@ -278,12 +278,13 @@
 
 // failureKind returns the kind of error for a failed round trip. Without a connection
 // no byte can have been sent, so the call did not run. The endpoint may close a reused
-// connection because it was idle, so only the loss of a new one counts as a crash.
+// connection because it was idle, so its loss counts as a crash only if the endpoint has
+// acknowledged the call.
 func failureKind(err error, x *httppool.Exchange) lagoonhead.Kind {
 	if !x.Connected() {
 		return lagoonhead.KindUnavailable
 	}
-	if !x.Reused() && isClosed(err) {
+	if (!x.Reused() || x.Acknowledged()) && httppool.IsEnd(err) {
 		return lagoonhead.KindCrashed
 	}
 	return lagoonhead.KindUnknown
--- a/service/transport.go
+++ b/service/transport.go
@@ -24,5 +24,6 @@
 	t.SingleUse = !keepAlive
 	t.MaxIdle = idleConnsPerHost
 	t.ResponseTimeout = headerTimeout
+	t.IDHeader, t.IDOptional = HeaderRequestID, true
 	return t
 }
