origin, entry: hubs that become known are told of versions and streams

Cause: a VM knows the others up to 2 s after its first start (fleetInterval). Streams that began until then while several versions served were known only there. Change: after a change of the hubs the versions are announced again, with the streams that no hub was told.

--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -299,7 +299,7 @@
 	d.members = &members{
 		self: s.VM, domain: s.FailureDomain, log: d.Log, wall: func() time.Time { return d.tally.Timer.Wall() }, slotsChanged: func() { d.admit.ReadSlots() },
 		refusedParts: func(value []byte) { d.refusedParts.read(value) }, refusedPartsLost: func() { d.refusedParts.lost() },
-		mixedVersions: func(value []byte) { d.mixedVersions.read(value) }, vms: make(map[string]lagoonhead.VM),
+		mixedVersions: func(value []byte) { d.mixedVersions.read(value) }, hubsChanged: func() { d.versions.HubsChanged() }, vms: make(map[string]lagoonhead.VM),
 	}
 	for _, a := range s.Seeds {
 		if a != s.Listen.Peers {
--- a/entry/members.go
+++ b/entry/members.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"expvar"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -63,6 +64,8 @@
 	// mixedVersions is called with the value of the key of the services with several software
 	// versions, which is empty when the key is gone.
 	mixedVersions func(value []byte)
+	// hubsChanged is called after a change of the hubs.
+	hubsChanged func()
 	// seeds are the peers of the settings, with placeholders as identifiers.
 	seeds []lagoonhead.VM
 
@@ -226,7 +229,17 @@
 	l := &layout{Layout: hub.NewLayout(list)}
 	l.isHub, l.flat, l.isReader = l.IsHub(m.self), l.IsFlat(), l.IsReader(m.self)
 	l.order = l.Order(m.self, m.domain)
+	former := m.Hubs()
 	m.current.Store(l)
+	sameID := func(a, b lagoonhead.VM) bool { return a.ID() == b.ID() }
+	if m.hubsChanged != nil && !slices.EqualFunc(byID(former), byID(l.Hubs()), sameID) {
+		m.hubsChanged()
+	}
+}
+
+// byID returns VMs in the order of their identifiers.
+func byID(list []lagoonhead.VM) []lagoonhead.VM {
+	return slices.SortedFunc(slices.Values(list), func(a, b lagoonhead.VM) int { return strings.Compare(string(a.ID()), string(b.ID())) })
 }
 
 // Synced does nothing; Applied has published the list.
--- a/origin/book.go
+++ b/origin/book.go
@@ -147,6 +147,24 @@
 	return tell
 }
 
+// Untold notes that the homes of a stream could not be told, since no other hub was known.
+func (b *Book) Untold(key uint64) {
+	if e, ok := b.streams.get(key); ok {
+		e.told = false
+		b.streams.byKey[key] = e
+	}
+}
+
+// HubsChanged reports whether there is something to announce to hubs that were not known before.
+func (b *Book) HubsChanged() bool {
+	for name, s := range b.services {
+		if len(s) > 1 {
+			b.unannounced[name] = true
+		}
+	}
+	return len(b.unannounced) > 0
+}
+
 // Record takes over what a peer tells and reports whether there is something to announce.
 func (b *Book) Record(now time.Duration, groups []Group) bool {
 	b.expire(now)
--- a/origin/tracker.go
+++ b/origin/tracker.go
@@ -164,6 +164,14 @@
 	return usable
 }
 
+// HubsChanged is called when the hubs have changed. Those that are new are told of the versions, and
+// of the streams that began while no other hub was known.
+func (t *Tracker) HubsChanged() {
+	if with(t, func(b *Book) bool { return b.HubsChanged() }) {
+		go t.announce()
+	}
+}
+
 // Begin records that a stream begins. While the service has one version it returns at once, else
 // when a home other than this VM knows the stream, none can be reached, or after 100 ms.
 func (t *Tracker) Begin(ctx context.Context, service string, id lagoonhead.RequestID, software string) {
@@ -190,6 +198,12 @@
 			batches = append(batches, b)
 		}
 	}
+	if len(batches) == 0 {
+		with(t, func(b *Book) bool {
+			b.Untold(key)
+			return true
+		})
+	}
 	if !waitForOne(ctx, batches) {
 		t.vars.unconfirmed.Add(1)
 	}
