--- a/engine/protocol.go
+++ b/engine/protocol.go
@@ -39,8 +39,8 @@
 	maxErrorTextBytes = 256
 )
 
-// strippedHeaders are not forwarded to an engine: they carry credentials, make
-// net/http retry a request, are set by this package, or belong to one connection.
+// strippedHeaders are not forwarded to an engine: they carry credentials, allow HTTP clients
+// on the way to repeat a request, are set by this package, or belong to one connection.
 var strippedHeaders = []string{
 	"Authorization", "Proxy-Authorization", "Cookie",
 	"Idempotency-Key", "X-Idempotency-Key",
--- a/httppool/conn.go
+++ b/httppool/conn.go
@@ -155,13 +155,13 @@
 	return err == nil && queueErr == nil && queued == 0
 }
 
-// exchange sends the request once and returns its response. encoded is the whole request, or nil
+// send sends the request once and returns its response. encoded is the whole request, or nil
 // if it is too large to be encoded in advance. After an error the connection is closed.
-func (c *conn) exchange(r *http.Request, encoded *bytes.Buffer, x *Exchange) (*http.Response, error) {
+func (c *conn) send(r *http.Request, encoded *bytes.Buffer, x *Exchange) (*http.Response, error) {
 	ctx := r.Context()
 	id := c.transport.requestID(r)
 	c.ids = append(c.ids, xxhash.Sum64String(id))
-	e := &exchange{conn: c, ctx: ctx, keep: !r.Close && r.Method != http.MethodHead}
+	e := &roundTrip{conn: c, ctx: ctx, keep: !r.Close && r.Method != http.MethodHead}
 	e.stop = context.AfterFunc(ctx, func() { c.Close() })
 	if encoded != nil {
 		_, err := c.Write(encoded.Bytes())
@@ -194,7 +194,7 @@
 		e.end(true)
 		return res, nil
 	}
-	res.Body = &responseBody{body: res.Body, exchange: e}
+	res.Body = &responseBody{body: res.Body, roundTrip: e}
 	return res, nil
 }
 
@@ -242,7 +242,8 @@
 // owns reports whether a response belongs to the request with the identifier, the last one on the
 // connection. If it does not, it is an extra response to an earlier request: no identifier travels
 // twice on a connection. A response that names no request belongs to the only one, or to the last
-// one if IDOptional is set. One that names a request that the connection never carried is an error.
+// one if IDOptional is set; else it is extra, and another one is awaited for unnamedResponseTime. One
+// that names a request that the connection never carried is an error.
 func (c *conn) owns(res *http.Response, id string) (bool, error) {
 	if c.transport.IDHeader == "" {
 		return true, nil
@@ -259,8 +260,8 @@
 	}
 }
 
-// exchange is the state of a request on its connection.
-type exchange struct {
+// roundTrip is the state of a request on its connection.
+type roundTrip struct {
 	conn *conn
 	ctx  context.Context
 	// stop removes the function that closes the connection when ctx ends.
@@ -278,7 +279,7 @@
 }
 
 // wrote records that the write of the request has ended.
-func (e *exchange) wrote(err error) {
+func (e *roundTrip) wrote(err error) {
 	if err == nil {
 		e.written.Store(true)
 		return
@@ -287,8 +288,8 @@
 	_ = e.conn.SetReadDeadline(time.Now().Add(earlyResponseTime)) // fails only on a closed connection
 }
 
-// end ends the exchange. The connection is kept if the response is whole and nothing follows it.
-func (e *exchange) end(whole bool) {
+// end ends the round trip. The connection is kept if the response is whole and nothing follows it.
+func (e *roundTrip) end(whole bool) {
 	if !e.ended.CompareAndSwap(false, true) {
 		return
 	}
@@ -302,7 +303,7 @@
 }
 
 // cause returns why reading failed with err.
-func (e *exchange) cause(err error) error {
+func (e *roundTrip) cause(err error) error {
 	if cause := context.Cause(e.ctx); cause != nil {
 		return errors.CombineErrors(cause, err)
 	}
@@ -315,10 +316,10 @@
 	return err
 }
 
-// responseBody is the body of a response. Its end or its Close ends the exchange.
+// responseBody is the body of a response. Its end or its Close ends the round trip.
 type responseBody struct {
 	body     io.Reader
-	exchange *exchange
+	roundTrip *roundTrip
 }
 
 // Read reads the body.
@@ -327,10 +328,10 @@
 	switch {
 	case err == nil:
 	case errors.Is(err, io.EOF):
-		b.exchange.end(true)
+		b.roundTrip.end(true)
 	default:
-		err = b.exchange.cause(err)
-		b.exchange.end(false)
+		err = b.roundTrip.cause(err)
+		b.roundTrip.end(false)
 	}
 	return n, err
 }
@@ -340,7 +341,7 @@
 // takes longer than timeout.
 func Discard(body io.ReadCloser, maxBytes int64, timeout time.Duration) {
 	if b, ok := body.(*responseBody); ok {
-		b.exchange.detached = b.exchange.stop()
+		b.roundTrip.detached = b.roundTrip.stop()
 	}
 	expired := time.AfterFunc(timeout, func() { body.Close() })
 	go func() {
@@ -357,7 +358,7 @@
 
 // Close closes the connection unless the body has been read to its end.
 func (b *responseBody) Close() error {
-	b.exchange.end(false)
+	b.roundTrip.end(false)
 	return nil
 }
 
--- a/httppool/transport.go
+++ b/httppool/transport.go
@@ -82,7 +82,7 @@
 		}
 	}
 	x.begin(c)
-	return c.exchange(r, encoded, x)
+	return c.send(r, encoded, x)
 }
 
 // CloseIdleConnections closes the idle connections.
--- a/service/header.go
+++ b/service/header.go
@@ -14,7 +14,7 @@
 	// HeaderRequestID carries the identifier of the request.
 	HeaderRequestID = "Lagoonhead-Request-Id"
 	// HeaderIdempotencyKey carries the caller's idempotency key. The usual name
-	// Idempotency-Key would allow net/http to retry the call.
+	// Idempotency-Key allows HTTP clients on the way to repeat the call.
 	HeaderIdempotencyKey = "Lagoonhead-Idempotency-Key"
 )
 
