--- a/origin/book.go
+++ b/origin/book.go
@@ -215,6 +215,15 @@
 	return a
 }
 
+// Versions returns the versions of an announcement by service, in ascending order.
+func (a *Announcement) Versions() map[string][]string {
+	list := make(map[string][]string)
+	for _, g := range a.Groups {
+		list[g.Service] = append(list[g.Service], g.Software)
+	}
+	return list
+}
+
 // Over reports whether an announcement is over, when the given number of the hubs know it. Those
 // that do not have had the time to see the versions in the registrations.
 func (a *Announcement) Over(now time.Duration, told, hubs int) bool {
@@ -261,6 +270,18 @@
 	return list
 }
 
+// Held returns the number of versions that are held.
+func (b *Book) Held() (n int) {
+	for _, s := range b.services {
+		for _, v := range s {
+			if v.held {
+				n++
+			}
+		}
+	}
+	return n
+}
+
 // Registered reports whether a version is registered.
 func (b *Book) Registered(service, software string) bool {
 	v := b.services[service][software]
--- a/origin/book_test.go
+++ b/origin/book_test.go
@@ -69,7 +69,10 @@
 		require.Equal(t, c.want, a.Over(now+c.after, c.told, c.hubs), c)
 	}
 	require.Equal(t, list[:1], b.Usable(list))
+	require.Equal(t, 1, b.Held())
+	require.Equal(t, map[string][]string{"s": {"v1", "v2"}}, a.Versions())
 	b.Announced(a)
+	require.Zero(t, b.Held())
 	require.False(t, b.Observe(now+HoldTime, list))
 	require.Equal(t, list, b.Usable(list))
 }
--- a/origin/doc.go
+++ b/origin/doc.go
@@ -8,8 +8,9 @@
 // different failure domains, chosen by rendezvous hashing.
 //
 // A VM that does not know a stream asks the homes. If none of them knows it, the version is taken
-// as known only if hubs whose copy of the registrations is fresh have seen no other version; else
-// it is not known. A new version is held back until each hub knows it or HoldTime has passed.
+// as known only if a hub whose copy of the registrations is fresh has seen no other version; else
+// it is not known. A new version is held back until each hub knows it, or half of them do and HoldTime
+// has passed.
 // Fresh means younger than HoldTime, so a hub that has neither been told nor seen the version is
 // not fresh once streams begin at it.
 //
--- a/origin/tracker.go
+++ b/origin/tracker.go
@@ -75,7 +75,7 @@
 type counters struct {
 	all                                          expvar.Map
 	begun, told, coalesced, dropped, unconfirmed expvar.Int
-	calls, callsFailed, announcements, held      expvar.Int
+	calls, callsFailed, announcements            expvar.Int
 	asked, foundLocally, foundAtHome, onlyOne    expvar.Int
 	notFound                                     expvar.Int
 }
@@ -88,13 +88,14 @@
 		c.all.Init()
 		for name, v := range map[string]*expvar.Int{
 			"begun": &c.begun, "told": &c.told, "coalesced": &c.coalesced, "dropped": &c.dropped, "unconfirmed": &c.unconfirmed,
-			"calls": &c.calls, "callsFailed": &c.callsFailed, "announcements": &c.announcements, "versionsHeld": &c.held,
+			"calls": &c.calls, "callsFailed": &c.callsFailed, "announcements": &c.announcements,
 			"asked": &c.asked, "foundLocally": &c.foundLocally, "foundAtHome": &c.foundAtHome, "onlyVersion": &c.onlyOne,
 			"notFound": &c.notFound,
 		} {
 			c.all.Set(name, v)
 		}
 		c.all.Set("streams", expvar.Func(func() any { return with(t, func(b *Book) int { return b.Len() }) }))
+		c.all.Set("versionsHeld", expvar.Func(func() any { return with(t, func(b *Book) int { return b.Held() }) }))
 		c.all.Set("evicted", expvar.Func(func() any { return with(t, func(b *Book) int64 { return b.Evicted() }) }))
 	})
 }
@@ -397,7 +398,7 @@
 		return
 	}
 	t.vars.announcements.Add(1)
-	t.Log.Info("services with several software versions", zap.Any("versions", t.Mixed()))
+	t.Log.Info("services with several software versions", zap.Any("versions", a.Versions()))
 	told := make(map[lagoonhead.VMID]bool)
 	var known, hubs int
 	for {
