--- a/httppool/conn.go
+++ b/httppool/conn.go
@@ -318,7 +318,7 @@
 
 // responseBody is the body of a response. Its end or its Close ends the round trip.
 type responseBody struct {
-	body     io.Reader
+	body      io.Reader
 	roundTrip *roundTrip
 }
 
