dispatch: a stream on a route with several services goes on at the one that knows it

The service that a take-up drew by chance could answer for a stream that began at another one, since it has had one version only. One that knows the stream goes first. The new case of TestAStreamIsTakenUpAtItsService failed before.

--- a/dispatch/version.go
+++ b/dispatch/version.go
@@ -37,26 +37,31 @@
 
 // lookUpVersion returns the software version at which the stream that the caller takes up began, and
 // where that was learnt. On a route with several services it also chooses the service at which the
-// stream began.
+// stream began: one that knows the stream, if there is one.
 func (r *request) lookUpVersion(ctx context.Context) (software, source string, ok bool) {
 	if r.Versions == nil || r.call.Resumes == "" || !r.route.Resumable {
 		r.WithBoard(func(b *steer.Board) { software, ok = b.OnlyVersion(r.service) })
 		return software, "endpoints, which have had one version", ok
 	}
-	if software, source, ok = r.Versions.Find(ctx, r.service, r.call.Resumes); ok {
-		return software, source, true
-	}
+	service := r.service
+	software, source, ok = r.Versions.Find(ctx, service, r.call.Resumes)
 	for _, s := range r.route.Shares {
+		if ok && source != lagoonhead.SourceOnlyVersion {
+			break
+		}
 		if s.Service == r.service || s.Weight <= 0 {
 			continue
 		}
-		if software, source, ok = r.Versions.Find(ctx, s.Service, r.call.Resumes); ok {
-			r.service = s.Service
-			r.demand = r.newDemand(r)
-			return software, source, true
+		v, from, found := r.Versions.Find(ctx, s.Service, r.call.Resumes)
+		if found && (!ok || from != lagoonhead.SourceOnlyVersion) {
+			software, source, ok, service = v, from, true, s.Service
 		}
 	}
-	return "", "", false
+	if service != r.service {
+		r.service = service
+		r.demand = r.newDemand(r)
+	}
+	return software, source, ok
 }
 
 // beginVersion binds a stream to the software version of the endpoint that has sent its first event.
--- a/dispatch/version_test.go
+++ b/dispatch/version_test.go
@@ -215,6 +215,16 @@
 	require.Zero(t, s.crossed)
 }
 
+// onlyVersions is a serviceMemory whose other services have had one version.
+type onlyVersions struct{ serviceMemory }
+
+func (m onlyVersions) Find(ctx context.Context, service string, id lagoonhead.RequestID) (software, source string, ok bool) {
+	if software, source, ok = m.serviceMemory.Find(ctx, service, id); ok {
+		return software, source, ok
+	}
+	return "v1", lagoonhead.SourceOnlyVersion, true
+}
+
 // serviceMemory knows that every stream began at the version of one service.
 type serviceMemory struct{ service, software string }
 
@@ -260,6 +270,11 @@
 		require.NoError(t, takeUp())
 	}
 	require.Equal(t, map[string]bool{"second": true}, s.services)
+	d.Versions = onlyVersions{serviceMemory{"second", "v1"}}
+	for range 20 {
+		require.NoError(t, takeUp())
+	}
+	require.Equal(t, map[string]bool{"second": true}, s.services, "other services have one version, and do not know the stream")
 	d.Versions = serviceMemory{"former", "v1"}
 	require.True(t, NotRun(takeUp()))
 	require.Equal(t, map[string]bool{"second": true}, s.services)
--- a/origin/tracker.go
+++ b/origin/tracker.go
@@ -31,7 +31,7 @@
 // The sources of a version that Find returns beside the identifiers of VMs.
 const (
 	sourceLocal = "local"
-	sourceOnly  = "only version"
+	sourceOnly  = lagoonhead.SourceOnlyVersion
 )
 
 // Clients provides the clients of peers by address.
--- a/routing.go
+++ b/routing.go
@@ -132,6 +132,10 @@
 	return "version " + p.software
 }
 
+// SourceOnlyVersion is the source of a version that StreamVersions does not know of the stream, but that
+// has been the only one of its service.
+const SourceOnlyVersion = "only version"
+
 // StreamVersions remembers at which software version of a service each stream began. A stream
 // may go on only at that version, also when the caller takes it up with a later request.
 type StreamVersions interface {
