lagoonheadd: the test of a killed daemon kills it once each stream has an event

The daemon was killed 200 ms after the last run began; the first event comes after 50 ms, and its beginning is told to other VMs for up to 100 ms, which left 50 ms for all else. It is 600 ms now; the streams last a second. What the test requires is unchanged.

--- a/cmd/lagoonheadd/versions_test.go
+++ b/cmd/lagoonheadd/versions_test.go
@@ -60,7 +60,7 @@
 				break
 			}
 		}
-		time.Sleep(200 * time.Millisecond)
+		time.Sleep(600 * time.Millisecond)              // each stream has an event by then, and lasts a second
 		_ = list[0].cmd.Process.Signal(syscall.SIGKILL) // it shows in the streams if it has not ended
 	}()
 	for i, a := range send("first", func(int) *process { return list[0] }) {
