--- a/entry/mixedversions.go
+++ b/entry/mixedversions.go
@@ -28,7 +28,7 @@
 	// times would undo each other's writes.
 	mixedVersionsWriters = 2
 	// minStreamLifetime is the time for which a stream may at least be taken up after its
-	// beginning. The longest timeout of a route in the deployments is 10 s.
+	// beginning.
 	minStreamLifetime = time.Minute
 	// maxStreamLifetime is that time if a route sets no timeout, and the maximum.
 	maxStreamLifetime = 10 * time.Minute
--- a/httponce/client.go
+++ b/httponce/client.go
@@ -14,6 +14,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/lagoonhead/lagoonhead"
+	"github.com/lagoonhead/lagoonhead/httppool"
 )
 
 // Error is the error type of the package. KindInvalid, KindUnavailable and
@@ -86,8 +87,8 @@
 		if err != nil {
 			return nil, fail("read", lagoonhead.KindUnknown, err)
 		}
-		if resp.StatusCode >= http.StatusContinue && resp.StatusCode < http.StatusOK && resp.StatusCode != http.StatusSwitchingProtocols {
-			continue // an interim response; maxHeaderBytes bounds all of them
+		if httppool.IsInterim(resp.StatusCode) {
+			continue // maxHeaderBytes bounds all of them
 		}
 		in.N = math.MaxInt64 // the reader of the body limits it
 		return resp, nil
--- a/httppool/conn.go
+++ b/httppool/conn.go
@@ -209,7 +209,7 @@
 		if err != nil {
 			return nil, err
 		}
-		if res.StatusCode >= http.StatusContinue && res.StatusCode < http.StatusOK && res.StatusCode != http.StatusSwitchingProtocols {
+		if IsInterim(res.StatusCode) {
 			interim++
 			continue
 		}
@@ -239,6 +239,11 @@
 	return nil, errTooManyExtra
 }
 
+// IsInterim reports whether a response with the status comes before the one that ends its request.
+func IsInterim(status int) bool {
+	return status >= http.StatusContinue && status < http.StatusOK && status != http.StatusSwitchingProtocols
+}
+
 // owns reports whether a response belongs to the request with the identifier, the last one on the
 // connection. If it does not, it is an extra response to an earlier request: no identifier travels
 // twice on a connection. A response that names no request belongs to the only one, or to the last
--- a/origin/streams.go
+++ b/origin/streams.go
@@ -2,8 +2,7 @@
 
 import "time"
 
-// maxStreams bounds the streams that a VM remembers. At 612 new streams a second, two homes each
-// and 8 hubs, a hub has about 9,000 of the last minute.
+// maxStreams bounds the streams that a VM remembers.
 const maxStreams = 1 << 15
 
 // stream is what is remembered of one stream.
