entry, storecalls: a VM that the store does not serve calls it seldom

Each part of a daemon that calls the store (three mirrors, two leases, the presence entry, duties, the slot table) tried again on its own after a failed call, at fixed intervals of 0.25 to 1 s. In an outage all VMs of a large fleet read the store, since no hub had fresh keys.

All calls of a daemon now pass through storecalls.Store. After a failed call it sends one call in each pause and fails the others at once. The pause grows from 50 ms to 0.7 s at hubs that hear of no fresh keys, to 6 s at attached VMs that do, and to 2.5 s at others; a quarter of it is random. The first call that is served ends it. Renewals of the lease for duties are not held back, so that duties pass on as before. A reader that is refused asks for keys in each heartbeat. The metrics count the calls by kind and result.

--- a/entry/attachment.go
+++ b/entry/attachment.go
@@ -19,6 +19,17 @@
 	// watch that returns nothing takes WatchTimeout, and an update passes two hubs at most.
 	// Where there are attached daemons a change must be in force within 3 s.
 	maxUpdateAge = WatchTimeout + 1200*time.Millisecond
+	// maxHubPause is the longest pause between calls to a store that serves neither this hub
+	// nor, as far as it has heard, another VM. Others wait for what it reads, and a change must
+	// be in force within 2 s from 3 s after the end of an outage.
+	maxHubPause = 700 * time.Millisecond
+	// maxInformedPause is the same at other VMs, which hear of changes from a hub or of whose
+	// calls no other VM depends. A VM that the store has begun to serve again must read it
+	// itself, where its peers cannot, within 3 s.
+	maxInformedPause = 2500 * time.Millisecond
+	// maxAttachedPause is the same at an attached VM that hears of changes from its hub. It
+	// needs the store only for its presence entry.
+	maxAttachedPause = 6 * time.Second
 )
 
 // attachment chooses the peers that this daemon exchanges heartbeats with: all hubs if it is
@@ -28,6 +39,8 @@
 	timer   timer.Timer
 	// prefixes are those whose changes must be in force soon.
 	prefixes []string
+	// refused reports that the store does not serve this daemon. It may be nil.
+	refused func() bool
 
 	mu sync.Mutex
 	// failed holds the hubs that did not respond or have lost the store, with the time.
@@ -111,14 +124,30 @@
 // needsUpdates reports whether this daemon's copy is kept up to date by peers: a reader
 // needs none while it reaches the store.
 func (a *attachment) needsUpdates(p mirror.Position) bool {
-	return !a.members.isReader() || !a.isFresh(p.Prefixes)
+	return !a.members.isReader() || a.refused != nil && a.refused() || !a.isFresh(p.Prefixes)
+}
+
+// maxStorePause returns the longest pause between calls to a store that does not serve this
+// daemon.
+func (a *attachment) maxStorePause() time.Duration {
+	hub, informed := a.members.isHub(), a.isInformed()
+	switch {
+	case hub && !informed:
+		return maxHubPause
+	case !hub && informed:
+		return maxAttachedPause
+	default:
+		return maxInformedPause
+	}
 }
 
 // idle reports whether peers keep this daemon's copy of the store up to date.
 func (a *attachment) idle() bool {
-	if a.members.isReader() {
-		return false
-	}
+	return !a.members.isReader() && a.isInformed()
+}
+
+// isInformed reports whether what peers have sent shows what the store had lately.
+func (a *attachment) isInformed() bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	return a.updated && a.timer.Now()-a.current <= maxUpdateAge
--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -30,6 +30,7 @@
 	"github.com/lagoonhead/lagoonhead/peer"
 	"github.com/lagoonhead/lagoonhead/roster"
 	"github.com/lagoonhead/lagoonhead/steer"
+	"github.com/lagoonhead/lagoonhead/storecalls"
 	"github.com/lagoonhead/lagoonhead/suspect"
 	"github.com/lagoonhead/lagoonhead/timer"
 )
@@ -141,6 +142,7 @@
 	config       *configuration
 	endpoints    *endpoints
 	members      *members
+	calls        *storecalls.Store
 	store        *observedStore
 	copied       *copiedStore
 	copy         *mirror.Copy
@@ -179,15 +181,12 @@
 func (d *Daemon) Run(ctx context.Context) error {
 	debug.SetMemoryLimit(int64(memoryShare * float64(d.Settings.MemoryBytes)))
 	debug.SetGCPercent(gcPercent)
-	d.incarnation = lagoonhead.Incarnation(string(d.Settings.VM) + "/" + uuid.NewString())
-	d.vars = new(expvar.Map)
+	d.prepare()
 	if d.LogVars != nil {
 		d.vars.Set("log", d.LogVars)
 	}
 	d.connections = newConnections(d.Settings.MaxDescriptors, d.guard.RefusesConnection, d.Platform.Refusal)
 	d.vars.Set("connections", d.connections.vars())
-	d.buildState()
-	d.buildWork()
 	servers, err := d.listen()
 	if err != nil {
 		return err
@@ -198,6 +197,14 @@
 	return err
 }
 
+// prepare creates the components, which do not run yet.
+func (d *Daemon) prepare() {
+	d.incarnation = lagoonhead.Incarnation(string(d.Settings.VM) + "/" + uuid.NewString())
+	d.vars = new(expvar.Map)
+	d.buildState()
+	d.buildWork()
+}
+
 // run runs the tasks until ctx ends or one of them fails, then drains.
 func (d *Daemon) run(ctx context.Context, s *servers) error {
 	stopping, stop := context.WithCancel(ctx)
@@ -312,12 +319,17 @@
 	d.copy = mirror.NewCopy(d.incarnation, map[string]mirror.Follower{
 		d.Platform.ConfigurationKey: d.config, d.Platform.EndpointPrefix: d.endpoints, fleetPrefix: d.members,
 	})
-	d.store = &observedStore{
-		Store: d.Platform.Store, timer: d.Timer, copy: d.copy, prefix: d.Platform.EndpointPrefix, idle: d.attachment.idle,
-	}
+	d.calls = &storecalls.Store{Store: d.Platform.Store, Timer: d.Timer, MaxPause: d.attachment.maxStorePause}
+	d.attachment.refused = d.calls.Refused
+	d.store = d.observe(d.calls)
 	d.copied = &copiedStore{Store: d.store, timer: d.Timer, copy: d.copy}
 }
 
+// observe returns a store that reports to the copy whether renewals of leases reach it.
+func (d *Daemon) observe(s lagoonhead.Store) *observedStore {
+	return &observedStore{Store: s, timer: d.Timer, copy: d.copy, prefix: d.Platform.EndpointPrefix, idle: d.attachment.idle}
+}
+
 // updateBoard passes the live endpoints to the board, from which the dispatcher chooses. Those of
 // a software version that the other VMs may not know yet are left out.
 func (d *Daemon) updateBoard() {
@@ -355,7 +367,7 @@
 		Relaxed: func() bool { return !d.members.isReader() },
 	}
 	d.dutySession = &lease.Session{
-		Store: d.store, Timer: d.Timer, Log: d.Log, TTL: dutyTTL(s), RenewInterval: dutyTTL(s) / 4, Margin: dutyTTL(s) / 6,
+		Store: d.observe(d.calls.Renewing()), Timer: d.Timer, Log: d.Log, TTL: dutyTTL(s), RenewInterval: dutyTTL(s) / 4, Margin: dutyTTL(s) / 6,
 		Wanted: d.needsDutyLease,
 	}
 	d.admit = &admit.Runner{
@@ -384,9 +396,30 @@
 // slow store.
 func dutyTTL(s Settings) time.Duration { return max(s.MinLeaseTTL, s.DutyReturnTime*2/3) }
 
+// storeTasks returns the tasks that follow the store's keys and keep this daemon's leases.
+func (d *Daemon) storeTasks() []task {
+	tasks := []task{d.session.Run, d.dutySession.Run, d.keepPresence, d.keeper.Run}
+	mirrors := new(expvar.Map)
+	for _, v := range []struct {
+		name, prefix string
+		interval     time.Duration
+	}{
+		{"configuration", d.Platform.ConfigurationKey, 0}, {"endpoints", d.Platform.EndpointPrefix, 0}, {"fleet", fleetPrefix, fleetInterval},
+	} {
+		m := &mirror.Mirror{
+			Store: d.store, Timer: d.Timer, Log: d.Log, Prefix: v.prefix, Copy: d.copy, Idle: d.attachment.idle, Interval: v.interval,
+		}
+		mirrors.Set(v.name, m.Vars())
+		tasks = append(tasks, m.Run)
+	}
+	d.vars.Set("mirror", mirrors)
+	d.vars.Set("storeCalls", d.calls.Vars())
+	return tasks
+}
+
 func (d *Daemon) tasks() []task {
-	tasks := []task{
-		d.session.Run, d.dutySession.Run, d.keepPresence, d.keeper.Run, d.exchanger.Run, d.admit.Run, d.refusedParts.run, d.mixedVersions.run, d.awake.run, d.versions.Run,
+	tasks := append(d.storeTasks(),
+		d.exchanger.Run, d.admit.Run, d.refusedParts.run, d.mixedVersions.run, d.awake.run, d.versions.Run,
 		func(ctx context.Context) error {
 			timer.Every(ctx, d.Timer, lapsedInterval, func(time.Duration) { d.endpoints.removeLapsed() })
 			return nil
@@ -399,24 +432,10 @@
 			timer.Every(ctx, d.Timer, refusedLogInterval, func(time.Duration) { d.connections.logRefused(d.Log) })
 			return nil
 		},
-	}
+	)
 	monitor := &overload.Monitor{Guard: &d.guard, Timer: d.Timer, Log: d.Log}
 	d.vars.Set("processor", monitor.Vars())
 	tasks = append(tasks, monitor.Run)
-	mirrors := new(expvar.Map)
-	for _, v := range []struct {
-		name, prefix string
-		interval     time.Duration
-	}{
-		{"configuration", d.Platform.ConfigurationKey, 0}, {"endpoints", d.Platform.EndpointPrefix, 0}, {"fleet", fleetPrefix, fleetInterval},
-	} {
-		m := &mirror.Mirror{
-			Store: d.store, Timer: d.Timer, Log: d.Log, Prefix: v.prefix, Copy: d.copy, Idle: d.attachment.idle, Interval: v.interval,
-		}
-		mirrors.Set(v.name, m.Vars())
-		tasks = append(tasks, m.Run)
-	}
-	d.vars.Set("mirror", mirrors)
 	d.vars.Set("dispatch", d.dispatcher.Vars())
 	d.vars.Set("limits", d.admit.Vars())
 	d.vars.Set("lease", d.session.Vars())
