httppool: an answer whose connection was reset is not whole

The write of a request takes the error of a connection that the peer has reset. The next read sees the end of the stream, and a body with neither a length nor chunks took that for its end, so a part of an answer passed for the whole one.

The end of such a body now counts only if the request was written without an error and the peer's kernel has acknowledged all of it. If the peer has ended only its own direction in order and reads on, the end waits for that. A process that ends before it has read the request looks like an orderly end (its kernel sends FIN if nothing unread is left), so such an answer is broken too, also where the peer closed on purpose.

If a response with a length or chunks ends before the request is written, the rest is written for up to 10 s before the connection is closed. Before, it was closed at once.

--- a/httponce/client_test.go
+++ b/httponce/client_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"io"
 	"net"
@@ -170,3 +171,36 @@
 	require.NoError(t, err)
 	require.Len(t, got, len(body))
 }
+
+// Guards against a part of a response that passes for the whole one because the receiver reset the
+// connection while the request was still being written.
+func TestResponsesOfResetConnectionsAreNotWhole(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer l.Close()
+	go func() {
+		for n := 0; ; n++ {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer c.Close() // resets the connection, since the body has not been read
+				if _, err := http.ReadRequest(bufio.NewReader(c)); err == nil {
+					_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\n\r\nbegun")
+					time.Sleep(time.Duration(n%4) * 2 * time.Millisecond)
+				}
+			}()
+		}
+	}()
+	for range 80 {
+		r, err := http.NewRequest(http.MethodPost, "http://"+l.Addr().String(), bytes.NewReader(make([]byte, 4<<20)))
+		require.NoError(t, err)
+		res, err := (&Client{}).Do(t.Context(), r, nil)
+		if err == nil {
+			_, err = io.ReadAll(res.Body)
+			res.Body.Close()
+		}
+		require.Error(t, err)
+	}
+}
--- a/httppool/conn.go
+++ b/httppool/conn.go
@@ -33,6 +33,11 @@
 	// unnamedResponseTime is how long a response is waited for behind one that names no request.
 	// That one may have been the response itself, from a peer that breaks the protocol.
 	unnamedResponseTime = 250 * time.Millisecond
+	// restTime bounds the time to write the rest of a request whose response has ended, which
+	// happens if a peer responds early and reads on.
+	restTime = 10 * time.Second
+	// ackPollInterval is the time between checks whether the peer has acknowledged a request.
+	ackPollInterval = time.Millisecond
 )
 
 var (
@@ -155,13 +160,31 @@
 	return err == nil && queueErr == nil && queued == 0
 }
 
+// tcpCloseWait is the state of a connection that the peer has ended in order and this end has not.
+const tcpCloseWait = 8
+
+// isHalfClosed reports whether the peer has ended its direction of the connection in order and not
+// reset the connection since.
+func (c *conn) isHalfClosed() bool {
+	raw, err := c.socket.SyscallConn()
+	if err != nil {
+		return false
+	}
+	half := false
+	err = raw.Control(func(fd uintptr) {
+		info, err := unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO)
+		half = err == nil && info.State == tcpCloseWait
+	})
+	return err == nil && half
+}
+
 // send sends the request once and returns its response. encoded is the whole request, or nil
 // if it is too large to be encoded in advance. After an error the connection is closed.
 func (c *conn) send(r *http.Request, encoded *bytes.Buffer, x *Exchange) (*http.Response, error) {
 	ctx := r.Context()
 	id := c.transport.requestID(r)
 	c.ids = append(c.ids, xxhash.Sum64String(id))
-	e := &roundTrip{conn: c, ctx: ctx, keep: !r.Close && r.Method != http.MethodHead}
+	e := &roundTrip{conn: c, ctx: ctx, keep: !r.Close && r.Method != http.MethodHead, writeEnded: make(chan struct{})}
 	e.stop = context.AfterFunc(ctx, func() { c.Close() })
 	if encoded != nil {
 		_, err := c.Write(encoded.Bytes())
@@ -194,7 +217,8 @@
 		e.end(true)
 		return res, nil
 	}
-	res.Body = &responseBody{body: res.Body, roundTrip: e}
+	unframed := res.ContentLength < 0 && len(res.TransferEncoding) == 0
+	res.Body = &responseBody{body: res.Body, roundTrip: e, unframed: unframed}
 	return res, nil
 }
 
@@ -277,14 +301,17 @@
 	// not be.
 	written  atomic.Bool
 	writeErr atomic.Pointer[error]
-	timedOut atomic.Bool
-	ended    atomic.Bool
+	// writeEnded is closed after written or writeErr has been set.
+	writeEnded chan struct{}
+	timedOut   atomic.Bool
+	ended      atomic.Bool
 	// detached is true once the end of ctx does not matter any more.
 	detached bool
 }
 
 // wrote records that the write of the request has ended.
 func (e *roundTrip) wrote(err error) {
+	defer close(e.writeEnded)
 	if err == nil {
 		e.written.Store(true)
 		return
@@ -294,6 +321,8 @@
 }
 
 // end ends the round trip. The connection is kept if the response is whole and nothing follows it.
+// If the response is whole and the request is not, the connection is closed after the rest of the
+// request, which the peer may still read.
 func (e *roundTrip) end(whole bool) {
 	if !e.ended.CompareAndSwap(false, true) {
 		return
@@ -304,9 +333,43 @@
 		c.transport.put(c)
 		return
 	}
+	if whole && open && !e.written.Load() && e.writeErr.Load() == nil {
+		_ = c.SetWriteDeadline(time.Now().Add(restTime)) // fails only on a closed connection
+		go func() {
+			<-e.writeEnded
+			c.Close()
+		}()
+		return
+	}
 	c.Close()
 }
 
+// confirmEnd returns an error unless the end of the stream is that of a body without a length: the
+// peer has ended the connection in order and has got the whole request. The write of a request takes
+// the error of a connection that was reset, and a read then sees the end of the stream. If a process
+// ends, the kernel ends its connections in order if it had read all that had arrived.
+func (e *roundTrip) confirmEnd() error {
+	select {
+	case <-e.ctx.Done():
+		return io.ErrUnexpectedEOF
+	case <-e.writeEnded:
+	}
+	if err := e.writeErr.Load(); err != nil {
+		return errors.CombineErrors(io.ErrUnexpectedEOF, *err)
+	}
+	for e.conn.socket != nil && !e.conn.allAcknowledged() {
+		if !e.conn.isHalfClosed() {
+			return errors.Wrap(io.ErrUnexpectedEOF, "the connection ended before the request was acknowledged")
+		}
+		select {
+		case <-e.ctx.Done():
+			return io.ErrUnexpectedEOF
+		case <-time.After(ackPollInterval):
+		}
+	}
+	return nil
+}
+
 // cause returns why reading failed with err.
 func (e *roundTrip) cause(err error) error {
 	if cause := context.Cause(e.ctx); cause != nil {
@@ -325,11 +388,23 @@
 type responseBody struct {
 	body      io.Reader
 	roundTrip *roundTrip
+	// unframed means that the body has neither a length nor chunks and ends with its connection.
+	unframed bool
+	// endErr is what all reads return once the body has ended.
+	endErr error
 }
 
 // Read reads the body.
 func (b *responseBody) Read(p []byte) (int, error) {
+	if b.endErr != nil {
+		return 0, b.endErr
+	}
 	n, err := b.body.Read(p)
+	if b.unframed && errors.Is(err, io.EOF) {
+		if cut := b.roundTrip.confirmEnd(); cut != nil {
+			err = cut
+		}
+	}
 	switch {
 	case err == nil:
 	case errors.Is(err, io.EOF):
@@ -338,6 +413,7 @@
 		err = b.roundTrip.cause(err)
 		b.roundTrip.end(false)
 	}
+	b.endErr = err
 	return n, err
 }
 
