storecalls: one lost response holds no calls back

After one failed call, calls of other parts of the daemon were held back for up to 50 ms. At a store that loses single responses a mirror whose watch fell into that time counted it as a failure and listed its keys again. The pauses now begin after two failures in a row, where calls that were under way together count as one.

--- a/storecalls/pacer.go
+++ b/storecalls/pacer.go
@@ -6,8 +6,8 @@
 )
 
 const (
-	// minPause is the pause after the first failed call. A single lost response then delays
-	// other calls by less than the pause after which the mirrors of the store try again.
+	// minPause is the pause after the second failure in a row. It is less than the pause after
+	// which the mirrors of the store try again.
 	minPause = 50 * time.Millisecond
 	// minPauseShare is the least fraction of a pause that is waited. The rest is random, so
 	// that VMs that lost the store together do not come back together.
@@ -62,11 +62,11 @@
 	p.failedSent = max(p.failedSent, sent)
 	switch {
 	case !p.refused:
-		p.refused, p.asked, p.pause = true, now, minPause
+		p.refused, p.asked, p.pause = true, now, 0
 	case sent < p.failedAt:
 		return
 	default:
-		p.pause = 2 * p.pause
+		p.pause = max(2*p.pause, minPause)
 	}
 	p.failedAt = now
 	p.pause = min(p.pause, limit)
