--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -58,6 +58,8 @@
 	MaxAttempts int
 	// NoAPIKey is true if requests need no API key.
 	NoAPIKey bool
+	// Regions are those in which requests may be prefilled and run.
+	Regions lagoonhead.RegionSet
 }
 
 // Scaling holds the bounds and prices for ordering engines of a service.
@@ -91,6 +93,12 @@
 	Engine *EngineTraits
 	// Scaling is nil when engines cannot be ordered.
 	Scaling *Scaling
+	// ColdStart is how long an endpoint is cold after it has started. Endpoints are never cold if it
+	// or ColdPerSecond is 0.
+	ColdStart time.Duration
+	// ColdPerSecond is the number of requests a second that a cold endpoint takes from all VMs
+	// together.
+	ColdPerSecond float64
 }
 
 // Workspace is a caller's account with its API keys and its quota.
@@ -107,6 +115,8 @@
 	// DefaultTokens is the number of tokens that a request without declared tokens counts
 	// as.
 	DefaultTokens int
+	// Regions are those in which the workspace's requests may be prefilled and run.
+	Regions lagoonhead.RegionSet
 }
 
 // Limits bounds the requests and connections of callers.
--- a/cmd/lagoonheadd/platform.go
+++ b/cmd/lagoonheadd/platform.go
@@ -67,6 +67,7 @@
 	return entry.Platform{
 		Store: store, Sender: platform.NewSender(),
 		ConfigurationKey: platform.ConfigurationKey, EndpointPrefix: platform.EndpointPrefix,
+		OperatorPrefix: platform.OperatorPrefix, EvacuationPrefix: platform.EvacuationPrefix,
 		DecodeConfiguration: platform.DecodeConfiguration, DecodeRegistration: platform.DecodeRegistration,
 		Callers: func(d *dispatch.Dispatcher, c entry.CallerLimits) *http.Server {
 			return platform.NewServer(&platform.Ingress{Dispatcher: d, Limits: c, Log: log})
--- a/control/services.go
+++ b/control/services.go
@@ -34,6 +34,8 @@
 	Services() []catalog.Service
 	// Engines returns the registered engines of a service.
 	Engines(service string) []lagoonhead.Endpoint
+	// Evacuated returns the failure domains whose engines get no requests.
+	Evacuated() map[lagoonhead.FailureDomain]bool
 	// Demand returns the load on a service. It is also measured while this daemon does not
 	// hold the duty, so that a new holder knows the load at once.
 	Demand(service string) plan.PeakDemand
@@ -109,7 +111,7 @@
 	if c.Authority() != nil || len(engines) == 0 {
 		return
 	}
-	p := s.Plan(now, service, engines, demand)
+	p := s.Plan(now, service, engines, c.View.Evacuated(), demand)
 	for _, o := range p.Totals {
 		o.Sequence = c.FencingNumber
 		c.sendTotal(ctx, s, o, demand)
--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -117,6 +117,8 @@
 	// silencesMoved counts the attempts that were given up because their endpoint was silent for
 	// too long, and silencesWaited those that went on because the request could not move.
 	silencesMoved, silencesWaited expvar.Int
+	// outsideRegions counts the refusals of requests that have no endpoint in their allowed regions.
+	outsideRegions expvar.Int
 	// firstEventLatency is the time from arrival to the first event of a stream,
 	// answerLatency the time from arrival to the end of a served answer.
 	firstEventLatency, answerLatency *metrics.Latency
@@ -139,7 +141,7 @@
 			"resumes": &c.resumes, "handlesNotTaken": &c.unusedHandles, "endpointsLeaving": &c.departures,
 			"extraResponses": &c.extraResponses,
 			"takeUps":        &c.takeUps, "takeUpsUnknown": &c.takeUpsUnknown, "takeUpsRefused": &c.takeUpsRefused,
-			"silencesMoved": &c.silencesMoved, "silencesWaited": &c.silencesWaited,
+			"outsideRegions": &c.outsideRegions, "silencesMoved": &c.silencesMoved, "silencesWaited": &c.silencesWaited,
 		} {
 			c.all.Set(name, v)
 		}
@@ -218,7 +220,10 @@
 			return nil, failf("open", lagoonhead.KindUnauthenticated, "the key is not known")
 		}
 	}
-	r.urgency = rt.Urgency
+	r.urgency, r.regions = rt.Urgency, rt.Regions
+	if r.workspace != nil {
+		r.regions = r.regions.Intersect(r.workspace.Regions)
+	}
 	if r.workspace != nil && r.workspace.HasUrgency {
 		r.urgency = r.workspace.Urgency
 	}
--- a/dispatch/request.go
+++ b/dispatch/request.go
@@ -48,6 +48,8 @@
 	started bool
 	// takeUp is true if the caller takes up a stream that began with another request.
 	takeUp bool
+	// regions are those in which the request may be prefilled and run.
+	regions lagoonhead.RegionSet
 	// version is the software version of the stream, which it may not leave. It is set before the
 	// caller gets the first event, or is that at which a stream that is taken up began.
 	version lagoonhead.VersionPin
@@ -311,7 +313,7 @@
 // runRequest describes the next run. source is the engine that keeps the KV cache of the prompt, or
 // nil. A KV cache is not moved to an engine of another software version.
 func (r *request) runRequest(source *lagoonhead.Endpoint) steer.RunRequest {
-	q := steer.RunRequest{Service: r.service, Near: r.Domain, Retryable: r.retryable(), Avoid: r.avoid, Version: r.version}
+	q := steer.RunRequest{Service: r.service, Near: r.Domain, Retryable: r.retryable(), Avoid: r.avoid, Version: r.version, Regions: r.regions}
 	if source != nil {
 		q.Near, q.Transfer, q.Version = source.FailureDomain(), true, lagoonhead.PinVersion(source.Software())
 	}
@@ -332,10 +334,15 @@
 	now := r.Timer.Now()
 	after, serves := busyRetryAfter, true
 	r.WithBoard(func(b *steer.Board) {
-		after = max(after, b.LimitWait(now, r.service, v))
-		serves = b.HasVersion(r.service, v)
+		after = max(after, b.LimitWait(now, r.service, v, r.regions))
+		serves = b.HasVersion(r.service, v, r.regions)
 	})
 	e := failf("place", lagoonhead.KindUnavailable, "no endpoint of %s at %s can take %s", r.service, v, what)
+	if r.regions.Limited() && !serves {
+		r.vars.outsideRegions.Add(1)
+		r.addStep("no endpoint in the allowed regions %v", r.regions.Names())
+		after = max(after, versionRetryAfter)
+	}
 	if _, bound := v.Version(); bound && !serves {
 		e = failf("place", lagoonhead.KindUnavailable, "no endpoint of %s at %s is registered and stays", r.service, v)
 		after = max(after, versionRetryAfter)
--- a/dispatch/silence.go
+++ b/dispatch/silence.go
@@ -23,6 +23,7 @@
 	service string
 	// version is the software version to which the request is bound, guarded by mu.
 	version lagoonhead.VersionPin
+	regions lagoonhead.RegionSet
 	// avoid lists the endpoints that can't take the request, with that of the attempt.
 	avoid []lagoonhead.EndpointID
 	// needed is the number of sends that the move takes from the retry budget.
@@ -44,7 +45,7 @@
 // call of restart. The caller must call endWatch after the attempt.
 func (r *request) watchSilence(e lagoonhead.Endpoint, cancel context.CancelCauseFunc) *silenceWatch {
 	w := &silenceWatch{
-		Dispatcher: r.Dispatcher, cancel: cancel, service: r.service, avoid: append(slices.Clone(r.avoid), e.ID()), needed: 1,
+		Dispatcher: r.Dispatcher, cancel: cancel, service: r.service, avoid: append(slices.Clone(r.avoid), e.ID()), needed: 1, regions: r.regions,
 	}
 	if r.prefilled {
 		w.needed++ // the prompt may have to be prefilled again
@@ -119,7 +120,7 @@
 	now := w.Timer.Now()
 	ok := false
 	w.WithBoard(func(b *steer.Board) {
-		ok = b.HasRoom(now, steer.RunRequest{Service: w.service, Avoid: w.avoid, Version: w.version})
+		ok = b.HasRoom(now, steer.RunRequest{Service: w.service, Avoid: w.avoid, Version: w.version, Regions: w.regions})
 	})
 	for ok && w.taken < w.needed {
 		if ok = w.RetryBudget.Take(w.service); ok {
--- a/dispatch/stream.go
+++ b/dispatch/stream.go
@@ -147,7 +147,7 @@
 	now := r.Timer.Now()
 	q := steer.PrefillRequest{
 		Service: r.service, Prompt: r.call.Prompt, Due: r.prefillDue(), MaxPause: r.route.PauseObjective,
-		Retryable: r.retryable(), Avoid: r.avoid, Version: r.version,
+		Retryable: r.retryable(), Avoid: r.avoid, Version: r.version, Regions: r.regions,
 	}
 	r.returnReservation()
 	r.WithBoard(func(b *steer.Board) {
@@ -312,7 +312,7 @@
 	e = *r.reserved
 	now := r.Timer.Now()
 	r.WithBoard(func(b *steer.Board) {
-		if ok = now < r.reservedUntil && b.Usable(now, e); ok {
+		if ok = now < r.reservedUntil && b.StartReserved(now, e); ok {
 			b.AddRunning(e, 1)
 		}
 	})
@@ -413,6 +413,11 @@
 	if h == nil {
 		return
 	}
+	evacuated := false
+	r.WithBoard(func(b *steer.Board) { evacuated = b.Evacuated[h.Engine.FailureDomain()] })
+	if evacuated { // it gets nothing more, and frees the cache when the handle expires
+		return
+	}
 	r.vars.unusedHandles.Add(1)
 	go func() {
 		ctx, cancel := context.WithTimeout(context.Background(), releaseTimeout)
--- a/entities.go
+++ b/entities.go
@@ -137,6 +137,9 @@
 	leaving       bool
 	incarnation   Incarnation
 	software      string
+	region        string
+	coldFor       time.Duration
+	coldUntil     time.Duration
 }
 
 // NewEndpoint returns an endpoint that serves a model (an engine) or a service
@@ -176,6 +179,17 @@
 // WithSoftware returns a copy that runs the given version of its software.
 func (e Endpoint) WithSoftware(version string) Endpoint { e.software = version; return e }
 
+// WithRegion returns a copy in a region; empty means none.
+func (e Endpoint) WithRegion(r string) Endpoint { e.region = r; return e }
+
+// WithColdFor returns a copy whose registration said, when it was written, that the endpoint stays
+// cold for d.
+func (e Endpoint) WithColdFor(d time.Duration) Endpoint { e.coldFor = d; return e }
+
+// WithColdUntil returns a copy whose registration says that it is cold until t, in this VM's time
+// since boot.
+func (e Endpoint) WithColdUntil(t time.Duration) Endpoint { e.coldUntil = t; return e }
+
 // ID returns the identifier of the endpoint.
 func (e Endpoint) ID() EndpointID { return e.id }
 
@@ -217,6 +231,16 @@
 // and KV caches of two versions of a service are incompatible.
 func (e Endpoint) Software() string { return e.software }
 
+// Region returns the region of the endpoint's failure domain, or an empty string if it is in none.
+func (e Endpoint) Region() string { return e.region }
+
+// ColdFor returns how long the endpoint stays cold, counted from when its registration was written.
+func (e Endpoint) ColdFor() time.Duration { return e.coldFor }
+
+// ColdUntil returns the time since boot until which the endpoint is cold by its registration. It is
+// counted from when this VM read the registration, which is never before it was written.
+func (e Endpoint) ColdUntil() time.Duration { return e.coldUntil }
+
 // Request holds the attributes of a caller's request that admission and routing use. It
 // holds neither the body nor the API key.
 type Request struct {
--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -1,11 +1,13 @@
 package entry
 
 import (
+	"cmp"
 	"context"
 	"expvar"
 	"net"
 	"net/http"
 	"runtime/debug"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -95,6 +97,10 @@
 	// ConfigurationKey is the key of the configuration in the store, and EndpointPrefix
 	// the prefix of the keys of endpoint registrations.
 	ConfigurationKey, EndpointPrefix string
+	// OperatorPrefix is the common prefix of ConfigurationKey and EvacuationPrefix. The keys that
+	// begin with EvacuationPrefix and end with the name of a failure domain evacuate it. Both are
+	// empty if the platform evacuates none.
+	OperatorPrefix, EvacuationPrefix string
 	DecodeConfiguration              func(value []byte) (*catalog.Catalog, error)
 	DecodeRegistration               func(key string, value []byte) (lagoonhead.Endpoint, error)
 	// Callers returns the HTTP server for callers.
@@ -139,6 +145,9 @@
 	vars     *expvar.Map
 
 	config       *configuration
+	evacuations  *evacuations
+	coldShares   *coldShares
+	coldSeen     expvar.Int // times that an endpoint has become cold
 	endpoints    *endpoints
 	members      *members
 	store        *observedStore
@@ -291,8 +300,11 @@
 func (d *Daemon) buildState() {
 	s := d.Settings
 	d.config = &configuration{decode: d.Platform.DecodeConfiguration, log: d.Log, changed: d.updateBoard}
+	d.evacuations = &evacuations{log: d.Log, changed: d.updateBoard}
+	d.coldShares = &coldShares{self: s.VM, timer: d.Timer, tolerance: s.ColdTolerance}
 	d.endpoints = &endpoints{
-		prefix: d.Platform.EndpointPrefix, decode: d.Platform.DecodeRegistration, timer: d.Timer, log: d.Log, roster: roster.New(), changed: d.updateBoard,
+		regions: s.Regions,
+		prefix:  d.Platform.EndpointPrefix, decode: d.Platform.DecodeRegistration, timer: d.Timer, log: d.Log, roster: roster.New(), changed: d.updateBoard,
 		// An endpoint that still sends heartbeats after this time is alive, whatever it said before.
 		departureHold: max(s.RegistrationTTL, minRegistrationTTL) + roster.ReregistrationTime,
 	}
@@ -300,6 +312,7 @@
 		self: s.VM, domain: s.FailureDomain, log: d.Log, wall: func() time.Time { return d.tally.Timer.Wall() }, slotsChanged: func() { d.admit.ReadSlots() },
 		refusedParts: func(value []byte) { d.refusedParts.read(value) }, refusedPartsLost: func() { d.refusedParts.lost() },
 		mixedVersions: func(value []byte) { d.mixedVersions.read(value) }, hubsChanged: func() { d.versions.HubsChanged() }, vms: make(map[string]lagoonhead.VM),
+		incarnation: d.incarnation, shares: d.coldShares,
 	}
 	for _, a := range s.Seeds {
 		if a != s.Listen.Peers {
@@ -307,10 +320,13 @@
 		}
 	}
 	d.attachment = &attachment{
-		members: d.members, timer: d.Timer, prefixes: []string{d.Platform.ConfigurationKey, d.Platform.EndpointPrefix},
+		members: d.members, timer: d.Timer, prefixes: []string{d.operatorPrefix(), d.Platform.EndpointPrefix},
 	}
 	d.copy = mirror.NewCopy(d.incarnation, map[string]mirror.Follower{
-		d.Platform.ConfigurationKey: d.config, d.Platform.EndpointPrefix: d.endpoints, fleetPrefix: d.members,
+		d.operatorPrefix(): &operatorKeys{
+			config: d.config, evacuations: d.evacuations, configurationKey: d.Platform.ConfigurationKey, evacuationPrefix: d.Platform.EvacuationPrefix,
+		},
+		d.Platform.EndpointPrefix: d.endpoints, fleetPrefix: d.members,
 	})
 	d.store = &observedStore{
 		Store: d.Platform.Store, timer: d.Timer, copy: d.copy, prefix: d.Platform.EndpointPrefix, idle: d.attachment.idle,
@@ -318,13 +334,25 @@
 	d.copied = &copiedStore{Store: d.store, timer: d.Timer, copy: d.copy}
 }
 
+// operatorPrefix returns the prefix of the keys that operators write.
+func (d *Daemon) operatorPrefix() string {
+	return cmp.Or(d.Platform.OperatorPrefix, d.Platform.ConfigurationKey)
+}
+
 // updateBoard passes the live endpoints to the board, from which the dispatcher chooses. Those of
-// a software version that the other VMs may not know yet are left out.
+// a software version that the other VMs may not know yet are left out, and those of evacuated failure
+// domains get no new work.
 func (d *Daemon) updateBoard() {
 	d.boardMu.Lock()
 	defer d.boardMu.Unlock()
 	list, _ := d.endpoints.roster.Endpoints()
-	list = d.versions.Observe(list)
+	all, evacuated := list, d.evacuations.current()
+	list = slices.Clone(d.versions.Observe(list))
+	for i, e := range list {
+		if evacuated[e.FailureDomain()] {
+			list[i] = e.WithLeaving(true)
+		}
+	}
 	cat := d.config.Catalog()
 	cacheTokens := func(service string) int {
 		if cat == nil || cat.Service(service) == nil || cat.Service(service).Engine == nil {
@@ -332,7 +360,14 @@
 		}
 		return cat.Service(service).Engine.CacheTokens
 	}
-	d.dispatcher.WithBoard(func(b *steer.Board) { b.SetEndpoints(list, cacheTokens) })
+	now := d.Timer.Now()
+	var cold map[lagoonhead.EndpointID]time.Duration
+	d.dispatcher.WithBoard(func(b *steer.Board) {
+		b.SetEndpoints(list, cacheTokens)
+		cold = b.SetCold(now, all, d.endpoints.isStarting(), coldTraits(cat))
+		b.Evacuated = evacuated
+	})
+	d.logCold(now, cold)
 }
 
 // buildWork creates the components that serve requests, exchange heartbeats and run
@@ -369,7 +404,7 @@
 		Departures: d.endpoints, Versions: d.versions, Sender: d.Platform.Sender,
 		Usage: d.tally, RetryBudget: newRetries(s, d.members, d.Timer), Timer: d.Timer, Log: d.Log, Domain: s.FailureDomain,
 	}
-	d.dispatcher.WithBoard(func(b *steer.Board) { b.LimitShare = d.members.limitShare })
+	d.dispatcher.WithBoard(func(b *steer.Board) { b.LimitShare, b.ColdShare = d.members.limitShare, d.coldShares.share })
 	d.heartbeats = &heartbeats{
 		self: s.VM, incarnation: d.incarnation, timer: d.Timer, log: d.Log, config: d.config, endpoints: d.endpoints, copy: d.copy, members: d.members,
 		attachment: d.attachment, admit: d.admit, suspects: d.suspects, parts: d.parts, dispatcher: d.dispatcher, tally: d.tally,
@@ -408,7 +443,7 @@
 		name, prefix string
 		interval     time.Duration
 	}{
-		{"configuration", d.Platform.ConfigurationKey, 0}, {"endpoints", d.Platform.EndpointPrefix, 0}, {"fleet", fleetPrefix, fleetInterval},
+		{"configuration", d.operatorPrefix(), 0}, {"endpoints", d.Platform.EndpointPrefix, 0}, {"fleet", fleetPrefix, fleetInterval},
 	} {
 		m := &mirror.Mirror{
 			Store: d.store, Timer: d.Timer, Log: d.Log, Prefix: v.prefix, Copy: d.copy, Idle: d.attachment.idle, Interval: v.interval,
@@ -424,6 +459,8 @@
 	d.vars.Set("duties", d.keeper.Vars())
 	d.vars.Set("members", d.members.vars())
 	d.vars.Set("endpoints", d.endpoints.vars())
+	d.vars.Set("cold", d.coldVars())
+	d.vars.Set("evacuations", d.evacuations.vars())
 	d.vars.Set("heartbeats", d.exchanger.Vars())
 	d.vars.Set("suspects", d.suspects.Vars())
 	d.vars.Set("promptParts", d.parts.Vars())
--- a/entry/duties.go
+++ b/entry/duties.go
@@ -207,6 +207,9 @@
 	return slices.DeleteFunc(list, func(e lagoonhead.Endpoint) bool { return e.Serves() != service })
 }
 
+// Evacuated returns the evacuated failure domains.
+func (v fleetView) Evacuated() map[lagoonhead.FailureDomain]bool { return v.d.evacuations.current() }
+
 // Demand returns the measured demand for a service.
 func (v fleetView) Demand(service string) plan.PeakDemand { return v.d.meters.demand(service) }
 
--- a/entry/members.go
+++ b/entry/members.go
@@ -66,6 +66,12 @@
 	mixedVersions func(value []byte)
 	// hubsChanged is called after a change of the hubs.
 	hubsChanged func()
+	// shares is told of the VMs. It may be nil.
+	shares *coldShares
+	// incarnation is that of this process, and restarted whether the entry of an earlier one of this
+	// VM was seen.
+	incarnation lagoonhead.Incarnation
+	restarted   bool
 	// seeds are the peers of the settings, with placeholders as identifiers.
 	seeds []lagoonhead.VM
 
@@ -188,6 +194,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.changed = true
+	m.restarted = m.restarted || (lagoonhead.VMID(name) == m.self && p.Incarnation != m.incarnation)
 	m.vms[e.Key] = lagoonhead.NewVM(lagoonhead.VMID(name), p.FailureDomain, p.PeerAddress, false).WithCapacity(p.Cores)
 	m.log.Info("peer seen", zap.String("peer", name), zap.String("address", p.PeerAddress))
 }
@@ -229,6 +236,9 @@
 	l := &layout{Layout: hub.NewLayout(list)}
 	l.isHub, l.flat, l.isReader = l.IsHub(m.self), l.IsFlat(), l.IsReader(m.self)
 	l.order = l.Order(m.self, m.domain)
+	if m.shares != nil {
+		m.shares.changed(list, m.restarted)
+	}
 	former := m.Hubs()
 	m.current.Store(l)
 	sameID := func(a, b lagoonhead.VM) bool { return a.ID() == b.ID() }
@@ -242,8 +252,12 @@
 	return slices.SortedFunc(slices.Values(list), func(a, b lagoonhead.VM) int { return strings.Compare(string(a.ID()), string(b.ID())) })
 }
 
-// Synced does nothing; Applied has published the list.
-func (m *members) Synced(time.Duration) {}
+// Synced reports that the list matched the store; Applied has published it.
+func (m *members) Synced(at time.Duration) {
+	if m.shares != nil {
+		m.shares.matched(at)
+	}
+}
 
 // StoreLost does nothing; the last list stays in force.
 func (m *members) StoreLost(time.Duration, error) {}
--- a/entry/settings.go
+++ b/entry/settings.go
@@ -45,6 +45,23 @@
 	RetrySlack  float64
 	// LimitTolerance is the accepted excess over the quota of a workspace.
 	LimitTolerance limit.Tolerance
+	// ColdTolerance is the accepted excess over the requests that a cold endpoint takes.
+	ColdTolerance ColdTolerance
+	// EvacuationTime is the time within which an evacuation must be in force; 0 means that none is
+	// stated.
+	EvacuationTime time.Duration
+	// Regions holds the regions of the failure domains. Endpoints of a domain that it lacks are in
+	// no region. Region is that of the VM.
+	Regions map[lagoonhead.FailureDomain]string
+	Region  string
+}
+
+// ColdTolerance bounds the requests that a cold endpoint may get in any second, from all VMs
+// together, to Overrun times the number that it takes plus Slack. An Overrun below 1 counts as 1.
+type ColdTolerance struct{ Overrun, Slack float64 }
+
+func (t ColdTolerance) bound(perSecond float64) float64 {
+	return max(1, t.Overrun)*perSecond + max(0, t.Slack)
 }
 
 // Listen holds the addresses (IP:port) of the listeners.
--- a/entry/state.go
+++ b/entry/state.go
@@ -91,9 +91,11 @@
 	// prefix is the prefix of the keys of registrations, behind which is the endpoint's ID.
 	prefix string
 	decode func(key string, value []byte) (lagoonhead.Endpoint, error)
-	timer  timer.Timer
-	log    *zap.Logger
-	roster *roster.Roster
+	// regions holds the regions of the failure domains.
+	regions map[lagoonhead.FailureDomain]string
+	timer   timer.Timer
+	log     *zap.Logger
+	roster  *roster.Roster
 	// departureHold is how long departures from before a restore of the store hold after it.
 	departureHold time.Duration
 	// changed is called after the list of endpoints has changed.
@@ -102,6 +104,10 @@
 	mu sync.Mutex
 	// notified is the version of the roster at the last call of changed.
 	notified int64
+	// put is true once an endpoint was reported, and syncedAt the time since boot at which the store
+	// was first known to be reachable, or 0.
+	put      atomic.Bool
+	syncedAt atomic.Int64
 }
 
 // Restored keeps endpoints that have left, or said that they leave, out of use although the copy
@@ -115,6 +121,10 @@
 		p.log.Warn("registration cannot be used", zap.Error(err))
 		return
 	}
+	v = v.WithRegion(p.regions[v.FailureDomain()])
+	if v.ColdFor() > 0 {
+		v = v.WithColdUntil(p.timer.Now() + v.ColdFor())
+	}
 	p.roster.Put(e.Key, v)
 	p.log.Info("endpoint registered", zap.String("endpoint", string(v.ID())), zap.String("service", v.Serves()), zap.String("software", v.Software()),
 		zap.String("role", string(v.Role())), zap.Bool("leaving", v.Leaving()), zap.String("supply", string(v.Supply())),
@@ -167,10 +177,27 @@
 }
 
 // Applied reports the changes of the list.
-func (p *endpoints) Applied() { p.notify() }
+func (p *endpoints) Applied() {
+	p.notify()
+	p.put.Store(true)
+}
 
 // Synced reports to the roster that the store is reachable; Applied has reported the changes.
-func (p *endpoints) Synced(at time.Duration) { p.roster.Synced(at) }
+func (p *endpoints) Synced(at time.Duration) {
+	p.roster.Synced(at)
+	p.syncedAt.CompareAndSwap(0, int64(at))
+}
+
+// firstListTime is the time after the first response of the store within which the first list of
+// registrations has come.
+const firstListTime = 2 * time.Second
+
+// isStarting reports whether the endpoints that are reported may be those of the first list. A
+// response to another call may come before it, and it may be empty.
+func (p *endpoints) isStarting() bool {
+	at := time.Duration(p.syncedAt.Load())
+	return at == 0 || (!p.put.Load() && p.timer.Now()-at < firstListTime)
+}
 
 func (p *endpoints) StoreLost(time.Duration, error) { p.roster.StoreLost() }
 
--- a/plan/service.go
+++ b/plan/service.go
@@ -103,22 +103,23 @@
 	Prefill int
 }
 
-// Plan returns the orders for the service. engines lists the registered ones.
-func (s *ServicePlanner) Plan(now time.Duration, service *catalog.Service, engines []lagoonhead.Endpoint, d PeakDemand) ServicePlan {
+// Plan returns the orders for the service. engines lists the registered ones. Those in evacuated
+// failure domains do not count as usable, and nothing is ordered there.
+func (s *ServicePlanner) Plan(now time.Duration, service *catalog.Service, engines []lagoonhead.Endpoint, evacuated map[lagoonhead.FailureDomain]bool, d PeakDemand) ServicePlan {
 	if s.pools == nil {
 		s.pools = make(map[pool]*poolState)
 		s.roleOrders = make(map[lagoonhead.EndpointID]orderedRole)
 	}
 	var active []lagoonhead.Endpoint
 	for _, e := range engines {
-		if !e.Leaving() {
+		if !e.Leaving() && !evacuated[e.FailureDomain()] {
 			active = append(active, e)
 		}
 	}
 	var p ServicePlan
 	settled := s.countInitial(now, service, active)
 	if service.Scaling != nil && len(service.Scaling.DomainPrices) > 0 {
-		s.planTotals(now, service, active, d, settled, &p)
+		s.planTotals(now, service, active, evacuated, d, settled, &p)
 	}
 	s.planRoles(now, service, active, d, settled, &p)
 	return p
@@ -188,11 +189,16 @@
 	return s.target
 }
 
-func (s *ServicePlanner) planTotals(now time.Duration, service *catalog.Service, active []lagoonhead.Endpoint, d PeakDemand, settled bool, p *ServicePlan) {
+func (s *ServicePlanner) planTotals(now time.Duration, service *catalog.Service, active []lagoonhead.Endpoint, evacuated map[lagoonhead.FailureDomain]bool, d PeakDemand, settled bool, p *ServicePlan) {
 	sc := service.Scaling
 	domains := make([]lagoonhead.FailureDomain, 0, len(sc.DomainPrices))
 	for id := range sc.DomainPrices {
-		domains = append(domains, id)
+		if !evacuated[id] {
+			domains = append(domains, id)
+		}
+	}
+	if len(domains) == 0 {
+		return
 	}
 	slices.SortFunc(domains, func(a, b lagoonhead.FailureDomain) int {
 		return cmp.Or(cmp.Compare(sc.DomainPrices[a], sc.DomainPrices[b]), cmp.Compare(a, b))
--- a/plan/service_test.go
+++ b/plan/service_test.go
@@ -90,7 +90,7 @@
 			s.apply(pending[0].o)
 			pending = pending[1:]
 		}
-		plan := p.Plan(now, svc, s.engines, d)
+		plan := p.Plan(now, svc, s.engines, nil, d)
 		for _, o := range plan.Totals {
 			orders++
 			if s.exhausted[o.FailureDomain] && o.Supply == lagoonhead.SupplyReclaimable {
@@ -130,7 +130,7 @@
 	s, p := firmFleet(), new(ServicePlanner)
 	all := s.engines
 	for i := range all {
-		plan := p.Plan(time.Duration(i)*300*time.Millisecond, testService(), all[:i+1], PeakDemand{})
+		plan := p.Plan(time.Duration(i)*300*time.Millisecond, testService(), all[:i+1], nil, PeakDemand{})
 		for _, o := range plan.Totals {
 			require.Equal(t, lagoonhead.SupplyReclaimable, o.Supply)
 		}
@@ -179,7 +179,7 @@
 	d := PeakDemand{Prefill: 20, Decode: 1, Known: true}
 	ordered := make(map[lagoonhead.EndpointID]int)
 	for now := time.Second; now < 6*time.Second; now += 500 * time.Millisecond {
-		for _, r := range p.Plan(now, svc, s.engines, d).Roles {
+		for _, r := range p.Plan(now, svc, s.engines, nil, d).Roles {
 			ordered[r.Engine.ID()]++
 		}
 	}
@@ -204,8 +204,8 @@
 	const prefill, decode = lagoonhead.RolePrefill, lagoonhead.RoleDecode
 	plan := func(s *simFleet, d PeakDemand) []RoleOrder {
 		var p ServicePlanner
-		p.Plan(time.Second, service, s.engines, d)
-		return p.Plan(time.Second+countStableTime, service, s.engines, d).Roles
+		p.Plan(time.Second, service, s.engines, nil, d)
+		return p.Plan(time.Second+countStableTime, service, s.engines, nil, d).Roles
 	}
 
 	s := firmFleet()
--- a/steer/board.go
+++ b/steer/board.go
@@ -146,6 +146,7 @@
 	// rate is the measured prefill rate in tokens per millisecond, or 0.
 	rate  float64
 	limit namedLimit
+	cold  coldState
 }
 
 // running returns the number of requests of all daemons that run on the endpoint.
@@ -190,6 +191,12 @@
 	// LimitShare returns the share of this VM in a limit that an endpoint names, both in
 	// requests a second. It may be nil if there is one VM.
 	LimitShare func(e lagoonhead.EndpointID, perSecond float64) float64
+	// ColdShare returns the share of this VM in the requests that an endpoint takes while it is
+	// cold, perSecond in a second. It may be nil if there is one VM.
+	ColdShare func(e lagoonhead.EndpointID, perSecond float64) ColdShare
+	// Evacuated holds the failure domains to which nothing is sent. Their endpoints are marked as
+	// leaving.
+	Evacuated map[lagoonhead.FailureDomain]bool
 
 	targets  map[lagoonhead.EndpointID]*target
 	services map[string][]*target
@@ -202,6 +209,9 @@
 	// runSearchStart, modulo the number of endpoints, is the index at which the newest search
 	// for an endpoint that runs a request began.
 	runSearchStart uint64
+	// heard tells when this VM first heard of each endpoint.
+	heard      map[lagoonhead.EndpointID]heardEndpoint
+	coldCounts ColdCounts
 }
 
 // seenVersions are the software versions of the endpoints of a service since the daemon started.
@@ -234,9 +244,12 @@
 	return v.first, ok && !v.several
 }
 
-// HasVersion reports whether an endpoint that the pin allows is registered and does not leave.
-func (b *Board) HasVersion(service string, v lagoonhead.VersionPin) bool {
-	return slices.ContainsFunc(b.services[service], func(t *target) bool { return v.Allows(t.endpoint) && !t.endpoint.Leaving() })
+// HasVersion reports whether an endpoint that the pin and the regions allow is registered and does
+// not leave.
+func (b *Board) HasVersion(service string, v lagoonhead.VersionPin, g lagoonhead.RegionSet) bool {
+	return slices.ContainsFunc(b.services[service], func(t *target) bool {
+		return v.Allows(t.endpoint) && g.Allows(t.endpoint) && !t.endpoint.Leaving()
+	})
 }
 
 // CacheCapacity returns the KV cache capacity of an engine of the service, in tokens.
@@ -471,6 +484,7 @@
 		t.outcomes.add(now, 0, 1)
 	case Unreachable:
 		t.health.unreachable(now)
+		t.suspectCold(now)
 		t.own.Bad++
 		t.outcomes.add(now, 0, 1)
 	case Refused:
--- a/steer/limit.go
+++ b/steer/limit.go
@@ -82,13 +82,26 @@
 
 // allows reports whether this VM may send a request to a target now.
 func (b *Board) allows(now time.Duration, t *target) bool {
-	wait, ok := b.limitWait(now, t)
+	if b.coldWait(now, t) > 0 {
+		b.coldCounts.Withheld++
+		return false
+	}
+	wait, ok := b.namedWait(now, t)
 	return ok && wait == 0
 }
 
+// limited reports whether a target takes a limited number of requests.
+func (t *target) limited(now time.Duration) bool { return t.limit.perSecond > 0 || t.isCold(now) }
+
 // limitWait returns the time until this VM may send a request to a target, and false if it has
 // no share of the target's limit.
 func (b *Board) limitWait(now time.Duration, t *target) (time.Duration, bool) {
+	wait, ok := b.namedWait(now, t)
+	return max(wait, b.coldWait(now, t)), ok
+}
+
+// namedWait is limitWait for the limit that the target names.
+func (b *Board) namedWait(now time.Duration, t *target) (time.Duration, bool) {
 	l := &t.limit
 	if l.perSecond == 0 {
 		return 0, true
@@ -104,21 +117,23 @@
 }
 
 // take counts a request that is sent to a target.
-func (t *target) take() {
+func (b *Board) take(now time.Duration, t *target) {
 	if t.limit.perSecond > 0 {
 		t.limit.tokens--
 	}
+	b.takeCold(now, t)
 }
 
 // LimitWait returns the time after which this VM may send a request that is bound to a software
-// version to an endpoint of the service that runs requests, if all of them have limits; else 0.
-func (b *Board) LimitWait(now time.Duration, service string, v lagoonhead.VersionPin) (least time.Duration) {
+// version and regions to an endpoint of the service that runs requests, if all of them have limits
+// or are cold; else 0.
+func (b *Board) LimitWait(now time.Duration, service string, v lagoonhead.VersionPin, g lagoonhead.RegionSet) (least time.Duration) {
 	for _, t := range b.services[service] {
-		if t.endpoint.Role() == lagoonhead.RolePrefill || !v.Allows(t.endpoint) {
+		if t.endpoint.Role() == lagoonhead.RolePrefill || !v.Allows(t.endpoint) || !g.Allows(t.endpoint) {
 			continue
 		}
 		wait, ok := b.limitWait(now, t)
-		if t.limit.perSecond == 0 || (ok && wait == 0) {
+		if !t.limited(now) || (ok && wait == 0) {
 			return 0
 		}
 		if ok && (least == 0 || wait < least) {
@@ -129,15 +144,15 @@
 }
 
 // ReserveRun chooses the endpoint of a run that begins later and takes the run from its limit,
-// if all endpoints that may run the request have limits. If others may, the run needs no
+// if all endpoints that may run the request have limits or are cold. If others may, the run needs no
 // reservation and reserved is false. ok is false if the limits allow no run now.
 func (b *Board) ReserveRun(now time.Duration, r RunRequest) (e lagoonhead.Endpoint, reserved, ok bool) {
 	limited := false
 	for _, t := range b.services[r.Service] {
-		if t.endpoint.Role() == lagoonhead.RolePrefill || !t.eligible(now, r.Avoid, r.Version, false) {
+		if t.endpoint.Role() == lagoonhead.RolePrefill || !t.eligible(now, r.Avoid, r.Version, r.Regions, false) {
 			continue
 		}
-		if t.limit.perSecond == 0 {
+		if !t.limited(now) {
 			return e, false, true
 		}
 		limited = true
@@ -149,10 +164,10 @@
 	return e, ok, ok
 }
 
-// Usable reports whether an endpoint may get a request apart from its limit.
-func (b *Board) Usable(now time.Duration, e lagoonhead.Endpoint) bool {
+// StartReserved reports whether a run that ReserveRun has reserved at an endpoint may begin there.
+func (b *Board) StartReserved(now time.Duration, e lagoonhead.Endpoint) bool {
 	t := b.findTarget(e)
-	return t != nil && t.eligible(now, nil, lagoonhead.VersionPin{}, true)
+	return t != nil && t.eligible(now, nil, lagoonhead.VersionPin{}, lagoonhead.RegionSet{}, true) && b.startReserved(now, t)
 }
 
 // ReturnToLimit gives back to the limit of an endpoint a request that was not sent.
--- a/steer/limit_test.go
+++ b/steer/limit_test.go
@@ -151,11 +151,11 @@
 		require.True(t, ok)
 		require.Equal(t, lagoonhead.EndpointID("d1"), v.Endpoint.ID())
 	}
-	require.Zero(t, b.LimitWait(now, model, lagoonhead.VersionPin{}))
+	require.Zero(t, b.LimitWait(now, model, lagoonhead.VersionPin{}, lagoonhead.RegionSet{}))
 	require.True(t, b.SetLimit(now, b.targets["d1"].endpoint, 0.25))
 	_, ok := b.PickRun(now, RunRequest{Service: model})
 	require.False(t, ok)
-	require.Equal(t, 2*time.Second, b.LimitWait(now, model, lagoonhead.VersionPin{}), "one in two seconds at d0 and p0")
+	require.Equal(t, 2*time.Second, b.LimitWait(now, model, lagoonhead.VersionPin{}, lagoonhead.RegionSet{}), "one in two seconds at d0 and p0")
 	_, ok = b.PickRun(now+2*time.Second, RunRequest{Service: model})
 	require.True(t, ok)
 	_, ok = b.PickRun(now+2*time.Second, RunRequest{Service: model})
--- a/steer/pick.go
+++ b/steer/pick.go
@@ -78,6 +78,8 @@
 	Avoid []lagoonhead.EndpointID
 	// Version is the software version that the request is bound to.
 	Version lagoonhead.VersionPin
+	// Regions are those in which the request may be prefilled and run.
+	Regions lagoonhead.RegionSet
 }
 
 // RunRequest holds the inputs of PickRun.
@@ -94,6 +96,8 @@
 	// Version is the software version that the request is bound to: that of the stream that
 	// goes on, or that of the engine that keeps the KV cache of the prompt.
 	Version lagoonhead.VersionPin
+	// Regions are those in which the request may run.
+	Regions lagoonhead.RegionSet
 }
 
 // PickPrefill chooses the engine that prefills the prompt: one that only prefills, or one
@@ -109,7 +113,7 @@
 		c, ok = b.pickPrefill(now, r, false)
 	}
 	if ok {
-		b.findTarget(c.Endpoint).take()
+		b.take(now, b.findTarget(c.Endpoint))
 	}
 	return c, ok
 }
@@ -121,7 +125,7 @@
 	var best time.Duration
 	for pass := range 2 {
 		for _, t := range b.services[r.Service] {
-			if !t.eligible(now, r.Avoid, r.Version, healthy) || !b.allows(now, t) || !handOver.allow(t) {
+			if !t.eligible(now, r.Avoid, r.Version, r.Regions, healthy) || !b.allows(now, t) || !handOver.allow(t) {
 				continue
 			}
 			v, cost, fits := b.evaluate(now, t, r, part, shared, homes)
@@ -156,15 +160,15 @@
 type handOverVersions map[string]time.Duration
 
 // handOverVersions returns the versions with an engine that can run the request. Where the
-// service has had one version and the request is bound to none, it returns nil.
+// service has had one version and the request is bound to none and to no regions, it returns nil.
 func (b *Board) handOverVersions(now time.Duration, r PrefillRequest, healthy bool) handOverVersions {
-	if _, bound := r.Version.Version(); !bound && !b.versions[r.Service].several {
+	if _, bound := r.Version.Version(); !bound && !b.versions[r.Service].several && !r.Regions.Limited() {
 		return nil
 	}
 	versions := make(handOverVersions)
 	least := time.Duration(math.MaxInt64)
 	for _, t := range b.services[r.Service] {
-		if !b.canRun(now, t, r.Avoid, r.Version, healthy) {
+		if !b.canRun(now, t, r.Avoid, r.Version, r.Regions, healthy) {
 			continue
 		}
 		load := float64(b.running(now, t)) / float64(max(1, t.endpoint.Slots()))
@@ -227,7 +231,7 @@
 	}
 	var highest [2]uint64
 	for _, t := range b.services[r.Service] {
-		if t.endpoint.Role() != lagoonhead.RolePrefill || t.endpoint.Leaving() || !r.Version.Allows(t.endpoint) || !handOver.allow(t) {
+		if t.endpoint.Role() != lagoonhead.RolePrefill || t.endpoint.Leaving() || !r.Version.Allows(t.endpoint) || !r.Regions.Allows(t.endpoint) || !handOver.allow(t) {
 			continue
 		}
 		h := mix(part, t.seed)
@@ -242,16 +246,16 @@
 	return homes
 }
 
-// eligible reports whether a target may get a request that is bound to a software version, apart
-// from its role and its limit.
-func (t *target) eligible(now time.Duration, avoid []lagoonhead.EndpointID, v lagoonhead.VersionPin, healthy bool) bool {
-	return !t.endpoint.Leaving() && v.Allows(t.endpoint) && now >= t.changingUntil &&
+// eligible reports whether a target may get a request that is bound to a software version and to
+// regions, apart from its role and its limit.
+func (t *target) eligible(now time.Duration, avoid []lagoonhead.EndpointID, v lagoonhead.VersionPin, g lagoonhead.RegionSet, healthy bool) bool {
+	return !t.endpoint.Leaving() && v.Allows(t.endpoint) && g.Allows(t.endpoint) && now >= t.changingUntil &&
 		(!healthy || t.health.usable(now)) && !slices.Contains(avoid, t.endpoint.ID())
 }
 
 // canRun reports whether a target may get a request to run now.
-func (b *Board) canRun(now time.Duration, t *target, avoid []lagoonhead.EndpointID, v lagoonhead.VersionPin, healthy bool) bool {
-	return t.endpoint.Role() != lagoonhead.RolePrefill && t.eligible(now, avoid, v, healthy) && b.allows(now, t)
+func (b *Board) canRun(now time.Duration, t *target, avoid []lagoonhead.EndpointID, v lagoonhead.VersionPin, g lagoonhead.RegionSet, healthy bool) bool {
+	return t.endpoint.Role() != lagoonhead.RolePrefill && t.eligible(now, avoid, v, g, healthy) && b.allows(now, t)
 }
 
 // BeginPrefill records that a prompt is sent for prefill.
@@ -324,7 +328,7 @@
 		e, ok = b.pickRun(now, r, false)
 	}
 	if ok {
-		b.findTarget(e).take()
+		b.take(now, b.findTarget(e))
 	}
 	return e, ok
 }
@@ -336,7 +340,7 @@
 	for i := range list {
 		// The start of the search rotates, so that equal endpoints are chosen round-robin.
 		t := list[(i+int(b.runSearchStart%uint64(len(list))))%len(list)]
-		if !b.canRun(now, t, r.Avoid, r.Version, healthy) {
+		if !b.canRun(now, t, r.Avoid, r.Version, r.Regions, healthy) {
 			continue
 		}
 		load := b.runLoad(now, t, r)
@@ -374,13 +378,13 @@
 // HasRoom reports whether an endpoint can run the request now.
 func (b *Board) HasRoom(now time.Duration, r RunRequest) bool {
 	return slices.ContainsFunc(b.services[r.Service], func(t *target) bool {
-		return b.canRun(now, t, r.Avoid, r.Version, true) && b.running(now, t) < t.endpoint.Slots()
+		return b.canRun(now, t, r.Avoid, r.Version, r.Regions, true) && b.running(now, t) < t.endpoint.Slots()
 	})
 }
 
 // HasRole reports whether an engine of the service with the role can get work.
 func (b *Board) HasRole(now time.Duration, service string, r lagoonhead.Role) bool {
 	return slices.ContainsFunc(b.services[service], func(t *target) bool {
-		return t.endpoint.Role() == r && t.eligible(now, nil, lagoonhead.VersionPin{}, true)
+		return t.endpoint.Role() == r && t.eligible(now, nil, lagoonhead.VersionPin{}, lagoonhead.RegionSet{}, true)
 	})
 }
--- a/steer/version_test.go
+++ b/steer/version_test.go
@@ -88,7 +88,7 @@
 			}
 			run := RunRequest{Service: model, Near: "x", Avoid: c.Avoid, Version: pin}
 			require.Equal(t, c.Want.Room, b.HasRoom(now, run))
-			require.Equal(t, c.Want.LimitWait, b.LimitWait(now, model, pin) > 0)
+			require.Equal(t, c.Want.LimitWait, b.LimitWait(now, model, pin, lagoonhead.RegionSet{}) > 0)
 			for i := range 60 {
 				r := prefillRequest(long("part" + strconv.Itoa(i)))
 				r.Avoid, r.Version = c.Avoid, pin
@@ -138,8 +138,8 @@
 	b := newBoard([]lagoonhead.Endpoint{old})
 	b.RecordResult(now, old, Unreachable)
 	b.SetEndpoints([]lagoonhead.Endpoint{old.WithSoftware("v1.1")}, cacheCapacity)
-	require.False(t, b.Usable(now, old))
-	require.True(t, b.Usable(now, old.WithSoftware("v1.1")))
+	require.False(t, b.StartReserved(now, old))
+	require.True(t, b.StartReserved(now, old.WithSoftware("v1.1")))
 }
 
 // Guards against another writer's entries that make the memory for versions grow without a bound.
