--- a/dispatch/request.go
+++ b/dispatch/request.go
@@ -50,6 +50,8 @@
 	takeUp bool
 	// regions are those in which the request may be prefilled and run.
 	regions lagoonhead.RegionSet
+	// outsideRegions is true once no endpoint in regions was found.
+	outsideRegions bool
 	// version is the software version of the stream, which it may not leave. It is set before the
 	// caller gets the first event, or is that at which a stream that is taken up began.
 	version lagoonhead.VersionPin
@@ -339,8 +341,11 @@
 	})
 	e := failf("place", lagoonhead.KindUnavailable, "no endpoint of %s at %s can take %s", r.service, v, what)
 	if r.regions.Limited() && !serves {
-		r.vars.outsideRegions.Add(1)
-		r.addStep("no endpoint in the allowed regions %v", r.regions.Names())
+		if !r.outsideRegions {
+			r.outsideRegions = true
+			r.vars.outsideRegions.Add(1)
+			r.addStep("no endpoint in the allowed regions %v", r.regions.Names())
+		}
 		after = max(after, versionRetryAfter)
 	}
 	if _, bound := v.Version(); bound && !serves {
