steer, entry: a larger part of a cold endpoint's bound for unsettled views

While all VMs start, none has a settled view, and each cold endpoint got 2.1 requests a second from the whole fleet. The settled part is 0.7 of the bound and the rest allows for views that differ by a factor of 1.5, which gives the unsettled VMs 3.8 a second. A request that finds its service evacuated is told to come back after a second.

--- a/dispatch/request.go
+++ b/dispatch/request.go
@@ -334,10 +334,10 @@
 // can take.
 func (r *request) refuse(v lagoonhead.VersionPin, what string) error {
 	now := r.Timer.Now()
-	after, serves := busyRetryAfter, true
+	after, serves, evacuated := busyRetryAfter, true, false
 	r.WithBoard(func(b *steer.Board) {
 		after = max(after, b.LimitWait(now, r.service, v, r.regions))
-		serves = b.HasVersion(r.service, v, r.regions)
+		serves, evacuated = b.HasVersion(r.service, v, r.regions), len(b.Evacuated) > 0
 	})
 	e := failf("place", lagoonhead.KindUnavailable, "no endpoint of %s at %s can take %s", r.service, v, what)
 	if r.regions.Limited() && !serves {
@@ -348,6 +348,9 @@
 		}
 		after = max(after, versionRetryAfter)
 	}
+	if evacuated && !serves {
+		after = max(after, versionRetryAfter)
+	}
 	if _, bound := v.Version(); bound && !serves {
 		e = failf("place", lagoonhead.KindUnavailable, "no endpoint of %s at %s is registered and stays", r.service, v)
 		after = max(after, versionRetryAfter)
--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -201,7 +201,10 @@
 	if err != nil {
 		return err
 	}
-	d.Log.Info("started", zap.String("incarnation", string(d.incarnation)), zap.String("failureDomain", string(d.Settings.FailureDomain)))
+	d.Log.Info("started", zap.String("incarnation", string(d.incarnation)), zap.String("failureDomain", string(d.Settings.FailureDomain)), zap.String("region", d.Settings.Region))
+	if t := d.Settings.EvacuationTime; t > 0 && t < evacuationTime {
+		d.Log.Warn("evacuations may be in force later than required", zap.Duration("required", t), zap.Duration("within", evacuationTime))
+	}
 	err = d.run(ctx, servers)
 	d.Log.Info("stopped", zap.Error(err))
 	return err
--- a/entry/evacuation.go
+++ b/entry/evacuation.go
@@ -13,6 +13,11 @@
 	"github.com/lagoonhead/lagoonhead/mirror"
 )
 
+// evacuationTime is the time within which every VM that reaches the store, or a hub that does, has
+// stopped to send to an evacuated failure domain. The list of an attached VM is at most maxUpdateAge
+// old; after that it reads the store.
+const evacuationTime = maxUpdateAge + WatchTimeout
+
 var _ mirror.Follower = (*operatorKeys)(nil)
 
 // operatorKeys follows the keys that operators write: the configuration and the evacuations of
--- a/steer/cold.go
+++ b/steer/cold.go
@@ -15,10 +15,10 @@
 	// coldSettledPart is the part of the bound that VMs share whose view of the fleet is settled, so
 	// that no more VMs than intended have a share. The rest is for the others, whose number is
 	// bounded only as far as their views agree.
-	coldSettledPart = 0.75
-	// coldViews is the number of differing views among the other VMs that the rest of the bound
-	// allows for.
-	coldViews = 2
+	coldSettledPart = 0.7
+	// coldViews is how many times their share the other VMs may use because their views differ. While
+	// all VMs start, or the store is away, it may be more, but then nobody uses the settled part.
+	coldViews = 1.5
 	// coldBurstPart is the part of what VMs share that they may send at once. Each VM needs a burst
 	// of one request, so this also limits the number of VMs that use a cold endpoint.
 	coldBurstPart = 0.2
