steer: an endpoint that was registered before the configuration starts cold with an empty bucket

The traits of a service may come after its registrations. Then the endpoint counted as cold before, so its bucket was not emptied and began with a full burst, and no line was logged. Whether it was cold is now decided by the former traits. TestWhenEndpointsAreCold fails before the change.

--- a/steer/cold.go
+++ b/steer/cold.go
@@ -149,14 +149,14 @@
 		if !ok {
 			continue
 		}
-		until := t.endpoint.ColdUntil()
+		before, until := t.isCold(now), t.endpoint.ColdUntil()
 		if v := traits(t.endpoint.Serves()); v != t.cold.ColdTraits {
 			t.cold.ColdTraits, t.cold.sharedAt = v, 0
 		}
 		if !h.starting {
 			until = max(until, h.at+t.cold.Start)
 		}
-		if t.setCold(now, until) {
+		if t.setCold(now, before, until) {
 			if begun == nil {
 				begun = make(map[lagoonhead.EndpointID]time.Duration)
 			}
@@ -166,9 +166,9 @@
 	return begun
 }
 
-// setCold sets the time until which a target is cold and reports whether it has become cold.
-func (t *target) setCold(now, until time.Duration) (begun bool) {
-	before := t.isCold(now)
+// setCold sets the time until which a target is cold and reports whether it has become cold. before
+// tells whether it was.
+func (t *target) setCold(now time.Duration, before bool, until time.Duration) (begun bool) {
 	t.cold.until = max(until, t.cold.suspected)
 	if before || !t.isCold(now) {
 		return false
@@ -186,7 +186,7 @@
 func (t *target) suspectCold(now time.Duration) {
 	if t.cold.PerSecond > 0 && t.cold.Start > 0 {
 		t.cold.suspected = max(t.cold.suspected, now+t.health.remaining(now)+t.cold.Start)
-		t.setCold(now, t.cold.until)
+		t.setCold(now, t.isCold(now), t.cold.until)
 	}
 }
 
--- a/steer/cold_test.go
+++ b/steer/cold_test.go
@@ -81,6 +81,12 @@
 
 	b = newBoard(nil)
 	require.Equal(t, 1, set(b, now, true, d.WithColdUntil(now+time.Second)), "the entry says so")
+	late := newBoard([]lagoonhead.Endpoint{d.WithColdUntil(now + time.Minute)})
+	known := []lagoonhead.Endpoint{d.WithColdUntil(now + time.Minute)}
+	late.SetCold(now, known, true, coldTraitsOf(0, 0))
+	require.Len(t, late.SetCold(now+time.Second, known, true, traits), 1, "the configuration comes after the registrations")
+	require.Zero(t, sentTo(late, now+time.Second, "d", 5), "the bucket is empty at first")
+
 	off := newBoard(nil)
 	off.SetEndpoints([]lagoonhead.Endpoint{d}, cacheCapacity)
 	require.Empty(t, off.SetCold(now, []lagoonhead.Endpoint{d.WithColdUntil(now + time.Hour)}, false, coldTraitsOf(0, 0)))
