entry: entries of a restored copy do not make endpoints cold again

After a restore all registrations come with newer revisions, so all endpoints whose entries say that they stay cold counted as cold once more at all VMs. An entry that is as it was before the restore keeps the time counted from when it was first read. An endpoint that states no incarnation counts as a new process when its address changes.

go test -race -run 'Cold|Evac' ./steer ./entry passes.

--- a/entry/evacuation_test.go
+++ b/entry/evacuation_test.go
@@ -151,7 +151,8 @@
 	next.requireEvacuated(false, false, "the store is back")
 }
 
-// Guards against endpoints that count as cold because this VM has just started, against one that
+// Guards against endpoints that count as cold because this VM has just started or the store was
+// restored, against one that
 // registers anew and does not, against a region that is not taken from the settings, and against
 // engines ordered where nothing may run.
 func TestEndpointsAreColdAsRegistered(t *testing.T) {
@@ -174,6 +175,16 @@
 	require.Equal(t, 1, cold())
 	v.clock.Advance(time.Second)
 	require.Zero(t, cold())
+	restored := func(era int64, value string) {
+		r := lagoonhead.NewRevision(era, 1)
+		v.list("endpoints/", r, lagoonhead.Entry{Key: "endpoints/a", Value: []byte("0s")}, lagoonhead.Entry{Key: "endpoints/b", Value: []byte(value)},
+			lagoonhead.Entry{Key: "endpoints/c", Value: []byte("0s")})
+	}
+	restored(1, "2s")
+	require.Zero(t, cold(), "the entry of the restored copy was written long ago")
+	restored(2, "1s")
+	require.Equal(t, 1, cold(), "it was written anew")
+	v.clock.Advance(time.Second)
 
 	engines := []lagoonhead.Endpoint{
 		lagoonhead.NewEndpoint("a1", lagoonhead.EndpointKindEngine, "m", "a:1", "a").WithRole(lagoonhead.RoleDecode),
--- a/entry/state.go
+++ b/entry/state.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"bytes"
 	"expvar"
 	"strings"
 	"sync"
@@ -101,6 +102,10 @@
 	// changed is called after the list of endpoints has changed.
 	changed func()
 
+	// cold holds the entries that say that their endpoints stay cold. It is used by the methods of
+	// mirror.Follower only, which are called one at a time.
+	cold map[string]coldEntry
+
 	mu sync.Mutex
 	// notified is the version of the roster at the last call of changed.
 	notified int64
@@ -122,16 +127,39 @@
 		return
 	}
 	v = v.WithRegion(p.regions[v.FailureDomain()])
-	if v.ColdFor() > 0 {
-		v = v.WithColdUntil(p.timer.Now() + v.ColdFor())
-	}
+	v = v.WithColdUntil(p.coldUntil(e, v.ColdFor()))
 	p.roster.Put(e.Key, v)
 	p.log.Info("endpoint registered", zap.String("endpoint", string(v.ID())), zap.String("service", v.Serves()), zap.String("software", v.Software()),
 		zap.String("role", string(v.Role())), zap.Bool("leaving", v.Leaving()), zap.String("supply", string(v.Supply())),
 		zap.String("failureDomain", string(v.FailureDomain())), zap.String("address", v.Address()))
 }
 
+// coldEntry is the entry of an endpoint that said that it stays cold, until until.
+type coldEntry struct {
+	entry lagoonhead.Entry
+	until time.Duration
+}
+
+// coldUntil returns the time until which an endpoint is cold whose entry says that it stays cold for d.
+// An entry that a restored copy of the store has as it was before was not written anew.
+func (p *endpoints) coldUntil(e lagoonhead.Entry, d time.Duration) time.Duration {
+	if d <= 0 {
+		delete(p.cold, e.Key)
+		return 0
+	}
+	until := p.timer.Now() + d
+	if o, ok := p.cold[e.Key]; ok && lagoonhead.EraOf(o.entry.Revision) < lagoonhead.EraOf(e.Revision) && bytes.Equal(o.entry.Value, e.Value) {
+		until = o.until
+	}
+	if p.cold == nil {
+		p.cold = make(map[string]coldEntry)
+	}
+	p.cold[e.Key] = coldEntry{e, until}
+	return until
+}
+
 func (p *endpoints) Removed(key string) {
+	delete(p.cold, key)
 	p.roster.Removed(p.timer.Now(), key)
 	p.log.Info("registration removed", zap.String("key", key))
 }
--- a/steer/cold.go
+++ b/steer/cold.go
@@ -69,7 +69,9 @@
 // heardEndpoint tells when this VM first heard of a process of an endpoint.
 type heardEndpoint struct {
 	incarnation lagoonhead.Incarnation
-	at          time.Duration
+	// address tells processes apart that state no incarnation.
+	address string
+	at      time.Duration
 	// starting is true if this VM had just started, so that the process may be older.
 	starting bool
 	// goneAt is the time at which it was first missing from the list, or 0.
@@ -125,8 +127,8 @@
 	heard := make(map[lagoonhead.EndpointID]heardEndpoint, len(list))
 	for _, e := range list {
 		h, ok := b.heard[e.ID()]
-		if !ok || h.incarnation != e.Incarnation() {
-			h = heardEndpoint{incarnation: e.Incarnation(), at: now, starting: starting}
+		if !ok || h.incarnation != e.Incarnation() || h.address != e.Address() {
+			h = heardEndpoint{incarnation: e.Incarnation(), address: e.Address(), at: now, starting: starting}
 		}
 		h.goneAt = 0
 		heard[e.ID()] = h
