--- a/entry/state.go
+++ b/entry/state.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"bytes"
 	"expvar"
 	"strings"
 	"sync"
@@ -91,17 +92,27 @@
 	// prefix is the prefix of the keys of registrations, behind which is the endpoint's ID.
 	prefix string
 	decode func(key string, value []byte) (lagoonhead.Endpoint, error)
-	timer  timer.Timer
-	log    *zap.Logger
-	roster *roster.Roster
+	// regions holds the regions of the failure domains.
+	regions map[lagoonhead.FailureDomain]string
+	timer   timer.Timer
+	log     *zap.Logger
+	roster  *roster.Roster
 	// departureHold is how long departures from before a restore of the store hold after it.
 	departureHold time.Duration
 	// changed is called after the list of endpoints has changed.
 	changed func()
 
+	// cold holds the entries that say that their endpoints stay cold. It is used by the methods of
+	// mirror.Follower only, which are called one at a time.
+	cold map[string]coldEntry
+
 	mu sync.Mutex
 	// notified is the version of the roster at the last call of changed.
 	notified int64
+	// put is true once an endpoint was reported, and syncedAt the time since boot at which the store
+	// was first known to be reachable, or 0.
+	put      atomic.Bool
+	syncedAt atomic.Int64
 }
 
 // Restored keeps endpoints that have left, or said that they leave, out of use although the copy
@@ -115,13 +126,40 @@
 		p.log.Warn("registration cannot be used", zap.Error(err))
 		return
 	}
+	v = v.WithRegion(p.regions[v.FailureDomain()])
+	v = v.WithColdUntil(p.coldUntil(e, v.ColdFor()))
 	p.roster.Put(e.Key, v)
 	p.log.Info("endpoint registered", zap.String("endpoint", string(v.ID())), zap.String("service", v.Serves()), zap.String("software", v.Software()),
 		zap.String("role", string(v.Role())), zap.Bool("leaving", v.Leaving()), zap.String("supply", string(v.Supply())),
 		zap.String("failureDomain", string(v.FailureDomain())), zap.String("address", v.Address()))
 }
 
+// coldEntry is the entry of an endpoint that said that it stays cold, until until.
+type coldEntry struct {
+	entry lagoonhead.Entry
+	until time.Duration
+}
+
+// coldUntil returns the time until which an endpoint is cold whose entry says that it stays cold for d.
+// An entry that a restored copy of the store has as it was before was not written anew.
+func (p *endpoints) coldUntil(e lagoonhead.Entry, d time.Duration) time.Duration {
+	if d <= 0 {
+		delete(p.cold, e.Key)
+		return 0
+	}
+	until := p.timer.Now() + d
+	if o, ok := p.cold[e.Key]; ok && lagoonhead.EraOf(o.entry.Revision) < lagoonhead.EraOf(e.Revision) && bytes.Equal(o.entry.Value, e.Value) {
+		until = o.until
+	}
+	if p.cold == nil {
+		p.cold = make(map[string]coldEntry)
+	}
+	p.cold[e.Key] = coldEntry{e, until}
+	return until
+}
+
 func (p *endpoints) Removed(key string) {
+	delete(p.cold, key)
 	p.roster.Removed(p.timer.Now(), key)
 	p.log.Info("registration removed", zap.String("key", key))
 }
@@ -167,10 +205,27 @@
 }
 
 // Applied reports the changes of the list.
-func (p *endpoints) Applied() { p.notify() }
+func (p *endpoints) Applied() {
+	p.notify()
+	p.put.Store(true)
+}
 
 // Synced reports to the roster that the store is reachable; Applied has reported the changes.
-func (p *endpoints) Synced(at time.Duration) { p.roster.Synced(at) }
+func (p *endpoints) Synced(at time.Duration) {
+	p.roster.Synced(at)
+	p.syncedAt.CompareAndSwap(0, int64(at))
+}
+
+// firstListTime is the time after the first response of the store within which the first list of
+// registrations has come.
+const firstListTime = 2 * time.Second
+
+// isStarting reports whether the endpoints that are reported may be those of the first list. A
+// response to another call may come before it, and it may be empty.
+func (p *endpoints) isStarting() bool {
+	at := time.Duration(p.syncedAt.Load())
+	return at == 0 || (!p.put.Load() && p.timer.Now()-at < firstListTime)
+}
 
 func (p *endpoints) StoreLost(time.Duration, error) { p.roster.StoreLost() }
 
