steer: queues and speeds of engines are estimated from old reports

A VM of a large fleet took the queue of an engine as it was reported, half a second or more ago, and the speed of an engine from its own prefills there, which are one in 20 s or fewer.

With Board.Spread, the queue is this VM's own work, plus what peers reported, plus what they have sent since at their rate of the last seconds, minus what the engine has done since. Heartbeats carry the age of what they include (age_ms), and the sums of the times that prefills took and of their forecasts for an engine of mean speed (took_us, forecast_us), which hubs add up as they do successes and failures. Their ratio over some 15 s is the engine's slowness, over one second its present forecast error. Reports of a silent hub still expire; the rate and the ratios fade by themselves. Without the new fields a report counts as fresh, and the engine as one of mean speed.

--- a/entry/heartbeats.go
+++ b/entry/heartbeats.go
@@ -97,6 +97,7 @@
 			n := &peer.EndpointWork{
 				Endpoint: string(w.Endpoint), PrefillTokens: int64(w.PrefillTokens), Running: int32(w.Running), PrefilledTotal: w.PrefillTotal,
 				RunTotal: w.RunTotal, Read: w.RecentParts, Good: w.Good, Bad: w.Bad, LimitPerSecond: w.Limit,
+				ForecastUs: w.Forecast.Microseconds(), TookUs: w.Took.Microseconds(), AgeMs: w.Age.Milliseconds(),
 			}
 			if w.HasLimit {
 				n.LimitAgeMs = proto.Int64(w.LimitAge.Milliseconds())
@@ -142,6 +143,8 @@
 			PrefillTotal: w.GetPrefilledTotal(), RunTotal: w.GetRunTotal(), RecentParts: w.GetRead(),
 			Good: w.GetGood(), Bad: w.GetBad(), Limit: w.GetLimitPerSecond(), HasLimit: w.LimitAgeMs != nil,
 			LimitAge: time.Duration(w.GetLimitAgeMs()) * time.Millisecond,
+			Forecast: time.Duration(w.GetForecastUs()) * time.Microsecond, Took: time.Duration(w.GetTookUs()) * time.Microsecond,
+			Age: time.Duration(w.GetAgeMs()) * time.Millisecond,
 		})
 	}
 	now := b.timer.Now()
--- a/steer/board.go
+++ b/steer/board.go
@@ -88,6 +88,12 @@
 	PrefillTotal, RunTotal int64
 	// Good and Bad count the successes and failures since the daemon started.
 	Good, Bad int64
+	// Forecast is the sum of the times that were forecast for prefills by an engine of mean
+	// speed, and Took the sum of the times that they took, both since the daemon started. They are
+	// counted where reports are old (Board.Spread).
+	Forecast, Took time.Duration
+	// Age is the mean age of the figures of other daemons that the report includes.
+	Age time.Duration
 	// RecentParts holds the hashes of the shared parts that were prefilled most recently.
 	RecentParts []uint64
 	// Limit is the limit that the endpoint named, in requests a second of all VMs together,
@@ -104,8 +110,9 @@
 	received time.Duration
 	// hub reports whether the peer is a hub, whose reports include those of others.
 	hub bool
-	// prefill, run, good and bad are the growth of the counters since the first report.
+	// prefill, run, good and bad and so on are the growth of the counters since the first report.
 	prefill, run, good, bad int64
+	forecast, took          time.Duration
 }
 
 // add returns the peer's next report with the growth of the counters since then. A counter
@@ -115,6 +122,10 @@
 	w.run += max(0, next.RunTotal-w.RunTotal)
 	w.good += max(0, next.Good-w.Good)
 	w.bad += max(0, next.Bad-w.Bad)
+	if next.Forecast >= w.Forecast && next.Took >= w.Took {
+		w.forecast += next.Forecast - w.Forecast
+		w.took += next.Took - w.Took
+	}
 	w.Work = next
 	return w
 }
@@ -144,8 +155,9 @@
 	changingUntil time.Duration
 	cache         *partCache
 	// rate is the measured prefill rate in tokens per millisecond, or 0.
-	rate  float64
-	limit namedLimit
+	rate     float64
+	limit    namedLimit
+	estimate estimate
 }
 
 // running returns the number of requests of all daemons that run on the endpoint.
@@ -286,13 +298,17 @@
 			continue
 		}
 		seen[w.Endpoint] = true
+		w.Age = max(0, w.Age)
 		next := peerWork{Work: w}
 		if old, ok := t.peers[vm]; ok {
 			next = old.add(w)
 			b.addSent(t.endpoint.Serves(), next.prefill-old.prefill, next.run-old.run)
 			t.outcomes.add(now, float64(next.good-old.good), float64(next.bad-old.bad))
+			t.estimate.sent.add(now, float64(next.prefill-old.prefill+next.run-old.run), sentDecayTime)
+			t.estimate.measured(now, milliseconds(next.forecast-old.forecast), milliseconds(next.took-old.took))
 		}
 		next.received, next.hub = now, hub
+		t.estimate.valid = false
 		t.mergeLimit(now, &w)
 		for _, part := range w.RecentParts {
 			t.cache.addFromPeer(now, b.reportTTL(), part, vm, hub)
@@ -364,6 +380,7 @@
 
 func (b *Board) reportOf(now time.Duration, t *target, to Recipient) Work {
 	w, ttl := t.own, b.reportTTL()
+	var age, weights float64
 	for vm, p := range t.peers {
 		if !to.wants(vm, p.hub) {
 			continue
@@ -372,11 +389,19 @@
 		w.RunTotal += p.run
 		w.Good += p.good
 		w.Bad += p.bad
+		w.Forecast += p.forecast
+		w.Took += p.took
 		if now-p.received < ttl {
 			w.PrefillTokens += p.PrefillTokens
 			w.Running += p.Running
+			weight := float64(p.PrefillTokens + 1)
+			age += weight * float64(now-p.received+p.Age)
+			weights += weight
 		}
 	}
+	if weights > 0 {
+		w.Age = time.Duration(age / (weights + float64(t.own.PrefillTokens)))
+	}
 	w.RecentParts = t.cache.recentSince(now-ttl, to)
 	t.reportLimit(now, &w)
 	return w
@@ -384,6 +409,9 @@
 
 // rate returns the prefill rate of a target in tokens per millisecond.
 func (b *Board) rate(t *target) float64 {
+	if b.estimates() && t.estimate.slowness > 0 {
+		return b.serviceRate(t.endpoint.Serves()) / t.estimate.slowness
+	}
 	if t.rate > 0 {
 		return t.rate
 	}
--- /dev/null
+++ b/steer/estimate_test.go
@@ -0,0 +1,88 @@
+package steer
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/lagoonhead/lagoonhead"
+)
+
+// estimatedBoard returns a board of an engine that only prefills, at 48 tokens per millisecond,
+// with a report of a hub.
+func estimatedBoard(w Work) (*Board, *target) {
+	b := newBoard(fleet(1, 1))
+	b.Spread = true
+	w.Endpoint = "p0"
+	b.SetPeerWork(now, "hub", true, []Work{w})
+	return b, b.targets["p0"]
+}
+
+// Guards against a queue that counts as it was reported although the engine has worked on it since,
+// against the loss of what peers go on sending, and against an estimate that outlives its report.
+func TestQueuesAreEstimatedFromOldReports(t *testing.T) {
+	b, p := estimatedBoard(Work{PrefillTokens: 48_000})
+	b.BeginPrefill(PrefillChoice{Endpoint: p.endpoint, PrefillOnly: true, Tokens: 5000})
+	require.Equal(t, 53_000, b.queued(now, p))
+	require.InDelta(t, 29_000, b.queued(now+500*time.Millisecond, p), 100, "half of the work of peers is done")
+	require.Equal(t, 5000, b.queued(now+1500*time.Millisecond, p), "not below what this daemon waits for")
+	require.Equal(t, 5000, b.queued(now+b.reportTTL(), p))
+
+	b, p = estimatedBoard(Work{PrefillTokens: 48_000, Age: 500 * time.Millisecond})
+	require.InDelta(t, 24_000, b.queued(now, p), 100, "the figure was old when the hub told it")
+
+	b, p = estimatedBoard(Work{PrefillTotal: 1})
+	for i := range 20 {
+		at := now + time.Duration(i+1)*500*time.Millisecond
+		b.SetPeerWork(at, "hub", true, []Work{{Endpoint: "p0", PrefillTotal: 1 + int64(i+1)*20_000}})
+	}
+	at := now + 10*time.Second
+	require.Greater(t, b.queued(at+500*time.Millisecond, p), 2000, "peers send 40 tokens per millisecond")
+	require.Zero(t, b.queued(at+time.Minute, p), "peers that are silent are not assumed to go on")
+
+	b.Spread = false
+	b.SetPeerWork(at, "hub", true, []Work{{Endpoint: "p0", PrefillTokens: 48_000}})
+	require.Equal(t, 48_000, b.queued(at+time.Second, p), "reports are fresh")
+}
+
+// Guards against an engine that gets as much as others although it takes several times as long, and
+// against one that is avoided for long after it was slow for some hundred milliseconds.
+func TestForecastErrorsOfPeers(t *testing.T) {
+	b, p := estimatedBoard(Work{Forecast: time.Second, Took: time.Second})
+	require.InDelta(t, 1, b.estimateOf(now, p).slowness, 0.01)
+	b.SetPeerWork(now+500*time.Millisecond, "hub", true, []Work{{Endpoint: "p0", Forecast: 1500 * time.Millisecond, Took: 3 * time.Second}})
+	require.Greater(t, b.estimateOf(now+500*time.Millisecond, p).slowness, 2.0)
+	require.Less(t, b.estimateOf(now+5*time.Second, p).slowness, 2.5)
+	require.InDelta(t, 1, b.estimateOf(now+2*time.Minute, p).slowness, 0.1)
+	// A daemon that restarts counts from 0, and one of an earlier release does not count.
+	before := b.estimateOf(now+2*time.Minute, p).slowness
+	b.SetPeerWork(now+2*time.Minute, "hub", true, []Work{{Endpoint: "p0", PrefillTokens: 1}})
+	require.InDelta(t, before, b.estimateOf(now+2*time.Minute, p).slowness, 0.01)
+	v, ok := b.EstimateOf(now+2*time.Minute, p.endpoint)
+	require.True(t, ok)
+	require.Equal(t, 1, v.Reported)
+}
+
+// Guards against forecasts that are passed on twice or change fleets whose reports are fresh.
+func TestForecastErrorsAreReported(t *testing.T) {
+	b, p := estimatedBoard(Work{Forecast: time.Second, Took: time.Second})
+	b.SetPeerWork(now, "hub", true, []Work{{Endpoint: "p0", Forecast: 2 * time.Second, Took: 3 * time.Second}})
+	v := pick(t, b, long("a"))
+	require.Equal(t, p.endpoint.ID(), v.Endpoint.ID())
+	b.BeginPrefill(v)
+	b.EndPrefill(now, v, long("a"), handOverCost+2*v.forecast)
+	w := b.reportOf(now, p, Recipient{VM: "other"})
+	require.Equal(t, time.Second+v.forecast, w.Forecast)
+	require.Equal(t, 2*time.Second+2*v.forecast, w.Took)
+	w = b.reportOf(now, p, Recipient{VM: "hub", Hub: true})
+	require.Equal(t, [2]time.Duration{v.forecast, 2 * v.forecast}, [2]time.Duration{w.Forecast, w.Took}, "its own only")
+
+	b = newBoard(fleet(1, 1))
+	v = pick(t, b, long("a"))
+	b.BeginPrefill(v)
+	b.EndPrefill(now, v, long("a"), time.Second)
+	require.Zero(t, b.reportOf(now, b.targets[v.Endpoint.ID()], Recipient{VM: "hub", Hub: true}).Forecast)
+	_, ok := b.EstimateOf(now, lagoonhead.Endpoint{})
+	require.False(t, ok)
+}
--- a/steer/pick.go
+++ b/steer/pick.go
@@ -61,6 +61,9 @@
 	Wait time.Duration
 	// queued is the backlog of the engine at the time of the choice, in tokens.
 	queued int
+	// forecast is the expected time of the prefill at an engine of mean speed, without the cost of
+	// a hand-over, or 0 if reports are fresh.
+	forecast time.Duration
 }
 
 // PrefillRequest holds the inputs of PickPrefill.
@@ -198,7 +201,7 @@
 // evaluate returns the prefill of a prompt at a target with its cost. fits is false when it
 // would delay the other requests of the target for longer than callers accept.
 func (b *Board) evaluate(now time.Duration, t *target, r PrefillRequest, part uint64, shared int, homes [2]*target) (v PrefillChoice, cost time.Duration, fits bool) {
-	v = PrefillChoice{Endpoint: t.endpoint, PrefillOnly: t.endpoint.Role() == lagoonhead.RolePrefill, Tokens: r.Prompt.Tokens, queued: b.backlog(now, t)}
+	v = PrefillChoice{Endpoint: t.endpoint, PrefillOnly: t.endpoint.Role() == lagoonhead.RolePrefill, Tokens: r.Prompt.Tokens, queued: b.queued(now, t)}
 	cached := part != 0 && t.cache.has(part)
 	if cached {
 		v.Tokens -= shared
@@ -207,6 +210,7 @@
 	if !v.PrefillOnly {
 		load := float64(b.running(now, t)) / float64(max(1, t.endpoint.Slots()))
 		v.Wait = RunSlowdown*prefill + time.Duration(load*float64(fullBatchCost))
+		b.forecast(t, &v, RunSlowdown*prefill)
 		cost = v.Wait + time.Duration(runPrefillWeight*float64(b.prefillTime(t, v.Tokens)))
 		if t.endpoint.FailureDomain() != b.Domain {
 			cost += time.Duration(crossDomainCost * float64(fullBatchCost))
@@ -214,6 +218,7 @@
 		return v, cost, r.MaxPause == 0 || RunSlowdown*b.prefillTime(t, v.Tokens) < r.MaxPause/2
 	}
 	v.Wait = handOverCost + prefill
+	b.forecast(t, &v, prefill)
 	cost = v.Wait
 	if part != 0 && !cached && t != homes[0] {
 		cost += extraCopyCost + b.prefillTime(t, shared)
@@ -288,6 +293,11 @@
 		return
 	}
 	b.AddCached(now, v.Endpoint, p)
+	if v.PrefillOnly {
+		b.recordForecast(now, t, v.forecast, took-handOverCost)
+	} else {
+		b.recordForecast(now, t, v.forecast, took)
+	}
 	if prefill := took - handOverCost; v.PrefillOnly && v.queued+v.Tokens >= minRateSampleTokens && prefill > 0 {
 		b.addRateSample(t, float64(v.queued+v.Tokens)/(float64(prefill)/float64(time.Millisecond)))
 	}
--- a/steer/stale_test.go
+++ b/steer/stale_test.go
@@ -76,6 +76,9 @@
 	// hubDown reports whether a hub has failed at a time.
 	hubDown func(hub int, at time.Duration) bool
 	later   []delivery
+	length  time.Duration
+	// longRate is the number of long prompts a second.
+	longRate float64
 }
 
 type delivery struct {
@@ -84,7 +87,7 @@
 }
 
 func newStaleFleet(seed uint64, prepare func(*Board)) *staleFleet {
-	f := &staleFleet{rng: rand.New(rand.NewPCG(seed, 7)), index: make(map[lagoonhead.EndpointID]*staleEngine), hubDown: func(int, time.Duration) bool { return false }}
+	f := &staleFleet{rng: rand.New(rand.NewPCG(seed, 7)), index: make(map[lagoonhead.EndpointID]*staleEngine), hubDown: func(int, time.Duration) bool { return false }, length: staleTime, longRate: staleLongRate}
 	var list []lagoonhead.Endpoint
 	speeds := []float64{0.6, 1, 1, 1, 1.6}
 	for i := range stalePrefill + staleDecode {
@@ -330,9 +333,9 @@
 // play simulates the load and returns what callers saw. Requests that have no first event yet
 // count as of the end of the simulation.
 func (f *staleFleet) play() (r staleResult) {
-	for ; f.now < staleTime; f.now += time.Millisecond {
+	for ; f.now < f.length; f.now += time.Millisecond {
 		f.exchange()
-		if f.rng.Float64() < staleLongRate/1000 {
+		if f.rng.Float64() < f.longRate/1000 {
 			f.arrive(true)
 		}
 		if f.rng.Float64() < staleShortRate/1000 {
@@ -439,3 +442,17 @@
 	}
 	require.True(t, pick(t, b, short()).PrefillOnly, "no run engine can be used")
 }
+
+// Guards against an estimate that freezes or grows without reports: two of four hubs fail for
+// several times the time for which a report counts, and half of the VMs hear nothing meanwhile.
+func TestReportsAgeOutWhileHubsFail(t *testing.T) {
+	before, after := compareStale(t, func(f *staleFleet) {
+		f.hubDown = func(hub int, at time.Duration) bool {
+			return (hub == 1 || hub == 2) && at > 2*time.Second && at < 8*time.Second
+		}
+	})
+	require.Greater(t, after.within(0, 100*time.Millisecond), 0.9, "nine in ten short prompts begin within 100 ms")
+	require.GreaterOrEqual(t, after.within(0, staleObjective), before.within(0, staleObjective))
+	require.GreaterOrEqual(t, after.within(1, staleObjective), before.within(1, staleObjective))
+	require.LessOrEqual(t, after.decode, before.decode)
+}
