steer: long prompts are compared at few drawn engines where reports are old

All VMs saw the same engine with the shortest queue, sent long prompts there and had it prefill shared parts that others had cached.

With Board.Spread, a prompt is compared at the engines that have its shared part, at the two homes of the part and at three drawn engines, instead of at all engines. All are compared if none of these can be used. The choice makes fewer evaluations than before.

--- a/steer/short.go
+++ b/steer/draw.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"time"
 )
 
@@ -15,10 +16,30 @@
 	// engine that runs them.
 	unseenQueueCost = 500 * time.Millisecond
 	// maxDraws bounds the draws of a choice. With 30 of 60 engines eligible it finds none in one
-	// choice of 65,000; then all engines are compared.
+	// choice of 65,000; then engines of both roles are
+	// compared.
 	maxDraws = 16
+	// drawnEngines is the number of engines without a prompt's shared part that are considered for
+	// it. Two are enough to avoid the fullest; one more stands in for an engine that cannot be
+	// used.
+	drawnEngines = 3
 )
 
+// drawnIndexes are indexes of endpoints of a service, drawn at random.
+type drawnIndexes [drawnEngines]int
+
+func (d *drawnIndexes) has(i int) bool { return slices.Contains(d[:], i) }
+
+// draw returns random endpoints of a service.
+func (b *Board) draw(service string) (d drawnIndexes) {
+	if n := len(b.services[service]); n > 0 {
+		for i := range d {
+			d[i] = rand.IntN(n)
+		}
+	}
+	return d
+}
+
 // isShort reports whether a prompt takes the engine that runs it only milliseconds to prefill. A
 // prompt with a shared part that is tracked is not short.
 func (b *Board) isShort(r PrefillRequest, part uint64) bool {
@@ -28,8 +49,7 @@
 // drawShort chooses the engine for a short prompt where reports are old: the better one of two that
 // are drawn from those that run requests, so that the VMs do not all choose the engine that was the
 // emptiest when it reported. ok is false if it finds none by maxDraws draws, or if the chosen one
-// is worse by unseenQueueCost than an engine that only prefills would be; then all engines are to be
-// compared.
+// costs unseenQueueCost or more; then engines of both roles are to be compared.
 func (b *Board) drawShort(now time.Duration, r PrefillRequest, healthy bool) (c PrefillChoice, ok bool) {
 	list := b.services[r.Service]
 	if len(list) == 0 {
--- a/steer/pick.go
+++ b/steer/pick.go
@@ -127,9 +127,16 @@
 	}
 	handOver := b.handOverVersions(now, r, healthy)
 	homes := b.homes(part, r, handOver)
+	drawn := b.draw(r.Service)
 	var best time.Duration
-	for pass := range 2 {
-		for _, t := range b.services[r.Service] {
+	for _, pass := range prefillPasses {
+		if pass.drawn && !b.estimates() {
+			continue
+		}
+		for i, t := range b.services[r.Service] {
+			if pass.drawn && !drawn.has(i) && (part == 0 || !t.cache.has(part) && t != homes[0] && t != homes[1]) {
+				continue
+			}
 			if !t.eligible(now, r.Avoid, r.Version, healthy) || !b.allows(now, t) || !handOver.allow(t) {
 				continue
 			}
@@ -137,9 +144,7 @@
 			if v.PrefillOnly {
 				cost += handOver[t.endpoint.Software()] + apart
 			}
-			// A prompt whose prefill would delay running requests for too long is
-			// prefilled among them only if there is no other engine.
-			if !fits && pass == 0 {
+			if !fits && !pass.delaying {
 				continue
 			}
 			if now+v.Wait > r.Due {
@@ -159,6 +164,17 @@
 	return c, ok
 }
 
+// prefillPasses are the engines that pickPrefill compares, in this order until it finds one.
+var prefillPasses = []struct {
+	// drawn is true for the engines that have the shared part, its homes, and some that are drawn
+	// at random. This pass is made where reports are old, as otherwise all VMs would choose the
+	// engine that was the emptiest when it reported.
+	drawn bool
+	// delaying is true if the engines count whose running requests the prefill would delay for
+	// too long.
+	delaying bool
+}{{drawn: true}, {}, {delaying: true}}
+
 // handOverVersions are the software versions at which a prompt may be prefilled apart from its
 // run, or nil if every version may. A KV cache is not moved between versions. The values are the costs
 // of a run at the emptiest engine of the version, beyond those at the emptiest of all.
