steer: counters and log steps show the estimate and its error

The step of a request that names the engine for its prefill also shows the estimated queue, the reported one with its age, and the engine's slowness. The counters under "estimates" tell how engines were chosen, and the sums of expected times, of the times taken and of the absolute errors. All stay empty where reports are fresh.

--- a/dispatch/stream.go
+++ b/dispatch/stream.go
@@ -113,7 +113,7 @@
 		if !ok {
 			return nil, r.refuse(r.version, "the prompt")
 		}
-		r.addStep("read at %s: apart %t, %d tokens, expected in %s", v.Endpoint.ID(), v.PrefillOnly, v.Tokens, v.Wait.Round(time.Millisecond))
+		r.addStep("read at %s: apart %t, %d tokens, expected in %s%s", v.Endpoint.ID(), v.PrefillOnly, v.Tokens, v.Wait.Round(time.Millisecond), v.Estimate)
 		// A caller that has a part of the stream may wait on, and a refusal would cut it off.
 		if late := r.Timer.Now() + v.Wait - r.callerGiveUpTime(); late > 0 && !r.started {
 			r.cancelPrefill(v)
--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -418,6 +418,7 @@
 	}
 	d.vars.Set("mirror", mirrors)
 	d.vars.Set("dispatch", d.dispatcher.Vars())
+	d.dispatcher.WithBoard(func(b *steer.Board) { d.vars.Set("estimates", b.Vars()) })
 	d.vars.Set("limits", d.admit.Vars())
 	d.vars.Set("lease", d.session.Vars())
 	d.vars.Set("dutyLease", d.dutySession.Vars())
--- a/steer/board.go
+++ b/steer/board.go
@@ -217,6 +217,7 @@
 	// runSearchStart, modulo the number of endpoints, is the index at which the newest search
 	// for an endpoint that runs a request began.
 	runSearchStart uint64
+	vars           estimateVars
 }
 
 // seenVersions are the software versions of the endpoints of a service since the daemon started.
--- a/steer/estimate.go
+++ b/steer/estimate.go
@@ -1,10 +1,10 @@
 package steer
 
 import (
+	"expvar"
+	"fmt"
 	"math"
 	"time"
-
-	"github.com/lagoonhead/lagoonhead"
 )
 
 const (
@@ -140,18 +140,19 @@
 	return t.own.PrefillTokens + int(max(others, least))
 }
 
-// forecast notes in a choice how long the prefill would take at an engine of mean speed.
-func (b *Board) forecast(t *target, v *PrefillChoice, prefill time.Duration) {
-	if b.estimates() {
-		v.forecast = time.Duration(float64(prefill) / t.estimate.slowness)
-	}
-}
-
-// recordForecast records how long a prefill took that was forecast for an engine of mean speed.
-func (b *Board) recordForecast(now time.Duration, t *target, forecast, took time.Duration) {
+// recordForecast records how long the prefill of a choice took.
+func (b *Board) recordForecast(now time.Duration, t *target, v PrefillChoice, took time.Duration) {
+	forecast := v.Estimate.forecast
 	if !b.estimates() || forecast <= 0 {
 		return
 	}
+	b.vars.forecasts.Add(1)
+	b.vars.forecastMs.Add(v.Wait.Milliseconds())
+	b.vars.tookMs.Add(took.Milliseconds())
+	b.vars.errorMs.Add((took - v.Wait).Abs().Milliseconds())
+	if v.PrefillOnly {
+		took = max(0, took-handOverCost)
+	}
 	t.own.Forecast += forecast
 	t.own.Took += took
 	t.estimate.measured(now, milliseconds(forecast), milliseconds(took))
@@ -159,23 +160,64 @@
 
 func milliseconds(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
 
-// Estimate is what a log line can show of an engine's estimated load.
+// Estimate is what a choice of an engine for prefill assumed of the engine's load. It is the zero value
+// where reports are fresh.
 type Estimate struct {
-	// Queued is the number of tokens that are expected to wait for prefill, and Reported the number
-	// by the last reports, whose mean age is Age.
+	// Queued is the number of tokens that were expected to wait for prefill, and Reported the number
+	// by the last reports, of a mean age of Age.
 	Queued, Reported int
 	Age              time.Duration
 	// Slowness is the time of a prefill as a multiple of that of an engine of mean speed.
 	Slowness float64
+	// forecast is the expected time of the prefill at an engine of mean speed, without the cost of
+	// a hand-over.
+	forecast time.Duration
+}
+
+// String describes the estimate for the log, or is empty where none was made.
+func (e Estimate) String() string {
+	if e.Slowness == 0 {
+		return ""
+	}
+	return fmt.Sprintf(", %d tokens queued, %d reported %s ago, slowness %.2f", e.Queued, e.Reported, e.Age.Round(time.Millisecond), e.Slowness)
 }
 
-// EstimateOf returns the estimate of an engine's load; ok is false if the engine is unknown or if
-// reports are fresh, so that none is made.
-func (b *Board) EstimateOf(now time.Duration, e lagoonhead.Endpoint) (v Estimate, ok bool) {
-	t := b.findTarget(e)
-	if t == nil || !b.estimates() {
-		return v, false
+// describe returns the estimate of a target behind a choice by which prefill is the expected time
+// of the prefill.
+func (b *Board) describe(now time.Duration, t *target, queued int, prefill time.Duration) Estimate {
+	if !b.estimates() {
+		return Estimate{}
+	}
+	e := b.estimateOf(now, t)
+	return Estimate{
+		Queued: queued, Reported: t.own.PrefillTokens + int(e.reported), Age: e.age + now - e.updatedAt, Slowness: e.slowness,
+		forecast: time.Duration(float64(prefill) / e.slowness),
+	}
+}
+
+// Vars returns the counters of choices and forecasts. They stay 0 where reports are fresh.
+func (b *Board) Vars() *expvar.Map {
+	m := new(expvar.Map)
+	for name, v := range map[string]*expvar.Int{
+		"shortDrawn": &b.vars.shortDrawn, "shortCompared": &b.vars.shortCompared, "drawn": &b.vars.drawn, "compared": &b.vars.compared,
+		"forecasts": &b.vars.forecasts, "forecastMs": &b.vars.forecastMs, "tookMs": &b.vars.tookMs, "errorMs": &b.vars.errorMs,
+		"refusalsHeard": &b.vars.refusalsHeard,
+	} {
+		m.Set(name, v)
 	}
-	s := b.estimateOf(now, t)
-	return Estimate{Queued: b.queued(now, t), Reported: t.own.PrefillTokens + int(s.reported), Age: s.age, Slowness: s.slowness}, true
+	return m
+}
+
+// estimateVars are the counters of a board.
+type estimateVars struct {
+	// shortDrawn counts the short prompts for which an engine was chosen among two that were drawn,
+	// and shortCompared those for which the drawn ones were too bad; drawn counts the prompts for
+	// which an engine was chosen among those that have the shared part, its homes and some that
+	// were drawn, and compared those for which all engines were compared.
+	shortDrawn, shortCompared, drawn, compared expvar.Int
+	// forecasts counts the prefills that ended; forecastMs is the sum of their expected times, tookMs
+	// the sum of the times that they took, and errorMs that of the absolute differences.
+	forecasts, forecastMs, tookMs, errorMs expvar.Int
+	// refusalsHeard counts the exclusions of an endpoint because a peer reported a refusal.
+	refusalsHeard expvar.Int
 }
--- a/steer/estimate_test.go
+++ b/steer/estimate_test.go
@@ -5,8 +5,6 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
-
-	"github.com/lagoonhead/lagoonhead"
 )
 
 // estimatedBoard returns a board of an engine that only prefills, at 48 tokens per millisecond,
@@ -59,9 +57,6 @@
 	before := b.estimateOf(now+2*time.Minute, p).slowness
 	b.SetPeerWork(now+2*time.Minute, "hub", true, []Work{{Endpoint: "p0", PrefillTokens: 1}})
 	require.InDelta(t, before, b.estimateOf(now+2*time.Minute, p).slowness, 0.01)
-	v, ok := b.EstimateOf(now+2*time.Minute, p.endpoint)
-	require.True(t, ok)
-	require.Equal(t, 1, v.Reported)
 }
 
 // Guards against forecasts that are passed on twice or change fleets whose reports are fresh.
@@ -71,18 +66,19 @@
 	v := pick(t, b, long("a"))
 	require.Equal(t, p.endpoint.ID(), v.Endpoint.ID())
 	b.BeginPrefill(v)
-	b.EndPrefill(now, v, long("a"), handOverCost+2*v.forecast)
+	b.EndPrefill(now, v, long("a"), handOverCost+2*v.Estimate.forecast)
+	require.Contains(t, v.Estimate.String(), "0 reported 0s ago, slowness")
+	require.Equal(t, "1", b.Vars().Get("forecasts").String())
 	w := b.reportOf(now, p, Recipient{VM: "other"})
-	require.Equal(t, time.Second+v.forecast, w.Forecast)
-	require.Equal(t, 2*time.Second+2*v.forecast, w.Took)
+	require.Equal(t, time.Second+v.Estimate.forecast, w.Forecast)
+	require.Equal(t, 2*time.Second+2*v.Estimate.forecast, w.Took)
 	w = b.reportOf(now, p, Recipient{VM: "hub", Hub: true})
-	require.Equal(t, [2]time.Duration{v.forecast, 2 * v.forecast}, [2]time.Duration{w.Forecast, w.Took}, "its own only")
+	require.Equal(t, [2]time.Duration{v.Estimate.forecast, 2 * v.Estimate.forecast}, [2]time.Duration{w.Forecast, w.Took}, "its own only")
 
 	b = newBoard(fleet(1, 1))
 	v = pick(t, b, long("a"))
 	b.BeginPrefill(v)
 	b.EndPrefill(now, v, long("a"), time.Second)
 	require.Zero(t, b.reportOf(now, b.targets[v.Endpoint.ID()], Recipient{VM: "hub", Hub: true}).Forecast)
-	_, ok := b.EstimateOf(now, lagoonhead.Endpoint{})
-	require.False(t, ok)
+	require.Empty(t, v.Estimate.String())
 }
--- a/steer/pick.go
+++ b/steer/pick.go
@@ -61,9 +61,8 @@
 	Wait time.Duration
 	// queued is the backlog of the engine at the time of the choice, in tokens.
 	queued int
-	// forecast is the expected time of the prefill at an engine of mean speed, without the cost of
-	// a hand-over, or 0 if reports are fresh.
-	forecast time.Duration
+	// Estimate is what was assumed of the engine's load.
+	Estimate Estimate
 }
 
 // PrefillRequest holds the inputs of PickPrefill.
@@ -122,8 +121,10 @@
 	apart := b.apartCost(r, part)
 	if apart > 0 {
 		if c, ok = b.drawShort(now, r, healthy); ok {
+			b.vars.shortDrawn.Add(1)
 			return c, true
 		}
+		b.vars.shortCompared.Add(1)
 	}
 	handOver := b.handOverVersions(now, r, healthy)
 	homes := b.homes(part, r, handOver)
@@ -157,6 +158,12 @@
 				best, ok, c = cost, true, v
 			}
 		}
+		switch {
+		case ok && pass.drawn:
+			b.vars.drawn.Add(1)
+		case ok && b.estimates():
+			b.vars.compared.Add(1)
+		}
 		if ok {
 			break
 		}
@@ -226,7 +233,7 @@
 	if !v.PrefillOnly {
 		load := float64(b.running(now, t)) / float64(max(1, t.endpoint.Slots()))
 		v.Wait = RunSlowdown*prefill + time.Duration(load*float64(fullBatchCost))
-		b.forecast(t, &v, RunSlowdown*prefill)
+		v.Estimate = b.describe(now, t, v.queued, RunSlowdown*prefill)
 		cost = v.Wait + time.Duration(runPrefillWeight*float64(b.prefillTime(t, v.Tokens)))
 		if t.endpoint.FailureDomain() != b.Domain {
 			cost += time.Duration(crossDomainCost * float64(fullBatchCost))
@@ -234,7 +241,7 @@
 		return v, cost, r.MaxPause == 0 || RunSlowdown*b.prefillTime(t, v.Tokens) < r.MaxPause/2
 	}
 	v.Wait = handOverCost + prefill
-	b.forecast(t, &v, prefill)
+	v.Estimate = b.describe(now, t, v.queued, prefill)
 	cost = v.Wait
 	if part != 0 && !cached && t != homes[0] {
 		cost += extraCopyCost + b.prefillTime(t, shared)
@@ -309,11 +316,7 @@
 		return
 	}
 	b.AddCached(now, v.Endpoint, p)
-	if v.PrefillOnly {
-		b.recordForecast(now, t, v.forecast, took-handOverCost)
-	} else {
-		b.recordForecast(now, t, v.forecast, took)
-	}
+	b.recordForecast(now, t, v, took)
 	if prefill := took - handOverCost; v.PrefillOnly && v.queued+v.Tokens >= minRateSampleTokens && prefill > 0 {
 		b.addRateSample(t, float64(v.queued+v.Tokens)/(float64(prefill)/float64(time.Millisecond)))
 	}
