steer: refusals that peers report weigh against an endpoint

An endpoint without room refused the requests of one VM after the other, since only the VM that was refused left it out for a time. Where reports are old, heartbeats carry the number of refusals, and the share of refusals among the outcomes of the last second adds up to 200 ms to the cost of the endpoint, in choices for prefill and for runs. It excludes nothing, so that old word cannot leave a service without endpoints. Fleets with fresh reports neither count nor send refusals.

--- a/entry/heartbeats.go
+++ b/entry/heartbeats.go
@@ -97,7 +97,7 @@
 			n := &peer.EndpointWork{
 				Endpoint: string(w.Endpoint), PrefillTokens: int64(w.PrefillTokens), Running: int32(w.Running), PrefilledTotal: w.PrefillTotal,
 				RunTotal: w.RunTotal, Read: w.RecentParts, Good: w.Good, Bad: w.Bad, LimitPerSecond: w.Limit,
-				ForecastUs: w.Forecast.Microseconds(), TookUs: w.Took.Microseconds(), AgeMs: w.Age.Milliseconds(),
+				ForecastUs: w.Forecast.Microseconds(), TookUs: w.Took.Microseconds(), AgeMs: w.Age.Milliseconds(), Refused: w.Refused,
 			}
 			if w.HasLimit {
 				n.LimitAgeMs = proto.Int64(w.LimitAge.Milliseconds())
@@ -144,7 +144,7 @@
 			Good: w.GetGood(), Bad: w.GetBad(), Limit: w.GetLimitPerSecond(), HasLimit: w.LimitAgeMs != nil,
 			LimitAge: time.Duration(w.GetLimitAgeMs()) * time.Millisecond,
 			Forecast: time.Duration(w.GetForecastUs()) * time.Microsecond, Took: time.Duration(w.GetTookUs()) * time.Microsecond,
-			Age: time.Duration(w.GetAgeMs()) * time.Millisecond,
+			Age: time.Duration(w.GetAgeMs()) * time.Millisecond, Refused: w.GetRefused(),
 		})
 	}
 	now := b.timer.Now()
--- a/steer/board.go
+++ b/steer/board.go
@@ -92,6 +92,8 @@
 	// speed, and Took the sum of the times that they took, both since the daemon started. They are
 	// counted where reports are old (Board.Spread).
 	Forecast, Took time.Duration
+	// Refused counts the refusals since the daemon started, where reports are old.
+	Refused int64
 	// Age is the mean age of the figures of other daemons that the report includes.
 	Age time.Duration
 	// RecentParts holds the hashes of the shared parts that were prefilled most recently.
@@ -111,8 +113,8 @@
 	// hub reports whether the peer is a hub, whose reports include those of others.
 	hub bool
 	// prefill, run, good and bad and so on are the growth of the counters since the first report.
-	prefill, run, good, bad int64
-	forecast, took          time.Duration
+	prefill, run, good, bad, refused int64
+	forecast, took                   time.Duration
 }
 
 // add returns the peer's next report with the growth of the counters since then. A counter
@@ -122,6 +124,7 @@
 	w.run += max(0, next.RunTotal-w.RunTotal)
 	w.good += max(0, next.Good-w.Good)
 	w.bad += max(0, next.Bad-w.Bad)
+	w.refused += max(0, next.Refused-w.Refused)
 	if next.Forecast >= w.Forecast && next.Took >= w.Took {
 		w.forecast += next.Forecast - w.Forecast
 		w.took += next.Took - w.Took
@@ -306,6 +309,7 @@
 			b.addSent(t.endpoint.Serves(), next.prefill-old.prefill, next.run-old.run)
 			t.outcomes.add(now, float64(next.good-old.good), float64(next.bad-old.bad))
 			t.estimate.sent.add(now, float64(next.prefill-old.prefill+next.run-old.run), sentDecayTime)
+			b.addRefusals(now, t, next.refused-old.refused)
 			t.estimate.measured(now, milliseconds(next.forecast-old.forecast), milliseconds(next.took-old.took))
 		}
 		next.received, next.hub = now, hub
@@ -376,7 +380,7 @@
 
 // hasAny reports whether there is anything to report.
 func (w Work) hasAny() bool {
-	return w.PrefillTokens > 0 || w.Running > 0 || w.PrefillTotal > 0 || w.RunTotal > 0 || w.Good > 0 || w.Bad > 0 || len(w.RecentParts) > 0 || w.HasLimit
+	return w.PrefillTokens > 0 || w.Running > 0 || w.PrefillTotal > 0 || w.RunTotal > 0 || w.Good > 0 || w.Bad > 0 || w.Refused > 0 || len(w.RecentParts) > 0 || w.HasLimit
 }
 
 func (b *Board) reportOf(now time.Duration, t *target, to Recipient) Work {
@@ -390,6 +394,7 @@
 		w.RunTotal += p.run
 		w.Good += p.good
 		w.Bad += p.bad
+		w.Refused += p.refused
 		w.Forecast += p.forecast
 		w.Took += p.took
 		if now-p.received < ttl {
@@ -507,6 +512,10 @@
 		t.outcomes.add(now, 0, 1)
 	case Refused:
 		t.health.refused(now)
+		if b.estimates() {
+			t.own.Refused++
+			b.addRefusals(now, t, 1)
+		}
 	case Neutral:
 	}
 	if before > 0 {
--- a/steer/draw.go
+++ b/steer/draw.go
@@ -16,9 +16,9 @@
 	// engine that runs them.
 	unseenQueueCost = 500 * time.Millisecond
 	// maxDraws bounds the draws of a choice. With 30 of 60 engines eligible it finds none in one
-	// choice of 65,000; then engines of both roles are
+	// choice of four billion; then engines of both roles are
 	// compared.
-	maxDraws = 16
+	maxDraws = 32
 	// drawnEngines is the number of engines without a prompt's shared part that are considered for
 	// it. Two are enough to avoid the fullest; one more stands in for an engine that cannot be
 	// used.
--- a/steer/estimate.go
+++ b/steer/estimate.go
@@ -25,6 +25,12 @@
 	// slownessPrior and errorPrior are the forecast time that is assumed to have been measured
 	// without an error, so that single prefills change the estimate little.
 	slownessPrior, errorPrior = 500 * time.Millisecond, 300 * time.Millisecond
+	// refusalCost is the cost of a refusal: the time of another attempt, which also uses a part of
+	// the retry budget.
+	refusalCost = 200 * time.Millisecond
+	// refusalPrior is the number of recent outcomes without a refusal that is assumed for every
+	// endpoint.
+	refusalPrior = 3
 	// maxSlowness bounds an engine's slowness and forecast error, and their inverses.
 	maxSlowness = 5.0
 	// estimateTTL is the time for which the estimate of an engine is kept if no report comes.
@@ -70,6 +76,8 @@
 	// lasting and recent compare the times of prefills with forecasts that assume an engine of mean
 	// speed.
 	lasting, recent forecastRatio
+	// refused is the number of refusals that all daemons had lately.
+	refused decayingSum
 
 	// The fields below are valid from updatedAt for estimateTTL, until the next report.
 	valid     bool
@@ -140,6 +148,26 @@
 	return t.own.PrefillTokens + int(max(others, least))
 }
 
+// addRefusals records refusals of this daemon's requests or of a peer's.
+func (b *Board) addRefusals(now time.Duration, t *target, n int64) {
+	if n > 0 {
+		t.estimate.refused.add(now, float64(n), errorDecayTime)
+		b.vars.refusals.Add(n)
+	}
+}
+
+// refusalRisk returns the expected cost to a request of refusals by a target, as all daemons had them
+// in the last second. A refusal that a peer reports does not exclude the endpoint: it is older than
+// the time for which one excludes it at the daemon that was refused.
+func (b *Board) refusalRisk(now time.Duration, t *target) time.Duration {
+	n := t.estimate.refused.value(now, errorDecayTime)
+	if n == 0 || !b.estimates() {
+		return 0
+	}
+	f := t.outcomes.decayFactor(now) * float64(errorDecayTime) / float64(outcomeDecayTime)
+	return time.Duration(n / (n + (t.outcomes.good+t.outcomes.bad)*f + refusalPrior) * float64(refusalCost))
+}
+
 // recordForecast records how long the prefill of a choice took.
 func (b *Board) recordForecast(now time.Duration, t *target, v PrefillChoice, took time.Duration) {
 	forecast := v.Estimate.forecast
@@ -201,7 +229,7 @@
 	for name, v := range map[string]*expvar.Int{
 		"shortDrawn": &b.vars.shortDrawn, "shortCompared": &b.vars.shortCompared, "drawn": &b.vars.drawn, "compared": &b.vars.compared,
 		"forecasts": &b.vars.forecasts, "forecastMs": &b.vars.forecastMs, "tookMs": &b.vars.tookMs, "errorMs": &b.vars.errorMs,
-		"refusalsHeard": &b.vars.refusalsHeard,
+		"refusals": &b.vars.refusals,
 	} {
 		m.Set(name, v)
 	}
@@ -218,6 +246,6 @@
 	// forecasts counts the prefills that ended; forecastMs is the sum of their expected times, tookMs
 	// the sum of the times that they took, and errorMs that of the absolute differences.
 	forecasts, forecastMs, tookMs, errorMs expvar.Int
-	// refusalsHeard counts the exclusions of an endpoint because a peer reported a refusal.
-	refusalsHeard expvar.Int
+	// refusals counts the refusals of this daemon's requests and those that peers reported.
+	refusals expvar.Int
 }
--- a/steer/estimate_test.go
+++ b/steer/estimate_test.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"github.com/lagoonhead/lagoonhead"
 )
 
 // estimatedBoard returns a board of an engine that only prefills, at 48 tokens per millisecond,
@@ -82,3 +84,27 @@
 	require.Zero(t, b.reportOf(now, b.targets[v.Endpoint.ID()], Recipient{VM: "hub", Hub: true}).Forecast)
 	require.Empty(t, v.Estimate.String())
 }
+
+// Guards against an engine that refuses the requests of one VM after the other, since none hears of
+// the refusals of others, and against one that is shunned after it has stopped.
+func TestRefusalsOfPeers(t *testing.T) {
+	b := newBoard(fleet(0, 2))
+	b.Spread = true
+	report := func(at time.Duration, refused int64) {
+		b.SetPeerWork(at, "hub", true, []Work{{Endpoint: "d0", Good: 1, Refused: refused}, {Endpoint: "d1", Good: 1}})
+	}
+	report(now, 5)
+	require.Zero(t, b.refusalRisk(now, b.targets["d0"]), "the first report of a peer may be old")
+	report(now+250*time.Millisecond, 12)
+	at := now + 250*time.Millisecond
+	for range 20 {
+		v, ok := b.PickPrefill(at, prefillRequest(short()))
+		require.True(t, ok)
+		require.Equal(t, lagoonhead.EndpointID("d1"), v.Endpoint.ID())
+	}
+	require.Less(t, b.refusalRisk(at+5*time.Second, b.targets["d0"]), time.Duration(crossDomainCost*float64(fullBatchCost)))
+	b.RecordResult(at, b.targets["d1"].endpoint, Refused)
+	require.EqualValues(t, 1, b.reportOf(at, b.targets["d1"], Recipient{VM: "hub", Hub: true}).Refused)
+	b.Spread = false
+	require.Zero(t, b.refusalRisk(at, b.targets["d0"]))
+}
--- a/steer/failures.go
+++ b/steer/failures.go
@@ -46,7 +46,7 @@
 	return max(0, o.bad*f/((o.good+o.bad)*f+priorSuccesses)-baselineFailureRate)
 }
 
-// risk returns the expected cost to a request of the failures of a target.
+// risk returns the expected cost to a request of the failures and refusals of a target.
 func (b *Board) risk(now time.Duration, t *target, retryable bool) time.Duration {
 	if b.IgnoreFailures {
 		return 0
@@ -55,5 +55,5 @@
 	if retryable {
 		cost = retryCost
 	}
-	return time.Duration(t.outcomes.excess(now) * float64(cost))
+	return time.Duration(t.outcomes.excess(now)*float64(cost)) + b.refusalRisk(now, t)
 }
