--- a/steer/board.go
+++ b/steer/board.go
@@ -220,7 +220,10 @@
 	// runSearchStart, modulo the number of endpoints, is the index at which the newest search
 	// for an endpoint that runs a request began.
 	runSearchStart uint64
-	vars           estimateVars
+	// runRatios compares, by service, the times of prefills by engines that run requests with their
+	// forecasts.
+	runRatios map[string]*forecastRatio
+	vars      estimateVars
 }
 
 // seenVersions are the software versions of the endpoints of a service since the daemon started.
@@ -310,7 +313,7 @@
 			t.outcomes.add(now, float64(next.good-old.good), float64(next.bad-old.bad))
 			t.estimate.sent.add(now, float64(next.prefill-old.prefill+next.run-old.run), sentDecayTime)
 			b.addRefusals(now, t, next.refused-old.refused)
-			t.estimate.measured(now, milliseconds(next.forecast-old.forecast), milliseconds(next.took-old.took))
+			b.addMeasured(now, t, next.forecast-old.forecast, next.took-old.took)
 		}
 		next.received, next.hub = now, hub
 		t.estimate.valid = false
--- a/steer/estimate.go
+++ b/steer/estimate.go
@@ -5,6 +5,8 @@
 	"fmt"
 	"math"
 	"time"
+
+	"github.com/lagoonhead/lagoonhead"
 )
 
 const (
@@ -25,6 +27,9 @@
 	// slownessPrior and errorPrior are the forecast time that is assumed to have been measured
 	// without an error, so that single prefills change the estimate little.
 	slownessPrior, errorPrior = 500 * time.Millisecond, 300 * time.Millisecond
+	// maxRunSlowness bounds the slowness by which runs are distributed, and its inverse. Engines have
+	// speeds of 0.6 to 1.6.
+	maxRunSlowness = 2.0
 	// refusalCost is the cost of a refusal: the time of another attempt, which also uses a part of
 	// the retry budget.
 	refusalCost = 200 * time.Millisecond
@@ -92,11 +97,14 @@
 	slowness float64
 }
 
-// measured records the times of prefills and of their forecasts, in milliseconds.
-func (e *estimate) measured(now time.Duration, forecast, took float64) {
+// addMeasured records the times of prefills at a target and of their forecasts.
+func (b *Board) addMeasured(now time.Duration, t *target, forecastTime, tookTime time.Duration) {
+	forecast, took := milliseconds(forecastTime), milliseconds(tookTime)
 	if forecast <= 0 {
 		return
 	}
+	b.addRunRatio(now, t, forecast, took)
+	e := &t.estimate
 	e.lasting.add(now, forecast, took, slownessDecayTime)
 	e.recent.add(now, forecast, took, errorDecayTime)
 	e.valid = false
@@ -148,6 +156,33 @@
 	return t.own.PrefillTokens + int(max(others, least))
 }
 
+// runSlowness returns the time to the first event of the runs of a target that prefill their prompt, as a
+// multiple of the mean of the service, or 1 where it is not known.
+func (b *Board) runSlowness(now time.Duration, t *target) float64 {
+	mean := b.runRatios[t.endpoint.Serves()]
+	if !b.estimates() || mean == nil {
+		return 1
+	}
+	v := b.estimateOf(now, t).slowness / mean.value(now, slownessDecayTime, slownessPrior, 1)
+	return min(max(v, 1/maxRunSlowness), maxRunSlowness)
+}
+
+// addRunRatio records the times of prefills by engines that run requests, in milliseconds.
+func (b *Board) addRunRatio(now time.Duration, t *target, forecast, took float64) {
+	if t.endpoint.Role() == lagoonhead.RolePrefill || forecast <= 0 {
+		return
+	}
+	if b.runRatios == nil {
+		b.runRatios = make(map[string]*forecastRatio)
+	}
+	r := b.runRatios[t.endpoint.Serves()]
+	if r == nil {
+		r = new(forecastRatio)
+		b.runRatios[t.endpoint.Serves()] = r
+	}
+	r.add(now, forecast, took, slownessDecayTime)
+}
+
 // addRefusals records refusals of this daemon's requests or of a peer's.
 func (b *Board) addRefusals(now time.Duration, t *target, n int64) {
 	if n > 0 {
@@ -183,7 +218,7 @@
 	}
 	t.own.Forecast += forecast
 	t.own.Took += took
-	t.estimate.measured(now, milliseconds(forecast), milliseconds(took))
+	b.addMeasured(now, t, forecast, took)
 }
 
 func milliseconds(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
--- a/steer/estimate_test.go
+++ b/steer/estimate_test.go
@@ -108,3 +108,29 @@
 	b.Spread = false
 	require.Zero(t, b.refusalRisk(at, b.targets["d0"]))
 }
+
+// Guards against runs that are spread evenly over engines of different speeds, and against an engine
+// that gets none because it is slow.
+func TestSlowRunEnginesGetFewerRuns(t *testing.T) {
+	share := func(spread bool) float64 {
+		b := newBoard(fleet(0, 2))
+		b.Spread = spread
+		for i := range int64(2) {
+			b.SetPeerWork(now, "hub", true, []Work{
+				{Endpoint: "d0", Good: 1, Forecast: time.Duration(1+i*10) * time.Second, Took: time.Duration(1+i*17) * time.Second},
+				{Endpoint: "d1", Good: 1, Forecast: time.Duration(1+i*10) * time.Second, Took: time.Duration(1+i*10) * time.Second},
+			})
+		}
+		n := 0.0
+		for range 2000 {
+			e, ok := b.PickRun(now, RunRequest{Service: model, Near: "x"})
+			require.True(t, ok)
+			if e.ID() == "d0" {
+				n++
+			}
+		}
+		return n / 2000
+	}
+	require.InDelta(t, 0.37, share(true), 0.06, "runs in proportion to speeds of 0.6 and 1")
+	require.Equal(t, 0.5, share(false), "equal engines in turn")
+}
--- a/steer/pick.go
+++ b/steer/pick.go
@@ -377,7 +377,7 @@
 		load := b.runLoad(now, t, r)
 		if b.Spread {
 			// Each endpoint is chosen with a probability in proportion to its weight.
-			w := max(minSpreadWeight, 1-load)
+			w := max(minSpreadWeight, 1-load) / b.runSlowness(now, t)
 			if r.Transfer && t.endpoint.FailureDomain() != r.Near {
 				w *= farTransferWeight
 			}
