steer: speeds of engines are measured against one reference rate

The forecasts that VMs exchange were relative to the rate that each VM had learnt of the service, so that a fleet that has just started would have taken its engines for three times as fast as they are once its rates had adapted. Forecasts are now for an engine of 20 tokens per millisecond, the same at all VMs, and the rate of the service is what is assumed until some prefills have been measured.

--- a/steer/board.go
+++ b/steer/board.go
@@ -88,8 +88,8 @@
 	PrefillTotal, RunTotal int64
 	// Good and Bad count the successes and failures since the daemon started.
 	Good, Bad int64
-	// Forecast is the sum of the times that were forecast for prefills by an engine of mean
-	// speed, and Took the sum of the times that they took, both since the daemon started. They are
+	// Forecast is the sum of the times that were forecast for prefills by an engine of
+	// referenceRate, and Took the sum of the times that they took, both since the daemon started. They are
 	// counted where reports are old (Board.Spread).
 	Forecast, Took time.Duration
 	// Refused counts the refusals since the daemon started, where reports are old.
@@ -419,7 +419,7 @@
 // rate returns the prefill rate of a target in tokens per millisecond.
 func (b *Board) rate(t *target) float64 {
 	if b.estimates() && t.estimate.slowness > 0 {
-		return b.serviceRate(t.endpoint.Serves()) / t.estimate.slowness
+		return referenceRate / t.estimate.slowness
 	}
 	if t.rate > 0 {
 		return t.rate
--- a/steer/estimate.go
+++ b/steer/estimate.go
@@ -24,9 +24,13 @@
 	// errorDecayTime is the same for the forecast error, which notices that an engine is slow for
 	// some 0.6 s.
 	errorDecayTime = time.Second
-	// slownessPrior and errorPrior are the forecast time that is assumed to have been measured
-	// without an error, so that single prefills change the estimate little.
-	slownessPrior, errorPrior = 500 * time.Millisecond, 300 * time.Millisecond
+	// referenceRate is the prefill rate, in tokens per millisecond, of the engine for which times
+	// are forecast in heartbeats. It is the same in all releases.
+	referenceRate = 20.0
+	// slownessPrior and errorPrior are the forecast times that are assumed to have been measured
+	// without an error, so that single prefills change the estimate little: those of two long
+	// prompts and of one.
+	slownessPrior, errorPrior = 1600 * time.Millisecond, time.Second
 	// maxRunSlowness bounds the slowness by which runs are distributed, and its inverse. Engines have
 	// speeds of 0.6 to 1.6.
 	maxRunSlowness = 2.0
@@ -36,8 +40,8 @@
 	// refusalPrior is the number of recent outcomes without a refusal that is assumed for every
 	// endpoint.
 	refusalPrior = 3
-	// maxSlowness bounds an engine's slowness and forecast error, and their inverses.
-	maxSlowness = 5.0
+	// maxForecastError bounds the recent forecast error of an engine, and its inverse.
+	maxForecastError = 5.0
 	// estimateTTL is the time for which the estimate of an engine is kept if no report comes.
 	estimateTTL = 50 * time.Millisecond
 )
@@ -68,18 +72,17 @@
 }
 
 // value returns the ratio of the time taken to the forecast, with a prior of a ratio.
-func (r *forecastRatio) value(now, decay time.Duration, prior time.Duration, ratio float64) float64 {
+func (r *forecastRatio) value(now, decay, prior time.Duration, ratio float64) float64 {
 	p := float64(prior / time.Millisecond)
-	v := (r.took.value(now, decay) + p*ratio) / (r.forecast.value(now, decay) + p)
-	return min(max(v, 1/maxSlowness), maxSlowness)
+	return (r.took.value(now, decay) + p*ratio) / (r.forecast.value(now, decay) + p)
 }
 
 // estimate is what is expected of an engine's present load where reports are old.
 type estimate struct {
 	// sent is the number of tokens that peers sent lately.
 	sent decayingSum
-	// lasting and recent compare the times of prefills with forecasts that assume an engine of mean
-	// speed.
+	// lasting and recent compare the times of prefills with forecasts for an engine of
+	// referenceRate.
 	lasting, recent forecastRatio
 	// refused is the number of refusals that all daemons had lately.
 	refused decayingSum
@@ -93,7 +96,7 @@
 	age      time.Duration
 	// sentRate is the rate at which peers send, in tokens per millisecond.
 	sentRate float64
-	// slowness is the time of a prefill as a multiple of that of an engine of mean speed.
+	// slowness is the time of a prefill as a multiple of that of an engine of referenceRate.
 	slowness float64
 }
 
@@ -105,7 +108,8 @@
 	}
 	b.addRunRatio(now, t, forecast, took)
 	e := &t.estimate
-	e.lasting.add(now, forecast, took, slownessDecayTime)
+	// One prefill that waited behind others that no report showed changes the lasting speed little.
+	e.lasting.add(now, forecast, min(took, maxRateStep*forecast*b.lastingSlowness(now, t)), slownessDecayTime)
 	e.recent.add(now, forecast, took, errorDecayTime)
 	e.valid = false
 }
@@ -136,11 +140,17 @@
 		e.age = time.Duration(float64(e.age) / weights)
 	}
 	e.sentRate = e.sent.value(now, sentDecayTime) / float64(sentDecayTime/time.Millisecond)
-	lasting := e.lasting.value(now, slownessDecayTime, slownessPrior, 1)
-	e.slowness = e.recent.value(now, errorDecayTime, errorPrior, lasting)
+	lasting := b.lastingSlowness(now, t)
+	recent := e.recent.value(now, errorDecayTime, errorPrior, lasting)
+	e.slowness = min(max(recent, lasting/maxForecastError), lasting*maxForecastError)
 	return e
 }
 
+// lastingSlowness returns the slowness of a target over slownessDecayTime.
+func (b *Board) lastingSlowness(now time.Duration, t *target) float64 {
+	return t.estimate.lasting.value(now, slownessDecayTime, slownessPrior, referenceRate/b.serviceRate(t.endpoint.Serves()))
+}
+
 // queued returns the number of tokens of all daemons that are expected to wait for prefill at a
 // target. Where reports are old it is this daemon's own work, which is known exactly, plus what
 // peers reported, plus what they have sent since at the rate of late, minus what the engine
@@ -163,7 +173,7 @@
 	if !b.estimates() || mean == nil {
 		return 1
 	}
-	v := b.estimateOf(now, t).slowness / mean.value(now, slownessDecayTime, slownessPrior, 1)
+	v := b.estimateOf(now, t).slowness / mean.value(now, slownessDecayTime, slownessPrior, referenceRate/b.serviceRate(t.endpoint.Serves()))
 	return min(max(v, 1/maxRunSlowness), maxRunSlowness)
 }
 
@@ -230,19 +240,19 @@
 	// by the last reports, of a mean age of Age.
 	Queued, Reported int
 	Age              time.Duration
-	// Slowness is the time of a prefill as a multiple of that of an engine of mean speed.
-	Slowness float64
-	// forecast is the expected time of the prefill at an engine of mean speed, without the cost of
-	// a hand-over.
+	// Rate is the expected prefill rate in tokens per millisecond.
+	Rate float64
+	// forecast is the expected time of the prefill at an engine of referenceRate, without the cost
+	// of a hand-over.
 	forecast time.Duration
 }
 
 // String describes the estimate for the log, or is empty where none was made.
 func (e Estimate) String() string {
-	if e.Slowness == 0 {
+	if e.Rate == 0 {
 		return ""
 	}
-	return fmt.Sprintf(", %d tokens queued, %d reported %s ago, slowness %.2f", e.Queued, e.Reported, e.Age.Round(time.Millisecond), e.Slowness)
+	return fmt.Sprintf(", %d tokens queued, %d reported %s ago, %.1f tokens/ms", e.Queued, e.Reported, e.Age.Round(time.Millisecond), e.Rate)
 }
 
 // describe returns the estimate of a target behind a choice by which prefill is the expected time
@@ -253,7 +263,7 @@
 	}
 	e := b.estimateOf(now, t)
 	return Estimate{
-		Queued: queued, Reported: t.own.PrefillTokens + int(e.reported), Age: e.age + now - e.updatedAt, Slowness: e.slowness,
+		Queued: queued, Reported: t.own.PrefillTokens + int(e.reported), Age: e.age + now - e.updatedAt, Rate: b.rate(t),
 		forecast: time.Duration(float64(prefill) / e.slowness),
 	}
 }
--- a/steer/stale_test.go
+++ b/steer/stale_test.go
@@ -456,6 +456,24 @@
 	require.GreaterOrEqual(t, after.within(1, staleObjective), before.within(1, staleObjective))
 }
 
+// Guards against forecasts that depend on what each VM has learnt of the rates of engines: all VMs have
+// just started and assume a third of the actual rate.
+func TestRatesAreLearntByAllVMs(t *testing.T) {
+	f := newStaleFleet(1, func(b *Board) { b.rates = nil })
+	r := f.play()
+	t.Logf("%s", r)
+	var rates, n float64
+	for _, b := range f.boards {
+		for i, e := range f.engines[:stalePrefill] {
+			p := b.targets[f.engines[i].endpoint.ID()]
+			b.estimateOf(f.at(), p)
+			rates, n = rates+b.rate(p)/(e.speed*staleRate), n+1
+		}
+	}
+	t.Logf("mean of estimated over actual rates %.2f", rates/n)
+	require.InDelta(t, 1, rates/n, 0.35, "far from the third that is assumed at the start")
+}
+
 // Guards against VMs that all send long prompts to the engine that was the emptiest when it
 // reported, which then prefills shared parts that others have cached. There are 1.6 times as many
 // long prompts as usual.
