--- a/steer/stale_test.go
+++ b/steer/stale_test.go
@@ -482,3 +482,22 @@
 	require.Less(t, 1-after.within(1, staleObjective), (1-before.within(1, staleObjective))/2, "half as many are late")
 	require.GreaterOrEqual(t, after.within(0, staleObjective), before.within(0, staleObjective))
 }
+
+// BenchmarkPickPrefill measures a choice among 137 engines.
+func BenchmarkPickPrefill(b *testing.B) {
+	for _, unchanged := range []bool{true, false} {
+		for name, p := range map[string]Prompt{"short": short(), "long": long("a")} {
+			b.Run(fmt.Sprintf("%s/unchanged=%t", name, unchanged), func(b *testing.B) {
+				board := newBoard(fleet(47, 90))
+				board.Spread, board.unchanged = true, unchanged
+				at := now
+				for b.Loop() {
+					at += time.Millisecond
+					if _, ok := board.PickPrefill(at, PrefillRequest{Service: model, Prompt: p, Due: at + time.Second, MaxPause: 150 * time.Millisecond}); !ok {
+						b.Fatal("no engine")
+					}
+				}
+			})
+		}
+	}
+}
