steer: the expected time at a run engine counts waits for a place once

Where reports are old, the measured speed of an engine that runs requests includes the wait for a place in its batch, and the expected time of a prefill there added up to 100 ms for the batch again. The batch still counts in the cost of the choice. Whether a prefill delays running requests for too long is decided by the rate of the service instead, since the wait delays no others.

--- a/steer/estimate.go
+++ b/steer/estimate.go
@@ -166,6 +166,15 @@
 	return t.own.PrefillTokens + int(max(others, least))
 }
 
+// occupancy returns the time for which a prefill occupies a target that also runs requests. The measured
+// speed of such an engine includes the wait for a place in its batch, which delays no others.
+func (b *Board) occupancy(t *target, tokens int) time.Duration {
+	if !b.estimates() {
+		return b.prefillTime(t, tokens)
+	}
+	return time.Duration(float64(tokens) / b.serviceRate(t.endpoint.Serves()) * float64(time.Millisecond))
+}
+
 // runSlowness returns the time to the first event of the runs of a target that prefill their prompt, as a
 // multiple of the mean of the service, or 1 where it is not known.
 func (b *Board) runSlowness(now time.Duration, t *target) float64 {
--- a/steer/pick.go
+++ b/steer/pick.go
@@ -232,13 +232,18 @@
 	prefill := b.prefillTime(t, v.queued+v.Tokens)
 	if !v.PrefillOnly {
 		load := float64(b.running(now, t)) / float64(max(1, t.endpoint.Slots()))
-		v.Wait = RunSlowdown*prefill + time.Duration(load*float64(fullBatchCost))
+		batch := time.Duration(load * float64(fullBatchCost))
+		v.Wait = RunSlowdown * prefill
+		if !b.estimates() {
+			// Measured speeds include the wait for a place in the batch.
+			v.Wait += batch
+		}
 		v.Estimate = b.describe(now, t, v.queued, RunSlowdown*prefill)
-		cost = v.Wait + time.Duration(runPrefillWeight*float64(b.prefillTime(t, v.Tokens)))
+		cost = RunSlowdown*prefill + batch + time.Duration(runPrefillWeight*float64(b.prefillTime(t, v.Tokens)))
 		if t.endpoint.FailureDomain() != b.Domain {
 			cost += time.Duration(crossDomainCost * float64(fullBatchCost))
 		}
-		return v, cost, r.MaxPause == 0 || RunSlowdown*b.prefillTime(t, v.Tokens) < r.MaxPause/2
+		return v, cost, r.MaxPause == 0 || RunSlowdown*b.occupancy(t, v.Tokens) < r.MaxPause/2
 	}
 	v.Wait = handOverCost + prefill
 	v.Estimate = b.describe(now, t, v.queued, prefill)
--- a/steer/stale_test.go
+++ b/steer/stale_test.go
@@ -71,14 +71,19 @@
 	index   map[lagoonhead.EndpointID]*staleEngine
 	done    []*staleJob
 	apart   [2]int
-	now     time.Duration
-	rng     *rand.Rand
+	// errors are the sums of the absolute differences between the expected and the actual times of
+	// prefills of short and long prompts, and bias those of the expected minus the actual times.
+	errors, bias [2]time.Duration
+	now          time.Duration
+	rng          *rand.Rand
 	// hubDown reports whether a hub has failed at a time.
 	hubDown func(hub int, at time.Duration) bool
 	later   []delivery
 	length  time.Duration
 	// longRate is the number of long prompts a second.
 	longRate float64
+	// decodeTime is the mean time of decoding at nominal speed.
+	decodeTime time.Duration
 }
 
 type delivery struct {
@@ -87,7 +92,7 @@
 }
 
 func newStaleFleet(seed uint64, prepare func(*Board)) *staleFleet {
-	f := &staleFleet{rng: rand.New(rand.NewPCG(seed, 7)), index: make(map[lagoonhead.EndpointID]*staleEngine), hubDown: func(int, time.Duration) bool { return false }, length: staleTime, longRate: staleLongRate}
+	f := &staleFleet{rng: rand.New(rand.NewPCG(seed, 7)), index: make(map[lagoonhead.EndpointID]*staleEngine), hubDown: func(int, time.Duration) bool { return false }, length: staleTime, longRate: staleLongRate, decodeTime: staleDecodeTime}
 	var list []lagoonhead.Endpoint
 	speeds := []float64{0.6, 1, 1, 1, 1.6}
 	for i := range stalePrefill + staleDecode {
@@ -157,7 +162,7 @@
 }
 
 func (f *staleFleet) arrive(isLong bool) {
-	j := &staleJob{vm: f.rng.IntN(staleVMs), isLong: isLong, arrived: f.now, decode: time.Duration((0.5 + f.rng.Float64()) * float64(staleDecodeTime))}
+	j := &staleJob{vm: f.rng.IntN(staleVMs), isLong: isLong, arrived: f.now, decode: time.Duration((0.5 + f.rng.Float64()) * float64(f.decodeTime))}
 	if isLong {
 		// A few parts have most of the requests.
 		part := int(float64(staleParts) * f.rng.Float64() * f.rng.Float64())
@@ -253,6 +258,7 @@
 	// The fixed cost of a call is no work of the engine.
 	took := f.now - j.sent + handOverCost
 	b.EndPrefill(f.at(), j.choice, j.prompt, took)
+	f.addError(j, took)
 	b.RecordResult(f.at(), j.choice.Endpoint, Good)
 	r, ok := b.PickRun(f.at(), RunRequest{Service: model, Near: j.choice.Endpoint.FailureDomain(), Transfer: true, Retryable: true})
 	if !ok {
@@ -267,6 +273,15 @@
 	j.choice.Endpoint, j.prefill = r, 0
 }
 
+func (f *staleFleet) addError(j *staleJob, took time.Duration) {
+	kind := 0
+	if j.isLong {
+		kind = 1
+	}
+	f.errors[kind] += (j.choice.Wait - took).Abs()
+	f.bias[kind] += j.choice.Wait - took
+}
+
 func (f *staleFleet) stepDecode(e *staleEngine, speed float64) {
 	for len(e.queue) > 0 && len(e.active) < staleSlots {
 		e.active, e.queue = append(e.active, e.queue[0]), e.queue[1:]
@@ -287,6 +302,7 @@
 			j.first = f.now + time.Millisecond
 			if !j.choice.PrefillOnly {
 				b(j).EndPrefill(f.at(), j.choice, j.prompt, j.first-j.sent)
+				f.addError(j, j.first-j.sent)
 			} else {
 				b(j).AddCached(f.at(), e.endpoint, j.prompt)
 				if part, shared := j.prompt.shared(); part != 0 {
@@ -312,6 +328,7 @@
 	first           [2][]time.Duration
 	prefill, decode float64
 	apart           [2]int
+	errors, bias    [2]time.Duration // sums over prompts
 }
 
 func (r staleResult) quantile(kind int, q float64) time.Duration {
@@ -324,10 +341,15 @@
 	return float64(i) / float64(len(r.first[kind]))
 }
 
+func (r staleResult) mean(sums [2]time.Duration, kind int) time.Duration {
+	return (sums[kind] / time.Duration(len(r.first[kind]))).Round(time.Millisecond)
+}
+
 func (r staleResult) String() string {
-	return fmt.Sprintf("short 50th %v, 90th %v, 99th %v, in time %.3f, in 100 ms %.3f, apart %d of %d; long 50th %v, 90th %v, 99th %v, in time %.3f, apart %d of %d; busiest over mean: prefill %.2f, decode %.2f",
+	return fmt.Sprintf("short 50th %v, 90th %v, 99th %v, in time %.3f, in 100 ms %.3f, apart %d of %d; long 50th %v, 90th %v, 99th %v, in time %.3f, apart %d of %d; busiest over mean: prefill %.2f, decode %.2f; mean forecast error: short %v (bias %v), long %v (%v)",
 		r.quantile(0, 0.5), r.quantile(0, 0.9), r.quantile(0, 0.99), r.within(0, staleObjective), r.within(0, 100*time.Millisecond), r.apart[1], len(r.first[0]),
-		r.quantile(1, 0.5), r.quantile(1, 0.9), r.quantile(1, 0.99), r.within(1, staleObjective), r.apart[0], len(r.first[1]), r.prefill, r.decode)
+		r.quantile(1, 0.5), r.quantile(1, 0.9), r.quantile(1, 0.99), r.within(1, staleObjective), r.apart[0], len(r.first[1]), r.prefill, r.decode,
+		r.mean(r.errors, 0), r.mean(r.bias, 0), r.mean(r.errors, 1), r.mean(r.bias, 1))
 }
 
 // play simulates the load and returns what callers saw. Requests that have no first event yet
@@ -364,7 +386,7 @@
 		slices.Sort(r.first[kind])
 	}
 	r.prefill, r.decode = busiest(f.engines[:stalePrefill]), busiest(f.engines[stalePrefill:])
-	r.apart = f.apart
+	r.apart, r.errors, r.bias = f.apart, f.errors, f.bias
 	return r
 }
 
@@ -401,6 +423,8 @@
 		r.first[kind] = append(r.first[kind], other.first[kind]...)
 		slices.Sort(r.first[kind])
 		r.apart[kind] += other.apart[kind]
+		r.errors[kind] += other.errors[kind]
+		r.bias[kind] += other.bias[kind]
 	}
 	r.prefill += other.prefill
 	r.decode += other.decode
