--- a/steer/board.go
+++ b/steer/board.go
@@ -88,6 +88,14 @@
 	PrefillTotal, RunTotal int64
 	// Good and Bad count the successes and failures since the daemon started.
 	Good, Bad int64
+	// Forecast is the sum of the times that were forecast for prefills by an engine of
+	// referenceRate, and Took the sum of the times that they took, both since the daemon started. They are
+	// counted where reports are old (Board.Spread).
+	Forecast, Took time.Duration
+	// Refused counts the refusals since the daemon started, where reports are old.
+	Refused int64
+	// Age is the mean age of the figures of other daemons that the report includes.
+	Age time.Duration
 	// RecentParts holds the hashes of the shared parts that were prefilled most recently.
 	RecentParts []uint64
 	// Limit is the limit that the endpoint named, in requests a second of all VMs together,
@@ -104,8 +112,9 @@
 	received time.Duration
 	// hub reports whether the peer is a hub, whose reports include those of others.
 	hub bool
-	// prefill, run, good and bad are the growth of the counters since the first report.
-	prefill, run, good, bad int64
+	// prefill, run, good and bad and so on are the growth of the counters since the first report.
+	prefill, run, good, bad, refused int64
+	forecast, took                   time.Duration
 }
 
 // add returns the peer's next report with the growth of the counters since then. A counter
@@ -115,6 +124,11 @@
 	w.run += max(0, next.RunTotal-w.RunTotal)
 	w.good += max(0, next.Good-w.Good)
 	w.bad += max(0, next.Bad-w.Bad)
+	w.refused += max(0, next.Refused-w.Refused)
+	if next.Forecast >= w.Forecast && next.Took >= w.Took {
+		w.forecast += next.Forecast - w.Forecast
+		w.took += next.Took - w.Took
+	}
 	w.Work = next
 	return w
 }
@@ -144,9 +158,10 @@
 	changingUntil time.Duration
 	cache         *partCache
 	// rate is the measured prefill rate in tokens per millisecond, or 0.
-	rate  float64
-	limit namedLimit
-	cold  coldState
+	rate     float64
+	limit    namedLimit
+	cold     coldState
+	estimate estimate
 }
 
 // running returns the number of requests of all daemons that run on the endpoint.
@@ -185,6 +200,9 @@
 	// for fleets in which reports are older than a request runs: there all daemons would
 	// choose the endpoint that was the emptiest when it reported.
 	Spread bool
+	// unchanged disables what Spread changes in the choice of engines for prefill. It is the
+	// simpler policy, for comparison.
+	unchanged bool
 	// PeerInterval is the usual interval between two reports of one peer; 0 means
 	// that it is short.
 	PeerInterval time.Duration
@@ -212,6 +230,10 @@
 	// heard tells when this VM first heard of each endpoint.
 	heard      map[lagoonhead.EndpointID]heardEndpoint
 	coldCounts ColdCounts
+	// runRatios compares, by service, the times of prefills by engines that run requests with their
+	// forecasts.
+	runRatios map[string]*forecastRatio
+	vars      estimateVars
 }
 
 // seenVersions are the software versions of the endpoints of a service since the daemon started.
@@ -296,13 +318,18 @@
 			continue
 		}
 		seen[w.Endpoint] = true
+		w.Age = max(0, w.Age)
 		next := peerWork{Work: w}
 		if old, ok := t.peers[vm]; ok {
 			next = old.add(w)
 			b.addSent(t.endpoint.Serves(), next.prefill-old.prefill, next.run-old.run)
 			t.outcomes.add(now, float64(next.good-old.good), float64(next.bad-old.bad))
+			t.estimate.sent.add(now, float64(next.prefill-old.prefill+next.run-old.run), sentDecayTime)
+			b.addRefusals(now, t, next.refused-old.refused)
+			b.addMeasured(now, t, next.forecast-old.forecast, next.took-old.took)
 		}
 		next.received, next.hub = now, hub
+		t.estimate.valid = false
 		t.mergeLimit(now, &w)
 		for _, part := range w.RecentParts {
 			t.cache.addFromPeer(now, b.reportTTL(), part, vm, hub)
@@ -369,11 +396,12 @@
 
 // hasAny reports whether there is anything to report.
 func (w Work) hasAny() bool {
-	return w.PrefillTokens > 0 || w.Running > 0 || w.PrefillTotal > 0 || w.RunTotal > 0 || w.Good > 0 || w.Bad > 0 || len(w.RecentParts) > 0 || w.HasLimit
+	return w.PrefillTokens > 0 || w.Running > 0 || w.PrefillTotal > 0 || w.RunTotal > 0 || w.Good > 0 || w.Bad > 0 || w.Refused > 0 || len(w.RecentParts) > 0 || w.HasLimit
 }
 
 func (b *Board) reportOf(now time.Duration, t *target, to Recipient) Work {
 	w, ttl := t.own, b.reportTTL()
+	var age, weights float64
 	for vm, p := range t.peers {
 		if !to.wants(vm, p.hub) {
 			continue
@@ -382,11 +410,20 @@
 		w.RunTotal += p.run
 		w.Good += p.good
 		w.Bad += p.bad
+		w.Refused += p.refused
+		w.Forecast += p.forecast
+		w.Took += p.took
 		if now-p.received < ttl {
 			w.PrefillTokens += p.PrefillTokens
 			w.Running += p.Running
+			weight := float64(p.PrefillTokens + 1)
+			age += weight * float64(now-p.received+p.Age)
+			weights += weight
 		}
 	}
+	if weights > 0 {
+		w.Age = time.Duration(age / (weights + float64(t.own.PrefillTokens)))
+	}
 	w.RecentParts = t.cache.recentSince(now-ttl, to)
 	t.reportLimit(now, &w)
 	return w
@@ -394,6 +431,9 @@
 
 // rate returns the prefill rate of a target in tokens per millisecond.
 func (b *Board) rate(t *target) float64 {
+	if b.estimates() && t.estimate.slowness > 0 {
+		return referenceRate / t.estimate.slowness
+	}
 	if t.rate > 0 {
 		return t.rate
 	}
@@ -489,6 +529,10 @@
 		t.outcomes.add(now, 0, 1)
 	case Refused:
 		t.health.refused(now)
+		if b.estimates() {
+			t.own.Refused++
+			b.addRefusals(now, t, 1)
+		}
 	case Neutral:
 	}
 	if before > 0 {
--- a/steer/pick.go
+++ b/steer/pick.go
@@ -61,6 +61,8 @@
 	Wait time.Duration
 	// queued is the backlog of the engine at the time of the choice, in tokens.
 	queued int
+	// Estimate is what was assumed of the engine's load.
+	Estimate Estimate
 }
 
 // PrefillRequest holds the inputs of PickPrefill.
@@ -120,21 +122,34 @@
 
 func (b *Board) pickPrefill(now time.Duration, r PrefillRequest, healthy bool) (c PrefillChoice, ok bool) {
 	part, shared := r.Prompt.shared()
+	apart := b.apartCost(r, part)
+	if apart > 0 {
+		if c, ok = b.drawShort(now, r, healthy); ok {
+			b.vars.shortDrawn.Add(1)
+			return c, true
+		}
+		b.vars.shortCompared.Add(1)
+	}
 	handOver := b.handOverVersions(now, r, healthy)
 	homes := b.homes(part, r, handOver)
+	drawn := b.draw(r.Service)
 	var best time.Duration
-	for pass := range 2 {
-		for _, t := range b.services[r.Service] {
+	for _, pass := range prefillPasses {
+		if pass.drawn && !b.estimates() {
+			continue
+		}
+		for i, t := range b.services[r.Service] {
+			if pass.drawn && !drawn.has(i) && (part == 0 || !t.cache.has(part) && t != homes[0] && t != homes[1]) {
+				continue
+			}
 			if !t.eligible(now, r.Avoid, r.Version, r.Regions, healthy) || !b.allows(now, t) || !handOver.allow(t) {
 				continue
 			}
 			v, cost, fits := b.evaluate(now, t, r, part, shared, homes)
 			if v.PrefillOnly {
-				cost += handOver[t.endpoint.Software()]
+				cost += handOver[t.endpoint.Software()] + apart
 			}
-			// A prompt whose prefill would delay running requests for too long is
-			// prefilled among them only if there is no other engine.
-			if !fits && pass == 0 {
+			if !fits && !pass.delaying {
 				continue
 			}
 			if now+v.Wait > r.Due {
@@ -147,6 +162,12 @@
 				best, ok, c = cost, true, v
 			}
 		}
+		switch {
+		case ok && pass.drawn:
+			b.vars.drawn.Add(1)
+		case ok && b.estimates():
+			b.vars.compared.Add(1)
+		}
 		if ok {
 			break
 		}
@@ -154,6 +175,17 @@
 	return c, ok
 }
 
+// prefillPasses are the engines that pickPrefill compares, in this order until it finds one.
+var prefillPasses = []struct {
+	// drawn is true for the engines that have the shared part, its homes, and some that are drawn
+	// at random. This pass is made where reports are old, as otherwise all VMs would choose the
+	// engine that was the emptiest when it reported.
+	drawn bool
+	// delaying is true if the engines count whose running requests the prefill would delay for
+	// too long.
+	delaying bool
+}{{drawn: true}, {}, {delaying: true}}
+
 // handOverVersions are the software versions at which a prompt may be prefilled apart from its
 // run, or nil if every version may. A KV cache is not moved between versions. The values are the costs
 // of a run at the emptiest engine of the version, beyond those at the emptiest of all.
@@ -196,7 +228,7 @@
 // evaluate returns the prefill of a prompt at a target with its cost. fits is false when it
 // would delay the other requests of the target for longer than callers accept.
 func (b *Board) evaluate(now time.Duration, t *target, r PrefillRequest, part uint64, shared int, homes [2]*target) (v PrefillChoice, cost time.Duration, fits bool) {
-	v = PrefillChoice{Endpoint: t.endpoint, PrefillOnly: t.endpoint.Role() == lagoonhead.RolePrefill, Tokens: r.Prompt.Tokens, queued: b.backlog(now, t)}
+	v = PrefillChoice{Endpoint: t.endpoint, PrefillOnly: t.endpoint.Role() == lagoonhead.RolePrefill, Tokens: r.Prompt.Tokens, queued: b.queued(now, t)}
 	cached := part != 0 && t.cache.has(part)
 	if cached {
 		v.Tokens -= shared
@@ -204,14 +236,21 @@
 	prefill := b.prefillTime(t, v.queued+v.Tokens)
 	if !v.PrefillOnly {
 		load := float64(b.running(now, t)) / float64(max(1, t.endpoint.Slots()))
-		v.Wait = RunSlowdown*prefill + time.Duration(load*float64(fullBatchCost))
-		cost = v.Wait + time.Duration(runPrefillWeight*float64(b.prefillTime(t, v.Tokens)))
+		batch := time.Duration(load * float64(fullBatchCost))
+		v.Wait = RunSlowdown * prefill
+		if !b.estimates() {
+			// Measured speeds include the wait for a place in the batch.
+			v.Wait += batch
+		}
+		v.Estimate = b.describe(now, t, v.queued, RunSlowdown*prefill)
+		cost = RunSlowdown*prefill + batch + time.Duration(runPrefillWeight*float64(b.prefillTime(t, v.Tokens)))
 		if t.endpoint.FailureDomain() != b.Domain {
 			cost += time.Duration(crossDomainCost * float64(fullBatchCost))
 		}
-		return v, cost, r.MaxPause == 0 || RunSlowdown*b.prefillTime(t, v.Tokens) < r.MaxPause/2
+		return v, cost, r.MaxPause == 0 || RunSlowdown*b.occupancy(t, v.Tokens) < r.MaxPause/2
 	}
 	v.Wait = handOverCost + prefill
+	v.Estimate = b.describe(now, t, v.queued, prefill)
 	cost = v.Wait
 	if part != 0 && !cached && t != homes[0] {
 		cost += extraCopyCost + b.prefillTime(t, shared)
@@ -286,6 +325,7 @@
 		return
 	}
 	b.AddCached(now, v.Endpoint, p)
+	b.recordForecast(now, t, v, took)
 	if prefill := took - handOverCost; v.PrefillOnly && v.queued+v.Tokens >= minRateSampleTokens && prefill > 0 {
 		b.addRateSample(t, float64(v.queued+v.Tokens)/(float64(prefill)/float64(time.Millisecond)))
 	}
@@ -346,7 +386,7 @@
 		load := b.runLoad(now, t, r)
 		if b.Spread {
 			// Each endpoint is chosen with a probability in proportion to its weight.
-			w := max(minSpreadWeight, 1-load)
+			w := max(minSpreadWeight, 1-load) / b.runSlowness(now, t)
 			if r.Transfer && t.endpoint.FailureDomain() != r.Near {
 				w *= farTransferWeight
 			}
