steer: shared parts are fetched from other engines' caches

A long prompt whose shared part is cached at busy engines only was prefilled again as a whole at another engine, or waited. An engine can fetch the part from another engine's cache: 13,300 tokens take 16 ms over the links of one deployment, against some 300 ms of prefill. The choice of an engine now counts the transfer in place of the prefill of the part, from the engine with the shortest queue that has it, within the software version and the regions of the request. A moving average of the time by which such prefills are late keeps parts from being fetched while links are slow.

--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -82,6 +82,11 @@
 	Slots int
 	// CacheTokens is the capacity of the KV cache in tokens.
 	CacheTokens int
+	// TokenBytes is the size of one token of the KV cache in bytes; 0 means that it is not known.
+	TokenBytes float64
+	// LinkBytesPerMs is the bandwidth of an engine's link for KV caches, in bytes per
+	// millisecond; 0 means that it is not known.
+	LinkBytesPerMs float64
 	// RoleChangeTime is how long an engine is out of service during a role change.
 	RoleChangeTime time.Duration
 }
--- a/dispatch/stream.go
+++ b/dispatch/stream.go
@@ -114,6 +114,9 @@
 			return nil, r.refuse(r.version, "the prompt")
 		}
 		r.addStep("read at %s: apart %t, %d tokens, expected in %s%s", v.Endpoint.ID(), v.PrefillOnly, v.Tokens, v.Wait.Round(time.Millisecond), v.Estimate)
+		if v.CacheSource != nil {
+			r.addStep("shared part fetched from %s", v.CacheSource.ID())
+		}
 		// A caller that has a part of the stream may wait on, and a refusal would cut it off.
 		if late := r.Timer.Now() + v.Wait - r.callerGiveUpTime(); late > 0 && !r.started {
 			r.cancelPrefill(v)
@@ -205,6 +208,7 @@
 	attemptCtx, cancel := context.WithTimeoutCause(ctx, max(prefillTimeoutFactor*v.Wait, minPrefillTimeout), errSilent)
 	defer cancel()
 	a := r.newAttempt(v.Endpoint)
+	a.CacheSource = v.CacheSource
 	a.Urgency = min(leastUrgent, a.Urgency+prefillClass(v.Tokens))
 	h, err := r.Sender.Prefill(attemptCtx, a)
 	if err != nil {
@@ -254,6 +258,9 @@
 	}
 	a := r.newAttempt(e)
 	a.KVSource = h
+	if v != nil {
+		a.CacheSource = v.CacheSource
+	}
 	ans, err := r.Sender.Send(attemptCtx, a)
 	if err != nil {
 		if !lagoonhead.IsKind(err, lagoonhead.KindUnavailable) {
--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -385,6 +385,17 @@
 	d.logCold(now, cold)
 }
 
+// transferPerToken returns the time in which an engine of the service gets the KV cache of one token
+// from another one, or 0 if it is not known.
+func (d *Daemon) transferPerToken(service string) time.Duration {
+	cat := d.config.Catalog()
+	if cat == nil || cat.Service(service) == nil || cat.Service(service).Engine == nil || cat.Service(service).Engine.LinkBytesPerMs <= 0 {
+		return 0
+	}
+	e := cat.Service(service).Engine
+	return time.Duration(e.TokenBytes / e.LinkBytesPerMs * float64(time.Millisecond))
+}
+
 // buildWork creates the components that serve requests, exchange heartbeats and run
 // duties.
 func (d *Daemon) buildWork() {
@@ -419,7 +430,9 @@
 		Departures: d.endpoints, Versions: d.versions, Sender: d.Platform.Sender,
 		Usage: d.tally, RetryBudget: newRetries(s, d.members, d.Timer), Timer: d.Timer, Log: d.Log, Domain: s.FailureDomain,
 	}
-	d.dispatcher.WithBoard(func(b *steer.Board) { b.LimitShare, b.ColdShare = d.members.limitShare, d.coldShares.share })
+	d.dispatcher.WithBoard(func(b *steer.Board) {
+		b.LimitShare, b.ColdShare, b.TransferPerToken = d.members.limitShare, d.coldShares.share, d.transferPerToken
+	})
 	d.heartbeats = &heartbeats{
 		self: s.VM, incarnation: d.incarnation, timer: d.Timer, log: d.Log, config: d.config, endpoints: d.endpoints, copy: d.copy, members: d.members,
 		attachment: d.attachment, admit: d.admit, suspects: d.suspects, parts: d.parts, dispatcher: d.dispatcher, tally: d.tally,
--- a/forward.go
+++ b/forward.go
@@ -46,6 +46,9 @@
 	// KVSource is the KV cache of the prompt that the endpoint fetches from another
 	// engine, or nil.
 	KVSource *KVHandle
+	// CacheSource is an engine whose cache the endpoint asks for the parts of the prompt that
+	// it does not have itself, or nil.
+	CacheSource *Endpoint
 	// NewConnection makes the sender use a new connection instead of an idle one, so
 	// that a failure before the request is written is recognized with certainty.
 	NewConnection bool
--- a/steer/board.go
+++ b/steer/board.go
@@ -215,6 +215,10 @@
 	// Evacuated holds the failure domains to which nothing is sent. Their endpoints are marked as
 	// leaving.
 	Evacuated map[lagoonhead.FailureDomain]bool
+	// TransferPerToken returns the time in which an engine of the service gets the KV cache of one
+	// token from another one, or 0 if engines do not fetch cached parts from each other. It may
+	// be nil, which means the same.
+	TransferPerToken func(service string) time.Duration
 
 	targets  map[lagoonhead.EndpointID]*target
 	services map[string][]*target
@@ -222,6 +226,8 @@
 	versions map[string]seenVersions
 	// rates holds the mean prefill rate by service, in tokens per millisecond.
 	rates map[string]float64
+	// fetchDelays holds, by service, how much longer transfers of cached parts take.
+	fetchDelays map[string]fetchDelay
 	// sent counts the tokens that all daemons sent for prefill, by service.
 	sent map[string]sentTokens
 	// runSearchStart, modulo the number of endpoints, is the index at which the newest search
--- a/steer/draw.go
+++ b/steer/draw.go
@@ -62,7 +62,7 @@
 		if t == first || !b.canRun(now, t, r.Avoid, r.Version, r.Regions, healthy) {
 			continue
 		}
-		v, cost, fits := b.evaluate(now, t, r, 0, 0, [2]*target{})
+		v, cost, fits := b.evaluate(now, t, r, 0, 0, [2]*target{}, cacheSources{})
 		if !fits {
 			continue
 		}
--- a/steer/pick.go
+++ b/steer/pick.go
@@ -59,6 +59,9 @@
 	Tokens int
 	// Wait is the expected time until the prompt is prefilled.
 	Wait time.Duration
+	// CacheSource is the engine from which the chosen one fetches the shared part of the
+	// prompt, or nil.
+	CacheSource *lagoonhead.Endpoint
 	// queued is the backlog of the engine at the time of the choice, in tokens.
 	queued int
 	// Estimate is what was assumed of the engine's load.
@@ -133,6 +136,7 @@
 	handOver := b.handOverVersions(now, r, healthy)
 	homes := b.homes(part, r, handOver)
 	drawn := b.draw(r.Service)
+	sources := b.cacheSources(now, part, r)
 	var best time.Duration
 	for _, pass := range prefillPasses {
 		if pass.drawn && !b.estimates() {
@@ -145,7 +149,7 @@
 			if !t.eligible(now, r.Avoid, r.Version, r.Regions, healthy) || !b.allows(now, t) || !handOver.allow(t) {
 				continue
 			}
-			v, cost, fits := b.evaluate(now, t, r, part, shared, homes)
+			v, cost, fits := b.evaluate(now, t, r, part, shared, homes, sources)
 			if v.PrefillOnly {
 				cost += handOver[t.endpoint.Software()] + apart
 			}
@@ -227,13 +231,21 @@
 
 // evaluate returns the prefill of a prompt at a target with its cost. fits is false when it
 // would delay the other requests of the target for longer than callers accept.
-func (b *Board) evaluate(now time.Duration, t *target, r PrefillRequest, part uint64, shared int, homes [2]*target) (v PrefillChoice, cost time.Duration, fits bool) {
+func (b *Board) evaluate(now time.Duration, t *target, r PrefillRequest, part uint64, shared int, homes [2]*target, sources cacheSources) (v PrefillChoice, cost time.Duration, fits bool) {
 	v = PrefillChoice{Endpoint: t.endpoint, PrefillOnly: t.endpoint.Role() == lagoonhead.RolePrefill, Tokens: r.Prompt.Tokens, queued: b.queued(now, t)}
 	cached := part != 0 && t.cache.has(part)
 	if cached {
 		v.Tokens -= shared
 	}
-	prefill := b.prefillTime(t, v.queued+v.Tokens)
+	var fetch time.Duration
+	if part != 0 && !cached {
+		if source, cost, ok := sources.nearest(t, shared); ok && cost < b.prefillTime(t, shared) {
+			v.Tokens -= shared
+			from := source.endpoint
+			v.CacheSource, fetch = &from, cost
+		}
+	}
+	prefill := b.prefillTime(t, v.queued+v.Tokens) + fetch
 	if !v.PrefillOnly {
 		load := float64(b.running(now, t)) / float64(max(1, t.endpoint.Slots()))
 		batch := time.Duration(load * float64(fullBatchCost))
@@ -252,6 +264,9 @@
 	v.Wait = handOverCost + prefill
 	v.Estimate = b.describe(now, t, v.queued, prefill)
 	cost = v.Wait
+	if v.CacheSource != nil {
+		return v, cost + extraCopyCost, true
+	}
 	if part != 0 && !cached && t != homes[0] {
 		cost += extraCopyCost + b.prefillTime(t, shared)
 		if t != homes[1] {
@@ -326,6 +341,10 @@
 	}
 	b.AddCached(now, v.Endpoint, p)
 	b.recordForecast(now, t, v, took)
+	if v.CacheSource != nil {
+		b.addFetch(now, t.endpoint.Serves(), took-v.Wait)
+		return
+	}
 	if prefill := took - handOverCost; v.PrefillOnly && v.queued+v.Tokens >= minRateSampleTokens && prefill > 0 {
 		b.addRateSample(t, float64(v.queued+v.Tokens)/(float64(prefill)/float64(time.Millisecond)))
 	}
