steer: one of the drawn engines only prefills

A short prompt whose two drawn run engines had long queues of prefills was compared at three engines drawn from both roles, and in one case of eight (half of the engines only prefill) none of these only prefilled, so that it went to a long queue.

The main test also compares forecast errors.

--- a/steer/draw.go
+++ b/steer/draw.go
@@ -4,6 +4,8 @@
 	"math/rand/v2"
 	"slices"
 	"time"
+
+	"github.com/lagoonhead/lagoonhead"
 )
 
 const (
@@ -30,12 +32,18 @@
 
 func (d *drawnIndexes) has(i int) bool { return slices.Contains(d[:], i) }
 
-// draw returns random endpoints of a service.
+// draw returns random endpoints of a service. The first one only prefills if such an engine is found
+// by maxDraws draws, so that a prompt without homes is compared at engines of both roles.
 func (b *Board) draw(service string) (d drawnIndexes) {
-	if n := len(b.services[service]); n > 0 {
-		for i := range d {
-			d[i] = rand.IntN(n)
-		}
+	list := b.services[service]
+	if len(list) == 0 {
+		return d
+	}
+	for i := range d {
+		d[i] = rand.IntN(len(list))
+	}
+	for n := 0; n < maxDraws && list[d[0]].endpoint.Role() != lagoonhead.RolePrefill; n++ {
+		d[0] = rand.IntN(len(list))
 	}
 	return d
 }
--- a/steer/stale_test.go
+++ b/steer/stale_test.go
@@ -441,6 +441,8 @@
 	require.GreaterOrEqual(t, after.within(0, staleObjective), before.within(0, staleObjective))
 	require.GreaterOrEqual(t, after.within(1, staleObjective), before.within(1, staleObjective), "long prompts lose nothing")
 	require.LessOrEqual(t, after.decode, before.decode, "the busiest engine is no busier")
+	require.Less(t, after.mean(after.errors, 0), before.mean(before.errors, 0), "forecasts of short prompts are better")
+	require.Less(t, after.mean(after.errors, 1), before.mean(before.errors, 1), "forecasts of long prompts are better")
 }
 
 // Guards against short prompts that stay at engines that run requests although these are much the
@@ -484,6 +486,8 @@
 // just started and assume a third of the actual rate.
 func TestRatesAreLearntByAllVMs(t *testing.T) {
 	f := newStaleFleet(1, func(b *Board) { b.rates = nil })
+	// Within this time the assumed rate has faded.
+	f.length = 20 * time.Second
 	r := f.play()
 	t.Logf("%s", r)
 	var rates, n float64
