--- a/cmd/lagoonheadd/platform_test.go
+++ b/cmd/lagoonheadd/platform_test.go
@@ -27,6 +27,11 @@
 	grace time.Duration
 	// environment is added to that of daemons that are started from now on.
 	environment []string
+	// memoryMB and maxDescriptors are the limits of daemons that are started from now on; 0 means
+	// those of fakewire.Settings.
+	memoryMB, maxDescriptors int
+	// program is the program of daemons that are started from now on; empty means the test binary.
+	program string
 	// version is the version of the configuration that was written last.
 	version int64
 }
@@ -96,9 +101,12 @@
 	ports := freePorts(t, 3)
 	settings := fakewire.Settings{
 		VM: name, IP: "127.0.0.1", FailureDomain: "a", Callers: ports[0], Ready: ports[1], Peers: ports[2],
-		Store: f.storeAddress, Cloud: f.cloudAddress, Grace: f.grace,
+		Store: f.storeAddress, Cloud: f.cloudAddress, Grace: f.grace, MemoryMB: f.memoryMB, MaxDescriptors: f.maxDescriptors,
 	}.Encode()
 	p := newProcess("daemon", name, "-platform")
+	if f.program != "" {
+		p.cmd.Path = f.program
+	}
 	p.address = ports[0]
 	p.cmd.Env = append(p.cmd.Env, f.environment...)
 	p.cmd.Env = append(p.cmd.Env, platform.SettingsVariable+"="+writeFile(t, "settings.json", string(settings)))
