Bound the memory of callers' bodies and of what their connections hold

Each body was read whole with io.ReadAll, which grows by copying, before route and key were looked at, and nothing bounded the bytes of all bodies together or the kernel's buffers.

Package bodybudget counts bytes before they are read, against a quarter of memory_mb. When it runs out, bodies without progress for 1 s give their bytes back, then the newest body of the workspace that holds most; otherwise the newcomer is refused with 503 and Retry-After. A quarter of the budget is for bodies of up to 64 KiB. Route and key are checked before the body is read, and an announced length over the limit is refused at once. A body must arrive within the caller's timeout, at least 10 s, or a minute. The number of connections and their buffers follow from memory_mb, and a connection ends if its caller takes nothing of an answer for 5 s.

--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -202,22 +202,11 @@
 
 // newRequest looks up the route and the workspace of the call.
 func (d *Dispatcher) newRequest(c *Call, s Sink) (*request, error) {
-	cat := d.Catalogs.Catalog()
-	if cat == nil {
-		e := failf("open", lagoonhead.KindUnavailable, "there is no configuration yet")
-		e.retryAfter = noConfigRetryAfter
-		return nil, e
-	}
-	rt := cat.Route(c.Host, c.URL.EscapedPath())
-	if rt == nil {
-		return nil, failf("open", lagoonhead.KindNotFound, "no route for %s%s", c.Host, c.URL.EscapedPath())
-	}
-	r := &request{Dispatcher: d, call: c, sink: s, route: rt, configVersion: cat.Version(), arrived: d.Timer.Now(), parts: c.Prompt.SharedParts()}
-	if !rt.NoAPIKey {
-		if r.workspace = cat.WorkspaceByKey(c.Key); r.workspace == nil {
-			return nil, failf("open", lagoonhead.KindUnauthenticated, "the key is not known")
-		}
+	cat, rt, w, err := d.lookUp(c)
+	if err != nil {
+		return nil, err
 	}
+	r := &request{Dispatcher: d, call: c, sink: s, route: rt, workspace: w, configVersion: cat.Version(), arrived: d.Timer.Now(), parts: c.Prompt.SharedParts()}
 	r.urgency = rt.Urgency
 	if r.workspace != nil && r.workspace.HasUrgency {
 		r.urgency = r.workspace.Urgency
--- a/entry/connections.go
+++ b/entry/connections.go
@@ -6,9 +6,12 @@
 	"net/http"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"go.uber.org/zap"
+	"golang.org/x/sys/unix"
 
 	"github.com/lagoonhead/lagoonhead/httprefuse"
 	"github.com/lagoonhead/lagoonhead/overload"
@@ -29,6 +32,20 @@
 	maxWaitingShare = 0.1
 	// defaultMaxWaiting replaces maxWaitingShare where the number of descriptors is not known.
 	defaultMaxWaiting = 256
+	// minReceiveBytes and maxReceiveBytes bound the receive buffer of a caller's connection. What
+	// has arrived and is unread counts as memory of the process, and the kernel's own bound is
+	// megabytes for each connection. The smaller one takes an ordinary request whole.
+	minReceiveBytes, maxReceiveBytes = 32 << 10, 256 << 10
+	// receiveShare is the part of the memory for connections that is for receive buffers, if all of
+	// them are full.
+	receiveShare = 0.5
+	// sendFactor is the size of the send buffer in multiples of the receive buffer.
+	sendFactor = 4
+	// connectionBytes is what the process keeps for a connection with a request: two goroutines, two
+	// buffers and the header, with garbage.
+	connectionBytes = 24 << 10
+	// minConnections is the least bound of the number of connections for the sake of memory.
+	minConnections = 64
 	// refusedLogInterval is the time between two log lines on connections that are not served.
 	refusedLogInterval = time.Second
 )
@@ -38,6 +55,8 @@
 type connections struct {
 	// crowdedFrom and most are 0 if there is no limit.
 	crowdedFrom, most int64
+	// receiveBytes is the size of a connection's receive buffer, or 0 for that of the kernel.
+	receiveBytes int
 	// overloaded reports whether a new connection is not served because the processor is
 	// overloaded.
 	overloaded func() bool
@@ -47,17 +66,20 @@
 	// refusedBehind and refusedCrowded count the connections that were not served because the
 	// processor is overloaded, and because there are too many.
 	refusedBehind, refusedCrowded expvar.Int
-	logged                        refusedCounts
+	// unread counts the connections that were given up because the caller did not read its answer.
+	unread expvar.Int
+	logged refusedCounts
 }
 
 // refusedCounts are counts of connections that were not served.
-type refusedCounts struct{ behind, crowded, dropped int64 }
+type refusedCounts struct{ behind, crowded, dropped, unread int64 }
 
-// newConnections returns the limit of a process with a number of descriptors. response returns the
-// response to a request that is refused with an error.
-func newConnections(descriptors int, overloaded func() bool, response func(r *http.Request, err error) *http.Response) *connections {
-	sockets := float64(max(0, descriptors-fileDescriptors))
+// newConnections returns the limit of a process with the descriptors and the memory of the settings.
+// response returns the response to a request that is refused with an error.
+func newConnections(v Settings, overloaded func() bool, response func(r *http.Request, err error) *http.Response) *connections {
+	sockets := float64(max(0, v.MaxDescriptors-fileDescriptors))
 	c := &connections{crowdedFrom: int64(crowdedShare * sockets), most: int64(maxCallerShare * sockets), overloaded: overloaded}
+	c.boundByMemory(connectionShare * float64(v.MemoryBytes))
 	reserved := int64(maxWaitingShare * sockets)
 	c.refuser.MaxWaiting = func() int64 {
 		if c.most == 0 {
@@ -71,6 +93,42 @@
 	return c
 }
 
+// boundByMemory derives the number of connections and their receive buffers from the bytes for them.
+// The buffers of half of the connections are taken for full.
+func (c *connections) boundByMemory(bytes float64) {
+	if bytes <= 0 {
+		return
+	}
+	most := bytes / (connectionBytes + minReceiveBytes/2)
+	if c.most > 0 {
+		most = min(most, float64(c.most))
+	}
+	c.receiveBytes = int(max(minReceiveBytes, min(maxReceiveBytes, receiveShare*bytes/max(most, 1))))
+	if most = max(most, minConnections); c.most == 0 || most < float64(c.most) {
+		c.most = int64(most)
+		c.crowdedFrom = int64(most * crowdedShare / maxCallerShare)
+	}
+}
+
+// bound sets the buffers of the connections that a listening socket will accept, which inherit them.
+func (c *connections) bound(socket syscall.Conn, log *zap.Logger) {
+	if socket == nil || c.receiveBytes == 0 {
+		return
+	}
+	raw, err := socket.SyscallConn()
+	if err == nil {
+		var failure error
+		err = raw.Control(func(fd uintptr) {
+			failure = errors.CombineErrors(unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_RCVBUF, c.receiveBytes),
+				unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_SNDBUF, sendFactor*c.receiveBytes))
+		})
+		err = errors.CombineErrors(err, failure)
+	}
+	if err != nil {
+		log.Warn("buffers of callers' connections cannot be bounded", zap.Error(err))
+	}
+}
+
 // vars returns the number of open connections, and of those that were not served.
 func (c *connections) vars() *expvar.Map {
 	m := new(expvar.Map)
@@ -78,16 +136,17 @@
 	m.Set("open", expvar.Func(func() any { return c.open.Load() }))
 	m.Set("refusedBehind", &c.refusedBehind)
 	m.Set("refusedCrowded", &c.refusedCrowded)
+	m.Set("unread", &c.unread)
 	return m
 }
 
 // logRefused logs how many connections were not served since its last call. A line for each would
 // cost more than the refusal.
 func (c *connections) logRefused(log *zap.Logger) {
-	now := refusedCounts{c.refusedBehind.Value(), c.refusedCrowded.Value(), c.refuser.Dropped()}
+	now := refusedCounts{c.refusedBehind.Value(), c.refusedCrowded.Value(), c.refuser.Dropped(), c.unread.Value()}
 	if now != c.logged {
 		log.Warn("connections of callers refused", zap.Int64("behind", now.behind-c.logged.behind), zap.Int64("crowded", now.crowded-c.logged.crowded),
-			zap.Int64("dropped", now.dropped-c.logged.dropped), zap.Int64("open", c.open.Load()))
+			zap.Int64("dropped", now.dropped-c.logged.dropped), zap.Int64("unread", now.unread-c.logged.unread), zap.Int64("open", c.open.Load()))
 	}
 	c.logged = now
 }
@@ -115,7 +174,9 @@
 		if most > 0 && open > most {
 			refused = &l.connections.refusedCrowded
 		} else if !l.connections.overloaded() {
-			return &limitedConn{Conn: c, release: sync.OnceFunc(func() { l.connections.open.Add(-1) })}, nil
+			conn := &limitedConn{Conn: c, release: sync.OnceFunc(func() { l.connections.open.Add(-1) })}
+			conn.written.onStall = func() { l.connections.unread.Add(1) }
+			return conn, nil
 		}
 		l.connections.open.Add(-1)
 		refused.Add(1)
@@ -126,8 +187,12 @@
 type limitedConn struct {
 	net.Conn
 	release func()
+	written writeProgress
 }
 
+// Write writes to the caller, and fails if the caller reads nothing for some seconds.
+func (c *limitedConn) Write(p []byte) (int, error) { return c.written.write(c.Conn, p) }
+
 func (c *limitedConn) Close() error {
 	defer c.release()
 	return c.Conn.Close()
--- a/entry/connections_test.go
+++ b/entry/connections_test.go
@@ -24,7 +24,7 @@
 	const requests = 300
 	var asked atomic.Int64
 	overloaded := func() bool { return asked.Add(1)%3 != 0 } // two of three connections are not served
-	c := newConnections(0, overloaded, func(r *http.Request, err error) *http.Response {
+	c := newConnections(Settings{}, overloaded, func(r *http.Request, err error) *http.Response {
 		require.True(t, lagoonhead.IsKind(err, lagoonhead.KindUnavailable))
 		return &http.Response{StatusCode: http.StatusServiceUnavailable, Header: http.Header{"Name": r.Header["Name"]}}
 	})
--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -19,6 +19,7 @@
 	"github.com/lagoonhead/lagoonhead"
 	"github.com/lagoonhead/lagoonhead/admit"
 	"github.com/lagoonhead/lagoonhead/billing"
+	"github.com/lagoonhead/lagoonhead/bodybudget"
 	"github.com/lagoonhead/lagoonhead/catalog"
 	"github.com/lagoonhead/lagoonhead/dispatch"
 	"github.com/lagoonhead/lagoonhead/httpdrain"
@@ -54,6 +55,10 @@
 	slotCount, homesPerWorkspace = 12, 4
 	// memoryShare is the fraction of MemoryBytes that is set as Go's soft memory limit.
 	memoryShare = 0.75
+	// bodyShare is the fraction of MemoryBytes that callers' bodies may take together, and
+	// connectionShare that which bounds the number of their connections. What remains is for the
+	// daemon itself, for answers and for garbage.
+	bodyShare, connectionShare = 0.25, 0.3
 	// gcPercent is the garbage collection target (GOGC). A value below the default of
 	// 100 saves memory for CPU time, which is plentiful on the VMs that run this daemon.
 	gcPercent = 50
@@ -121,6 +126,8 @@
 	// refused because the processor is overloaded.
 	Begin func() error
 	End   func()
+	// Bodies bounds the memory of request bodies. It may be nil.
+	Bodies *bodybudget.Budget
 }
 
 // Daemon is one process of the serving system. Set the exported fields before Run.
@@ -166,6 +173,7 @@
 	heartbeats  *heartbeats
 	roleChanges roleChanges
 	connections *connections // of callers
+	bodies      *bodybudget.Budget
 	guard       overload.Guard
 	meters      meters
 }
@@ -184,8 +192,12 @@
 	if d.LogVars != nil {
 		d.vars.Set("log", d.LogVars)
 	}
-	d.connections = newConnections(d.Settings.MaxDescriptors, d.guard.RefusesConnection, d.Platform.Refusal)
+	d.connections = newConnections(d.Settings, d.guard.RefusesConnection, d.Platform.Refusal)
 	d.vars.Set("connections", d.connections.vars())
+	// A body of unknown length is counted twice while its parts are joined.
+	d.bodies = bodybudget.New(max(int64(bodyShare*float64(d.Settings.MemoryBytes)), 3*defaultBodyLimit), d.Timer, d.Log)
+	d.bodies.Crowded = d.connections.crowded
+	d.vars.Set("bodies", d.bodies.Vars())
 	d.buildState()
 	d.buildWork()
 	servers, err := d.listen()
@@ -386,7 +398,7 @@
 
 func (d *Daemon) tasks() []task {
 	tasks := []task{
-		d.session.Run, d.dutySession.Run, d.keepPresence, d.keeper.Run, d.exchanger.Run, d.admit.Run, d.refusedParts.run, d.mixedVersions.run, d.awake.run, d.versions.Run,
+		d.session.Run, d.dutySession.Run, d.keepPresence, d.keeper.Run, d.exchanger.Run, d.admit.Run, d.refusedParts.run, d.mixedVersions.run, d.awake.run, d.versions.Run, d.bodies.Run,
 		func(ctx context.Context) error {
 			timer.Every(ctx, d.Timer, lapsedInterval, func(time.Duration) { d.endpoints.removeLapsed() })
 			return nil
@@ -450,7 +462,7 @@
 		return nil, &Error{lagoonhead.Fault{Op: "entry.listen", Kind: lagoonhead.KindInternal, Err: err}}
 	}
 	p := &peer.Server{Config: noConfiguration{}, Lender: d.admit, Usage: noUsageCopies{}, Heartbeats: d.heartbeats, Counts: d.heartbeats, Streams: d.versions}
-	s := &servers{callers: d.Platform.Callers(d.dispatcher, CallerLimits{d.closesConnections, d.bodyLimit, d.beginRequest, d.guard.End})}
+	s := &servers{callers: d.Platform.Callers(d.dispatcher, CallerLimits{d.closesConnections, d.bodyLimit, d.beginRequest, d.guard.End, d.bodies})}
 	if h, ok := s.callers.Handler.(interface{ Vars() *expvar.Map }); ok {
 		d.vars.Set("answers", h.Vars())
 	}
@@ -476,6 +488,7 @@
 		listener = accepting
 		if v.server == s.callers {
 			d.vars.Set("acceptFailed", &accepting.failed)
+			d.connections.bound(socket, d.Log)
 			s.callerListener = &httpdrain.Listener{Listener: d.connections.limit(listener), Socket: socket, Log: d.Log, Pending: d.connections.refuser.Waiting}
 			d.vars.Set("closed", s.callerListener.Vars())
 			s.callers.ConnState = s.callerListener.StateChanged
--- a/entry/drain_test.go
+++ b/entry/drain_test.go
@@ -19,7 +19,7 @@
 
 // Guards against connections that are being refused when the process ends, and are reset then.
 func TestFinishWaitsForRefusals(t *testing.T) {
-	c := newConnections(4100, func() bool { return true }, func(*http.Request, error) *http.Response {
+	c := newConnections(Settings{MaxDescriptors: 4100}, func() bool { return true }, func(*http.Request, error) *http.Response {
 		return &http.Response{StatusCode: http.StatusServiceUnavailable}
 	})
 	socket, err := net.Listen("tcp", "127.0.0.1:0")
