dispatch: bound buffered answers by memory until they are delivered

A buffered answer counted only while it was read, against 32 MiB whatever memory_mb was, and callers that did not read it held it without a bound. It now counts until it is delivered, against an eighth of memory_mb. If there is no room, answers whose caller takes nothing for 1 s are ended, and the next one is read up to 3 s later.

Clients of the test that do not read now send Connection: close. Refused ones otherwise keep an idle connection, and the check that the descriptors are freed failed for these. TestSmallAnswersAreReadWhileOthersFillTheBuffer fills the budget with answers in place of its counter; it also checks that the memory is given back.

--- a/bodybudget/budget.go
+++ b/bodybudget/budget.go
@@ -20,6 +20,11 @@
 	// maxWait bounds the wait for the bytes of bodies that were revoked, whose goroutines give them
 	// back at once.
 	maxWait = 500 * time.Millisecond
+	// maxAnswerWait bounds the wait of an answer, which is not refused at once since the request has
+	// run. An endpoint cuts off an answer that remains unread for some seconds.
+	maxAnswerWait = 3 * time.Second
+	// recheckInterval is the time after which an answer that waits looks for stalled ones again.
+	recheckInterval = 250 * time.Millisecond
 	// minRetryAfter is the least time after which callers of refused requests may come again, and
 	// retrySpread the random part by which their return is spread.
 	minRetryAfter, retrySpread = 500 * time.Millisecond, 500 * time.Millisecond
@@ -32,7 +37,8 @@
 	minSegment, maxSegment = 4 << 10, 256 << 10
 )
 
-// Budget bounds the bytes of the bodies of callers' requests. Set the exported fields before use. A
+// Budget bounds the bytes of bodies that are held together: those of callers' requests, or those of
+// answers. Set the exported fields before use. A
 // nil Budget has no bound.
 type Budget struct {
 	Timer timer.Timer
@@ -41,10 +47,15 @@
 	// Crowded reports whether connections of callers are scarce. It may be nil.
 	Crowded func() bool
 
+	// name is used in log lines.
+	name string
+
 	mu     sync.Mutex
 	ledger *ledger
-	// bodies holds the bodies that are being read.
+	// bodies holds the bodies whose bytes are counted.
 	bodies map[*entry]*Body
+	// maxWait bounds the wait for bytes.
+	maxWait time.Duration
 	// released is closed when bytes were given back, and replaced then.
 	released chan struct{}
 
@@ -61,7 +72,15 @@
 	if log == nil {
 		log = zap.NewNop()
 	}
-	return &Budget{Timer: t, Log: log, ledger: newLedger(capacity), bodies: make(map[*entry]*Body), released: make(chan struct{})}
+	return &Budget{name: "bodies of callers", Timer: t, Log: log, ledger: newLedger(capacity), bodies: make(map[*entry]*Body), released: make(chan struct{}), maxWait: maxWait}
+}
+
+// NewForAnswers returns a budget of a number of bytes for bodies that endpoints send. Those that are
+// being read wait for bytes, and only those that are delivered without progress are revoked.
+func NewForAnswers(capacity int64, t timer.Timer, log *zap.Logger) *Budget {
+	b := New(capacity, t, log)
+	b.ledger.onlyStalled, b.maxWait, b.name = true, maxAnswerWait, "answers"
+	return b
 }
 
 // Vars returns the counters.
@@ -105,7 +124,7 @@
 	interrupt(list)
 	counts := [4]int64{b.refused.Value(), b.revoked.Value(), b.swept.Value(), b.late.Value()}
 	if counts != b.logged {
-		b.Log.Warn("bodies of callers refused", zap.Int64("refused", counts[0]-b.logged[0]), zap.Int64("revoked", counts[1]-b.logged[1]),
+		b.Log.Warn(b.name+" refused", zap.Int64("refused", counts[0]-b.logged[0]), zap.Int64("revoked", counts[1]-b.logged[1]),
 			zap.Int64("stalled", counts[2]-b.logged[2]), zap.Int64("late", counts[3]-b.logged[3]), zap.Int64("bytes", held))
 		b.logged = counts
 	}
@@ -125,6 +144,8 @@
 	// SetDeadline sets the deadline of reads, and interrupts a read in progress if it has passed.
 	// Errors are ignored: without deadlines a body is given up only when it sends more.
 	SetDeadline func(time.Time) error
+	// Parts keeps a body of unknown length in parts, which takes less memory. Bytes returns nil then.
+	Parts bool
 }
 
 // Body is a body that was read, or is being read, with the bytes that are counted for it.
@@ -132,7 +153,7 @@
 	budget *Budget
 	entry  *entry
 	source Source
-	bytes  []byte
+	parts  [][]byte
 }
 
 // Read reads a body. The caller must call End when the bytes are not used any more. An error means
@@ -151,6 +172,9 @@
 	b.mu.Lock()
 	v.entry = b.ledger.open(b.Timer.Now(), s.Group, max(s.Length, -1))
 	b.bodies[v.entry] = v
+	if !b.ledger.onlyStalled {
+		b.ledger.expose(b.Timer.Now(), v.entry)
+	}
 	b.mu.Unlock()
 	// A deadline in the past that interrupts the read comes after this one: see interrupt.
 	_ = s.SetDeadline(time.Now().Add(s.Timeout))
@@ -159,7 +183,6 @@
 		err = v.complete()
 	}
 	if err != nil {
-		v.bytes = nil
 		v.End()
 		return nil, err
 	}
@@ -167,21 +190,66 @@
 	return v, nil
 }
 
-// Bytes returns the body.
-func (v *Body) Bytes() []byte { return v.bytes }
+// Bytes returns the body, unless it is kept in parts.
+func (v *Body) Bytes() []byte {
+	if len(v.parts) != 1 {
+		return nil
+	}
+	return v.parts[0]
+}
 
-// End gives the bytes back.
+// End gives the bytes back. Further calls do nothing.
 func (v *Body) End() {
-	if v.entry == nil {
+	if v == nil || v.entry == nil {
 		return
 	}
-	v.bytes = nil
 	b := v.budget
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.ledger.close(v.entry)
 	delete(b.bodies, v.entry)
 	b.signal()
+	v.entry, v.parts = nil, nil
+}
+
+// deliveredAtOnce is the number of bytes that Deliver writes at once, after which the reader has made
+// progress.
+const deliveredAtOnce = 32 << 10
+
+// Deliver writes the body. If the reader makes no progress while others need the bytes, interrupt is
+// called, which must end a write in progress and make later ones fail.
+func (v *Body) Deliver(write func(p []byte) error, interrupt func()) error {
+	if v.entry == nil {
+		return nil
+	}
+	b := v.budget
+	b.mu.Lock()
+	v.source.SetDeadline = func(time.Time) error {
+		interrupt()
+		return nil
+	}
+	b.ledger.expose(b.Timer.Now(), v.entry)
+	b.mu.Unlock()
+	var delivered int64
+	for _, p := range v.parts {
+		for len(p) > 0 {
+			n := min(len(p), deliveredAtOnce)
+			if v.isRevoked() {
+				return fail("deliver", lagoonhead.KindUnknown, errRevoked)
+			}
+			if err := write(p[:n]); err != nil {
+				return fail("deliver", lagoonhead.KindUnknown, err)
+			}
+			p, delivered = p[n:], delivered+int64(n)
+			v.receive(delivered)
+		}
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if !b.ledger.protect(v.entry) {
+		return fail("deliver", lagoonhead.KindUnknown, errRevoked)
+	}
+	return nil
 }
 
 // signal wakes those that wait for bytes. The caller holds mu.
@@ -195,8 +263,7 @@
 	b := v.budget
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	delete(b.bodies, v.entry)
-	if !b.ledger.whole(v.entry) {
+	if !b.ledger.protect(v.entry) {
 		return b.refusal(errRevoked)
 	}
 	return nil
@@ -207,8 +274,8 @@
 		if err := v.grow(ctx, v.source.Length); err != nil {
 			return err
 		}
-		v.bytes = make([]byte, v.source.Length)
-		return v.fill(v.bytes, 0)
+		v.parts = [][]byte{make([]byte, v.source.Length)}
+		return v.fill(v.parts[0], 0)
 	}
 	return v.readSegments(ctx)
 }
@@ -221,7 +288,10 @@
 		if more > 0 {
 			v.receive(received + int64(n))
 		}
-		if err != nil && (!errors.Is(err, io.EOF) || n < len(p)) {
+		if errors.Is(err, io.EOF) && n < len(p) {
+			err = io.ErrUnexpectedEOF
+		}
+		if err != nil && n < len(p) {
 			return v.readError(err)
 		}
 	}
@@ -291,17 +361,18 @@
 
 // join copies the segments into one part of memory and gives the bytes of the segments back.
 func (v *Body) join(ctx context.Context, segments [][]byte, size int64) error {
-	if len(segments) == 1 {
-		v.bytes = segments[0]
+	v.parts = segments
+	if len(segments) == 1 || v.source.Parts {
 		return nil
 	}
 	if err := v.grow(ctx, size); err != nil {
 		return err
 	}
-	v.bytes = make([]byte, 0, size)
+	whole := make([]byte, 0, size)
 	for _, s := range segments {
-		v.bytes = append(v.bytes, s...)
+		whole = append(whole, s...)
 	}
+	v.parts = [][]byte{whole}
 	b := v.budget
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -314,6 +385,8 @@
 func (v *Body) grow(ctx context.Context, n int64) error {
 	b := v.budget
 	var wait <-chan time.Time
+	recheck := time.NewTicker(recheckInterval)
+	defer recheck.Stop()
 	for {
 		b.mu.Lock()
 		if b.ledger.take(v.entry, n) {
@@ -334,17 +407,18 @@
 		b.mu.Unlock()
 		b.revoked.Add(int64(len(list)))
 		interrupt(list)
-		if !enough {
+		if !enough && !b.ledger.onlyStalled {
 			b.refused.Add(1)
 			return b.refusal(errFull)
 		}
 		if wait == nil {
-			t := time.NewTimer(maxWait)
+			t := time.NewTimer(b.maxWait)
 			defer t.Stop()
 			wait = t.C
 		}
 		select {
 		case <-released:
+		case <-recheck.C:
 		case <-wait:
 			b.refused.Add(1)
 			return b.refusal(errFull)
--- a/bodybudget/ledger.go
+++ b/bodybudget/ledger.go
@@ -30,8 +30,6 @@
 	// progressed is when the body last made progress, and marked the bytes received until then.
 	progressed time.Duration
 	marked     int64
-	// reading is true until the body has arrived whole.
-	reading bool
 	// revoked is true once the body has to give its bytes back.
 	revoked bool
 }
@@ -45,7 +43,8 @@
 }
 
 // ledger keeps the accounts of all bodies and decides which yields. It handles many large bodies that
-// come at once, and bodies that stop short of their end, from clients of one workspace or of many.
+// come at once, bodies that stop short of their end, and answers that are not read, from clients of one
+// workspace or of many.
 type ledger struct {
 	// capacity is the budget in bytes; 0 means that there is no bound.
 	capacity int64
@@ -53,20 +52,27 @@
 	// given back yet.
 	held, returning int64
 	// groups holds the bytes by group, without those of revoked entries.
-	groups  map[string]int64
-	reading map[*entry]struct{}
-	arrived int64
+	groups map[string]int64
+	// revocable holds the entries that may be revoked.
+	revocable map[*entry]struct{}
+	arrived   int64
+	// onlyStalled makes only bodies without progress yield.
+	onlyStalled bool
 }
 
 func newLedger(capacity int64) *ledger {
-	return &ledger{capacity: capacity, groups: make(map[string]int64), reading: make(map[*entry]struct{})}
+	return &ledger{capacity: capacity, groups: make(map[string]int64), revocable: make(map[*entry]struct{})}
 }
 
 func (l *ledger) open(now time.Duration, group string, announced int64) *entry {
 	l.arrived++
-	e := &entry{group: group, number: l.arrived, announced: announced, progressed: now, reading: true}
-	l.reading[e] = struct{}{}
-	return e
+	return &entry{group: group, number: l.arrived, announced: announced, progressed: now}
+}
+
+// expose lets e be revoked from now on.
+func (l *ledger) expose(now time.Duration, e *entry) {
+	e.received, e.marked, e.progressed = 0, 0, now
+	l.revocable[e] = struct{}{}
 }
 
 // available returns the budget for bodies of the kind of e when it has grown by n bytes.
@@ -109,17 +115,15 @@
 	}
 }
 
-// whole records that the body has arrived, after which it is not revoked. It reports whether the body
-// still has its bytes.
-func (l *ledger) whole(e *entry) bool {
-	e.reading = false
-	delete(l.reading, e)
+// protect keeps e from being revoked from now on. It reports whether the body still has its bytes.
+func (l *ledger) protect(e *entry) bool {
+	delete(l.revocable, e)
 	return !e.revoked
 }
 
 // close ends the account.
 func (l *ledger) close(e *entry) {
-	delete(l.reading, e)
+	delete(l.revocable, e)
 	l.give(e, e.held)
 }
 
@@ -130,12 +134,12 @@
 	}
 	e.revoked = true
 	l.returning += e.held
-	delete(l.reading, e)
+	delete(l.revocable, e)
 }
 
 // makeRoom revokes bodies so that n bytes for e become free, and reports whether waiting for what was
 // revoked is enough. Bodies without progress yield first, whoever sent them: the daemon gains nothing
-// by keeping them. Then the newest unfinished body of the group that holds most yields, as long as
+// by keeping them. Then the newest revocable body of the group that holds most yields, as long as
 // that group holds more than the group of e would.
 func (l *ledger) makeRoom(now time.Duration, e *entry, n int64) (revoked []*entry, enough bool) {
 	missing := l.held - l.returning + n - l.available(e, n)
@@ -153,6 +157,9 @@
 		}
 	}
 	for missing > 0 {
+		if l.onlyStalled {
+			return revoked, false
+		}
 		v := l.newestOfLargest(l.groups[e.group] + n)
 		if v == nil {
 			return revoked, false
@@ -164,9 +171,9 @@
 	return revoked, true
 }
 
-// stalled returns the unfinished bodies without progress for a time, the longest first.
+// stalled returns the revocable bodies without progress for a time, the longest first.
 func (l *ledger) stalled(now, after time.Duration) (list []*entry) {
-	for v := range l.reading {
+	for v := range l.revocable {
 		if now-v.progressed >= after {
 			list = append(list, v)
 		}
@@ -177,7 +184,7 @@
 	return list
 }
 
-// newestOfLargest returns the newest unfinished body with bytes of the group that holds most, or nil
+// newestOfLargest returns the newest revocable body with bytes of the group that holds most, or nil
 // if no group holds more than a number of bytes.
 func (l *ledger) newestOfLargest(than int64) (newest *entry) {
 	var largest string
@@ -190,7 +197,7 @@
 	if most == than {
 		return nil
 	}
-	for v := range l.reading {
+	for v := range l.revocable {
 		if v.group == largest && v.held > 0 && (newest == nil || v.number > newest.number) {
 			newest = v
 		}
--- a/bodybudget/ledger_test.go
+++ b/bodybudget/ledger_test.go
@@ -14,6 +14,7 @@
 	t.Helper()
 	for range n {
 		e := l.open(now, group, size)
+		l.expose(now, e)
 		require.True(t, l.take(e, size))
 		list = append(list, e)
 	}
@@ -46,7 +47,7 @@
 	l := newLedger(40 * mib)
 	list := fill(t, l, 0, "a", 30, mib)
 	for _, e := range list[:10] {
-		require.True(t, l.whole(e))
+		require.True(t, l.protect(e))
 	}
 	l.receive(stalledAfter, list[10], minProgress)
 	e := l.open(stalledAfter, "a", 4*mib)
@@ -55,7 +56,7 @@
 	require.Equal(t, list[11:15], revoked)
 	require.False(t, l.take(e, 4*mib), "the bytes are not back yet")
 	for _, v := range revoked {
-		require.False(t, l.whole(v))
+		require.False(t, l.protect(v))
 		l.close(v)
 	}
 	require.True(t, l.take(e, 4*mib))
@@ -105,5 +106,5 @@
 	require.Zero(t, l.held)
 	require.Zero(t, l.returning)
 	require.Empty(t, l.groups)
-	require.Empty(t, l.reading)
+	require.Empty(t, l.revocable)
 }
--- a/cmd/lagoonheadd/memory_test.go
+++ b/cmd/lagoonheadd/memory_test.go
@@ -235,6 +235,8 @@
 	blocks := largestBody / len(block)
 	length := func(n int) string { return fmt.Sprintf("Content-Length: %d", n) }
 	const chunked = "Transfer-Encoding: chunked"
+	// A connection whose request was refused would otherwise stay open as an idle one.
+	const closing = "Connection: close"
 	return []load{
 		{name: "whole bodies", send: func(w io.Writer, id string) error {
 			return writeAll(w, head("/book/x", id, length(largestBody)), block, blocks)
@@ -263,10 +265,10 @@
 			return writeAll(w, head("/book/x", id, chunked), chunk(len(block)), 64*blocks)
 		}},
 		{name: "unread answers", slowReader: true, send: func(w io.Writer, id string) error {
-			return writeAll(w, head("/book/large", id, length(0)), "", 0)
+			return writeAll(w, head("/book/large", id, length(0), closing), "", 0)
 		}},
 		{name: "unread streams", slowReader: true, send: func(w io.Writer, id string) error {
-			return writeAll(w, head("/read/x", id, length(0)), "", 0)
+			return writeAll(w, head("/read/x", id, length(0), closing), "", 0)
 		}},
 	}
 }
--- a/dispatch/bench_test.go
+++ b/dispatch/bench_test.go
@@ -49,6 +49,7 @@
 func (discardSink) Start(int, http.Header) {}
 func (discardSink) Write([]byte) error     { return nil }
 func (discardSink) Flush() error           { return nil }
+func (discardSink) Interrupt()             {}
 
 func serveBench(b *testing.B, path string, events int, requests int) {
 	d := scriptedDispatcher(&eventSender{events: events})
--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -16,6 +16,7 @@
 	"go.uber.org/zap"
 
 	"github.com/lagoonhead/lagoonhead"
+	"github.com/lagoonhead/lagoonhead/bodybudget"
 	"github.com/lagoonhead/lagoonhead/catalog"
 	"github.com/lagoonhead/lagoonhead/metrics"
 	"github.com/lagoonhead/lagoonhead/steer"
@@ -51,6 +52,8 @@
 	Write(p []byte) error
 	// Flush sends the bytes that were written.
 	Flush() error
+	// Interrupt ends a write in progress and makes later ones fail. It may be called at any time.
+	Interrupt()
 }
 
 // Catalogs provides the current configuration.
@@ -90,6 +93,9 @@
 	Log      *zap.Logger
 	// Domain is the failure domain of this daemon.
 	Domain lagoonhead.FailureDomain
+	// Answers bounds the memory of answers that are buffered. It may be nil, which means
+	// maxBufferedBytes.
+	Answers *bodybudget.Budget
 
 	mu    sync.Mutex
 	board steer.Board
@@ -99,7 +105,7 @@
 	inProgressMu sync.Mutex
 	inProgress   map[*request]context.CancelCauseFunc
 	vars         counters
-	// buffered is the number of bytes of the answers that are being buffered.
+	// buffered is the number of bytes of the events that are being buffered.
 	buffered atomic.Int64
 }
 
@@ -131,6 +137,9 @@
 		if d.Log == nil {
 			d.Log = zap.NewNop()
 		}
+		if d.Answers == nil {
+			d.Answers = bodybudget.NewForAnswers(maxBufferedBytes, d.Timer, d.Log)
+		}
 		c := &d.vars
 		c.all.Init()
 		for name, v := range map[string]*expvar.Int{
--- a/dispatch/dispatcher_test.go
+++ b/dispatch/dispatcher_test.go
@@ -91,6 +91,9 @@
 	body   bytes.Buffer
 }
 
+// Interrupt does nothing, since writes do not block.
+func (s *recordingSink) Interrupt() {}
+
 func (s *recordingSink) Start(status int, _ http.Header) { s.status = status }
 func (s *recordingSink) Write(p []byte) error            { _, err := s.body.Write(p); return err }
 func (s *recordingSink) Flush() error                    { return nil }
@@ -336,16 +339,36 @@
 	require.Equal(t, 1, s.prefills, "prefilled apart, within the limit")
 }
 
-// Guards against a small answer that fails because others fill the memory for answers.
+// Guards against a small answer that fails because others fill the memory for answers, and against
+// large ones that are read beyond it.
 func TestSmallAnswersAreReadWhileOthersFillTheBuffer(t *testing.T) {
-	d := new(Dispatcher)
-	d.buffered.Store(maxBufferedBytes + 1)
-	w, err := d.readFull(&lagoonhead.Answer{Body: io.NopCloser(strings.NewReader("done"))})
-	require.NoError(t, err)
-	require.Equal(t, "done", string(w.body))
-	_, err = d.readFull(&lagoonhead.Answer{Body: io.NopCloser(bytes.NewReader(make([]byte, 2*freeAnswerBytes)))})
+	d := &Dispatcher{Timer: &timer.System{}}
+	d.init()
+	r := &request{Dispatcher: d, call: &Call{Method: http.MethodGet}, demand: lagoonhead.NewRequest("1", "w", scriptService, 0)}
+	r.deadline = d.Timer.Now() + time.Minute
+	read := func(ctx context.Context, size int) (*fullAnswer, error) {
+		return r.readFull(ctx, &lagoonhead.Answer{Body: io.NopCloser(bytes.NewReader(make([]byte, size)))})
+	}
+	var large []*fullAnswer
+	for range 3 {
+		w, err := read(t.Context(), 7<<20)
+		require.NoError(t, err)
+		large = append(large, w)
+	}
+	ctx, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
+	defer cancel()
+	_, err := read(ctx, 7<<20)
 	require.Error(t, err)
-	require.EqualValues(t, maxBufferedBytes+1, d.buffered.Load())
+	require.False(t, NotRun(err), "the request has run")
+	w, err := read(t.Context(), 4)
+	require.NoError(t, err)
+	w.end()
+	for _, w := range large {
+		w.end()
+	}
+	w, err = read(t.Context(), 7<<20)
+	require.NoError(t, err, "the memory was given back")
+	w.end()
 }
 
 // resumingSender answers the first run with one event, after which the connection breaks off late, and
--- a/dispatch/plain.go
+++ b/dispatch/plain.go
@@ -4,11 +4,14 @@
 	"context"
 	"io"
 	"net/http"
+	"strconv"
 	"sync/atomic"
+	"time"
 
 	"github.com/cockroachdb/errors"
 
 	"github.com/lagoonhead/lagoonhead"
+	"github.com/lagoonhead/lagoonhead/bodybudget"
 	"github.com/lagoonhead/lagoonhead/catalog"
 	"github.com/lagoonhead/lagoonhead/steer"
 )
@@ -16,18 +19,25 @@
 const (
 	// maxAnswerBytes bounds an answer that is buffered before the caller gets it.
 	maxAnswerBytes = 8 << 20
-	// maxBufferedBytes bounds the answers and events that are buffered at the same time, so that
-	// endpoints which send bytes without end do not take the memory of the process.
+	// maxBufferedBytes bounds the events that are buffered at the same time, so that endpoints which
+	// send bytes without end do not take the memory of the process. It bounds answers if
+	// Dispatcher.Answers is not set.
 	maxBufferedBytes = 32 << 20
-	// freeAnswerBytes is the size up to which an answer or event does not count to
-	// maxBufferedBytes.
-	freeAnswerBytes = 64 << 10
+	// freeEventBytes is the size up to which an event does not count to maxBufferedBytes.
+	freeEventBytes = 64 << 10
 )
 
 // fullAnswer is an answer whose body has been read to its end.
 type fullAnswer struct {
 	*lagoonhead.Answer
-	body []byte
+	body *bodybudget.Body
+}
+
+// end gives the memory of the answer back.
+func (w *fullAnswer) end() {
+	if w != nil {
+		w.body.End()
+	}
 }
 
 // serveSingle serves a request that has a single answer. The answer is buffered before the
@@ -35,6 +45,7 @@
 // an error.
 func (r *request) serveSingle(ctx context.Context) error {
 	var fallback *fullAnswer
+	defer func() { fallback.end() }()
 	var last error
 	for {
 		if err := r.checkSuspects(); err != nil {
@@ -51,6 +62,7 @@
 		}
 		if err == nil {
 			// Another endpoint may succeed; if none does, this is the answer.
+			fallback.end()
 			fallback, err = w, fail("plain", lagoonhead.KindUnknown, errors.Newf("status %d", w.Status))
 		}
 		last = err
@@ -109,25 +121,42 @@
 		return nil, err
 	}
 	defer ans.Body.Close()
-	return r.readFull(ans)
+	return r.readFull(ctx, ans)
 }
 
-// readFull reads an answer to its end. One that is longer than maxAnswerBytes is an error,
-// since a truncated answer would look like a complete one.
-func (d *Dispatcher) readFull(ans *lagoonhead.Answer) (*fullAnswer, error) {
-	counted := countedReader{in: ans.Body, total: &d.buffered}
-	defer counted.release()
-	body, err := io.ReadAll(io.LimitReader(&counted, maxAnswerBytes+1))
+// readFull reads an answer to its end, for which it may wait for memory. One that is longer than
+// maxAnswerBytes is an error, since a truncated answer would look like a complete one.
+func (r *request) readFull(ctx context.Context, ans *lagoonhead.Answer) (*fullAnswer, error) {
+	body, err := r.Answers.Read(ctx, bodybudget.Source{
+		Reader: ans.Body, Length: r.answerLength(ans), Limit: maxAnswerBytes, Group: string(r.demand.Workspace()), Parts: true,
+		// The reads end with the context.
+		Timeout: r.remaining(), SetDeadline: func(time.Time) error { return nil },
+	})
 	if err != nil {
-		return nil, fail("read", readErrorKind(err), err)
-	}
-	if len(body) > maxAnswerBytes {
-		return nil, failf("read", lagoonhead.KindUnknown, "answer has more than %d bytes", maxAnswerBytes)
+		return nil, fail("read", answerErrorKind(err), err)
 	}
 	return &fullAnswer{ans, body}, nil
 }
 
-// countedReader counts what it reads beyond freeAnswerBytes, and fails when all readers
+// answerLength returns the number of bytes of an answer's body, or -1 if it is not known.
+func (r *request) answerLength(ans *lagoonhead.Answer) int64 {
+	n, err := strconv.ParseInt(ans.Header.Get("Content-Length"), 10, 64)
+	if err != nil || n < 0 || r.call.Method == http.MethodHead || ans.Status == http.StatusNotModified || ans.Status == http.StatusNoContent {
+		return -1
+	}
+	return n
+}
+
+// answerErrorKind returns the kind of an error of reading an answer of a request that has run.
+func answerErrorKind(err error) lagoonhead.Kind {
+	var e *bodybudget.Error
+	if errors.As(err, &e) {
+		err = e.Err
+	}
+	return readErrorKind(err)
+}
+
+// countedReader counts what it reads beyond freeEventBytes, and fails when all readers
 // together have read more than maxBufferedBytes.
 type countedReader struct {
 	in            io.Reader
@@ -139,13 +168,13 @@
 func (r *countedReader) Read(p []byte) (int, error) {
 	n, err := r.in.Read(p)
 	r.read += int64(n)
-	more := max(0, r.read-freeAnswerBytes) - r.counted
+	more := max(0, r.read-freeEventBytes) - r.counted
 	if more == 0 {
-		return n, err // answers of the free size do not fail because of others
+		return n, err // events of the free size do not fail because of others
 	}
 	r.counted += more
 	if r.total.Add(more) > maxBufferedBytes {
-		return n, failf("read", lagoonhead.KindUnknown, "answers in progress have more than %d bytes", maxBufferedBytes)
+		return n, failf("read", lagoonhead.KindUnknown, "events in progress have more than %d bytes", maxBufferedBytes)
 	}
 	return n, err
 }
@@ -156,12 +185,14 @@
 	r.read, r.counted = 0, 0
 }
 
+// deliver gives the caller an answer, whose memory is given back then.
 func (r *request) deliver(w *fullAnswer) error {
+	defer w.end()
 	r.Suspects.Finished(r.demand.Fingerprint())
 	r.addStep("answer with status %d", w.Status)
 	r.sink.Start(w.Status, w.Header)
 	r.started = true
-	if err := r.sink.Write(w.body); err != nil {
+	if err := w.body.Deliver(r.sink.Write, r.sink.Interrupt); err != nil {
 		return fail("deliver", lagoonhead.KindUnknown, err)
 	}
 	return nil
--- a/dispatch/stream.go
+++ b/dispatch/stream.go
@@ -338,11 +338,12 @@
 // forwardNonStream gives the caller an answer that is not a stream, unless another engine may
 // succeed.
 func (r *request) forwardNonStream(ctx context.Context, e lagoonhead.Endpoint, ans *lagoonhead.Answer) error {
-	w, err := r.readFull(ans)
+	w, err := r.readFull(ctx, ans)
 	if err != nil {
 		r.recordFailure(ctx, e, "run", err)
 		return err
 	}
+	defer w.end()
 	if ans.Status >= http.StatusInternalServerError {
 		err := failf("run", lagoonhead.KindUnknown, "status %d", ans.Status)
 		r.recordFailure(ctx, e, "run", err)
--- a/entry/connections.go
+++ b/entry/connections.go
@@ -198,6 +198,15 @@
 	return c.Conn.Close()
 }
 
+// SetWriteDeadline with a time in the past ends a write in progress and makes later ones fail. Write
+// sets other deadlines itself.
+func (c *limitedConn) SetWriteDeadline(t time.Time) error {
+	if !t.IsZero() && t.Before(time.Now()) {
+		c.written.interrupted.Store(true)
+	}
+	return c.Conn.SetWriteDeadline(t)
+}
+
 // NetConn returns the connection without the limit, of which options can be set.
 func (c *limitedConn) NetConn() net.Conn { return c.Conn }
 
--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -59,6 +59,9 @@
 	// connectionShare that which bounds the number of their connections. What remains is for the
 	// daemon itself, for answers and for garbage.
 	bodyShare, connectionShare = 0.25, 0.3
+	// answerShare is the fraction that buffered answers may take together, and minAnswerBytes the
+	// least that they may. It takes the largest answer, 8 MiB, beside the reserve for small ones.
+	answerShare, minAnswerBytes = 0.125, 12 << 20
 	// gcPercent is the garbage collection target (GOGC). A value below the default of
 	// 100 saves memory for CPU time, which is plentiful on the VMs that run this daemon.
 	gcPercent = 50
@@ -173,9 +176,10 @@
 	heartbeats  *heartbeats
 	roleChanges roleChanges
 	connections *connections // of callers
-	bodies      *bodybudget.Budget
-	guard       overload.Guard
-	meters      meters
+	// bodies bounds the memory of callers' bodies, answers that of buffered answers.
+	bodies, answers *bodybudget.Budget
+	guard           overload.Guard
+	meters          meters
 }
 
 // task is a background task. It runs until its context ends.
@@ -196,6 +200,8 @@
 	d.vars.Set("connections", d.connections.vars())
 	// A body of unknown length is counted twice while its parts are joined.
 	d.bodies = bodybudget.New(max(int64(bodyShare*float64(d.Settings.MemoryBytes)), 3*defaultBodyLimit), d.Timer, d.Log)
+	d.answers = bodybudget.NewForAnswers(max(int64(answerShare*float64(d.Settings.MemoryBytes)), minAnswerBytes), d.Timer, d.Log)
+	d.vars.Set("bufferedAnswers", d.answers.Vars())
 	d.bodies.Crowded = d.connections.crowded
 	d.vars.Set("bodies", d.bodies.Vars())
 	d.buildState()
@@ -379,7 +385,7 @@
 	d.dispatcher = &dispatch.Dispatcher{
 		Catalogs: d.config, Admitter: d.admit, Suspects: suspect.NotifyingTable{Table: d.suspects, SendHeartbeat: d.exchanger.ExchangeNow}, Parts: d.parts,
 		Departures: d.endpoints, Versions: d.versions, Sender: d.Platform.Sender,
-		Usage: d.tally, RetryBudget: newRetries(s, d.members, d.Timer), Timer: d.Timer, Log: d.Log, Domain: s.FailureDomain,
+		Usage: d.tally, RetryBudget: newRetries(s, d.members, d.Timer), Timer: d.Timer, Log: d.Log, Domain: s.FailureDomain, Answers: d.answers,
 	}
 	d.dispatcher.WithBoard(func(b *steer.Board) { b.LimitShare = d.members.limitShare })
 	d.heartbeats = &heartbeats{
@@ -398,7 +404,7 @@
 
 func (d *Daemon) tasks() []task {
 	tasks := []task{
-		d.session.Run, d.dutySession.Run, d.keepPresence, d.keeper.Run, d.exchanger.Run, d.admit.Run, d.refusedParts.run, d.mixedVersions.run, d.awake.run, d.versions.Run, d.bodies.Run,
+		d.session.Run, d.dutySession.Run, d.keepPresence, d.keeper.Run, d.exchanger.Run, d.admit.Run, d.refusedParts.run, d.mixedVersions.run, d.awake.run, d.versions.Run, d.bodies.Run, d.answers.Run,
 		func(ctx context.Context) error {
 			timer.Every(ctx, d.Timer, lapsedInterval, func(time.Duration) { d.endpoints.removeLapsed() })
 			return nil
--- a/entry/writeprogress.go
+++ b/entry/writeprogress.go
@@ -3,6 +3,7 @@
 import (
 	"net"
 	"os"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -23,6 +24,8 @@
 type writeProgress struct {
 	// onStall is called when a write is given up.
 	onStall func()
+	// interrupted is true once writes must fail.
+	interrupted atomic.Bool
 }
 
 // write writes p, and fails with os.ErrDeadlineExceeded if the peer takes nothing for
@@ -31,6 +34,9 @@
 	queued, stalled := -1, 0
 	for {
 		_ = c.SetWriteDeadline(time.Now().Add(writeCheck)) // fails only on a closed connection
+		if w.interrupted.Load() {
+			return written, os.ErrDeadlineExceeded
+		}
 		n, err := c.Write(p[written:])
 		written += n
 		if err == nil || !errors.Is(err, os.ErrDeadlineExceeded) {
