lagoonheadd: tests of a legal body on a small VM and of ordinary load

The largest legal body, 4 MiB, with its length and in chunks, is served by a daemon with memory_mb 144. Bodies of 17 kB from 100 callers at once meet no limit of memory with memory_mb 284.

--- a/cmd/lagoonheadd/memory_test.go
+++ b/cmd/lagoonheadd/memory_test.go
@@ -33,6 +33,8 @@
 	// largestBody is the limit on bodies that fakewire.Configuration sets, and ordinaryBody the size
 	// of the body of an ordinary request.
 	largestBody, ordinaryBody = 1 << 20, 17 << 10
+	// legalBody is the largest limit on bodies that configurations set.
+	legalBody = 4 << 20
 	// loadTimeout bounds the time in which a client sends its load. A daemon may stop to read a body.
 	loadTimeout = 8 * time.Second
 	// answerBytes is the size of an answer to a slow reader.
@@ -144,13 +146,15 @@
 	streams atomic.Int64
 }
 
-func newMemoryFleet(t *testing.T, program string) *memoryFleet {
+func newMemoryFleet(t *testing.T, program string, memoryMB, maxBodyBytes int) *memoryFleet {
 	t.Helper()
 	f := &memoryFleet{platformFleet: newPlatformFleet(t)}
+	f.maxBodyBytes = maxBodyBytes
+	f.configure(t)
 	service, engine := listenForTest(t, http.HandlerFunc(f.answer)), listenForTest(t, http.HandlerFunc(f.stream))
 	f.put(t, platform.EndpointPrefix+"s1", (&fakewire.Endpoint{ID: "s1"}).Registration("plain", service, "a", "ready"))
 	f.put(t, platform.EndpointPrefix+"e1", (&fakewire.Endpoint{ID: "e1", Stage: "decode"}).Registration("model", engine, "a", "ready"))
-	f.memoryMB, f.maxDescriptors, f.program = memoryLimitMB, descriptorLimit, program
+	f.memoryMB, f.maxDescriptors, f.program = memoryMB, descriptorLimit, program
 	f.daemon = f.startDaemon(t, "vm1")
 	f.usage = &usage{pid: f.daemon.cmd.Process.Pid, callers: hexPort(t, f.daemon.address), endpoints: []string{hexPort(t, service), hexPort(t, engine)}}
 	f.usage.measure(t)
@@ -297,20 +301,32 @@
 
 // ask sends an ordinary request and reports whether it was answered.
 func (f *memoryFleet) ask(t *testing.T, id string) bool {
+	t.Helper()
+	return f.post(t, id, strings.NewReader(strings.Repeat("x", ordinaryBody))) == http.StatusOK
+}
+
+// post sends a request and returns the status of a whole answer, or 0. A body of a type that net/http
+// does not know is sent in chunks.
+func (f *memoryFleet) post(t *testing.T, id string, body io.Reader) int {
 	t.Helper()
 	pool := &http.Transport{DisableKeepAlives: true}
-	r, err := http.NewRequestWithContext(t.Context(), http.MethodPost, f.daemon.url()+"/book/x", strings.NewReader(strings.Repeat("x", ordinaryBody)))
-	require.NoError(t, err)
+	r, err := http.NewRequestWithContext(t.Context(), http.MethodPost, f.daemon.url()+"/book/x", body)
+	if err != nil {
+		return 0
+	}
 	r.Host = fakewire.Host
 	r.Header.Set("X-Request-Id", id)
 	r.Header.Set("Authorization", "Bearer "+frontDeskKey)
 	resp, err := pool.RoundTrip(r)
 	if err != nil {
-		return false
+		return 0
 	}
 	defer resp.Body.Close()
-	body, err := io.ReadAll(resp.Body)
-	return err == nil && resp.StatusCode == http.StatusOK && string(body) == "answer"
+	answer, err := io.ReadAll(resp.Body)
+	if err != nil || resp.StatusCode == http.StatusOK && string(answer) != "answer" {
+		return 0
+	}
+	return resp.StatusCode
 }
 
 // Guards against callers that end a daemon by its memory, or keep it from serving others: bodies of
@@ -322,7 +338,7 @@
 	program := buildDaemon(t)
 	for _, l := range clientLoads() {
 		t.Run(l.name, func(t *testing.T) {
-			f := newMemoryFleet(t, program)
+			f := newMemoryFleet(t, program, memoryLimitMB, largestBody)
 			before := f.usage.sample()
 			l.play(t, f.daemon.address)
 			n := 0
@@ -344,3 +360,40 @@
 		})
 	}
 }
+
+// Guards against limits that a caller without others beside it meets: the largest body on the smallest
+// VM.
+func TestTheLargestBodyIsServedOnASmallVM(t *testing.T) {
+	processMemory.Lock()
+	defer processMemory.Unlock()
+	f := newMemoryFleet(t, buildDaemon(t), 144, legalBody)
+	body := strings.Repeat("x", legalBody)
+	require.Equal(t, http.StatusOK, f.post(t, "with its length", strings.NewReader(body)))
+	require.Equal(t, http.StatusOK, f.post(t, "in chunks", struct{ io.Reader }{strings.NewReader(body)}))
+	require.NotContains(t, f.daemon.output.String(), "bodies of callers refused")
+}
+
+// Guards against limits that ordinary load meets: bodies of 17 kB from many callers at once. Requests
+// that the daemon refuses for a lack of processor time do not count.
+func TestOrdinaryLoadMeetsNoLimitOfMemory(t *testing.T) {
+	processMemory.Lock()
+	defer processMemory.Unlock()
+	f := newMemoryFleet(t, buildDaemon(t), 284, legalBody)
+	var wait sync.WaitGroup
+	var answered atomic.Int64
+	for n := range 100 {
+		wait.Go(func() {
+			for i := range 10 {
+				if f.ask(t, fmt.Sprint("ordinary ", n, " ", i)) {
+					answered.Add(1)
+				}
+			}
+		})
+	}
+	wait.Wait()
+	require.Positive(t, answered.Load())
+	time.Sleep(2 * time.Second) // the daemon logs refusals once a second
+	for _, message := range []string{"bodies of callers refused", "answers refused"} {
+		require.NotContains(t, f.daemon.output.String(), message)
+	}
+}
--- a/cmd/lagoonheadd/platform_test.go
+++ b/cmd/lagoonheadd/platform_test.go
@@ -32,6 +32,9 @@
 	memoryMB, maxDescriptors int
 	// program is the program of daemons that are started from now on; empty means the test binary.
 	program string
+	// maxBodyBytes is the limit on bodies of configurations that are written from now on; 0 means that
+	// of fakewire.Configuration.
+	maxBodyBytes int
 	// version is the version of the configuration that was written last.
 	version int64
 }
@@ -91,7 +94,7 @@
 	f.put(t, platform.ConfigurationKey, fakewire.Configuration{
 		Version: f.version, EngineService: "model", PlainService: "plain", Keys: []string{frontDeskKey},
 		IdleTimeout: 10*time.Second + time.Duration(f.version%3)*5*time.Second,
-		Routes:      list,
+		Routes:      list, MaxBodyBytes: f.maxBodyBytes,
 	}.Encode())
 }
 
