--- a/bodybudget/errors.go
+++ b/bodybudget/errors.go
@@ -32,3 +32,7 @@
 
 // IsTooLarge reports whether a body was refused because it is over the limit for one body.
 func IsTooLarge(err error) bool { return errors.Is(err, errTooLarge) }
+
+// IsGivenUp reports whether a body was given up after a part of it had been awaited or read, for the
+// sake of another one or because it was late.
+func IsGivenUp(err error) bool { return errors.Is(err, errRevoked) || errors.Is(err, errTooSlow) }
