--- a/bodybudget/budget_test.go
+++ b/bodybudget/budget_test.go
@@ -117,3 +117,32 @@
 	require.True(t, lagoonhead.IsKind(<-failed, lagoonhead.KindUnavailable))
 	require.EqualValues(t, 1, b.swept.Value())
 }
+
+// Guards against an answer whose caller does not read and that keeps others from being read, and
+// against one that is ended although it makes progress.
+func TestAnAnswerThatIsNotReadYields(t *testing.T) {
+	b := NewForAnswers(12*mib, &timer.System{}, nil)
+	read := func() *Body {
+		s := source(bytes.NewReader(make([]byte, 4*mib)), 4*mib)
+		s.Parts = true
+		v, err := b.Read(t.Context(), s)
+		require.NoError(t, err)
+		return v
+	}
+	unread, slow := read(), read()
+	interrupted, ended := make(chan struct{}), make(chan error, 2)
+	go func() {
+		ended <- unread.Deliver(func([]byte) error { <-interrupted; return io.ErrClosedPipe }, func() { close(interrupted) })
+		unread.End()
+	}()
+	go func() {
+		ended <- slow.Deliver(func([]byte) error { time.Sleep(20 * time.Millisecond); return nil }, func() { t.Error("interrupted") })
+		slow.End()
+	}()
+	v := read() // waits for the bytes of the one that is not read
+	defer v.End()
+	require.ErrorIs(t, <-ended, io.ErrClosedPipe)
+	require.NoError(t, <-ended)
+	require.EqualValues(t, 1, b.revoked.Value())
+	require.Zero(t, b.refused.Value())
+}
