--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -16,6 +16,7 @@
 	"go.uber.org/zap"
 
 	"github.com/lagoonhead/lagoonhead"
+	"github.com/lagoonhead/lagoonhead/bodybudget"
 	"github.com/lagoonhead/lagoonhead/catalog"
 	"github.com/lagoonhead/lagoonhead/metrics"
 	"github.com/lagoonhead/lagoonhead/steer"
@@ -51,6 +52,8 @@
 	Write(p []byte) error
 	// Flush sends the bytes that were written.
 	Flush() error
+	// Interrupt ends a write in progress and makes later ones fail. It may be called at any time.
+	Interrupt()
 }
 
 // Catalogs provides the current configuration.
@@ -90,6 +93,9 @@
 	Log      *zap.Logger
 	// Domain is the failure domain of this daemon.
 	Domain lagoonhead.FailureDomain
+	// Answers bounds the memory of answers that are buffered. It may be nil, which means
+	// maxBufferedBytes.
+	Answers *bodybudget.Budget
 
 	mu    sync.Mutex
 	board steer.Board
@@ -99,7 +105,7 @@
 	inProgressMu sync.Mutex
 	inProgress   map[*request]context.CancelCauseFunc
 	vars         counters
-	// buffered is the number of bytes of the answers that are being buffered.
+	// buffered is the number of bytes of the events that are being buffered.
 	buffered atomic.Int64
 }
 
@@ -133,6 +139,9 @@
 		if d.Log == nil {
 			d.Log = zap.NewNop()
 		}
+		if d.Answers == nil {
+			d.Answers = bodybudget.NewForAnswers(maxBufferedBytes, d.Timer, d.Log)
+		}
 		c := &d.vars
 		c.all.Init()
 		for name, v := range map[string]*expvar.Int{
@@ -204,22 +213,11 @@
 
 // newRequest looks up the route and the workspace of the call.
 func (d *Dispatcher) newRequest(c *Call, s Sink) (*request, error) {
-	cat := d.Catalogs.Catalog()
-	if cat == nil {
-		e := failf("open", lagoonhead.KindUnavailable, "there is no configuration yet")
-		e.retryAfter = noConfigRetryAfter
-		return nil, e
-	}
-	rt := cat.Route(c.Host, c.URL.EscapedPath())
-	if rt == nil {
-		return nil, failf("open", lagoonhead.KindNotFound, "no route for %s%s", c.Host, c.URL.EscapedPath())
-	}
-	r := &request{Dispatcher: d, call: c, sink: s, route: rt, configVersion: cat.Version(), arrived: d.Timer.Now(), parts: c.Prompt.SharedParts()}
-	if !rt.NoAPIKey {
-		if r.workspace = cat.WorkspaceByKey(c.Key); r.workspace == nil {
-			return nil, failf("open", lagoonhead.KindUnauthenticated, "the key is not known")
-		}
+	cat, rt, w, err := d.lookUp(c)
+	if err != nil {
+		return nil, err
 	}
+	r := &request{Dispatcher: d, call: c, sink: s, route: rt, workspace: w, configVersion: cat.Version(), arrived: d.Timer.Now(), parts: c.Prompt.SharedParts()}
 	r.urgency, r.regions = rt.Urgency, rt.Regions
 	if r.workspace != nil {
 		r.regions = r.regions.Intersect(r.workspace.Regions)
--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -21,6 +21,7 @@
 	"github.com/lagoonhead/lagoonhead"
 	"github.com/lagoonhead/lagoonhead/admit"
 	"github.com/lagoonhead/lagoonhead/billing"
+	"github.com/lagoonhead/lagoonhead/bodybudget"
 	"github.com/lagoonhead/lagoonhead/catalog"
 	"github.com/lagoonhead/lagoonhead/dispatch"
 	"github.com/lagoonhead/lagoonhead/httpdrain"
@@ -57,6 +58,13 @@
 	slotCount, homesPerWorkspace = 12, 4
 	// memoryShare is the fraction of MemoryBytes that is set as Go's soft memory limit.
 	memoryShare = 0.75
+	// bodyShare is the fraction of MemoryBytes that callers' bodies may take together, and
+	// connectionShare that which bounds the number of their connections. What remains is for the
+	// daemon itself, for answers and for garbage.
+	bodyShare, connectionShare = 0.25, 0.3
+	// answerShare is the fraction that buffered answers may take together, and minAnswerBytes the
+	// least that they may. It takes the largest answer, 8 MiB, beside the reserve for small ones.
+	answerShare, minAnswerBytes = 0.125, 12 << 20
 	// gcPercent is the garbage collection target (GOGC). A value below the default of
 	// 100 saves memory for CPU time, which is plentiful on the VMs that run this daemon.
 	gcPercent = 50
@@ -128,6 +136,8 @@
 	// refused because the processor is overloaded.
 	Begin func() error
 	End   func()
+	// Bodies bounds the memory of request bodies. It may be nil.
+	Bodies *bodybudget.Budget
 }
 
 // Daemon is one process of the serving system. Set the exported fields before Run.
@@ -177,8 +187,10 @@
 	heartbeats  *heartbeats
 	roleChanges roleChanges
 	connections *connections // of callers
-	guard       overload.Guard
-	meters      meters
+	// bodies bounds the memory of callers' bodies, answers that of buffered answers.
+	bodies, answers *bodybudget.Budget
+	guard           overload.Guard
+	meters          meters
 }
 
 // task is a background task. It runs until its context ends.
@@ -194,8 +206,6 @@
 	if d.LogVars != nil {
 		d.vars.Set("log", d.LogVars)
 	}
-	d.connections = newConnections(d.Settings.MaxDescriptors, d.guard.RefusesConnection, d.Platform.Refusal)
-	d.vars.Set("connections", d.connections.vars())
 	servers, err := d.listen()
 	if err != nil {
 		return err
@@ -213,10 +223,23 @@
 func (d *Daemon) prepare() {
 	d.incarnation = lagoonhead.Incarnation(string(d.Settings.VM) + "/" + uuid.NewString())
 	d.vars = new(expvar.Map)
+	d.buildCallerLimits()
 	d.buildState()
 	d.buildWork()
 }
 
+// buildCallerLimits creates what bounds the connections of callers and the memory that callers take.
+func (d *Daemon) buildCallerLimits() {
+	d.connections = newConnections(d.Settings, d.guard.RefusesConnection, d.Platform.Refusal)
+	d.vars.Set("connections", d.connections.vars())
+	// A body of unknown length is counted twice while its parts are joined.
+	d.bodies = bodybudget.New(max(int64(bodyShare*float64(d.Settings.MemoryBytes)), 3*defaultBodyLimit), d.Timer, d.Log)
+	d.answers = bodybudget.NewForAnswers(max(int64(answerShare*float64(d.Settings.MemoryBytes)), minAnswerBytes), d.Timer, d.Log)
+	d.vars.Set("bufferedAnswers", d.answers.Vars())
+	d.bodies.Crowded = d.connections.crowded
+	d.vars.Set("bodies", d.bodies.Vars())
+}
+
 // run runs the tasks until ctx ends or one of them fails, then drains.
 func (d *Daemon) run(ctx context.Context, s *servers) error {
 	stopping, stop := context.WithCancel(ctx)
@@ -428,7 +451,7 @@
 	d.dispatcher = &dispatch.Dispatcher{
 		Catalogs: d.config, Admitter: d.admit, Suspects: suspect.NotifyingTable{Table: d.suspects, SendHeartbeat: d.exchanger.ExchangeNow}, Parts: d.parts,
 		Departures: d.endpoints, Versions: d.versions, Sender: d.Platform.Sender,
-		Usage: d.tally, RetryBudget: newRetries(s, d.members, d.Timer), Timer: d.Timer, Log: d.Log, Domain: s.FailureDomain,
+		Usage: d.tally, RetryBudget: newRetries(s, d.members, d.Timer), Timer: d.Timer, Log: d.Log, Domain: s.FailureDomain, Answers: d.answers,
 	}
 	d.dispatcher.WithBoard(func(b *steer.Board) {
 		b.LimitShare, b.ColdShare, b.TransferPerToken = d.members.limitShare, d.coldShares.share, d.transferPerToken
@@ -470,7 +493,7 @@
 
 func (d *Daemon) tasks() []task {
 	tasks := append(d.storeTasks(),
-		d.exchanger.Run, d.admit.Run, d.refusedParts.run, d.mixedVersions.run, d.awake.run, d.versions.Run,
+		d.exchanger.Run, d.admit.Run, d.refusedParts.run, d.mixedVersions.run, d.awake.run, d.versions.Run, d.bodies.Run, d.answers.Run,
 		func(ctx context.Context) error {
 			timer.Every(ctx, d.Timer, lapsedInterval, func(time.Duration) { d.endpoints.removeLapsed() })
 			return nil
@@ -523,7 +546,7 @@
 		return nil, &Error{lagoonhead.Fault{Op: "entry.listen", Kind: lagoonhead.KindInternal, Err: err}}
 	}
 	p := &peer.Server{Config: noConfiguration{}, Lender: d.admit, Usage: noUsageCopies{}, Heartbeats: d.heartbeats, Counts: d.heartbeats, Streams: d.versions}
-	s := &servers{callers: d.Platform.Callers(d.dispatcher, CallerLimits{d.closesConnections, d.bodyLimit, d.beginRequest, d.guard.End})}
+	s := &servers{callers: d.Platform.Callers(d.dispatcher, CallerLimits{d.closesConnections, d.bodyLimit, d.beginRequest, d.guard.End, d.bodies})}
 	if h, ok := s.callers.Handler.(interface{ Vars() *expvar.Map }); ok {
 		d.vars.Set("answers", h.Vars())
 	}
@@ -549,6 +572,7 @@
 		listener = accepting
 		if v.server == s.callers {
 			d.vars.Set("acceptFailed", &accepting.failed)
+			d.connections.bound(socket, d.Log)
 			s.callerListener = &httpdrain.Listener{Listener: d.connections.limit(listener), Socket: socket, Log: d.Log, Pending: d.connections.refuser.Waiting}
 			d.vars.Set("closed", s.callerListener.Vars())
 			s.callers.ConnState = s.callerListener.StateChanged
