triage: order of prompts and times to return while engines are overloaded

With more long prompts than can be prefilled in time, prompts that are already late wait in front of those that can still be in time, the forecast of a short prompt counts long ones that it passes, and refused callers come back after 300 ms whatever the backlog is.

Package triage decides on each prompt whose service misses its objective. A late prompt goes behind those of its class that can be in time and ahead of the next class, one that comes back after a refusal is refused again only if it can't be served at all, and a prompt that can't be served before its caller gives up is refused at once. Retry-After is the time in which the backlog drains, spread at random, at most a third of what the caller has left. A run whose prompt is prefilled goes first.

--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -20,6 +20,7 @@
 	"github.com/lagoonhead/lagoonhead/metrics"
 	"github.com/lagoonhead/lagoonhead/steer"
 	"github.com/lagoonhead/lagoonhead/timer"
+	"github.com/lagoonhead/lagoonhead/triage"
 )
 
 // Call is a request of a caller.
@@ -94,6 +95,7 @@
 	mu    sync.Mutex
 	board steer.Board
 	once  sync.Once
+	judge triage.Judge
 	// inProgressMu guards inProgress, which holds the requests that are being served with the
 	// functions that end them.
 	inProgressMu sync.Mutex
@@ -117,6 +119,9 @@
 	// silencesMoved counts the attempts that were given up because their endpoint was silent for
 	// too long, and silencesWaited those that went on because the request could not move.
 	silencesMoved, silencesWaited expvar.Int
+	// overloaded counts the prompts that were judged while their service was overloaded, by place,
+	// and overloadedRefused those of them that were refused.
+	overloaded, overloadedRefused expvar.Map
 	// firstEventLatency is the time from arrival to the first event of a stream,
 	// answerLatency the time from arrival to the end of a served answer.
 	firstEventLatency, answerLatency *metrics.Latency
@@ -147,6 +152,8 @@
 		c.all.Set("firstEventSeconds", c.firstEventLatency)
 		c.all.Set("wholeSeconds", c.answerLatency)
 		c.all.Set("notServed", &c.notServed)
+		c.all.Set("overloaded", &c.overloaded)
+		c.all.Set("overloadedRefused", &c.overloadedRefused)
 	})
 }
 
--- a/dispatch/request.go
+++ b/dispatch/request.go
@@ -11,6 +11,7 @@
 	"github.com/lagoonhead/lagoonhead"
 	"github.com/lagoonhead/lagoonhead/catalog"
 	"github.com/lagoonhead/lagoonhead/steer"
+	"github.com/lagoonhead/lagoonhead/triage"
 )
 
 // defaultTimeout bounds a request for which neither the route nor the caller sets a timeout.
@@ -44,6 +45,12 @@
 	// takenRetries is the number of sends that were taken from the retry budget in advance.
 	takenRetries int
 	usageCounted bool
+	// prompt and decision are the newest judgement of the prompt. judged is true from the time
+	// judgedAt at which the prompt was sent as decided until it is prefilled or failed.
+	prompt   triage.Prompt
+	decision triage.Decision
+	judged   bool
+	judgedAt time.Duration
 	// started is true once the sink has got the beginning of an answer.
 	started bool
 	// takeUp is true if the caller takes up a stream that began with another request.
@@ -360,7 +367,7 @@
 	}
 	e := fail("serve", k, err)
 	if k == lagoonhead.KindUnavailable {
-		e.retryAfter = max(RetryAfter(err), busyRetryAfter)
+		e.retryAfter = r.finalRetryAfter(err)
 	}
 	return e
 }
--- a/dispatch/stream.go
+++ b/dispatch/stream.go
@@ -26,8 +26,6 @@
 	// minPrefillTimeout is the shortest timeout of a prefill. An engine that has crashed is
 	// noticed sooner, by its connection; this is for one that hangs.
 	minPrefillTimeout = 1500 * time.Millisecond
-	// leastUrgent is the highest value of an attempt's urgency, which is the least urgent one.
-	leastUrgent = 9
 	// expectedFirstEventTime is the expected time from the end of a separate prefill to the
 	// first event at the caller, with a batch that is half full.
 	expectedFirstEventTime = 150 * time.Millisecond
@@ -39,11 +37,6 @@
 	reservationTime = 500 * time.Millisecond
 )
 
-// prefillClassBounds are the upper bounds of the prefill classes, in tokens. The unshared part
-// of a prompt is usually in the first two classes, a shared part that must be prefilled as
-// well in the third.
-var prefillClassBounds = []int{2_000, 6_000, 24_000}
-
 // serveStream serves a request whose answer is a series of events.
 func (r *request) serveStream(ctx context.Context) error {
 	var handle *lagoonhead.KVHandle
@@ -114,14 +107,12 @@
 			return nil, r.refuse(r.version, "the prompt")
 		}
 		r.addStep("read at %s: apart %t, %d tokens, expected in %s", v.Endpoint.ID(), v.PrefillOnly, v.Tokens, v.Wait.Round(time.Millisecond))
-		// A caller that has a part of the stream may wait on, and a refusal would cut it off.
-		if late := r.Timer.Now() + v.Wait - r.callerGiveUpTime(); late > 0 && !r.started {
+		if err := r.judgePrompt(v); err != nil {
 			r.cancelPrefill(v)
-			e := failf("forecast", lagoonhead.KindUnavailable, "the prompt would be read in %s", v.Wait)
-			e.retryAfter = late + busyRetryAfter
-			return nil, e
+			return nil, err
 		}
 		if !v.PrefillOnly {
+			r.beginJudged()
 			return &v, nil
 		}
 		if uncounted && !r.takeRetry() {
@@ -181,6 +172,7 @@
 func (r *request) endPrefill(v steer.PrefillChoice, took time.Duration) {
 	now := r.Timer.Now()
 	r.WithBoard(func(b *steer.Board) { b.EndPrefill(now, v, r.call.Prompt, took) })
+	r.endJudged(now, took > 0)
 }
 
 // cancelPrefill ends a prefill that is not sent.
@@ -202,10 +194,11 @@
 	r.sends++
 	r.vars.prefills.Add(1)
 	began := r.Timer.Now()
-	attemptCtx, cancel := context.WithTimeoutCause(ctx, max(prefillTimeoutFactor*v.Wait, minPrefillTimeout), errSilent)
+	attemptCtx, cancel := context.WithTimeoutCause(ctx, max(prefillTimeoutFactor*max(v.Wait, r.decision.Expected), minPrefillTimeout), errSilent)
 	defer cancel()
 	a := r.newAttempt(v.Endpoint)
-	a.Urgency = min(leastUrgent, a.Urgency+prefillClass(v.Tokens))
+	a.Urgency = r.decision.Urgency
+	r.beginJudged()
 	h, err := r.Sender.Prefill(attemptCtx, a)
 	if err != nil {
 		r.endPrefill(v, 0)
@@ -217,18 +210,6 @@
 	return h, nil
 }
 
-// prefillClass returns the number by which a prefill's urgency value is raised, so that an
-// engine serves shorter prefills of the same urgency first. A prefill of 40,000 tokens in
-// front of ten of 2,000 would be in time itself and make all of them late.
-func prefillClass(tokens int) int {
-	for i, bound := range prefillClassBounds {
-		if tokens < bound {
-			return i
-		}
-	}
-	return len(prefillClassBounds)
-}
-
 // run has the engine that beginRun chose run the request and forwards its events. If v is set, that
 // engine also prefills the prompt.
 func (r *request) run(ctx context.Context, e lagoonhead.Endpoint, v *steer.PrefillChoice, h *lagoonhead.KVHandle) error {
@@ -254,6 +235,7 @@
 	}
 	a := r.newAttempt(e)
 	a.KVSource = h
+	a.Urgency = r.runUrgency(v, h)
 	ans, err := r.Sender.Send(attemptCtx, a)
 	if err != nil {
 		if !lagoonhead.IsKind(err, lagoonhead.KindUnavailable) {
@@ -332,7 +314,11 @@
 	if r.started {
 		return max(r.route.AssumedCallerTimeout/2, 2*r.route.PauseObjective, minSilenceTimeout)
 	}
-	return halfUntil(now, r.callerGiveUpTime(), minSilenceTimeout)
+	half := halfUntil(now, r.callerGiveUpTime(), minSilenceTimeout)
+	if r.judged && r.decision.Place.Behind() {
+		return max(half, prefillTimeoutFactor*r.decision.Expected)
+	}
+	return half
 }
 
 // forwardNonStream gives the caller an answer that is not a stream, unless another engine may
--- /dev/null
+++ b/triage/judge.go
@@ -0,0 +1,281 @@
+package triage
+
+import (
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/lagoonhead/lagoonhead"
+)
+
+const (
+	// LeastUrgent is the highest value of an urgency, which is the least urgent one.
+	LeastUrgent = 9
+	// behindShift is added to the urgency value of a prompt that goes behind those of its class that
+	// can be in time. Classes are two apart, so that it stays ahead of the next class, whose prompts
+	// are three to four times as long: a late answer is worth a third of one in time.
+	behindShift, classDistance = 1, 2
+	// yieldShift is added instead for a prompt of a workspace that has had its fair share, so that
+	// it goes behind the late prompts of the next class.
+	yieldShift = 4
+	// overloadedShare is the part of the forecasts that miss the objective from which on a service
+	// is overloaded, since callers expect nine tenths of the answers in time. minMisses is the least
+	// decayed number of them; a single one may be a wrong forecast.
+	overloadedShare, minMisses = 0.1, 1.5
+	// forecastMargin is the factor by which a prompt's time must fit before the due time. Without it
+	// half of those that just fit would be late.
+	forecastMargin = 1.3
+	// censoredFactor is the factor by which the time counts for which a prompt waited in vain: it
+	// would have waited at least that long again, as far as is known.
+	censoredFactor = 2
+)
+
+// classBounds are the upper bounds of the classes of prompts by length, in tokens. The unshared part
+// of a prompt is usually in the first two classes, a shared part that must be prefilled as well in
+// the third.
+var classBounds = [maxClass]int{2_000, 6_000, 24_000}
+
+const maxClass = 3
+
+// Class returns the number by which a prompt's urgency value is raised, so that an engine serves
+// shorter prompts of the same urgency first. A prompt of 40,000 tokens in front of ten of 2,000
+// would be in time itself and make all of them late.
+func Class(tokens int) int {
+	for i, bound := range classBounds {
+		if tokens < bound {
+			return i
+		}
+	}
+	return maxClass
+}
+
+// Prompt is a prompt that is about to be sent to an engine, with its forecast. Times are on the
+// timer of the caller of the package.
+type Prompt struct {
+	Service   string
+	Workspace lagoonhead.WorkspaceID
+	// Fingerprint is the same for a request that comes back after a refusal.
+	Fingerprint uint64
+	// Urgency is that of the route or workspace, 0 to 9.
+	Urgency int
+	// Tokens is the number of tokens that need prefill.
+	Tokens int
+	// Separate reports whether the engine only prefills.
+	Separate bool
+	// Wait is the expected time until the prompt is prefilled behind all that waits at the engine.
+	Wait time.Duration
+	// Due is when the prompt must be prefilled to be in time. GiveUp is when the caller gives up.
+	Due, GiveUp time.Duration
+	// HasObjective is false on a route without a latency objective, which is never overloaded.
+	HasObjective bool
+	// Started reports whether the caller already has a part of the answer.
+	Started bool
+}
+
+// Place is the place of a prompt in an engine's queue.
+type Place uint8
+
+// The values of Place.
+const (
+	// Unchanged is for prompts of services that are not overloaded.
+	Unchanged Place = iota
+	// Front is for prompts that can be in time, and for short ones.
+	Front
+	// Returned is for prompts that are late and come back after a refusal.
+	Returned
+	// Late is for prompts that can no longer be in time.
+	Late
+	// Yielding is for prompts of workspaces that have had their fair share.
+	Yielding
+)
+
+// String returns the name of the place.
+func (p Place) String() string {
+	return [...]string{"unchanged", "front", "returned", "late", "yielding"}[p]
+}
+
+// Behind reports whether the place is behind prompts that can be in time.
+func (p Place) Behind() bool { return p >= Returned }
+
+// Decision is what to do with a prompt.
+type Decision struct {
+	Place Place
+	// Urgency is the value to send.
+	Urgency int
+	// Expected is the expected time until the prompt is prefilled at its place.
+	Expected time.Duration
+	// Refused is true if the prompt is not to be sent. RetryAfter is the time after which the
+	// caller may come back, or 0 if the service is not overloaded.
+	Refused    bool
+	RetryAfter time.Duration
+}
+
+// Judge makes the decisions of one VM. It is safe for concurrent use. The zero value is ready.
+type Judge struct {
+	// Random returns a random number from 0 to below 1. If it is nil, rand.Float64 is used.
+	Random func() float64
+
+	mu       sync.Mutex
+	services map[string]*load
+	refused  refusals
+}
+
+// load is what this VM knows of the load of a service.
+type load struct {
+	// missed is the part of the forecasts that missed the objective.
+	missed ratio
+	queued queued
+	// front and behind are the times until prompts were prefilled, by class, of those that were put
+	// behind and the others. The forecast counts all that waits at an engine, of which a prompt
+	// passes those of higher classes.
+	front, behind [maxClass + 1]delays
+}
+
+func (j *Judge) random() float64 {
+	if j.Random != nil {
+		return j.Random()
+	}
+	return rand.Float64()
+}
+
+// load returns the load of a service. The caller holds mu.
+func (j *Judge) load(service string) *load {
+	l := j.services[service]
+	if l == nil {
+		if j.services == nil {
+			j.services = make(map[string]*load)
+		}
+		l = new(load)
+		j.services[service] = l
+	}
+	return l
+}
+
+// overloaded reports whether forecasts have missed the objective lately.
+func (l *load) overloaded(now time.Duration) bool {
+	f := decayFactor(now-l.missed.at, memory)
+	return l.missed.part*f >= minMisses && l.missed.part >= overloadedShare*l.missed.all
+}
+
+// Decide decides on a prompt. The caller must call Begin for one that it sends.
+func (j *Judge) Decide(now time.Duration, p Prompt) Decision {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	class := Class(p.Tokens)
+	d := Decision{Urgency: p.Urgency, Expected: p.Wait}
+	if p.Separate {
+		d.Urgency += class
+	}
+	d.Urgency = min(LeastUrgent, d.Urgency)
+	if !p.HasObjective {
+		d.Refused = !p.Started && now+p.Wait > p.GiveUp
+		return d
+	}
+	l := j.load(p.Service)
+	p.Due = min(p.Due, p.GiveUp)
+	late := now+p.Wait > p.Due
+	l.missed.add(now, late)
+	if !late && !l.overloaded(now) {
+		return d
+	}
+	d.Place, d.Expected = j.place(now, l, p, class)
+	d.Urgency = d.Place.urgency(p.Urgency, class)
+	if p.Started || now+d.Expected <= p.GiveUp {
+		return d
+	}
+	d.Refused = true
+	d.RetryAfter = j.retryAfter(now, now+p.Wait-p.Due, p.GiveUp)
+	j.refused.add(now, p.Fingerprint, d.RetryAfter)
+	return d
+}
+
+// urgency returns the urgency value that an overloaded service's prompt is sent with.
+func (p Place) urgency(base, class int) int {
+	u := base + max(0, classDistance*class-1)
+	switch {
+	case p == Yielding:
+		u += yieldShift
+	case p.Behind():
+		u += behindShift
+	}
+	return min(LeastUrgent, u)
+}
+
+// place returns the place of a prompt of an overloaded service, and the expected time until it is
+// prefilled there.
+func (j *Judge) place(now time.Duration, l *load, p Prompt, class int) (Place, time.Duration) {
+	// Prompts that were put behind do not delay those in front.
+	unpassed := time.Duration(float64(p.Wait) * (1 - l.queued.behindShare(now)))
+	front := l.front[class].estimate(now, unpassed)
+	switch {
+	// A caller with a part of the answer waits for the next event. A short prompt costs the others
+	// less than the error of a forecast.
+	case p.Started, class == 0, now+time.Duration(forecastMargin*float64(front)) <= p.Due:
+		return Front, front
+	case j.refused.returned(now, p.Fingerprint):
+		// It is refused again only if it can't be served at all.
+		return Returned, min(front, l.behind[class].estimate(now, p.Wait))
+	default:
+		return Late, l.behind[class].estimate(now, p.Wait)
+	}
+}
+
+// Begin records that a prompt is sent as decided.
+func (j *Judge) Begin(now time.Duration, p Prompt, d Decision) {
+	if !p.HasObjective {
+		return
+	}
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.load(p.Service).queued.change(now, p.Tokens, d.Place)
+	j.refused.remove(p.Fingerprint)
+}
+
+// End records the end of what Begin began: after took the prompt was prefilled, or it was not. One
+// that was not and can no longer be in time has waited in vain; others say nothing on the load.
+func (j *Judge) End(now time.Duration, p Prompt, d Decision, took time.Duration, prefilled bool) {
+	if !p.HasObjective {
+		return
+	}
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	l := j.load(p.Service)
+	l.queued.change(now, -p.Tokens, d.Place)
+	if !prefilled && now >= p.Due {
+		took *= censoredFactor
+	}
+	switch {
+	case !prefilled && now < p.Due:
+	case d.Place.Behind():
+		l.behind[Class(p.Tokens)].add(now, took)
+	default:
+		l.front[Class(p.Tokens)].add(now, took)
+	}
+}
+
+// change changes the tokens that wait.
+func (s *queued) change(now time.Duration, tokens int, p Place) {
+	s.advance(now)
+	s.all += tokens
+	if p.Behind() {
+		s.behind += tokens
+	}
+}
+
+// Overloaded reports whether forecasts for a service have missed the objective lately.
+func (j *Judge) Overloaded(now time.Duration, service string) bool {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	l := j.services[service]
+	return l != nil && l.overloaded(now)
+}
+
+// RunUrgency returns the urgency value of a run whose prompt is prefilled already, or whose caller
+// has a part of the answer. While the service is overloaded it goes ahead of new prompts of the same
+// urgency: its prefill is paid for, and its KV cache takes room until it runs.
+func (j *Judge) RunUrgency(now time.Duration, service string, urgency int) int {
+	if urgency > 0 && j.Overloaded(now, service) {
+		return urgency - 1
+	}
+	return urgency
+}
