--- a/triage/retry.go
+++ b/triage/retry.go
@@ -61,11 +61,16 @@
 	}
 }
 
+// known reports whether the request was refused lately.
+func (s *refusals) known(now time.Duration, fingerprint uint64) bool {
+	v, ok := s.byFingerprint[fingerprint]
+	return ok && now <= v.until
+}
+
 // returned reports whether the request was refused lately and waited as it was asked to. One that
 // comes back at once has no better chance than before.
 func (s *refusals) returned(now time.Duration, fingerprint uint64) bool {
-	v, ok := s.byFingerprint[fingerprint]
-	return ok && v.from <= now && now <= v.until
+	return s.known(now, fingerprint) && s.byFingerprint[fingerprint].from <= now
 }
 
 func (s *refusals) remove(fingerprint uint64) { delete(s.byFingerprint, fingerprint) }
