--- a/dispatch/overload.go
+++ b/dispatch/overload.go
@@ -31,7 +31,7 @@
 	now := r.Timer.Now()
 	r.prompt = triage.Prompt{
 		Service: r.service, Fingerprint: r.demand.Fingerprint(), Urgency: r.urgency, Tokens: v.Tokens, Separate: v.PrefillOnly,
-		Wait: v.Wait, Due: r.prefillDue(), GiveUp: r.callerGiveUpTime(), Started: r.started,
+		Wait: v.Wait, Arrived: r.arrived, Due: r.prefillDue(), GiveUp: r.callerGiveUpTime(), Started: r.started,
 		HasObjective: r.route.Objective > 0 && v.Endpoint.Kind() == lagoonhead.EndpointKindEngine,
 	}
 	if r.workspace != nil {
--- a/triage/decay.go
+++ b/triage/decay.go
@@ -73,3 +73,23 @@
 	s.advance(now)
 	return s.behindIntegral / (s.allIntegral + minQueued)
 }
+
+// leastWait is the least forecast per token, in seconds. It rises with usualMemory while the service
+// is not overloaded, since engines may have become slower.
+type leastWait struct {
+	perToken float64
+	at       time.Duration
+}
+
+// observe adds a forecast and returns the least one for the same number of tokens.
+func (s *leastWait) observe(now, wait time.Duration, tokens int, overloaded bool) time.Duration {
+	n := float64(max(1, tokens))
+	switch x := wait.Seconds() / n; {
+	case s.perToken == 0 || x < s.perToken:
+		s.perToken = x
+	case !overloaded:
+		s.perToken += (x - s.perToken) * (1 - decayFactor(now-s.at, usualMemory))
+	}
+	s.at = now
+	return time.Duration(s.perToken * n * float64(time.Second))
+}
--- a/triage/judge.go
+++ b/triage/judge.go
@@ -19,9 +19,10 @@
 	// yieldShift is added instead for a prompt of a workspace that has had its fair share, so that
 	// it goes behind the late prompts of the next class.
 	yieldShift = 4
-	// yieldingPart is the part of the time until prompts are due that those which yield may fill, so
-	// that a prompt of another workspace that takes the other half is still forecast to be in time.
-	yieldingPart = 0.5
+	// yieldingPart is the part of the time from the arrival of prompts until they are due that those
+	// which yield may fill, so that a long prompt of another workspace is still forecast to be in time:
+	// it takes six tenths, 265 of 450 ms, where the queue is empty.
+	yieldingPart = 0.4
 	// overloadedShare is the part of the forecasts that miss the objective from which on a service
 	// is overloaded, since callers expect nine tenths of the answers in time. minMisses is the least
 	// decayed number of them; a single one may be a wrong forecast.
@@ -30,6 +31,9 @@
 	// flood that yields lets the forecasts recover, and would go on at once. At four it lasts some
 	// 5 s.
 	lingering = 4
+	// passingFactor is the time that a prompt waits which others pass, in multiples of the forecast
+	// without that, until it is measured. For one that comes back it is 1.
+	passingFactor = 1.5
 	// censoredFactor is the factor by which the time counts for which a prompt waited in vain: it
 	// would have waited at least that long again, as far as is known.
 	censoredFactor = 2
@@ -69,8 +73,9 @@
 	Separate bool
 	// Wait is the expected time until the prompt is prefilled behind all that waits at the engine.
 	Wait time.Duration
-	// Due is when the prompt must be prefilled to be in time. GiveUp is when the caller gives up.
-	Due, GiveUp time.Duration
+	// Due is when a prompt that arrived at Arrived must be prefilled to be in time. GiveUp is when
+	// the caller gives up.
+	Arrived, Due, GiveUp time.Duration
 	// HasObjective is false on a route without a latency objective, which is never overloaded.
 	HasObjective bool
 	// Started reports whether the caller already has a part of the answer.
@@ -130,6 +135,8 @@
 	// missed is the part of the forecasts that missed the objective, by class.
 	missed [maxClass + 1]ratio
 	queued queued
+	// least is the least wait in relation to the length, by class.
+	least [maxClass + 1]leastWait
 	// front and behind are the times until prompts were prefilled, by class, of those that were put
 	// behind and the others. The forecast counts all that waits at an engine, of which a prompt
 	// passes those of higher classes.
@@ -186,17 +193,22 @@
 	}
 	l := j.load(p.Service)
 	p.Due = min(p.Due, p.GiveUp)
-	late := now+p.Wait > p.Due
-	l.missed[class].add(now, late)
+	least := l.least[class].observe(now, p.Wait, p.Tokens, l.wasOverloaded)
+	// A prompt that is late by its length alone, or because it was refused or failed before, shows no
+	// overload.
+	budget := p.Due - p.Arrived
+	missed := p.Wait > budget && least <= budget
+	l.missed[class].add(now, missed)
 	if !j.refused.known(now, p.Fingerprint) {
 		l.shares.ask(now, p.Workspace, p.Tokens, l.overloaded(now))
 	}
-	if !late && !l.overloaded(now) {
+	if overloaded := l.overloaded(now); !missed && !overloaded {
+		d.Refused = !p.Started && now+p.Wait > p.GiveUp
 		return d
 	}
 	d.Place, d.Expected = j.place(now, l, p, class)
 	d.Urgency = d.Place.urgency(p.Urgency, class)
-	if p.Started || now+d.Expected <= d.Place.latest(now, p.Due, p.GiveUp) {
+	if p.Started || now+d.Expected <= d.Place.latest(now, budget, p.GiveUp) {
 		return d
 	}
 	d.Refused = true
@@ -219,9 +231,9 @@
 
 // latest returns until when a prompt must be expected to be prefilled to be sent. Other VMs count
 // those that yield in their forecasts, since they do not know that they yield.
-func (p Place) latest(now, due, giveUp time.Duration) time.Duration {
+func (p Place) latest(now, budget, giveUp time.Duration) time.Duration {
 	if p == Yielding {
-		return now + time.Duration(yieldingPart*float64(due-now))
+		return min(giveUp, now+time.Duration(yieldingPart*float64(budget)))
 	}
 	return giveUp
 }
@@ -246,10 +258,10 @@
 	case p.Started, class == 0, now+front <= p.Due:
 		return Front, front
 	case returned:
-		// It is refused again only if it can't be served at all.
-		return Returned, min(front, l.behind[class].estimate(now, p.Wait))
+		// It is given the benefit of a forecast without others that pass it.
+		return Returned, l.behind[class].estimate(now, p.Wait)
 	default:
-		return Late, l.behind[class].estimate(now, p.Wait)
+		return Late, l.behind[class].estimate(now, time.Duration(passingFactor*float64(p.Wait)))
 	}
 }
 
--- a/triage/load_test.go
+++ b/triage/load_test.go
@@ -45,12 +45,12 @@
 const simWorkspaces = 71
 
 // simResult counts requests by outcome.
-type simResult struct{ all, inTime, served, yielded float64 }
+type simResult struct{ all, inTime, served, yielded, inVain float64 }
 
 func (r simResult) worth() float64 { return (r.inTime + (r.served-r.inTime)/3) / r.all }
 
 func (r simResult) String() string {
-	return fmt.Sprintf("in time %.3f, served %.3f, worth %.3f of %.0f", r.inTime/r.all, r.served/r.all, r.worth(), r.all)
+	return fmt.Sprintf("in time %.3f, served %.3f, worth %.3f, sent in vain %.3f of %.0f", r.inTime/r.all, r.served/r.all, r.worth(), r.inVain/r.all, r.all)
 }
 
 // simRequest is a request with the state of its newest attempt.
@@ -151,7 +151,7 @@
 	r := &simRequest{arrived: at, workspace: workspace}
 	r.Prompt = Prompt{
 		Service: "s", Workspace: lagoonhead.WorkspaceID(fmt.Sprint("w", workspace)), Fingerprint: *number, Tokens: 383, Separate: true,
-		HasObjective: true, Due: at + simObjective - 150*time.Millisecond, GiveUp: at + simPatience,
+		HasObjective: true, Arrived: at, Due: at + simObjective - 150*time.Millisecond, GiveUp: at + simPatience,
 	}
 	if s.rng.Float64() < s.load.long/(s.load.long+s.load.short) {
 		if r.Tokens = 3_720; s.rng.Float64() < 0.5 {
@@ -237,6 +237,9 @@
 		if s.judges != nil {
 			s.judges[r.vm].End(at, r.Prompt, r.decision, at-r.sent, served)
 		}
+		if left {
+			s.count(r, func(v *simResult) { v.inVain++ })
+		}
 		if served && !left {
 			s.count(r, func(v *simResult) {
 				v.served++
@@ -275,6 +278,7 @@
 			require.LessOrEqual(t, after["long"].yielded+after["short"].yielded, 0.001*(after["long"].all+after["short"].all), "none yields by chance")
 			// A hundredth is the standard error of the share of some thousand requests.
 			require.GreaterOrEqual(t, after["long"].worth(), before["long"].worth()-0.01)
+			require.LessOrEqual(t, after["long"].inVain/after["long"].all, before["long"].inVain/before["long"].all+0.01, "what goes behind is not starved")
 			require.GreaterOrEqual(t, after["short"].inTime/after["short"].all, 0.9, "callers expect nine tenths in time")
 		})
 	}
