triage: streams that are taken up are not put behind

A caller that takes a stream up waits for its next event as one whose stream goes on within the answer, but its prompt was ordered as a new one while engines are overloaded, and its workspace could have to yield.

Its prompt goes in front and its run ahead of new ones. It is still refused if it can't be served before its caller gives up.

--- a/dispatch/overload.go
+++ b/dispatch/overload.go
@@ -11,7 +11,7 @@
 // checkReturn returns an error if the request comes back before the time that a refusal named. It
 // costs less than what follows, which may ask other VMs for the software version or for tokens.
 func (r *request) checkReturn() error {
-	if !r.call.HasPrompt || r.route.Objective == 0 || r.call.LastEventID != "" {
+	if !r.call.HasPrompt || r.route.Objective == 0 || r.call.LastEventID != "" { // a stream that is taken up
 		return nil
 	}
 	after, early := r.judge.TooEarly(r.arrived, r.service, r.demand.Fingerprint())
@@ -31,7 +31,7 @@
 	now := r.Timer.Now()
 	r.prompt = triage.Prompt{
 		Service: r.service, Fingerprint: r.demand.Fingerprint(), Urgency: r.urgency, Tokens: v.Tokens, Separate: v.PrefillOnly,
-		Wait: v.Wait, Arrived: r.arrived, Due: r.prefillDue(), GiveUp: r.callerGiveUpTime(), Started: r.started,
+		Wait: v.Wait, Arrived: r.arrived, Due: r.prefillDue(), GiveUp: r.callerGiveUpTime(), Started: r.started, Resumes: r.takeUp,
 		HasObjective: r.route.Objective > 0 && v.Endpoint.Kind() == lagoonhead.EndpointKindEngine,
 	}
 	if r.workspace != nil {
@@ -76,7 +76,7 @@
 	switch {
 	case v != nil:
 		return r.decision.Urgency
-	case h != nil || r.started:
+	case h != nil || r.started || r.takeUp:
 		return r.judge.RunUrgency(r.Timer.Now(), r.service, r.urgency)
 	default:
 		return r.urgency
--- a/triage/judge.go
+++ b/triage/judge.go
@@ -78,8 +78,9 @@
 	Arrived, Due, GiveUp time.Duration
 	// HasObjective is false on a route without a latency objective, which is never overloaded.
 	HasObjective bool
-	// Started reports whether the caller already has a part of the answer.
-	Started bool
+	// Started reports whether the caller already has a part of the answer, so that a refusal would
+	// cut it off. Resumes reports whether it has it from an earlier request.
+	Started, Resumes bool
 }
 
 // Place is the place of a prompt in an engine's queue.
@@ -249,13 +250,13 @@
 	if returned {
 		yields *= yields
 	}
-	if !p.Started && draw(p.Fingerprint) < yields {
+	if !p.Started && !p.Resumes && draw(p.Fingerprint) < yields {
 		return Yielding, max(p.Wait, l.behind[class].estimate(now, p.Wait))
 	}
 	switch {
 	// A caller with a part of the answer waits for the next event. A short prompt costs the others
 	// less than the error of a forecast.
-	case p.Started, class == 0, now+front <= p.Due:
+	case p.Started, p.Resumes, class == 0, now+front <= p.Due:
 		return Front, front
 	case returned:
 		// It is given the benefit of a forecast without others that pass it.
