--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -21,6 +21,7 @@
 	"github.com/lagoonhead/lagoonhead/metrics"
 	"github.com/lagoonhead/lagoonhead/steer"
 	"github.com/lagoonhead/lagoonhead/timer"
+	"github.com/lagoonhead/lagoonhead/triage"
 )
 
 // Call is a request of a caller.
@@ -100,6 +101,7 @@
 	mu    sync.Mutex
 	board steer.Board
 	once  sync.Once
+	judge triage.Judge
 	// inProgressMu guards inProgress, which holds the requests that are being served with the
 	// functions that end them.
 	inProgressMu sync.Mutex
@@ -125,6 +127,9 @@
 	silencesMoved, silencesWaited expvar.Int
 	// outsideRegions counts the refusals of requests that have no endpoint in their allowed regions.
 	outsideRegions expvar.Int
+	// overloaded counts the prompts that were judged while their service was overloaded, by place,
+	// and overloadedRefused those of them that were refused.
+	overloaded, overloadedRefused expvar.Map
 	// firstEventLatency is the time from arrival to the first event of a stream,
 	// answerLatency the time from arrival to the end of a served answer.
 	firstEventLatency, answerLatency *metrics.Latency
@@ -158,6 +163,8 @@
 		c.all.Set("firstEventSeconds", c.firstEventLatency)
 		c.all.Set("wholeSeconds", c.answerLatency)
 		c.all.Set("notServed", &c.notServed)
+		c.all.Set("overloaded", &c.overloaded)
+		c.all.Set("overloadedRefused", &c.overloadedRefused)
 	})
 }
 
