steer: bound what is estimated of work that no report shows

After a gap in the reports, and at VMs that change their hub, the growth of a peer's counters stands for more time than the estimate assumed, and some of it is counted twice: an engine with 16,000 reported tokens was taken for one with 728,000, and short prompts were refused for seconds. The rate at which peers send is now bounded by twice the engine's rate and estimated for a second at most, and no prompt is refused for work that no report shows.

--- a/dispatch/stream.go
+++ b/dispatch/stream.go
@@ -118,7 +118,7 @@
 			r.addStep("shared part fetched from %s", v.CacheSource.ID())
 		}
 		// A caller that has a part of the stream may wait on, and a refusal would cut it off.
-		if late := r.Timer.Now() + v.Wait - r.callerGiveUpTime(); late > 0 && !r.started {
+		if late := r.Timer.Now() + v.Wait - v.Estimate.Unseen - r.callerGiveUpTime(); late > 0 && !r.started {
 			r.cancelPrefill(v)
 			e := failf("forecast", lagoonhead.KindUnavailable, "the prompt would be read in %s", v.Wait)
 			e.retryAfter = late + busyRetryAfter
--- a/steer/estimate.go
+++ b/steer/estimate.go
@@ -17,6 +17,14 @@
 	// prefilled yet, however fast the engine is: about the prefill time of a long prompt whose
 	// shared part is cached.
 	undoneTime = 80 * time.Millisecond
+	// maxSentRatio bounds the rate at which peers are taken to send to an engine, in multiples of its
+	// prefill rate. A report that comes after a gap has the work of the whole gap, and a VM that
+	// changes its hub hears some work twice: an engine with 16,000 reported tokens was taken for one
+	// with 728,000, and its service for full.
+	maxSentRatio = 2
+	// maxExtrapolation bounds the age of a report for which work sent since is estimated. Loads change
+	// within a second, and an older report tells little of the present.
+	maxExtrapolation = time.Second
 	// slownessDecayTime is the time after which the weight of a measured prefill has dropped to
 	// 1/e in an engine's slowness. An engine keeps its speed, and within this time all VMs together
 	// measure some dozens of prefills there.
@@ -160,12 +168,17 @@
 		return b.backlog(now, t)
 	}
 	e := b.estimateOf(now, t)
-	age := float64(e.age+now-e.updatedAt) / float64(time.Millisecond)
-	others := e.reported + (e.sentRate-b.rate(t))*age
-	least := e.sentRate * min(age, float64(undoneTime/time.Millisecond))
+	age, sentRate := e.extrapolation(now), min(e.sentRate, maxSentRatio*b.rate(t))
+	others := e.reported + (sentRate-b.rate(t))*milliseconds(age)
+	least := sentRate * milliseconds(min(age, undoneTime))
 	return t.own.PrefillTokens + int(max(others, least))
 }
 
+// extrapolation returns the time for which the work of peers is estimated.
+func (e *estimate) extrapolation(now time.Duration) time.Duration {
+	return min(e.age+now-e.updatedAt, maxExtrapolation)
+}
+
 // occupancy returns the time for which a prefill occupies a target that also runs requests. The measured
 // speed of such an engine includes the wait for a place in its batch, which delays no others.
 func (b *Board) occupancy(t *target, tokens int) time.Duration {
@@ -251,6 +264,9 @@
 	Age              time.Duration
 	// Rate is the expected prefill rate in tokens per millisecond.
 	Rate float64
+	// Unseen is the part of the expected time that is due to tokens which no report shows. It is too
+	// uncertain to refuse a prompt for.
+	Unseen time.Duration
 	// forecast is the expected time of the prefill at an engine of referenceRate, without the cost
 	// of a hand-over.
 	forecast time.Duration
@@ -271,10 +287,17 @@
 		return Estimate{}
 	}
 	e := b.estimateOf(now, t)
-	return Estimate{
+	v := Estimate{
 		Queued: queued, Reported: t.own.PrefillTokens + int(e.reported), Age: e.age + now - e.updatedAt, Rate: b.rate(t),
 		forecast: time.Duration(float64(prefill) / e.slowness),
 	}
+	if unseen := v.Queued - v.Reported; unseen > 0 {
+		v.Unseen = b.prefillTime(t, unseen)
+		if t.endpoint.Role() != lagoonhead.RolePrefill {
+			v.Unseen *= RunSlowdown
+		}
+	}
+	return v
 }
 
 // Vars returns the counters of choices and forecasts. They stay 0 where reports are fresh.
