steer, entry: daemons that are no hubs report their own work only

While the store served some VMs only, VMs had different views of which of them are hubs, and each passed the reports of others on to the VM that it took for its hub. In a circle of such VMs the counts grew with each round: an engine was taken for one with 221 million tokens in its queue, and prompts were refused for minutes of expected wait. Only hubs have other daemons attached to them, so others now report what they do themselves.

--- a/entry/heartbeats.go
+++ b/entry/heartbeats.go
@@ -48,7 +48,7 @@
 // Heartbeat returns a heartbeat to send to a peer as a request. It asks for what this
 // daemon's copy of the store lacks.
 func (b *heartbeats) Heartbeat(to lagoonhead.VMID) *peer.Heartbeat {
-	h := b.heartbeat(steer.Recipient{VM: to, Hub: true})
+	h := b.heartbeat(steer.Recipient{VM: to, Hub: true, OwnOnly: !b.members.isHub()})
 	if p := b.copy.Position(b.timer.Now()); b.attachment.needsUpdates(p) {
 		h.CopyPosition = encodePosition(p)
 	}
@@ -58,7 +58,7 @@
 // Answer processes a heartbeat that a peer sent as a request and returns the response.
 func (b *heartbeats) Answer(request *peer.Heartbeat) *peer.Heartbeat {
 	b.merge(request)
-	h := b.heartbeat(steer.Recipient{VM: lagoonhead.VMID(request.GetVm()), Hub: request.GetHub()})
+	h := b.heartbeat(steer.Recipient{VM: lagoonhead.VMID(request.GetVm()), Hub: request.GetHub(), OwnOnly: !b.members.isHub()})
 	if p := request.GetCopyPosition(); p != nil {
 		h.CopyUpdate = b.codec.encode(b.copy.UpdateFor(b.timer.Now(), decodePosition(p)))
 	}
--- a/steer/board.go
+++ b/steer/board.go
@@ -139,10 +139,16 @@
 	// Hub is true for a hub. It hears from the other hubs itself, so that it gets only
 	// the work of this daemon and of those attached to it.
 	Hub bool
+	// OwnOnly limits the report to the work of this daemon. It is set by a daemon that is no hub:
+	// while VMs have different views of which are hubs, reports that each of them passed on would
+	// go round and grow.
+	OwnOnly bool
 }
 
 // wants reports whether a report to r includes what a peer has reported.
-func (r Recipient) wants(vm lagoonhead.VMID, hub bool) bool { return vm != r.VM && (!r.Hub || !hub) }
+func (r Recipient) wants(vm lagoonhead.VMID, hub bool) bool {
+	return !r.OwnOnly && vm != r.VM && (!r.Hub || !hub)
+}
 
 // target is an endpoint with its load, health and cache contents.
 type target struct {
--- a/steer/board_test.go
+++ b/steer/board_test.go
@@ -345,3 +345,25 @@
 	}
 	require.InDelta(t, 48, b.rate(b.services[model][0]), 5, "many samples converge to the rate")
 }
+
+// Guards against work that goes round and grows while VMs have different views of which of them are
+// hubs: each of three VMs takes the next one for its hub, and none takes itself for one.
+func TestReportsDoNotGoRound(t *testing.T) {
+	list := fleet(1, 1)
+	boards := make([]*Board, 3)
+	for i := range boards {
+		boards[i] = newBoard(list)
+	}
+	name := func(i int) lagoonhead.VMID { return lagoonhead.VMID(fmt.Sprint("vm", i)) }
+	boards[0].AddRunning(list[1], 5)
+	for round := range 20 {
+		at := now + time.Duration(round)*250*time.Millisecond
+		for i, b := range boards {
+			next := (i + 1) % len(boards)
+			boards[next].SetPeerWork(at, name(i), false, b.Report(at, Recipient{VM: name(next), Hub: true, OwnOnly: true}))
+		}
+	}
+	for i, b := range boards {
+		require.LessOrEqual(t, b.running(now+5*time.Second, b.findTarget(list[1])), 5, "VM %d", i)
+	}
+}
