--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -158,6 +158,7 @@
 	// longestTimeout is explained at LongestTimeout.
 	longestTimeout time.Duration
 	noTimeout      bool
+	limitsRates    bool
 }
 
 // New returns a Catalog with the content of s. The caller must not modify s afterwards.
@@ -183,6 +184,7 @@
 	for i := range s.Workspaces {
 		w := &s.Workspaces[i]
 		c.workspaces[w.ID] = w
+		c.limitsRates = c.limitsRates || w.Quota.Rate > 0
 		for _, k := range w.Keys {
 			c.workspacesByKey[k] = w
 		}
@@ -223,6 +225,9 @@
 // WorkspaceByKey returns the workspace that the API key belongs to, or nil.
 func (c *Catalog) WorkspaceByKey(key string) *Workspace { return c.workspacesByKey[key] }
 
+// LimitsRates reports whether any workspace has a rate limit.
+func (c *Catalog) LimitsRates() bool { return c.limitsRates }
+
 // Quota returns the rate limit of a workspace. ok is false if the workspace is unknown
 // or has no limit.
 func (c *Catalog) Quota(id lagoonhead.WorkspaceID) (q lagoonhead.Quota, ok bool) {
--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -232,7 +232,7 @@
 	if r.workspace != nil && r.workspace.HasUrgency {
 		r.urgency = r.workspace.Urgency
 	}
-	r.service = pickShare(rt.Shares)
+	r.service, r.unlimited = pickShare(rt.Shares), !cat.LimitsRates()
 	r.setDeadline()
 	r.demand = d.newDemand(r)
 	return r, nil
--- a/dispatch/overload.go
+++ b/dispatch/overload.go
@@ -31,8 +31,8 @@
 	now := r.Timer.Now()
 	r.prompt = triage.Prompt{
 		Service: r.service, Fingerprint: r.demand.Fingerprint(), Urgency: r.urgency, Tokens: v.Tokens, Separate: v.PrefillOnly,
-		Wait: v.Wait, Arrived: r.arrived, Due: r.prefillDue(), GiveUp: r.callerGiveUpTime(), Started: r.started, Resumes: r.takeUp,
-		HasObjective: r.route.Objective > 0 && v.Endpoint.Kind() == lagoonhead.EndpointKindEngine,
+		Wait: v.Wait, Unseen: v.Estimate.Unseen, Arrived: r.arrived, Due: r.prefillDue(), GiveUp: r.callerGiveUpTime(), Started: r.started, Resumes: r.takeUp,
+		HasObjective: r.unlimited && r.route.Objective > 0 && v.Endpoint.Kind() == lagoonhead.EndpointKindEngine,
 	}
 	if r.workspace != nil {
 		r.prompt.Workspace = r.workspace.ID
--- a/dispatch/request.go
+++ b/dispatch/request.go
@@ -45,6 +45,9 @@
 	// takenRetries is the number of sends that were taken from the retry budget in advance.
 	takenRetries int
 	usageCounted bool
+	// unlimited is true if no workspace has a rate limit, so that the decisions of package triage
+	// divide the engines.
+	unlimited bool
 	// prompt and decision are the newest judgement of the prompt. judged is true from the time
 	// judgedAt at which the prompt was sent as decided until it is prefilled or failed.
 	prompt   triage.Prompt
--- a/triage/judge.go
+++ b/triage/judge.go
@@ -73,10 +73,14 @@
 	Separate bool
 	// Wait is the expected time until the prompt is prefilled behind all that waits at the engine.
 	Wait time.Duration
+	// Unseen is the part of Wait that is due to work which no report shows. It is too uncertain to
+	// refuse a prompt for.
+	Unseen time.Duration
 	// Due is when a prompt that arrived at Arrived must be prefilled to be in time. GiveUp is when
 	// the caller gives up.
 	Arrived, Due, GiveUp time.Duration
-	// HasObjective is false on a route without a latency objective, which is never overloaded.
+	// HasObjective is false on a route without a latency objective, which is never overloaded, and
+	// where decisions under overload are off.
 	HasObjective bool
 	// Started reports whether the caller already has a part of the answer, so that a refusal would
 	// cut it off. Resumes reports whether it has it from an earlier request.
@@ -189,7 +193,7 @@
 	}
 	d.Urgency = min(LeastUrgent, d.Urgency)
 	if !p.HasObjective {
-		d.Refused = !p.Started && now+p.Wait > p.GiveUp
+		d.Refused = !p.Started && now+p.Wait-p.Unseen > p.GiveUp
 		return d
 	}
 	l := j.load(p.Service)
@@ -204,7 +208,7 @@
 		l.shares.ask(now, p.Workspace, p.Tokens, l.overloaded(now))
 	}
 	if overloaded := l.overloaded(now); !missed && !overloaded {
-		d.Refused = !p.Started && now+p.Wait > p.GiveUp
+		d.Refused = !p.Started && now+p.Wait-p.Unseen > p.GiveUp
 		return d
 	}
 	d.Place, d.Expected = j.place(now, l, p, class)
