--- a/cmd/lagoonheadd/memory_test.go
+++ b/cmd/lagoonheadd/memory_test.go
@@ -161,11 +161,6 @@
 	return f
 }
 
-func stampAnswer(w http.ResponseWriter, r *http.Request, id string) {
-	w.Header().Set("X-Request-Id", r.Header.Get("X-Request-Id"))
-	w.Header().Set("X-Server-Stamp", "stamp-of-"+id)
-}
-
 // answer is a plain service that begins to read a large body late. Its answer to a path that ends in
 // /large has answerBytes.
 func (f *memoryFleet) answer(w http.ResponseWriter, r *http.Request) {
@@ -173,7 +168,7 @@
 		time.Sleep(300 * time.Millisecond)
 	}
 	_, _ = io.Copy(io.Discard, r.Body) // a broken request shows in the answer
-	stampAnswer(w, r, "s1")
+	fakewire.StampAnswer(w, r, "s1")
 	if !strings.HasSuffix(r.URL.Path, "/large") {
 		_, _ = io.WriteString(w, "answer")
 		return
@@ -190,7 +185,7 @@
 	f.streams.Add(1)
 	defer f.streams.Add(-1)
 	_, _ = io.Copy(io.Discard, r.Body) // a broken request shows in the answer
-	stampAnswer(w, r, "e1")
+	fakewire.StampAnswer(w, r, "e1")
 	w.Header().Set("Content-Type", "text/event-stream")
 	control := http.NewResponseController(w)
 	text := strings.Repeat("x", 1<<10)
--- a/entry/evacuation_test.go
+++ b/entry/evacuation_test.go
@@ -15,7 +15,7 @@
 	"github.com/lagoonhead/lagoonhead/timer"
 )
 
-const evacuationOfB = "op/evacuate/b"
+const evacuationOfB = "operator/evacuate/b"
 
 // evacuatedVM is a daemon without a network that knows an endpoint in each of the failure domains a
 // and b. It reads the store by its copy.
@@ -30,7 +30,7 @@
 	d := &Daemon{
 		Settings: Settings{VM: "vm-1", DutyReturnTime: time.Second, UsageWindow: time.Second, Regions: map[lagoonhead.FailureDomain]string{"b": "north"}},
 		Platform: Platform{
-			ConfigurationKey: "op/config", EndpointPrefix: "endpoints/", OperatorPrefix: "op/", EvacuationPrefix: "op/evacuate/",
+			ConfigurationKey: "operator/config", EndpointPrefix: "endpoints/", OperatorPrefix: "operator/", EvacuationPrefix: "operator/evacuate/",
 			DecodeConfiguration: func([]byte) (*catalog.Catalog, error) {
 				return catalog.New(catalog.Spec{Version: 1, Services: []catalog.Service{{Name: "s", ColdStart: 3 * time.Second, ColdPerSecond: 19}}}), nil
 			},
@@ -64,7 +64,7 @@
 // watch gives the VM an event of a watch.
 func (v evacuatedVM) watch(key string, revision int64, deleted bool) {
 	e := lagoonhead.Event{Entry: lagoonhead.Entry{Key: key, Revision: revision}, Deleted: deleted}
-	v.copy.Watched("op/", []lagoonhead.Event{e}, revision, v.clock.Now())
+	v.copy.Watched("operator/", []lagoonhead.Event{e}, revision, v.clock.Now())
 }
 
 // used returns the endpoints that get requests.
@@ -91,7 +91,7 @@
 // endpoint of a service. Guards against a failure domain that stays out of use.
 func TestEvacuations(t *testing.T) {
 	v := newEvacuatedVM(t)
-	v.list("op/", 1, lagoonhead.Entry{Key: "op/config"})
+	v.list("operator/", 1, lagoonhead.Entry{Key: "operator/config"})
 	v.requireEvacuated(false, false, "none is asked for")
 	v.watch(evacuationOfB, 2, false)
 	v.requireEvacuated(false, true, "acknowledged")
@@ -100,26 +100,26 @@
 	v.watch(evacuationOfB, 4, false)
 	v.watch(evacuationOfB, 4, false)
 	v.requireEvacuated(false, true, "once more")
-	v.watch("op/other", 5, false)
-	v.watch("op/evacuate/", 6, false)
-	v.watch("op/evacuate/c", 7, false)
+	v.watch("operator/other", 5, false)
+	v.watch("operator/evacuate/", 6, false)
+	v.watch("operator/evacuate/c", 7, false)
 	v.requireEvacuated(false, true, "other keys change nothing")
 
-	v.copy.Failed("op/", v.clock.Now(), errors.New("outage"))
+	v.copy.Failed("operator/", v.clock.Now(), errors.New("outage"))
 	v.clock.Advance(time.Hour)
 	v.requireEvacuated(false, true, "the store is away")
-	v.list("op/", 9, lagoonhead.Entry{Key: "op/config", Revision: 1})
+	v.list("operator/", 9, lagoonhead.Entry{Key: "operator/config", Revision: 1})
 	v.requireEvacuated(false, false, "withdrawn during the outage")
-	v.list("op/", 10, lagoonhead.Entry{Key: "op/config", Revision: 1}, lagoonhead.Entry{Key: evacuationOfB})
+	v.list("operator/", 10, lagoonhead.Entry{Key: "operator/config", Revision: 1}, lagoonhead.Entry{Key: evacuationOfB})
 	v.requireEvacuated(false, true, "made during the outage")
 
-	v.list("op/", lagoonhead.NewRevision(1, 8), lagoonhead.Entry{Key: "op/config", Revision: lagoonhead.NewRevision(1, 1)})
+	v.list("operator/", lagoonhead.NewRevision(1, 8), lagoonhead.Entry{Key: "operator/config", Revision: lagoonhead.NewRevision(1, 1)})
 	v.requireEvacuated(false, false, "the copy of the store is from before the evacuation")
 	old := lagoonhead.Entry{Key: evacuationOfB, Revision: lagoonhead.NewRevision(2, 4)}
-	v.list("op/", lagoonhead.NewRevision(2, 5), lagoonhead.Entry{Key: "op/config", Revision: lagoonhead.NewRevision(2, 1)}, old)
+	v.list("operator/", lagoonhead.NewRevision(2, 5), lagoonhead.Entry{Key: "operator/config", Revision: lagoonhead.NewRevision(2, 1)}, old)
 	v.requireEvacuated(false, true, "the copy of the store is from before the withdrawal")
 
-	v.watch("op/evacuate/a", lagoonhead.NewRevision(2, 6), false)
+	v.watch("operator/evacuate/a", lagoonhead.NewRevision(2, 6), false)
 	v.requireEvacuated(true, true, "a service may be left with no endpoint")
 	v.list("endpoints/", 2, lagoonhead.Entry{Key: "endpoints/b2", Value: []byte("0s")})
 	v.requireEvacuated(true, true, "an endpoint that registers there gets nothing")
@@ -136,18 +136,18 @@
 		changed()
 	}
 	require.Error(t, v.ready())
-	v.list("op/", 2, lagoonhead.Entry{Key: "op/config"}, lagoonhead.Entry{Key: evacuationOfB})
+	v.list("operator/", 2, lagoonhead.Entry{Key: "operator/config"}, lagoonhead.Entry{Key: evacuationOfB})
 	require.NoError(t, v.ready())
 	v.requireEvacuated(false, true, "from the store")
 
-	v.copy.Failed("op/", v.clock.Now(), errors.New("outage"))
+	v.copy.Failed("operator/", v.clock.Now(), errors.New("outage"))
 	v.clock.Advance(time.Hour)
 	next := newEvacuatedVM(t)
 	update := v.copy.UpdateFor(v.clock.Now(), next.copy.Position(next.clock.Now()))
 	next.copy.Merge(update, next.clock.Now(), maxUpdateAge)
 	require.NoError(t, next.ready())
 	next.requireEvacuated(false, true, "from a peer, although its copy is old")
-	next.list("op/", 3, lagoonhead.Entry{Key: "op/config", Revision: 2})
+	next.list("operator/", 3, lagoonhead.Entry{Key: "operator/config", Revision: 2})
 	next.requireEvacuated(false, false, "the store is back")
 }
 
@@ -157,7 +157,7 @@
 // engines ordered where nothing may run.
 func TestEndpointsAreColdAsRegistered(t *testing.T) {
 	v := newEvacuatedVM(t)
-	v.list("op/", 1, lagoonhead.Entry{Key: "op/config"})
+	v.list("operator/", 1, lagoonhead.Entry{Key: "operator/config"})
 	cold := func() (n int) {
 		v.dispatcher.WithBoard(func(b *steer.Board) { n = b.ColdCounts(v.clock.Now()).Cold })
 		return n
--- a/entry/storecalls_test.go
+++ b/entry/storecalls_test.go
@@ -149,7 +149,7 @@
 			Listen: Listen{Peers: fmt.Sprintf("vm%02d:1", i)}, DutyReturnTime: 3 * time.Second, MinLeaseTTL: time.Second, FencingEnforced: true,
 			UsageWindow: 5 * time.Second, RetryWindow: 10 * time.Second, Cores: 1,
 		}, Platform: Platform{
-			Store: s, ConfigurationKey: "op/config", EndpointPrefix: "servers/",
+			Store: s, ConfigurationKey: "config", EndpointPrefix: "endpoints/",
 			DecodeConfiguration: func([]byte) (*catalog.Catalog, error) {
 				return nil, failf("test", lagoonhead.KindInvalid, "not decoded")
 			},
@@ -216,7 +216,7 @@
 func (f *storeFleet) write(t *testing.T, first int, value string) time.Duration {
 	t.Helper()
 	began := f.clock.Now()
-	_, err := f.kv.Put(context.Background(), lagoonhead.PutRequest{Key: "op/config", Value: []byte(value), IfRevision: lagoonhead.AnyRevision})
+	_, err := f.kv.Put(context.Background(), lagoonhead.PutRequest{Key: "config", Value: []byte(value), IfRevision: lagoonhead.AnyRevision})
 	require.NoError(t, err)
 	for f.clock.Now()-began < 10*time.Second {
 		time.Sleep(10 * time.Millisecond)
@@ -230,7 +230,7 @@
 
 func haveAll(list []*Daemon, value string) bool {
 	for _, d := range list {
-		if e, ok := d.copy.Get("op/config"); !ok || string(e.Value) != value {
+		if e, ok := d.copy.Get("config"); !ok || string(e.Value) != value {
 			return false
 		}
 	}
