triage: a request that comes back before its time is placed like a new one

Under overload a request was refused at once if an identical one had been refused within its Retry-After.

--- a/dispatch/overload.go
+++ b/dispatch/overload.go
@@ -8,23 +8,6 @@
 	"github.com/lagoonhead/lagoonhead/triage"
 )
 
-// checkReturn returns an error if the request comes back before the time that a refusal named. It
-// costs less than what follows, which may ask other VMs for the software version or for tokens.
-func (r *request) checkReturn() error {
-	if !r.call.HasPrompt || r.route.Objective == 0 || r.call.LastEventID != "" { // a stream that is taken up
-		return nil
-	}
-	after, early := r.judge.TooEarly(r.arrived, r.service, r.demand.Fingerprint())
-	if !early {
-		return nil
-	}
-	r.vars.overloadedRefused.Add("early", 1)
-	r.addStep("overloaded: back before the time that a refusal named")
-	e := failf("forecast", lagoonhead.KindUnavailable, "back %s before the time that a refusal named", after)
-	e.retryAfter = after
-	return e
-}
-
 // judgePrompt decides how the prompt is sent to the chosen engine. It returns an error if the
 // prompt is to be refused.
 func (r *request) judgePrompt(v steer.PrefillChoice) error {
--- a/dispatch/request.go
+++ b/dispatch/request.go
@@ -96,9 +96,6 @@
 	if err := r.checkSuspects(); err != nil {
 		return err
 	}
-	if err := r.checkReturn(); err != nil {
-		return err
-	}
 	if err := r.findVersion(ctx); err != nil {
 		return err
 	}
