--- a/steer/stale_test.go
+++ b/steer/stale_test.go
@@ -485,9 +485,19 @@
 // Guards against forecasts that depend on what each VM has learnt of the rates of engines: all VMs have
 // just started and assume a third of the actual rate.
 func TestRatesAreLearntByAllVMs(t *testing.T) {
+	requireLearntRates(t, newStaleFleet(1, func(b *Board) { b.rates = nil }))
+}
+
+// Guards against the same in twice the time.
+func TestRatesAreLearntIn20Seconds(t *testing.T) {
 	f := newStaleFleet(1, func(b *Board) { b.rates = nil })
-	// Within this time the assumed rate has faded.
 	f.length = 20 * time.Second
+	requireLearntRates(t, f)
+}
+
+// requireLearntRates plays the load and compares the rates that VMs have learnt with the actual ones.
+func requireLearntRates(t *testing.T, f *staleFleet) {
+	t.Helper()
 	r := f.play()
 	t.Logf("%s", r)
 	var rates, n float64
--- a/triage/load_test.go
+++ b/triage/load_test.go
@@ -22,8 +22,7 @@
 	simRate       = 64.2 // tokens per ms and engine
 	simReports    = 500 * time.Millisecond
 	simStep       = 4 * time.Millisecond
-	simTime       = 120 * time.Second // a flood lasts a minute
-	floodFrom     = 60 * time.Second  // a VM knows what is usual by then
+	floodFrom     = 60 * time.Second // a VM knows what is usual by then
 	simObjective  = 600 * time.Millisecond
 	simDecodes    = 100 * time.Millisecond // from the end of the prefill to the first event
 	simPatience   = 2400 * time.Millisecond
@@ -38,6 +37,8 @@
 	factor func(at time.Duration) float64
 	// flood is the factor of the rate of workspace 0 from floodFrom on; 0 means that the load ends then.
 	flood float64
+	// floodTime is how long the flood lasts.
+	floodTime time.Duration
 	// atOnce makes callers come back at once, whatever Retry-After says.
 	atOnce bool
 }
@@ -97,7 +98,7 @@
 	}
 	number, end := uint64(0), floodFrom
 	if load.flood > 0 {
-		end = simTime
+		end = floodFrom + load.floodTime
 	}
 	for at := time.Duration(0); at < end; at += simStep {
 		if at%simReports == 0 {
@@ -283,8 +284,16 @@
 }
 
 // Guards against a workspace that sends many times its usual rate and takes what others need.
-func TestFlood(t *testing.T) {
-	usual := simLoad{long: 22, short: 300, flood: 1}
+func TestFlood(t *testing.T) { requireOthersServed(t, time.Minute) }
+
+// Guards against the same in a flood of 25 seconds, of which those until forecasts miss the objective
+// are a larger part.
+func TestFloodOf25Seconds(t *testing.T) { requireOthersServed(t, 25*time.Second) }
+
+// requireOthersServed plays floods of one workspace and compares what others get with and without.
+func requireOthersServed(t *testing.T, floodTime time.Duration) {
+	t.Helper()
+	usual := simLoad{long: 22, short: 300, flood: 1, floodTime: floodTime}
 	without := play(usual, false)
 	for _, flood := range []float64{20, 100} {
 		for _, atOnce := range []bool{false, true} {
