httpdrain: a listener that is closed twice reports no error

http.Server.Shutdown closes the listener that Finish has closed if Serve has not returned from Accept yet, and returned the error of the second close. Close runs once now.

--- a/httpdrain/finish_test.go
+++ b/httpdrain/finish_test.go
@@ -112,3 +112,39 @@
 	defer cancel()
 	require.Zero(t, l.Finish(ctx, &timer.System{}))
 }
+
+// heldListener does not return the end of the listener before release is closed.
+type heldListener struct {
+	*Listener
+	release chan struct{}
+}
+
+func (l heldListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err != nil {
+		<-l.release
+	}
+	return c, err
+}
+
+// Guards against a drain that is reported as failed because the server, which has not noticed yet
+// that the listener is closed, closes it again.
+func TestShutdownBeforeServeReturns(t *testing.T) {
+	socket, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	l := heldListener{&Listener{Listener: socket, Socket: socket.(syscall.Conn), Log: zap.NewNop()}, make(chan struct{})}
+	s := &http.Server{ConnState: l.StateChanged, Handler: http.NotFoundHandler()}
+	served := make(chan error, 1)
+	go func() { served <- s.Serve(l) }()
+	client, err := net.Dial("tcp", socket.Addr().String()) // answered once Serve has been called
+	require.NoError(t, err)
+	defer client.Close()
+	_, err = io.WriteString(client, "GET / HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n")
+	require.NoError(t, err)
+	_, err = http.ReadResponse(bufio.NewReader(client), nil)
+	require.NoError(t, err)
+	require.Zero(t, l.Finish(t.Context(), &timer.System{}))
+	s.RegisterOnShutdown(func() { close(l.release) }) // called after Shutdown has closed the listener
+	require.NoError(t, s.Shutdown(t.Context()))
+	require.ErrorIs(t, <-served, http.ErrServerClosed)
+}
--- a/httpdrain/listener.go
+++ b/httpdrain/listener.go
@@ -43,6 +43,9 @@
 	// side before.
 	unanswered, callersLeft expvar.Int
 
+	closeOnce  sync.Once
+	closeError error
+
 	mu       sync.Mutex
 	finished bool
 	open     map[*conn]struct{}
@@ -80,6 +83,13 @@
 	return v, nil
 }
 
+// Close closes the listener. Later calls return the result of the first, since http.Server.Shutdown
+// closes a listener that Finish has closed if Serve has not returned yet.
+func (l *Listener) Close() error {
+	l.closeOnce.Do(func() { l.closeError = l.Listener.Close() })
+	return l.closeError
+}
+
 // StateChanged is the ConnState hook of the server.
 func (l *Listener) StateChanged(c net.Conn, s http.ConnState) {
 	v, ok := c.(*conn)
