steer: the draws of a board take a random source

Board.Random is the source now; it stays nil in the daemon, which draws as before. The simulations of stale_test.go seed it.

--- a/steer/board.go
+++ b/steer/board.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/bits"
+	"math/rand/v2"
 	"slices"
 	"time"
 
@@ -225,6 +226,9 @@
 	// token from another one, or 0 if engines do not fetch cached parts from each other. It may
 	// be nil, which means the same.
 	TransferPerToken func(service string) time.Duration
+	// Random is the source of the draws of endpoints. It may be nil, which means the source of
+	// math/rand/v2 that all boards of the process share.
+	Random *rand.Rand
 
 	targets  map[lagoonhead.EndpointID]*target
 	services map[string][]*target
@@ -248,6 +252,22 @@
 	vars      estimateVars
 }
 
+// randomIndex returns a random number from 0 to n-1.
+func (b *Board) randomIndex(n int) int {
+	if b.Random == nil {
+		return rand.IntN(n)
+	}
+	return b.Random.IntN(n)
+}
+
+// randomFraction returns a random number of at least 0 and less than 1.
+func (b *Board) randomFraction() float64 {
+	if b.Random == nil {
+		return rand.Float64()
+	}
+	return b.Random.Float64()
+}
+
 // seenVersions are the software versions of the endpoints of a service since the daemon started.
 type seenVersions struct {
 	first string
--- a/steer/draw.go
+++ b/steer/draw.go
@@ -1,7 +1,6 @@
 package steer
 
 import (
-	"math/rand/v2"
 	"slices"
 	"time"
 
@@ -40,10 +39,10 @@
 		return d
 	}
 	for i := range d {
-		d[i] = rand.IntN(len(list))
+		d[i] = b.randomIndex(len(list))
 	}
 	for n := 0; n < maxDraws && list[d[0]].endpoint.Role() != lagoonhead.RolePrefill; n++ {
-		d[0] = rand.IntN(len(list))
+		d[0] = b.randomIndex(len(list))
 	}
 	return d
 }
@@ -66,7 +65,7 @@
 	var best time.Duration
 	var first *target
 	for range maxDraws {
-		t := list[rand.IntN(len(list))]
+		t := list[b.randomIndex(len(list))]
 		if t == first || !b.canRun(now, t, r.Avoid, r.Version, r.Regions, healthy) {
 			continue
 		}
--- a/steer/pick.go
+++ b/steer/pick.go
@@ -2,7 +2,6 @@
 
 import (
 	"math"
-	"math/rand/v2"
 	"slices"
 	"time"
 
@@ -410,7 +409,7 @@
 				w *= farTransferWeight
 			}
 			weights += w
-			if rand.Float64()*weights < w {
+			if b.randomFraction()*weights < w {
 				ok, e = true, t.endpoint
 			}
 			continue
--- a/steer/stale_test.go
+++ b/steer/stale_test.go
@@ -109,6 +109,7 @@
 	}
 	for i := range staleVMs {
 		b := &Board{Domain: lagoonhead.FailureDomain(fmt.Sprint("z", i%3)), Spread: true, PeerInterval: staleInterval}
+		b.Random = rand.New(rand.NewPCG(seed, uint64(100+i)))
 		b.SetEndpoints(list, func(string) int { return staleCapacity })
 		b.rates = map[string]float64{model: staleRate}
 		prepare(b)
