steer: short prompts are drawn on while engines fail

In fleets with old reports a short prompt went to the better of two drawn run engines. While 60% of the engines lose answers, both fail in more than a third of the draws, although others do not. A short prompt that must not be retried is then lost for good. An engine that is avoided also has few outcomes, and with ten assumed successes its failures cost hardly more than a few running requests.

A drawn engine with recent failures no longer counts as one of the two; up to eight such engines are drawn, and one is chosen only if its cost is the least nevertheless. In these draws three successes are assumed instead of ten. Where no failures are known, the draws and the choice stay as they were.

--- a/steer/board.go
+++ b/steer/board.go
@@ -210,6 +210,9 @@
 	// unchanged disables what Spread changes in the choice of engines for prefill. It is the
 	// simpler policy, for comparison.
 	unchanged bool
+	// failuresInTwoDraws makes drawShort take the better of two engines whether or not they fail. It
+	// is the simpler policy, for comparison.
+	failuresInTwoDraws bool
 	// PeerInterval is the usual interval between two reports of one peer; 0 means
 	// that it is short.
 	PeerInterval time.Duration
--- a/steer/draw.go
+++ b/steer/draw.go
@@ -24,6 +24,10 @@
 	// it. Two are enough to avoid the fullest; one more stands in for an engine that cannot be
 	// used.
 	drawnEngines = 3
+	// maxFailingDraws bounds the failing engines that are drawn for a short prompt. While 60% of the
+	// engines lose answers, one prompt in 60 finds no other by that. More would make all VMs choose the
+	// emptiest engine where every engine fails.
+	maxFailingDraws = 8
 )
 
 // drawnIndexes are indexes of endpoints of a service, drawn at random.
@@ -55,8 +59,16 @@
 
 // drawShort chooses the engine for a short prompt where reports are old: the better one of two that
 // are drawn from those that run requests, so that the VMs do not all choose the engine that was the
-// emptiest when it reported. ok is false if it finds none by maxDraws draws, or if the chosen one
-// costs unseenQueueCost or more; then engines of both roles are to be compared.
+// emptiest when it reported.
+//
+// It handles a load of short prompts while many of these engines lose answers, as when half of the
+// endpoints reset connections for some seconds. With 60% of the engines failing, both of two drawn ones
+// fail in more than a third of the draws. So an engine with recent failures does not count as one of the
+// two, and is chosen only if its cost is the least nevertheless. Where no failures are known, there are
+// two draws.
+//
+// ok is false if it finds none by maxDraws draws, or if the chosen one costs unseenQueueCost or more;
+// then engines of both roles are to be compared.
 func (b *Board) drawShort(now time.Duration, r PrefillRequest, healthy bool) (c PrefillChoice, ok bool) {
 	list := b.services[r.Service]
 	if len(list) == 0 {
@@ -64,6 +76,7 @@
 	}
 	var best time.Duration
 	var first *target
+	failing := 0
 	for range maxDraws {
 		t := list[b.randomIndex(len(list))]
 		if t == first || !b.canRun(now, t, r.Avoid, r.Version, r.Regions, healthy) {
@@ -73,10 +86,17 @@
 		if !fits {
 			continue
 		}
-		cost += b.risk(now, t, r.Retryable)
+		risk, fails := b.drawRisk(now, t, r.Retryable)
+		cost += risk
 		if !ok || cost < best {
 			best, ok, c = cost, true, v
 		}
+		if fails {
+			if failing++; failing == maxFailingDraws {
+				break
+			}
+			continue
+		}
 		if first != nil {
 			break
 		}
--- a/steer/estimate.go
+++ b/steer/estimate.go
@@ -315,7 +315,7 @@
 
 // estimateVars are the counters of a board.
 type estimateVars struct {
-	// shortDrawn counts the short prompts for which an engine was chosen among two that were drawn,
+	// shortDrawn counts the short prompts for which an engine was chosen among some that were drawn,
 	// and shortCompared those for which the drawn ones were too bad; drawn counts the prompts for
 	// which an engine was chosen among those that have the shared part, its homes and some that
 	// were drawn, and compared those for which all engines were compared.
--- a/steer/failures.go
+++ b/steer/failures.go
@@ -13,6 +13,10 @@
 	// priorSuccesses is the number of recent successes that is assumed for every endpoint, so
 	// that one failure among few outcomes weighs little.
 	priorSuccesses = 10
+	// drawPriorSuccesses is the same where engines are drawn at random. An engine of a large fleet has
+	// some dozen outcomes in outcomeDecayTime, and hardly any once it is avoided. With 10 assumed
+	// successes, one that loses 40% of its answers seemed hardly worse than a loaded one.
+	drawPriorSuccesses = 3
 	// baselineFailureRate is the failure rate that isn't counted against an endpoint, since
 	// requests of some kinds fail wherever they run.
 	baselineFailureRate = 0.1
@@ -41,9 +45,12 @@
 }
 
 // excess returns by how much the failure rate exceeds baselineFailureRate.
-func (o *outcomes) excess(now time.Duration) float64 {
+func (o *outcomes) excess(now time.Duration) float64 { return o.excessWithPrior(now, priorSuccesses) }
+
+// excessWithPrior returns the same with another number of assumed successes.
+func (o *outcomes) excessWithPrior(now time.Duration, successes float64) float64 {
 	f := o.decayFactor(now)
-	return max(0, o.bad*f/((o.good+o.bad)*f+priorSuccesses)-baselineFailureRate)
+	return max(0, o.bad*f/((o.good+o.bad)*f+successes)-baselineFailureRate)
 }
 
 // risk returns the expected cost to a request of the failures and refusals of a target.
@@ -51,9 +58,24 @@
 	if b.IgnoreFailures {
 		return 0
 	}
+	return lossRisk(t.outcomes.excess(now), retryable) + b.refusalRisk(now, t)
+}
+
+// drawRisk returns the same where engines are drawn at random, and whether the target has failed
+// recently by more than the baseline.
+func (b *Board) drawRisk(now time.Duration, t *target, retryable bool) (cost time.Duration, failing bool) {
+	if b.IgnoreFailures || b.failuresInTwoDraws {
+		return b.risk(now, t, retryable), false
+	}
+	excess := t.outcomes.excessWithPrior(now, drawPriorSuccesses)
+	return lossRisk(excess, retryable) + b.refusalRisk(now, t), excess > 0
+}
+
+// lossRisk returns the expected cost to a request of a failure rate.
+func lossRisk(rate float64, retryable bool) time.Duration {
 	cost := lossCost
 	if retryable {
 		cost = retryCost
 	}
-	return time.Duration(t.outcomes.excess(now)*float64(cost)) + b.refusalRisk(now, t)
+	return time.Duration(rate * float64(cost))
 }
