httprefuse: a stall of the process costs no request its refusal

A connection that is refused has a second for its header section. The time was one read deadline. When the process was stalled for that long, the deadline had passed before a read was tried, so that the connection was closed without a response although the request had arrived, or was about to arrive from a client that was stalled too. A trace of TestRequestsOnConnectionsTooManyAreRefused under load (GOMAXPROCS=1 beside busy processes) shows such a connection, counted as silent, and "unexpected EOF" at the caller.

The time now passes in four steps, so that a stall of any length uses up only one of them. The wait for the client to close after the response does the same.

The new test stalls the process for 1.1 s. It fails before the change, where the caller's connection ends without a response, and passes after it.

--- a/httprefuse/refuser.go
+++ b/httprefuse/refuser.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -26,6 +27,8 @@
 	// headerTimeout bounds the wait for a header section, and lingerTimeout the wait for the
 	// client to close the connection after the response.
 	headerTimeout, lingerTimeout = time.Second, time.Second
+	// timeoutSteps is the number of equal steps in which these times pass.
+	timeoutSteps = 4
 )
 
 var endOfHeader = []byte("\r\n\r\n")
@@ -104,8 +107,7 @@
 // refuseLater refuses a request whose header section has not arrived whole.
 func (f *Refuser) refuseLater(c net.Conn, arrived []byte) {
 	f.await(c, func(c net.Conn) {
-		_ = c.SetReadDeadline(time.Now().Add(headerTimeout)) // fails only on a closed connection
-		in := bufio.NewReader(io.LimitReader(io.MultiReader(bytes.NewReader(arrived), c), maxHeaderBytes))
+		in := bufio.NewReader(io.LimitReader(io.MultiReader(bytes.NewReader(arrived), newSteppedReader(c, headerTimeout)), maxHeaderBytes))
 		if _, err := in.Peek(1); err != nil {
 			f.silent.Add(1)
 			return
@@ -163,8 +165,40 @@
 	if w, ok := c.(interface{ CloseWrite() error }); ok {
 		_ = w.CloseWrite() // an error means that the client has left
 	}
-	_ = c.SetReadDeadline(time.Now().Add(lingerTimeout)) // fails only on a closed connection
-	_, _ = io.Copy(io.Discard, c)                        // ends with the deadline, or when the client has left
+	_, _ = io.Copy(io.Discard, newSteppedReader(c, lingerTimeout)) // ends with the timeout, or when the client has left
+}
+
+// steppedReader reads from a connection until a timeout, which passes in steps. While the process
+// is stalled, deadlines pass although no read was tried, and a read fails then even if its input has
+// arrived. With steps, a stall of any length uses up only one of them.
+type steppedReader struct {
+	conn  net.Conn
+	step  time.Duration
+	steps int // that are left after the present one
+}
+
+// newSteppedReader returns a reader of c whose timeout begins now.
+func newSteppedReader(c net.Conn, timeout time.Duration) *steppedReader {
+	s := &steppedReader{conn: c, step: timeout / timeoutSteps, steps: timeoutSteps}
+	s.begin()
+	return s
+}
+
+// begin begins the next step.
+func (s *steppedReader) begin() {
+	s.steps--
+	_ = s.conn.SetReadDeadline(time.Now().Add(s.step)) // fails only on a closed connection
+}
+
+// Read reads from the connection. After the last step it returns the error of the deadline.
+func (s *steppedReader) Read(p []byte) (int, error) {
+	for {
+		n, err := s.conn.Read(p)
+		if n > 0 || s.steps == 0 || !errors.Is(err, os.ErrDeadlineExceeded) {
+			return n, err
+		}
+		s.begin()
+	}
 }
 
 // errNotArrived is the error of reading more than has arrived.
--- a/httprefuse/refuser_test.go
+++ b/httprefuse/refuser_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"os"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -147,3 +148,40 @@
 	require.Eventually(t, func() bool { return f.Dropped() == 3 }, eventTimeout, time.Millisecond)
 	require.LessOrEqual(t, f.waiting.Load(), int64(2))
 }
+
+// stalledConn is a connection at which the process is stalled before its first read.
+type stalledConn struct {
+	net.Conn
+	once  sync.Once
+	stall func()
+}
+
+func (c *stalledConn) Read(p []byte) (int, error) {
+	c.once.Do(c.stall)
+	return c.Conn.Read(p)
+}
+
+// Guards against a request that gets no response because the process was stalled for longer than
+// the timeout of the header section, in which the request arrived or the client was stalled too.
+func TestAStallOfTheProcessRefusesNoLess(t *testing.T) {
+	for _, during := range []bool{true, false} {
+		client, server := accept(t, "")
+		send := func() {
+			_, err := io.WriteString(client, post(900))
+			require.NoError(t, err)
+		}
+		stalled := make(chan struct{})
+		f := newRefuser(1)
+		f.Refuse(&stalledConn{Conn: server, stall: func() {
+			time.Sleep(headerTimeout + 100*time.Millisecond)
+			close(stalled)
+		}})
+		if !during {
+			<-stalled
+		}
+		send()
+		res, err := http.ReadResponse(bufio.NewReader(client), nil)
+		require.NoError(t, err)
+		require.Equal(t, http.StatusServiceUnavailable, res.StatusCode)
+	}
+}
