triage: short prompts of a flood go behind others' late long ones

Prompts that yield had four added to their urgency value, so that a short one had 4, as a late prompt of class 2 has (6,000 to 24,000 tokens), and those that already waited went ahead of it. Nine in ten prompts of a flood are short. Five are added now.

The loads of TestOverload have no prompts that yield and are unchanged.

--- a/triage/judge.go
+++ b/triage/judge.go
@@ -16,9 +16,10 @@
 	// can be in time. Classes are two apart, so that it stays ahead of the next class, whose prompts
 	// are three to four times as long: a late answer is worth a third of one in time.
 	behindShift, classDistance = 1, 2
-	// yieldShift is added instead for a prompt of a workspace that has had its fair share, so that
-	// it goes behind the late prompts of the next class.
-	yieldShift = 4
+	// yieldShift is added instead for a prompt of a workspace that has had its fair share. Even a
+	// short one then goes behind the late prompts of class 2: nine in ten prompts of a flood are
+	// short, and at 4 those that waited went ahead of others' late long ones.
+	yieldShift = 5
 	// yieldingPart is the part of the time from the arrival of prompts until they are due that those
 	// which yield may fill, so that a long prompt of another workspace is still forecast to be in time:
 	// it takes six tenths, 265 of 450 ms, where the queue is empty.
--- a/triage/judge_test.go
+++ b/triage/judge_test.go
@@ -51,6 +51,11 @@
 	require.Equal(t, Returned, back.Place)
 }
 
+// Guards against short prompts of a flood that go ahead of the late long ones of others.
+func TestYieldingPromptsGoBehindLateOnes(t *testing.T) {
+	require.Greater(t, Yielding.urgency(0, 0), Late.urgency(0, maxClass-1))
+}
+
 // Guards against a service that counts as overloaded, and prompts that go behind others, because they
 // are too long to be in time on an idle engine.
 func TestAPromptThatIsLateByItsLengthShowsNoOverload(t *testing.T) {
