triage: a flood yields by its counts before forecasts miss the objective

A prompt of a workspace that is beyond its share now goes behind those of others without overload too. It is not refused before the service is overloaded. What yields is not learnt as usual, since a flood raised what is usual while forecasts still met the objective.

--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -127,8 +127,8 @@
 	silencesMoved, silencesWaited expvar.Int
 	// outsideRegions counts the refusals of requests that have no endpoint in their allowed regions.
 	outsideRegions expvar.Int
-	// overloaded counts the prompts that were judged while their service was overloaded, by place,
-	// and overloadedRefused those of them that were refused.
+	// overloaded counts the prompts that were judged while their service was overloaded or that
+	// yielded before, by place, and overloadedRefused those of them that were refused.
 	overloaded, overloadedRefused expvar.Map
 	// firstEventLatency is the time from arrival to the first event of a stream,
 	// answerLatency the time from arrival to the end of a served answer.
--- a/triage/doc.go
+++ b/triage/doc.go
@@ -6,5 +6,6 @@
 // The load that it handles: more long prompts than can be prefilled in time, short prompts that
 // share the engines with them, a workspace that sends many times its usual rate, and callers that
 // come back at once after a refusal. A prompt whose forecast meets the objective, on a service whose
-// forecasts meet it, is sent as it would be without the package.
+// forecasts meet it, is sent as it would be without the package, except that one of a workspace that
+// sends far more than is usual goes behind those of others.
 package triage
--- a/triage/judge.go
+++ b/triage/judge.go
@@ -93,7 +93,7 @@
 
 // The values of Place.
 const (
-	// Unchanged is for prompts of services that are not overloaded.
+	// Unchanged is for prompts of services that are not overloaded, unless they yield.
 	Unchanged Place = iota
 	// Front is for prompts that can be in time, and for short ones.
 	Front
@@ -210,6 +210,11 @@
 	}
 	if overloaded := l.overloaded(now); !missed && !overloaded {
 		d.Refused = !p.Started && now+p.Wait-p.Unseen > p.GiveUp
+		// A flood begins before forecasts miss the objective, and what is sent until then waits at the
+		// engines. Behind others it delays nobody, and where engines are idle it loses nothing.
+		if !d.Refused && j.yields(now, l, p) {
+			d.Place, d.Urgency = Yielding, Yielding.urgency(p.Urgency, class)
+		}
 		return d
 	}
 	d.Place, d.Expected = j.place(now, l, p, class)
@@ -250,12 +255,7 @@
 	// Prompts that were put behind do not delay those in front.
 	unpassed := time.Duration(float64(p.Wait) * (1 - l.queued.behindShare(now)))
 	front := l.front[class].estimate(now, unpassed)
-	returned := j.refused.returned(now, p.Fingerprint)
-	yields := l.shares.yields(now, p.Workspace)
-	if returned {
-		yields *= yields
-	}
-	if !p.Started && !p.Resumes && draw(p.Fingerprint) < yields {
+	if j.yields(now, l, p) {
 		return Yielding, max(p.Wait, l.behind[class].estimate(now, p.Wait))
 	}
 	switch {
@@ -263,7 +263,7 @@
 	// less than the error of a forecast.
 	case p.Started, p.Resumes, class == 0, now+front <= p.Due:
 		return Front, front
-	case returned:
+	case j.refused.returned(now, p.Fingerprint):
 		// It is given the benefit of a forecast without others that pass it.
 		return Returned, l.behind[class].estimate(now, p.Wait)
 	default:
@@ -271,6 +271,15 @@
 	}
 }
 
+// yields reports whether a prompt yields to those of other workspaces.
+func (j *Judge) yields(now time.Duration, l *load, p Prompt) bool {
+	part := l.shares.yields(now, p.Workspace)
+	if j.refused.returned(now, p.Fingerprint) {
+		part *= part
+	}
+	return !p.Started && !p.Resumes && draw(p.Fingerprint) < part
+}
+
 // draw returns a number from 0 to below 1 that is the same for each attempt of a request, since one
 // that is drawn again whenever it comes back would not yield for long.
 func draw(fingerprint uint64) float64 {
--- a/triage/judge_test.go
+++ b/triage/judge_test.go
@@ -56,6 +56,37 @@
 	require.Greater(t, Yielding.urgency(0, 0), Late.urgency(0, maxClass-1))
 }
 
+// Guards against a flood that goes ahead of others until forecasts miss the objective, and one that is
+// refused while engines are idle.
+func TestAFloodYieldsBeforeForecastsMiss(t *testing.T) {
+	var j Judge
+	yielding, number := 0, uint64(0)
+	for now := time.Duration(0); now < time.Minute+time.Second; now += 10 * time.Millisecond {
+		for _, w := range []lagoonhead.WorkspaceID{"flood", "a", "b", "c"} {
+			if now%time.Second != 0 && (w != "flood" || now < time.Minute) {
+				continue
+			}
+			number++
+			p := Prompt{
+				Service: "s", Workspace: w, Fingerprint: number, Tokens: 383, Separate: true, HasObjective: true,
+				Wait: 50 * time.Millisecond, Arrived: now, Due: now + 450*time.Millisecond, GiveUp: now + 2400*time.Millisecond,
+			}
+			d := j.Decide(now, p)
+			j.Begin(now, p, d)
+			j.End(now, p, d, p.Wait, true)
+			require.False(t, d.Refused)
+			if d.Place == Yielding {
+				require.Equal(t, lagoonhead.WorkspaceID("flood"), w)
+				yielding++
+				continue
+			}
+			require.Equal(t, Unchanged, d.Place)
+		}
+	}
+	require.False(t, j.Overloaded(time.Minute+time.Second, "s"))
+	require.Greater(t, yielding, 60, "most of the 100 prompts of the first second")
+}
+
 // Guards against a service that counts as overloaded, and prompts that go behind others, because they
 // are too long to be in time on an idle engine.
 func TestAPromptThatIsLateByItsLengthShowsNoOverload(t *testing.T) {
--- a/triage/shares.go
+++ b/triage/shares.go
@@ -36,10 +36,11 @@
 
 // use is what a workspace asked of a service, in tokens that need prefill. The counts decay.
 type use struct {
-	// asked is the sum of the prompts, squares that of their squares, and served that of the prompts
-	// that were prefilled.
-	asked, squares, served float64
-	at                     time.Duration
+	// asked counts the prompts, and recent the same with the time constant memory. served is the sum
+	// of the prompts that were prefilled.
+	asked, recent count
+	served        float64
+	at            time.Duration
 	// usual is what was asked while the service was not overloaded, with usualMemory. It decays
 	// with shares.calm, which was calmAt at the time at.
 	usual  float64
@@ -48,13 +49,28 @@
 
 func (u *use) decay(now, calm time.Duration) {
 	f := decayFactor(now-u.at, shareMemory)
-	u.asked, u.squares, u.served = u.asked*f, u.squares*f, u.served*f
+	u.asked.scale(f)
+	u.served *= f
+	u.recent.scale(decayFactor(now-u.at, memory))
 	u.usual *= decayFactor(calm-u.calmAt, usualMemory)
 	u.at, u.calmAt = now, calm
 }
 
-// surely returns what the workspace asked for beyond chance.
-func (u *use) surely() float64 { return u.asked - deviations*math.Sqrt(u.squares) }
+// surely returns what the workspace asked for beyond chance, in the time of use.asked. A flood that
+// has just begun shows in the recent count first.
+func (u *use) surely() float64 {
+	return max(u.asked.surely(), u.recent.surely()*shareMemory.Seconds()/memory.Seconds())
+}
+
+// count is a decaying sum of prompts and the sum of their squares.
+type count struct{ sum, squares float64 }
+
+func (c *count) add(n float64) { c.sum, c.squares = c.sum+n, c.squares+n*n }
+
+func (c *count) scale(f float64) { c.sum, c.squares = c.sum*f, c.squares*f }
+
+// surely returns the sum less its standard deviations.
+func (c *count) surely() float64 { return c.sum - deviations*math.Sqrt(c.squares) }
 
 // shares are the uses of a service by workspace.
 type shares struct {
@@ -97,9 +113,12 @@
 		return
 	}
 	n := float64(runCost + tokens)
-	u.asked, u.squares = u.asked+n, u.squares+n*n
+	u.asked.add(n)
+	u.recent.add(n)
 	if !overloaded {
 		u.usual += n
+		// What yields is not learnt as usual, or a flood would be before forecasts miss the objective.
+		u.usual -= n * s.yields(now, w)
 	}
 }
 
@@ -124,6 +143,9 @@
 	if s.levelAt == 0 || now-s.levelAt >= levelTime {
 		s.findLevel(now)
 	}
+	if surely <= s.level {
+		return 0
+	}
 	share := s.level
 	if usual := u.usual * s.usualScale(); usual > share {
 		share += s.othersServed(w) * (usual - share)
@@ -150,7 +172,7 @@
 			delete(s.uses, w)
 			continue
 		}
-		asked = append(asked, u.asked)
+		asked = append(asked, u.asked.sum)
 		served += u.served
 		usual += u.usual
 	}
@@ -171,7 +193,7 @@
 	asked, served := 0.0, 0.0
 	for other, u := range s.uses {
 		if other != w {
-			asked, served = asked+u.asked, served+u.served
+			asked, served = asked+u.asked.sum, served+u.served
 		}
 	}
 	if asked == 0 {
