--- a/triage/judge.go
+++ b/triage/judge.go
@@ -16,9 +16,10 @@
 	// can be in time. Classes are two apart, so that it stays ahead of the next class, whose prompts
 	// are three to four times as long: a late answer is worth a third of one in time.
 	behindShift, classDistance = 1, 2
-	// yieldShift is added instead for a prompt of a workspace that has had its fair share, so that
-	// it goes behind the late prompts of the next class.
-	yieldShift = 4
+	// yieldShift is added instead for a prompt of a workspace that has had its fair share. Even a
+	// short one then goes behind the late prompts of class 2: nine in ten prompts of a flood are
+	// short, and at 4 those that waited went ahead of others' late long ones.
+	yieldShift = 5
 	// yieldingPart is the part of the time from the arrival of prompts until they are due that those
 	// which yield may fill, so that a long prompt of another workspace is still forecast to be in time:
 	// it takes six tenths, 265 of 450 ms, where the queue is empty.
@@ -92,7 +93,7 @@
 
 // The values of Place.
 const (
-	// Unchanged is for prompts of services that are not overloaded.
+	// Unchanged is for prompts of services that are not overloaded, unless they yield.
 	Unchanged Place = iota
 	// Front is for prompts that can be in time, and for short ones.
 	Front
@@ -209,6 +210,11 @@
 	}
 	if overloaded := l.overloaded(now); !missed && !overloaded {
 		d.Refused = !p.Started && now+p.Wait-p.Unseen > p.GiveUp
+		// A flood begins before forecasts miss the objective, and what is sent until then waits at the
+		// engines. Behind others it delays nobody, and where engines are idle it loses nothing.
+		if !d.Refused && j.yields(now, l, p) {
+			d.Place, d.Urgency = Yielding, Yielding.urgency(p.Urgency, class)
+		}
 		return d
 	}
 	d.Place, d.Expected = j.place(now, l, p, class)
@@ -249,12 +255,7 @@
 	// Prompts that were put behind do not delay those in front.
 	unpassed := time.Duration(float64(p.Wait) * (1 - l.queued.behindShare(now)))
 	front := l.front[class].estimate(now, unpassed)
-	returned := j.refused.returned(now, p.Fingerprint)
-	yields := l.shares.yields(now, p.Workspace)
-	if returned {
-		yields *= yields
-	}
-	if !p.Started && !p.Resumes && draw(p.Fingerprint) < yields {
+	if j.yields(now, l, p) {
 		return Yielding, max(p.Wait, l.behind[class].estimate(now, p.Wait))
 	}
 	switch {
@@ -262,7 +263,7 @@
 	// less than the error of a forecast.
 	case p.Started, p.Resumes, class == 0, now+front <= p.Due:
 		return Front, front
-	case returned:
+	case j.refused.returned(now, p.Fingerprint):
 		// It is given the benefit of a forecast without others that pass it.
 		return Returned, l.behind[class].estimate(now, p.Wait)
 	default:
@@ -270,6 +271,15 @@
 	}
 }
 
+// yields reports whether a prompt yields to those of other workspaces.
+func (j *Judge) yields(now time.Duration, l *load, p Prompt) bool {
+	part := l.shares.yields(now, p.Workspace)
+	if j.refused.returned(now, p.Fingerprint) {
+		part *= part
+	}
+	return !p.Started && !p.Resumes && draw(p.Fingerprint) < part
+}
+
 // draw returns a number from 0 to below 1 that is the same for each attempt of a request, since one
 // that is drawn again whenever it comes back would not yield for long.
 func draw(fingerprint uint64) float64 {
