dispatch: a stall of the process does not end an attempt as silent

An attempt at an endpoint that is silent for too long is abandoned by a timer. After a stall of the process the timer fires before what the endpoint sent meanwhile has been read, so that a healthy attempt is abandoned and its move taken from the retry budget. In a trace of TestEndpointsThatSayThatTheyLeaveGetNoMore at a load of 33 a stream was given up as silent right after the process had stood still for 3 s, and ended with 502 because no time was left for another engine.

If the timer fires more than 100 ms late, the attempt now gets 200 ms more, once for each silence, so that a busy process still moves requests.

--- a/dispatch/silence.go
+++ b/dispatch/silence.go
@@ -14,6 +14,10 @@
 // endpoint has been silent for too long.
 const silenceRecheck = 200 * time.Millisecond
 
+// maxExpiryDelay is the delay of the timer of a silence from which the process counts as stalled.
+// What the endpoint sent meanwhile is unread then. Trials at full load had stalls of up to 3 s.
+const maxExpiryDelay = 100 * time.Millisecond
+
 // silenceWatch abandons an attempt at an endpoint that is silent for too long, once the retry
 // budget and another endpoint allow the request to move. Until then a silent endpoint may still
 // answer, and is waited for until the deadline.
@@ -37,6 +41,8 @@
 	// due is the time from which the endpoint has been silent for too long, or 0 while the watch
 	// is off.
 	due time.Duration
+	// stalled is true if the process was stalled as the present silence ended.
+	stalled bool
 	// held is true if the endpoint was silent for too long and the request could not move.
 	held bool
 }
@@ -70,7 +76,7 @@
 func (w *silenceWatch) restart(after time.Duration, v lagoonhead.VersionPin) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.version = v
+	w.version, w.stalled = v, false
 	w.arm(after)
 }
 
@@ -100,10 +106,16 @@
 	if w.due == 0 {
 		return
 	}
-	if left := w.due - w.Timer.Now(); left > 0 { // the endpoint has sent something meanwhile
+	left := w.due - w.Timer.Now()
+	if left > 0 { // the endpoint has sent something meanwhile
 		w.timer.Reset(left)
 		return
 	}
+	if left < -maxExpiryDelay && !w.stalled { // once for each silence, so that a busy process still moves requests
+		w.stalled = true
+		w.arm(silenceRecheck)
+		return
+	}
 	if !w.takeMove() {
 		w.held = true
 		w.arm(silenceRecheck)
