steer: Board.Explain says where a request would be sent now, and why

Operators could read past choices in the log, but could not ask which engine a request would get now, what each candidate costs, and why the others are excluded.

Explain makes the choices of PickPrefill, ReserveRun and PickRun on a copy of the board, so that it takes nothing from a limit or a cold share and counts nothing. The code of the choices is shared: the cost of an engine is now the sum of named parts, and eligible and allows are derived from functions that return the reason of an exclusion. The choices themselves are unchanged. Random choices are drawn for the explanation; the ways and probabilities of the draws are part of it.

Tests: one endpoint for each reason; the choice that is explained is the one that follows; of two boards with the same history, the one that has explained 400 times equals the other.

--- a/steer/board.go
+++ b/steer/board.go
@@ -246,6 +246,8 @@
 	// forecasts.
 	runRatios map[string]*forecastRatio
 	vars      estimateVars
+	// trace records the targets that are assessed. It is nil except in an explanation.
+	trace *trace
 }
 
 // seenVersions are the software versions of the endpoints of a service since the daemon started.
--- a/steer/limit.go
+++ b/steer/limit.go
@@ -82,12 +82,27 @@
 
 // allows reports whether this VM may send a request to a target now.
 func (b *Board) allows(now time.Duration, t *target) bool {
-	if b.coldWait(now, t) > 0 {
+	x, _ := b.limitExclusion(now, t)
+	if x == ColdShareUsed {
 		b.coldCounts.Withheld++
-		return false
 	}
-	wait, ok := b.namedWait(now, t)
-	return ok && wait == 0
+	return x == Included
+}
+
+// limitExclusion returns whether the limits of a target exclude it, and until when, or 0 if this VM has
+// no share.
+func (b *Board) limitExclusion(now time.Duration, t *target) (x Exclusion, until time.Duration) {
+	if wait := b.coldWait(now, t); wait > 0 {
+		return ColdShareUsed, now + wait
+	}
+	switch wait, ok := b.namedWait(now, t); {
+	case !ok:
+		return LimitUsed, 0
+	case wait > 0:
+		return LimitUsed, now + wait
+	default:
+		return Included, 0
+	}
 }
 
 // limited reports whether a target takes a limited number of requests.
--- a/steer/pick.go
+++ b/steer/pick.go
@@ -142,6 +142,7 @@
 		if pass.drawn && !b.estimates() {
 			continue
 		}
+		b.trace.reset()
 		for i, t := range b.services[r.Service] {
 			if pass.drawn && !drawn.has(i) && (part == 0 || !t.cache.has(part) && t != homes[0] && t != homes[1]) {
 				continue
@@ -149,20 +150,12 @@
 			if !t.eligible(now, r.Avoid, r.Version, r.Regions, healthy) || !b.allows(now, t) || !handOver.allow(t) {
 				continue
 			}
-			v, cost, fits := b.evaluate(now, t, r, part, shared, homes, sources)
-			if v.PrefillOnly {
-				cost += handOver[t.endpoint.Software()] + apart
-			}
+			v, parts, fits := b.assess(now, t, r, part, shared, homes, sources)
 			if !fits && !pass.delaying {
 				continue
 			}
-			if now+v.Wait > r.Due {
-				cost += lateCost
-			}
-			// A prompt that is prefilled on a separate engine can be prefilled again
-			// after a failure.
-			cost += b.risk(now, t, r.Retryable || v.PrefillOnly)
-			if !ok || cost < best {
+			b.addRequestCosts(now, t, r, v, handOver, apart, &parts)
+			if cost := parts.Total(); !ok || cost < best {
 				best, ok, c = cost, true, v
 			}
 		}
@@ -179,6 +172,19 @@
 	return c, ok
 }
 
+// addRequestCosts adds to the cost of a prefill at a target what a comparison with other engines
+// needs besides: the run behind it, a due time that is missed, failures and refusals.
+func (b *Board) addRequestCosts(now time.Duration, t *target, r PrefillRequest, v PrefillChoice, handOver handOverVersions, apart time.Duration, c *Cost) {
+	if v.PrefillOnly {
+		c.Run, c.Apart = handOver[t.endpoint.Software()], apart
+	}
+	if now+v.Wait > r.Due {
+		c.Late = lateCost
+	}
+	// A prompt that is prefilled on a separate engine can be prefilled again after a failure.
+	b.addRisks(now, t, r.Retryable || v.PrefillOnly, c)
+}
+
 // prefillPasses are the engines that pickPrefill compares, in this order until it finds one.
 var prefillPasses = []struct {
 	// drawn is true for the engines that have the shared part, its homes, and some that are drawn
@@ -232,6 +238,13 @@
 // evaluate returns the prefill of a prompt at a target with its cost. fits is false when it
 // would delay the other requests of the target for longer than callers accept.
 func (b *Board) evaluate(now time.Duration, t *target, r PrefillRequest, part uint64, shared int, homes [2]*target, sources cacheSources) (v PrefillChoice, cost time.Duration, fits bool) {
+	v, c, fits := b.assess(now, t, r, part, shared, homes, sources)
+	return v, c.Total(), fits
+}
+
+// assess is evaluate with the parts of the cost.
+func (b *Board) assess(now time.Duration, t *target, r PrefillRequest, part uint64, shared int, homes [2]*target, sources cacheSources) (v PrefillChoice, c Cost, fits bool) {
+	b.trace.add(t)
 	v = PrefillChoice{Endpoint: t.endpoint, PrefillOnly: t.endpoint.Role() == lagoonhead.RolePrefill, Tokens: r.Prompt.Tokens, queued: b.queued(now, t)}
 	cached := part != 0 && t.cache.has(part)
 	if cached {
@@ -255,25 +268,26 @@
 			v.Wait += batch
 		}
 		v.Estimate = b.describe(now, t, v.queued, RunSlowdown*prefill)
-		cost = RunSlowdown*prefill + batch + time.Duration(runPrefillWeight*float64(b.prefillTime(t, v.Tokens)))
+		c.Prefill, c.Batch, c.Others = RunSlowdown*prefill, batch, time.Duration(runPrefillWeight*float64(b.prefillTime(t, v.Tokens)))
 		if t.endpoint.FailureDomain() != b.Domain {
-			cost += time.Duration(crossDomainCost * float64(fullBatchCost))
+			c.Domain = time.Duration(crossDomainCost * float64(fullBatchCost))
 		}
-		return v, cost, r.MaxPause == 0 || RunSlowdown*b.occupancy(t, v.Tokens) < r.MaxPause/2
+		return v, c, r.MaxPause == 0 || RunSlowdown*b.occupancy(t, v.Tokens) < r.MaxPause/2
 	}
 	v.Wait = handOverCost + prefill
 	v.Estimate = b.describe(now, t, v.queued, prefill)
-	cost = v.Wait
+	c.Prefill = v.Wait
 	if v.CacheSource != nil {
-		return v, cost + extraCopyCost, true
+		c.SharedPart = extraCopyCost
+		return v, c, true
 	}
 	if part != 0 && !cached && t != homes[0] {
-		cost += extraCopyCost + b.prefillTime(t, shared)
+		c.SharedPart = extraCopyCost + b.prefillTime(t, shared)
 		if t != homes[1] {
-			cost += extraCopyCost + b.prefillTime(t, shared)
+			c.SharedPart *= 2
 		}
 	}
-	return v, cost, true
+	return v, c, true
 }
 
 // homes returns the preferred engine of a shared part, and the one that is preferred when
@@ -303,8 +317,27 @@
 // eligible reports whether a target may get a request that is bound to a software version and to
 // regions, apart from its role and its limit.
 func (t *target) eligible(now time.Duration, avoid []lagoonhead.EndpointID, v lagoonhead.VersionPin, g lagoonhead.RegionSet, healthy bool) bool {
-	return !t.endpoint.Leaving() && v.Allows(t.endpoint) && g.Allows(t.endpoint) && now >= t.changingUntil &&
-		(!healthy || t.health.usable(now)) && !slices.Contains(avoid, t.endpoint.ID())
+	return t.exclusion(now, avoid, v, g, healthy) == Included
+}
+
+// exclusion returns why a target is not eligible, or Included if it is.
+func (t *target) exclusion(now time.Duration, avoid []lagoonhead.EndpointID, v lagoonhead.VersionPin, g lagoonhead.RegionSet, healthy bool) Exclusion {
+	switch {
+	case t.endpoint.Leaving():
+		return Leaving
+	case !v.Allows(t.endpoint):
+		return OtherVersion
+	case !g.Allows(t.endpoint):
+		return OtherRegion
+	case now < t.changingUntil:
+		return ChangingRole
+	case healthy && !t.health.usable(now):
+		return Failing
+	case slices.Contains(avoid, t.endpoint.ID()):
+		return Avoided
+	default:
+		return Included
+	}
 }
 
 // canRun reports whether a target may get a request to run now.
@@ -405,10 +438,7 @@
 		load := b.runLoad(now, t, r)
 		if b.Spread {
 			// Each endpoint is chosen with a probability in proportion to its weight.
-			w := max(minSpreadWeight, 1-load) / b.runSlowness(now, t)
-			if r.Transfer && t.endpoint.FailureDomain() != r.Near {
-				w *= farTransferWeight
-			}
+			w := b.spreadWeight(now, t, r, load)
 			weights += w
 			if rand.Float64()*weights < w {
 				ok, e = true, t.endpoint
@@ -422,18 +452,33 @@
 	return e, ok
 }
 
+// spreadWeight returns the weight with which a target of the given runLoad is drawn for a run.
+func (b *Board) spreadWeight(now time.Duration, t *target, r RunRequest, load float64) float64 {
+	w := max(minSpreadWeight, 1-load) / b.runSlowness(now, t)
+	if r.Transfer && t.endpoint.FailureDomain() != r.Near {
+		w *= farTransferWeight
+	}
+	return w
+}
+
 // runLoad returns the cost of a run at a target, as a fraction of a full batch.
 func (b *Board) runLoad(now time.Duration, t *target, r RunRequest) float64 {
-	load := float64(b.running(now, t)) / float64(max(1, t.endpoint.Slots()))
-	if b.Spread {
-		load = min(load, 1) * spreadDamping
-	}
+	load := b.batchLoad(now, t)
 	if t.endpoint.FailureDomain() != r.Near {
 		load += crossDomainCost
 	}
 	return load + float64(b.risk(now, t, r.Retryable))/float64(fullBatchCost)
 }
 
+// batchLoad returns the part of a target's batch that counts as full for a run.
+func (b *Board) batchLoad(now time.Duration, t *target) float64 {
+	load := float64(b.running(now, t)) / float64(max(1, t.endpoint.Slots()))
+	if b.Spread {
+		load = min(load, 1) * spreadDamping
+	}
+	return load
+}
+
 // HasRoom reports whether an endpoint can run the request now.
 func (b *Board) HasRoom(now time.Duration, r RunRequest) bool {
 	return slices.ContainsFunc(b.services[r.Service], func(t *target) bool {
