dispatch: ExplainPlacement explains the placement of a request

It looks up the route or the service, builds the request as for a call, and has the board explain the choices. The decision of package triage and the refusal are made by the same code as for a call, in a dispatcher of its own with a copy of the judge (triage.Judge.CopyTo), so that nothing counts as asked for, refused or overloaded.

The rate limit of the workspace, requests that crash endpoints, and the software version of a stream that is taken up are not considered: each of these checks changes state or depends on the request itself.

--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -222,6 +222,30 @@
 	return nil
 }
 
+// RouteByName returns the route with the given name, or nil.
+func (c *Catalog) RouteByName(name string) *Route {
+	return c.findRoute(func(r *Route) bool { return r.Name == name })
+}
+
+// RouteTo returns the first route that leads to the service, or nil.
+func (c *Catalog) RouteTo(service string) *Route {
+	return c.findRoute(func(r *Route) bool {
+		return slices.ContainsFunc(r.Shares, func(s Share) bool { return s.Service == service })
+	})
+}
+
+func (c *Catalog) findRoute(is func(r *Route) bool) *Route {
+	for i := range c.spec.Routes {
+		if r := &c.spec.Routes[i]; is(r) {
+			return r
+		}
+	}
+	return nil
+}
+
+// Workspace returns the workspace with the given ID, or nil.
+func (c *Catalog) Workspace(id lagoonhead.WorkspaceID) *Workspace { return c.workspaces[id] }
+
 // WorkspaceByKey returns the workspace that the API key belongs to, or nil.
 func (c *Catalog) WorkspaceByKey(key string) *Workspace { return c.workspacesByKey[key] }
 
--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -224,6 +224,11 @@
 	if err != nil {
 		return nil, err
 	}
+	return d.requestOf(c, s, cat, rt, w), nil
+}
+
+// requestOf describes a call on a route. w is nil if the route needs no key.
+func (d *Dispatcher) requestOf(c *Call, s Sink, cat *catalog.Catalog, rt *catalog.Route, w *catalog.Workspace) *request {
 	r := &request{Dispatcher: d, call: c, sink: s, route: rt, workspace: w, configVersion: cat.Version(), arrived: d.Timer.Now(), parts: c.Prompt.SharedParts()}
 	r.urgency, r.regions = rt.Urgency, rt.Regions
 	if r.workspace != nil {
@@ -235,7 +240,7 @@
 	r.service, r.unlimited = pickShare(rt.Shares), !cat.LimitsRates()
 	r.setDeadline()
 	r.demand = d.newDemand(r)
-	return r, nil
+	return r
 }
 
 // noConfigRetryAfter is the retry delay for callers of a daemon that has just started.
--- a/dispatch/request.go
+++ b/dispatch/request.go
@@ -344,11 +344,19 @@
 // can take.
 func (r *request) refuse(v lagoonhead.VersionPin, what string) error {
 	now := r.Timer.Now()
-	after, serves, evacuated := busyRetryAfter, true, false
+	var wait time.Duration
+	serves, evacuated := true, false
 	r.WithBoard(func(b *steer.Board) {
-		after = max(after, b.LimitWait(now, r.service, v, r.regions))
+		wait = b.LimitWait(now, r.service, v, r.regions)
 		serves, evacuated = b.HasVersion(r.service, v, r.regions), len(b.Evacuated) > 0
 	})
+	return r.refusal(v, what, wait, serves, evacuated)
+}
+
+// refusal is refuse with what the board knows: the time until limits allow the request, whether an
+// endpoint that suits it is registered, and whether a failure domain is evacuated.
+func (r *request) refusal(v lagoonhead.VersionPin, what string, wait time.Duration, serves, evacuated bool) error {
+	after := max(busyRetryAfter, wait)
 	e := failf("place", lagoonhead.KindUnavailable, "no endpoint of %s at %s can take %s", r.service, v, what)
 	if r.regions.Limited() && !serves {
 		if !r.outsideRegions {
--- a/dispatch/stream.go
+++ b/dispatch/stream.go
@@ -139,10 +139,7 @@
 
 func (r *request) pickPrefill() (v steer.PrefillChoice, ok bool) {
 	now := r.Timer.Now()
-	q := steer.PrefillRequest{
-		Service: r.service, Prompt: r.call.Prompt, Due: r.prefillDue(), MaxPause: r.route.PauseObjective,
-		Retryable: r.retryable(), Avoid: r.avoid, Version: r.version, Regions: r.regions,
-	}
+	q := r.prefillRequest()
 	r.returnReservation()
 	r.WithBoard(func(b *steer.Board) {
 		if v, ok = b.PickPrefill(now, q); !ok {
@@ -164,6 +161,14 @@
 	return v, ok
 }
 
+// prefillRequest describes the next prefill.
+func (r *request) prefillRequest() steer.PrefillRequest {
+	return steer.PrefillRequest{
+		Service: r.service, Prompt: r.call.Prompt, Due: r.prefillDue(), MaxPause: r.route.PauseObjective,
+		Retryable: r.retryable(), Avoid: r.avoid, Version: r.version, Regions: r.regions,
+	}
+}
+
 // returnReservation gives up the place that was reserved for a run.
 func (r *request) returnReservation() {
 	if r.reserved != nil {
--- a/triage/judge_test.go
+++ b/triage/judge_test.go
@@ -95,3 +95,46 @@
 		require.Zero(t, s.yields(now, "a"))
 	}
 }
+
+// Guards against a copy that decides otherwise than the judge, and one whose decisions count at the
+// judge. Of two judges with the same prompts, only one is copied.
+func TestDecisionsOfACopyChangeNothing(t *testing.T) {
+	var a, b Judge
+	a.Random, b.Random = func() float64 { return 0.5 }, func() float64 { return 0.5 }
+	yields := 0.0
+	var now time.Duration
+	for i := range 2000 {
+		now += 50 * time.Millisecond
+		if i > 1800 { // the flood
+			now -= 45 * time.Millisecond
+		}
+		p := Prompt{
+			Service: "s", Workspace: "w1", Fingerprint: uint64(i), Tokens: 10_000, Separate: true, HasObjective: true,
+			Wait: time.Duration(i) * time.Millisecond / 4, Arrived: now, Due: now + 450*time.Millisecond, GiveUp: now + 2*time.Second,
+		}
+		if i%8 == 0 {
+			p.Workspace = "w2"
+		}
+		var c Judge
+		a.CopyTo(&c, "s")
+		c.Random = a.Random
+		copied := c.Decide(now, p)
+		yields = c.Yields(now, "s", "w1")
+		c.Begin(now, p, copied)
+		c.End(now, p, copied, time.Minute, true)
+		c.Decide(now, Prompt{Service: "s", Workspace: "w3", Wait: time.Hour, GiveUp: now, HasObjective: true})
+		want := b.Decide(now, p)
+		require.Equal(t, want, copied)
+		require.Equal(t, want, a.Decide(now, p))
+		if !want.Refused {
+			for _, j := range []*Judge{&a, &b} {
+				j.Begin(now, p, want)
+				j.End(now, p, want, p.Wait, true)
+			}
+		}
+	}
+	require.Equal(t, b.services, a.services)
+	require.Equal(t, b.refused, a.refused)
+	require.True(t, b.Overloaded(now, "s"))
+	require.Positive(t, yields)
+}
