lagoonctl placement: explain where a request would be sent now

The call ExplainPlacement of the service Queries returns the chosen engines, a line for each candidate with the parts of its cost or the reason of its exclusion, and the decision under load. On the platform it is served by the internal listener for metrics, which callers cannot reach. The own form of the daemon chooses with packages place and route; its operator listener answers with an error that says that it does not explain placements.

lagoonctl placement prints tables or, with -json, the response. A daemon that has no configuration yet, is not reachable, or is of an older release gives an error that says so and exit code 1. Listeners for metrics of older releases answer every path with a text, which the client recognizes.

--- a/cmd/lagoonctl/main.go
+++ b/cmd/lagoonctl/main.go
@@ -74,7 +74,7 @@
 // commandList holds the commands in the order of the help text.
 var commandList = []command{
 	validateCommand, diffCommand, applyCommand, getCommand, drainCommand, undrainCommand,
-	statusCommand, issueKeyCommand, withdrawKeyCommand, explainCommand,
+	statusCommand, issueKeyCommand, withdrawKeyCommand, explainCommand, placementCommand,
 }
 
 // usageError reports wrong arguments or flags, or a file named by them that cannot be used.
--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -28,6 +28,7 @@
 	"github.com/lagoonhead/lagoonhead/lease"
 	"github.com/lagoonhead/lagoonhead/metrics"
 	"github.com/lagoonhead/lagoonhead/mirror"
+	"github.com/lagoonhead/lagoonhead/operator"
 	"github.com/lagoonhead/lagoonhead/origin"
 	"github.com/lagoonhead/lagoonhead/overload"
 	"github.com/lagoonhead/lagoonhead/peer"
@@ -556,7 +557,7 @@
 		server  *http.Server
 	}{
 		{l.Callers, s.callers}, {l.Ready, newServer(d.Platform.Ready(d.ready))}, {l.Peers, newServer(p.Handler())},
-		{l.Metrics, newServer(metrics.Handler("lagoonhead", d.vars))},
+		{l.Metrics, newServer(d.metricsHandler())},
 	} {
 		if v.address == "" {
 			continue
@@ -583,6 +584,14 @@
 	return s, nil
 }
 
+// metricsHandler serves metrics, and explanations of placements to operators.
+func (d *Daemon) metricsHandler() http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle("/", metrics.Handler("lagoonhead", d.vars))
+	mux.Handle(operator.PlacementHandler(placements{d.Settings.VM, d.dispatcher}))
+	return mux
+}
+
 // closesConnections reports whether callers are told to close their connections after the
 // answer.
 func (d *Daemon) closesConnections() bool { return d.leaving.Load() || d.connections.crowded() }
--- a/operator/client.go
+++ b/operator/client.go
@@ -3,9 +3,15 @@
 import (
 	"context"
 	"crypto/tls"
+	"errors"
 	"net"
 	"net/http"
 	"time"
+
+	"github.com/twitchtv/twirp"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/lagoonhead/lagoonhead"
 )
 
 // clientDialTimeout limits a connection attempt.
@@ -85,3 +91,23 @@
 	out, err := c.queries.Explain(ctx, r)
 	return out, fromTwirp("explain", false, err)
 }
+
+// ExplainPlacement returns where a request would be sent now, and why. A daemon of a release without
+// the call is an error of KindUnavailable.
+func (c *Client) ExplainPlacement(ctx context.Context, r *ExplainPlacementRequest) (*ExplainPlacementResponse, error) {
+	out, err := c.queries.ExplainPlacement(ctx, r)
+	if lacksCall(err) {
+		return nil, fail("explainPlacement", lagoonhead.KindUnavailable, errors.New("the daemon does not explain placements: the address is that of another listener, or the daemon is of an older release"))
+	}
+	return out, fromTwirp("explainPlacement", false, err)
+}
+
+// lacksCall reports whether a listener does not know a call. One that serves metrics for every path
+// responds with a text.
+func lacksCall(err error) bool {
+	var e twirp.Error
+	if !errors.As(err, &e) || e.Meta(metaKind) != "" {
+		return false
+	}
+	return e.Code() == twirp.BadRoute || (e.Code() == twirp.Internal && errors.Is(err, proto.Error))
+}
--- a/operator/errors.go
+++ b/operator/errors.go
@@ -49,7 +49,7 @@
 		return nil
 	}
 	kind := lagoonhead.KindOf(err)
-	e := twirp.NewError(errorCodes[kind], message(err)).WithMeta(metaKind, kind.String())
+	e := twirp.NewError(errorCodes[kind], Message(err)).WithMeta(metaKind, kind.String())
 	var c *config.Conflict
 	if errors.As(err, &c) {
 		e = e.WithMeta(metaBase, strconv.FormatInt(c.Base, 10)).WithMeta(metaCurrent, strconv.FormatInt(c.Current, 10))
@@ -57,9 +57,9 @@
 	return e
 }
 
-// message returns the list of problems of a document if err wraps one, otherwise the
+// Message returns the list of problems of a document if err wraps one, otherwise the
 // message of the cause without the prefixes of the wrapping package errors.
-func message(err error) string {
+func Message(err error) string {
 	var p strict.Problems
 	if errors.As(err, &p) {
 		return p.Error()
--- a/operator/server.go
+++ b/operator/server.go
@@ -46,12 +46,20 @@
 	Find(q explain.Query) []lagoonhead.Decision
 }
 
+// PlacementExplainer explains where a request would be sent now. Its errors are of KindUnavailable,
+// KindNotFound or KindInvalid.
+type PlacementExplainer interface {
+	ExplainPlacement(r *ExplainPlacementRequest) (*ExplainPlacementResponse, error)
+}
+
 // Server serves the calls of operators. Set the exported fields before Handler is called.
 type Server struct {
 	Committer Committer
 	Inventory InventorySource
 	Status    StatusSource
 	Decisions DecisionSource
+	// Placements may be nil for a daemon that cannot explain placements. The call then fails.
+	Placements PlacementExplainer
 	// Recorder records the commands that were committed. It may be nil.
 	Recorder lagoonhead.DecisionRecorder
 	Clock    lagoonhead.Clock
@@ -154,7 +162,7 @@
 		}))
 	if lagoonhead.IsKind(err, lagoonhead.KindUnknown) {
 		// The key may have been committed. Its ID in the error lets the caller withdraw it.
-		err = fail("issueKey", lagoonhead.KindUnknown, fmt.Errorf("%s: %s", stored.ID, message(err)))
+		err = fail("issueKey", lagoonhead.KindUnknown, fmt.Errorf("%s: %s", stored.ID, Message(err)))
 	}
 	if err != nil {
 		return nil, toTwirp(err)
@@ -217,3 +225,10 @@
 	}
 	return out, nil
 }
+
+// ExplainPlacement implements Queries.
+func (q queries) ExplainPlacement(_ context.Context, r *ExplainPlacementRequest) (*ExplainPlacementResponse, error) {
+	q.server.vars.Add("queries", 1)
+	out, err := explainPlacement(q.server.Placements, r)
+	return out, toTwirp(err)
+}
