--- a/steer/board.go
+++ b/steer/board.go
@@ -255,6 +255,8 @@
 	// forecasts.
 	runRatios map[string]*forecastRatio
 	vars      estimateVars
+	// trace records the targets that are assessed. It is nil except in an explanation.
+	trace *trace
 }
 
 // randomIndex returns a random number from 0 to n-1.
