steer: the explanation of a short prompt has the failure costs of its draw

Candidates of a drawn short prompt show the same cost as the draw now. triage.Judge.Yields counts workspaces that yield without overload, which they do since floods are known by their counts.

--- a/steer/draw.go
+++ b/steer/draw.go
@@ -86,12 +86,12 @@
 		if !fits {
 			continue
 		}
-		risk, fails := b.drawRisk(now, t, r.Retryable)
-		cost += risk
+		excess := b.drawExcess(now, t)
+		cost += lossRisk(excess, r.Retryable) + b.refusalRisk(now, t)
 		if !ok || cost < best {
 			best, ok, c = cost, true, v
 		}
-		if fails {
+		if excess > 0 && !b.failuresInTwoDraws {
 			if failing++; failing == maxFailingDraws {
 				break
 			}
--- a/steer/estimate.go
+++ b/steer/estimate.go
@@ -228,7 +228,7 @@
 // the time for which one excludes it at the daemon that was refused.
 func (b *Board) refusalRisk(now time.Duration, t *target) time.Duration {
 	n := t.estimate.refused.value(now, errorDecayTime)
-	if n == 0 || !b.estimates() {
+	if n == 0 || b.IgnoreFailures || !b.estimates() {
 		return 0
 	}
 	f := t.outcomes.decayFactor(now) * float64(errorDecayTime) / float64(outcomeDecayTime)
--- a/steer/explain.go
+++ b/steer/explain.go
@@ -80,12 +80,7 @@
 
 // addRisks adds the expected costs of failures and refusals, which are those of risk.
 func (b *Board) addRisks(now time.Duration, t *target, retryable bool, c *Cost) {
-	risk := b.risk(now, t, retryable)
-	if b.IgnoreFailures {
-		return
-	}
-	c.Refusals = b.refusalRisk(now, t)
-	c.Failures = risk - c.Refusals
+	c.Failures, c.Refusals = b.failureRisk(now, t, retryable), b.refusalRisk(now, t)
 }
 
 // Candidate is an endpoint of a service as seen by a choice for a request.
@@ -122,7 +117,8 @@
 const (
 	// Compared means that all endpoints were compared.
 	Compared Method = iota
-	// DrawnShort means that two engines that run requests were drawn at random and compared.
+	// DrawnShort means that two engines that run requests were drawn at random and compared, and
+	// further ones while failing ones were drawn.
 	DrawnShort
 	// DrawnSome means that the engines with the shared part of the prompt, its homes and some that
 	// were drawn at random were compared.
@@ -133,7 +129,7 @@
 
 // String returns the name of the method.
 func (m Method) String() string {
-	return [...]string{"all are compared", "two are drawn at random and compared", "some are drawn at random and compared", "one is drawn at random by weight"}[m]
+	return [...]string{"all are compared", "two are drawn at random and compared, and more while failing ones are drawn", "some are drawn at random and compared", "one is drawn at random by weight"}[m]
 }
 
 // Stage is the explanation of the choice of one endpoint.
@@ -213,10 +209,10 @@
 // board as it is. The copy must not be used after the next change of the board.
 func (b *Board) snapshot(service string) *Board {
 	c := &Board{
-		Domain: b.Domain, IgnoreFailures: b.IgnoreFailures, Spread: b.Spread, unchanged: b.unchanged, PeerInterval: b.PeerInterval,
+		Domain: b.Domain, IgnoreFailures: b.IgnoreFailures, Spread: b.Spread, unchanged: b.unchanged, failuresInTwoDraws: b.failuresInTwoDraws, PeerInterval: b.PeerInterval,
 		LimitShare: b.LimitShare, ColdShare: b.ColdShare, Evacuated: b.Evacuated, TransferPerToken: b.TransferPerToken,
 		targets: make(map[lagoonhead.EndpointID]*target), services: make(map[string][]*target),
-		versions: b.versions, rates: maps.Clone(b.rates), fetchDelays: maps.Clone(b.fetchDelays), sent: maps.Clone(b.sent),
+		versions: b.versions, rates: maps.Clone(b.rates), rateSamples: maps.Clone(b.rateSamples), fetchDelays: maps.Clone(b.fetchDelays), sent: maps.Clone(b.sent),
 		runSearchStart: b.runSearchStart, heard: b.heard, coldCounts: b.coldCounts, runRatios: b.runRatios,
 	}
 	for _, t := range b.services[service] {
@@ -274,6 +270,9 @@
 		if c.Excluded == Included {
 			v, cost, fits := before.assess(now, t, r, part, shared, homes, sources)
 			before.addRequestCosts(now, t, r, v, handOver, apart, &cost)
+			if s.Method == DrawnShort {
+				cost.Failures = lossRisk(before.drawExcess(now, t), r.Retryable)
+			}
 			c.Wait, c.Tokens, c.CacheSource, c.Cost = v.Wait, v.Tokens, v.CacheSource, cost
 			c.Drawn = s.Method != Compared && b.trace.assessed[b.services[r.Service][i]]
 			switch {
--- a/steer/explain_test.go
+++ b/steer/explain_test.go
@@ -164,7 +164,8 @@
 // Guards against a field of Board that the copy for an explanation lacks.
 func TestSnapshotHasAllFields(t *testing.T) {
 	b := explainedBoard(true)
-	b.IgnoreFailures, b.unchanged, b.PeerInterval, b.runSearchStart = true, true, time.Second, 7
+	b.IgnoreFailures, b.unchanged, b.failuresInTwoDraws, b.PeerInterval, b.runSearchStart = true, true, true, time.Second, 7
+	b.rateSamples = map[string]int{model: 1}
 	b.LimitShare = func(lagoonhead.EndpointID, float64) float64 { return 1 }
 	b.ColdShare = func(lagoonhead.EndpointID, float64) ColdShare { return ColdShare{1, 1} }
 	b.TransferPerToken = func(string) time.Duration { return time.Microsecond }
@@ -172,11 +173,12 @@
 	b.addSent(model, 1, 1)
 	b.addRunRatio(now, b.targets["d"], 1, 1)
 	b.coldCounts.Sent++
+	notCopied := map[string]bool{"vars": true, "trace": true, "Random": true} // a copy draws from a source of its own
 	v, c := reflect.ValueOf(b).Elem(), reflect.ValueOf(b.snapshot(model)).Elem()
 	for i := range v.NumField() {
-		if name := v.Type().Field(i).Name; name != "vars" && name != "trace" && !v.Field(i).IsZero() {
+		if name := v.Type().Field(i).Name; !notCopied[name] && !v.Field(i).IsZero() {
 			require.False(t, c.Field(i).IsZero(), name)
-		} else if name != "vars" && name != "trace" {
+		} else if !notCopied[name] {
 			require.Fail(t, "the test does not set the field", name)
 		}
 	}
--- a/steer/failures.go
+++ b/steer/failures.go
@@ -55,20 +55,28 @@
 
 // risk returns the expected cost to a request of the failures and refusals of a target.
 func (b *Board) risk(now time.Duration, t *target, retryable bool) time.Duration {
+	return b.failureRisk(now, t, retryable) + b.refusalRisk(now, t)
+}
+
+// failureRisk returns the expected cost to a request of the failures of a target.
+func (b *Board) failureRisk(now time.Duration, t *target, retryable bool) time.Duration {
 	if b.IgnoreFailures {
 		return 0
 	}
-	return lossRisk(t.outcomes.excess(now), retryable) + b.refusalRisk(now, t)
+	return lossRisk(t.outcomes.excess(now), retryable)
 }
 
-// drawRisk returns the same where engines are drawn at random, and whether the target has failed
-// recently by more than the baseline.
-func (b *Board) drawRisk(now time.Duration, t *target, retryable bool) (cost time.Duration, failing bool) {
-	if b.IgnoreFailures || b.failuresInTwoDraws {
-		return b.risk(now, t, retryable), false
+// drawExcess returns by how much the failure rate of a target exceeds baselineFailureRate where engines
+// are drawn at random.
+func (b *Board) drawExcess(now time.Duration, t *target) float64 {
+	switch {
+	case b.IgnoreFailures:
+		return 0
+	case b.failuresInTwoDraws:
+		return t.outcomes.excess(now)
+	default:
+		return t.outcomes.excessWithPrior(now, drawPriorSuccesses)
 	}
-	excess := t.outcomes.excessWithPrior(now, drawPriorSuccesses)
-	return lossRisk(excess, retryable) + b.refusalRisk(now, t), excess > 0
 }
 
 // lossRisk returns the expected cost to a request of a failure rate.
--- a/triage/preview.go
+++ b/triage/preview.go
@@ -28,13 +28,13 @@
 	c.services = map[string]*load{service: &copied}
 }
 
-// Yields returns the probability with which a prompt of a workspace yields to those of others, 0 while
-// the service is not overloaded. A request that comes back after a refusal yields less.
+// Yields returns the probability with which a prompt of a workspace yields to those of others. A
+// request that comes back after a refusal yields less.
 func (j *Judge) Yields(now time.Duration, service string, w lagoonhead.WorkspaceID) float64 {
 	j.mu.Lock()
 	defer j.mu.Unlock()
 	l := j.services[service]
-	if l == nil || !l.overloaded(now) {
+	if l == nil {
 		return 0
 	}
 	return l.shares.yields(now, w)
