--- a/httpdrain/listener.go
+++ b/httpdrain/listener.go
@@ -112,7 +112,9 @@
 	for !l.stop(ended, accepting.Err() != nil) {
 		_ = t.Sleep(accepting, pollInterval) // the next call of stop is the last if the time is over
 	}
-	l.Close()
+	if err := l.Close(); err != nil {
+		l.Log.Warn("listener of callers' connections cannot be closed", zap.Error(err))
+	}
 	select {
 	case <-ended:
 	case <-ctx.Done():
