--- a/steer/board.go
+++ b/steer/board.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/bits"
+	"math/rand/v2"
 	"slices"
 	"time"
 
@@ -209,6 +210,9 @@
 	// unchanged disables what Spread changes in the choice of engines for prefill. It is the
 	// simpler policy, for comparison.
 	unchanged bool
+	// failuresInTwoDraws makes drawShort take the better of two engines whether or not they fail. It
+	// is the simpler policy, for comparison.
+	failuresInTwoDraws bool
 	// PeerInterval is the usual interval between two reports of one peer; 0 means
 	// that it is short.
 	PeerInterval time.Duration
@@ -225,6 +229,9 @@
 	// token from another one, or 0 if engines do not fetch cached parts from each other. It may
 	// be nil, which means the same.
 	TransferPerToken func(service string) time.Duration
+	// Random is the source of the draws of endpoints. It may be nil, which means the source of
+	// math/rand/v2 that all boards of the process share.
+	Random *rand.Rand
 
 	targets  map[lagoonhead.EndpointID]*target
 	services map[string][]*target
@@ -232,6 +239,8 @@
 	versions map[string]seenVersions
 	// rates holds the mean prefill rate by service, in tokens per millisecond.
 	rates map[string]float64
+	// rateSamples counts the samples of rates, by service. It is kept where reports are old.
+	rateSamples map[string]int
 	// fetchDelays holds, by service, how much longer transfers of cached parts take.
 	fetchDelays map[string]fetchDelay
 	// sent counts the tokens that all daemons sent for prefill, by service.
@@ -246,6 +255,24 @@
 	// forecasts.
 	runRatios map[string]*forecastRatio
 	vars      estimateVars
+	// trace records the targets that are assessed. It is nil except in an explanation.
+	trace *trace
+}
+
+// randomIndex returns a random number from 0 to n-1.
+func (b *Board) randomIndex(n int) int {
+	if b.Random == nil {
+		return rand.IntN(n)
+	}
+	return b.Random.IntN(n)
+}
+
+// randomFraction returns a random number of at least 0 and less than 1.
+func (b *Board) randomFraction() float64 {
+	if b.Random == nil {
+		return rand.Float64()
+	}
+	return b.Random.Float64()
 }
 
 // seenVersions are the software versions of the endpoints of a service since the daemon started.
--- a/steer/estimate.go
+++ b/steer/estimate.go
@@ -228,7 +228,7 @@
 // the time for which one excludes it at the daemon that was refused.
 func (b *Board) refusalRisk(now time.Duration, t *target) time.Duration {
 	n := t.estimate.refused.value(now, errorDecayTime)
-	if n == 0 || !b.estimates() {
+	if n == 0 || b.IgnoreFailures || !b.estimates() {
 		return 0
 	}
 	f := t.outcomes.decayFactor(now) * float64(errorDecayTime) / float64(outcomeDecayTime)
@@ -315,7 +315,7 @@
 
 // estimateVars are the counters of a board.
 type estimateVars struct {
-	// shortDrawn counts the short prompts for which an engine was chosen among two that were drawn,
+	// shortDrawn counts the short prompts for which an engine was chosen among some that were drawn,
 	// and shortCompared those for which the drawn ones were too bad; drawn counts the prompts for
 	// which an engine was chosen among those that have the shared part, its homes and some that
 	// were drawn, and compared those for which all engines were compared.
--- a/triage/judge_test.go
+++ b/triage/judge_test.go
@@ -51,6 +51,42 @@
 	require.Equal(t, Returned, back.Place)
 }
 
+// Guards against short prompts of a flood that go ahead of the late long ones of others.
+func TestYieldingPromptsGoBehindLateOnes(t *testing.T) {
+	require.Greater(t, Yielding.urgency(0, 0), Late.urgency(0, maxClass-1))
+}
+
+// Guards against a flood that goes ahead of others until forecasts miss the objective, and one that is
+// refused while engines are idle.
+func TestAFloodYieldsBeforeForecastsMiss(t *testing.T) {
+	var j Judge
+	yielding, number := 0, uint64(0)
+	for now := time.Duration(0); now < time.Minute+time.Second; now += 10 * time.Millisecond {
+		for _, w := range []lagoonhead.WorkspaceID{"flood", "a", "b", "c"} {
+			if now%time.Second != 0 && (w != "flood" || now < time.Minute) {
+				continue
+			}
+			number++
+			p := Prompt{
+				Service: "s", Workspace: w, Fingerprint: number, Tokens: 383, Separate: true, HasObjective: true,
+				Wait: 50 * time.Millisecond, Arrived: now, Due: now + 450*time.Millisecond, GiveUp: now + 2400*time.Millisecond,
+			}
+			d := j.Decide(now, p)
+			j.Begin(now, p, d)
+			j.End(now, p, d, p.Wait, true)
+			require.False(t, d.Refused)
+			if d.Place == Yielding {
+				require.Equal(t, lagoonhead.WorkspaceID("flood"), w)
+				yielding++
+				continue
+			}
+			require.Equal(t, Unchanged, d.Place)
+		}
+	}
+	require.False(t, j.Overloaded(time.Minute+time.Second, "s"))
+	require.Greater(t, yielding, 60, "most of the 100 prompts of the first second")
+}
+
 // Guards against a service that counts as overloaded, and prompts that go behind others, because they
 // are too long to be in time on an idle engine.
 func TestAPromptThatIsLateByItsLengthShowsNoOverload(t *testing.T) {
@@ -95,3 +131,46 @@
 		require.Zero(t, s.yields(now, "a"))
 	}
 }
+
+// Guards against a copy that decides otherwise than the judge, and one whose decisions count at the
+// judge. Of two judges with the same prompts, only one is copied.
+func TestDecisionsOfACopyChangeNothing(t *testing.T) {
+	var a, b Judge
+	a.Random, b.Random = func() float64 { return 0.5 }, func() float64 { return 0.5 }
+	yields := 0.0
+	var now time.Duration
+	for i := range 2000 {
+		now += 50 * time.Millisecond
+		if i > 1800 { // the flood
+			now -= 45 * time.Millisecond
+		}
+		p := Prompt{
+			Service: "s", Workspace: "w1", Fingerprint: uint64(i), Tokens: 10_000, Separate: true, HasObjective: true,
+			Wait: time.Duration(i) * time.Millisecond / 4, Arrived: now, Due: now + 450*time.Millisecond, GiveUp: now + 2*time.Second,
+		}
+		if i%8 == 0 {
+			p.Workspace = "w2"
+		}
+		var c Judge
+		a.CopyTo(&c, "s")
+		c.Random = a.Random
+		copied := c.Decide(now, p)
+		yields = c.Yields(now, "s", "w1")
+		c.Begin(now, p, copied)
+		c.End(now, p, copied, time.Minute, true)
+		c.Decide(now, Prompt{Service: "s", Workspace: "w3", Wait: time.Hour, GiveUp: now, HasObjective: true})
+		want := b.Decide(now, p)
+		require.Equal(t, want, copied)
+		require.Equal(t, want, a.Decide(now, p))
+		if !want.Refused {
+			for _, j := range []*Judge{&a, &b} {
+				j.Begin(now, p, want)
+				j.End(now, p, want, p.Wait, true)
+			}
+		}
+	}
+	require.Equal(t, b.services, a.services)
+	require.Equal(t, b.refused, a.refused)
+	require.True(t, b.Overloaded(now, "s"))
+	require.Positive(t, yields)
+}
