review: a stopping daemon cuts off streams of an engine that pauses

A stream whose engine makes no event for 1.2 s is given up as soon as another engine seems to have room, before that one has taken it. If it refuses because its memory is full, the answer is cut off, although the first engine was still at work.

--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -19,6 +19,7 @@
 // cases are the cases by name. Each returns what broke the rule.
 var cases = map[string]func(f *fleet, trouble bool) []string{
 	"stale-list":  staleList,
+	"silent-move": silentMove,
 	"cut-watches": cutWatches,
 }
 
