review: streams go on elsewhere while a slow engine still works on them

A stream whose engine makes no event for 1.2 s is moved: its connection is closed and the request sent to another engine at once. An engine that does not drop a request when its connection closes works on it for as long as before, beside the new one, and is not asked (`kv-move` with `last`, `GET /-/report`). TWICE allows 400 ms.

--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -20,6 +20,7 @@
 var cases = map[string]func(f *fleet, trouble bool) []string{
 	"stale-list":  staleList,
 	"silent-move": silentMove,
+	"slow-engine": slowEngine,
 	"cut-watches": cutWatches,
 }
 
--- a/review/standin-2/modelengine.go
+++ b/review/standin-2/modelengine.go
@@ -8,28 +8,33 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
-// modelEvents is the number of events of a stream, and eventTime the time between two of them.
-const (
-	modelEvents = 9
-	eventTime   = 50 * time.Millisecond
-)
+// modelEvents is the number of events of a stream.
+const modelEvents = 9
 
 // modelEngine is an engine of the service of models.
 type modelEngine struct {
 	id, address, stage string
+	// eventTime is the time between two events. slowness multiplies it; 0 means 1.
+	eventTime time.Duration
+	slowness  atomic.Int64
 	// pauseAfter is the event behind which each stream pauses for pause; 0 means none. The engine has preempted
 	// the request then, and reads it in again.
 	pauseAfter int
 	pause      time.Duration
+	// stays is true if the engine goes on with a stream whose connection was closed.
+	stays bool
 	// full is true if the engine has no memory for further requests.
 	full  bool
 	fleet *fleet
 
 	mu      sync.Mutex
 	streams map[string]string // what became of the streams, by request
+	// began and worked hold when the work on a stream began, and when an event of it was last made.
+	began, worked map[string]time.Time
 }
 
 // newModelEngine starts and registers an engine of the service of models.
@@ -37,6 +42,7 @@
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	check(err)
 	e.address, e.fleet, e.streams = l.Addr().String(), f, make(map[string]string)
+	e.began, e.worked = make(map[string]time.Time), make(map[string]time.Time)
 	go func() { _ = (&http.Server{Handler: e, ReadHeaderTimeout: time.Minute}).Serve(l) }() // until the process ends
 	f.store.put("servers/"+e.id, map[string]any{
 		"service": "model", "address": e.address, "zone": "a", "version": "v1", "slots": 64, "state": "ready", "cold_remaining_ms": 0,
@@ -79,16 +85,33 @@
 	w.Header().Set("X-Weight-Versions", "1")
 	w.Header().Set("Content-Type", "text/event-stream")
 	flush := http.NewResponseController(w)
+	e.mu.Lock()
+	e.began[id] = time.Now()
+	e.mu.Unlock()
+	e.fleet.add("engine %s: request %s begins behind event %d", e.id, id, last)
+	left := r.Context().Done()
 	for n := last + 1; n <= modelEvents; n++ {
-		wait := eventTime
+		wait := e.eventTime * time.Duration(max(1, e.slowness.Load()))
 		if n == e.pauseAfter+1 && e.pauseAfter > 0 {
 			wait = e.pause
 		}
+		due := time.After(wait)
 		select {
-		case <-time.After(wait):
-		case <-r.Context().Done():
+		case <-due:
+		case <-left:
 			e.note(id, fmt.Sprintf("its connection was closed while event %d was being made", n))
-			return
+			if !e.stays {
+				return
+			}
+			left = nil
+			<-due
+		}
+		e.mu.Lock()
+		e.worked[id] = time.Now()
+		e.mu.Unlock()
+		if left == nil {
+			e.fleet.add("engine %s: request %s: event %d made, nobody reads it", e.id, id, n)
+			continue
 		}
 		fmt.Fprintf(w, "id: %d\ndata: piece %d to %s\n\n", n, n, id)
 		_ = flush.Flush() // the next event meets the error
--- a/review/standin-2/silentmove.go
+++ b/review/standin-2/silentmove.go
@@ -27,12 +27,10 @@
 		f.newDaemon(n)
 	}
 	f.writeSettings()
-	read := newRoute("check", "streaming", "model", 2)
-	read["resumable"], read["slo_ms"], read["timeout_ms"] = true, 600, 5000
-	f.configure([]string{key}, read)
+	f.configure([]string{key}, checkRoute())
 	f.newModelEngine(&modelEngine{id: "reads-1", stage: "prefill"})
 	f.newModelEngine(&modelEngine{id: "full-1", stage: "decode", full: true})
-	e := f.newModelEngine(&modelEngine{id: "pauses-1", stage: "decode", pauseAfter: 3, pause: silence})
+	e := f.newModelEngine(&modelEngine{id: "pauses-1", stage: "decode", eventTime: 50 * time.Millisecond, pauseAfter: 3, pause: silence})
 	for _, d := range f.daemons {
 		f.start(d)
 	}
