--- a/review/standin-2/fleet.go
+++ b/review/standin-2/fleet.go
@@ -60,10 +60,11 @@
 	daemons         []*daemon
 	engines         []*engine
 	version         int64
+	memory          int // the tokens in the memory of a model engine
 }
 
 func newFleet(folder, program string, r *record) *fleet {
-	f := &fleet{record: r, folder: folder, program: program, store: newStore(), cloud: new(cloud)}
+	f := &fleet{memory: 440441, record: r, folder: folder, program: program, store: newStore(), cloud: new(cloud)}
 	f.storeAddress, f.cloudAddress = serve(f.store), serve(f.cloud)
 	return f
 }
@@ -108,7 +109,7 @@
 		"services": []any{
 			map[string]any{"name": "booking", "health_path": "/healthz", "max_conns": 96},
 			map[string]any{"name": "model", "health_path": "/healthz", "max_conns": 360, "engine": map[string]any{
-				"slots": 64, "kv_capacity": 440441, "kv_hold_s": 5, "kv_bytes": 18432, "link_mbps": 740000, "switch_s": 3,
+				"slots": 64, "kv_capacity": f.memory, "kv_hold_s": 5, "kv_bytes": 18432, "link_mbps": 740000, "switch_s": 3,
 			}},
 		},
 		"limits":  map[string]any{"max_header_bytes": 32768, "max_body_bytes": 4194304, "header_timeout_ms": 5000, "idle_timeout_ms": 20000},
--- a/review/standin-2/modelengine.go
+++ b/review/standin-2/modelengine.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -21,20 +22,106 @@
 	// eventTime is the time between two events. slowness multiplies it; 0 means 1.
 	eventTime time.Duration
 	slowness  atomic.Int64
-	// pauseAfter is the event behind which each stream pauses for pause; 0 means none. The engine has preempted
-	// the request then, and reads it in again.
-	pauseAfter int
-	pause      time.Duration
+	// memory is the size of the engine's memory in tokens, and eventTokens that of an event; 0 means no bound.
+	memory, eventTokens int
 	// stays is true if the engine goes on with a stream whose connection was closed.
 	stays bool
-	// full is true if the engine has no memory for further requests.
-	full  bool
 	fleet *fleet
 
 	mu      sync.Mutex
 	streams map[string]string // what became of the streams, by request
 	// began and worked hold when the work on a stream began, and when an event of it was last made.
 	began, worked map[string]time.Time
+	// running and waiting are the requests that have memory, and those that wait for it, oldest first.
+	running, waiting []*held
+}
+
+const (
+	// promptTokens is the number of tokens of a prompt.
+	promptTokens = 383
+	// queuePlaces is the number of requests that an engine lets wait for memory.
+	queuePlaces = 2
+	// readTime is how long an engine reads a preempted request in again.
+	readTime = 100 * time.Millisecond
+	// memoryCheck is the time between two looks of a waiting request at the memory.
+	memoryCheck = 5 * time.Millisecond
+)
+
+// held is the memory of a request at an engine.
+type held struct {
+	id     string
+	tokens int
+}
+
+// admit gives a request memory or a place among those that wait for it, and reports whether there was one.
+func (e *modelEngine) admit(h *held) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	switch {
+	case len(e.waiting) == 0 && e.fits(h):
+		e.running = append(e.running, h)
+	case len(e.waiting) < queuePlaces:
+		e.waiting = append(e.waiting, h)
+	default:
+		return false
+	}
+	return true
+}
+
+// fits reports whether there is memory for a request. The caller holds the lock.
+func (e *modelEngine) fits(h *held) bool { return e.memory == 0 || e.used()+h.tokens <= e.memory }
+
+// used returns the memory of the running requests. The caller holds the lock.
+func (e *modelEngine) used() (n int) {
+	for _, h := range e.running {
+		n += h.tokens
+	}
+	return n
+}
+
+// await waits until a request has memory, and reports whether it had to, and whether its client has left.
+func (e *modelEngine) await(h *held, left <-chan struct{}) (waited, gone bool) {
+	for {
+		e.mu.Lock()
+		if slices.Contains(e.running, h) {
+			e.mu.Unlock()
+			break
+		}
+		if e.waiting[0] == h && e.fits(h) {
+			e.waiting, e.running = e.waiting[1:], append(e.running, h)
+		}
+		e.mu.Unlock()
+		waited = true
+		select {
+		case <-time.After(memoryCheck):
+		case <-left:
+			return waited, true
+		}
+	}
+	if waited {
+		time.Sleep(readTime)
+	}
+	return waited, false
+}
+
+// grow adds an event to the memory of a request. Once it runs out, the newest requests are preempted.
+func (e *modelEngine) grow(h *held) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	h.tokens += e.eventTokens
+	for e.memory > 0 && e.used() > e.memory {
+		last := e.running[len(e.running)-1]
+		e.running, e.waiting = e.running[:len(e.running)-1], append([]*held{last}, e.waiting...)
+		e.fleet.add("engine %s: request %s is preempted, since the memory ran out; %d run, %d wait", e.id, last.id, len(e.running), len(e.waiting))
+	}
+}
+
+// release frees the memory of a request.
+func (e *modelEngine) release(h *held) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	is := func(v *held) bool { return v == h }
+	e.running, e.waiting = slices.DeleteFunc(e.running, is), slices.DeleteFunc(e.waiting, is)
 }
 
 // newModelEngine starts and registers an engine of the service of models.
@@ -69,11 +156,7 @@
 	case strings.HasPrefix(r.URL.Path, "/-/"):
 		w.WriteHeader(http.StatusOK)
 	case prefills:
-		reply(w, http.StatusOK, map[string]any{"kv_handle": "h-" + id, "tokens": 383, "version": 1})
-	case e.full:
-		e.note(id, "refused, since the memory is full")
-		w.Header().Set("X-Not-Executed", "1")
-		w.WriteHeader(http.StatusServiceUnavailable)
+		reply(w, http.StatusOK, map[string]any{"kv_handle": "h-" + id, "tokens": promptTokens, "version": 1})
 	default:
 		e.stream(w, r, id)
 	}
@@ -81,6 +164,14 @@
 
 func (e *modelEngine) stream(w http.ResponseWriter, r *http.Request, id string) {
 	last, _ := strconv.Atoi(r.Header.Get("Last-Event-Id")) // 0 is before all events
+	h := &held{id: id, tokens: promptTokens + last*e.eventTokens}
+	if !e.admit(h) {
+		e.fleet.add("engine %s: request %s is refused, since the memory and the queue are full", e.id, id)
+		w.Header().Set("X-Not-Executed", "1")
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	defer e.release(h)
 	w.Header().Set("X-Server-Stamp", "stamp-"+e.id)
 	w.Header().Set("X-Weight-Versions", "1")
 	w.Header().Set("Content-Type", "text/event-stream")
@@ -91,11 +182,16 @@
 	e.fleet.add("engine %s: request %s begins behind event %d", e.id, id, last)
 	left := r.Context().Done()
 	for n := last + 1; n <= modelEvents; n++ {
-		wait := e.eventTime * time.Duration(max(1, e.slowness.Load()))
-		if n == e.pauseAfter+1 && e.pauseAfter > 0 {
-			wait = e.pause
+		since := time.Now()
+		waited, gone := e.await(h, left)
+		if waited {
+			e.fleet.add("engine %s: request %s waited %.3f s for memory before event %d, client left: %t", e.id, id, time.Since(since).Seconds(), n, gone)
+		}
+		if gone {
+			e.note(id, "its connection was closed while it waited for memory")
+			return
 		}
-		due := time.After(wait)
+		due := time.After(e.eventTime * time.Duration(max(1, e.slowness.Load())))
 		select {
 		case <-due:
 		case <-left:
@@ -106,6 +202,7 @@
 			left = nil
 			<-due
 		}
+		e.grow(h)
 		e.mu.Lock()
 		e.worked[id] = time.Now()
 		e.mu.Unlock()
--- a/review/standin-2/silentmove.go
+++ b/review/standin-2/silentmove.go
@@ -12,25 +12,30 @@
 )
 
 const (
-	// silence is how long an engine makes no event of a stream. Clients abandon a stream after 2.4 s.
-	silence = 1700 * time.Millisecond
 	// streams is the number of streams, and streamInterval the time between two of them.
-	streams        = 10
+	streams        = 20
 	streamInterval = 30 * time.Millisecond
+	// decodeMemory is the memory of an engine in tokens, and tokensOfEvent the number of tokens of an event. Ten
+	// prompts fit, and grow beyond the memory.
+	decodeMemory, tokensOfEvent = 4100, 30
+	// slowEventTime is the time between two events of an engine. It is below the pause that the route allows.
+	slowEventTime = 250 * time.Millisecond
 	// stopAfter is when the daemon is stopped, after the last stream has begun.
 	stopAfter = 300 * time.Millisecond
 )
 
-// silentMove stops a daemon while an engine is silent on its streams for a while, and the other one is full.
+// silentMove stops a daemon while the engines have preempted some of its streams, since their memory ran out.
 func silentMove(f *fleet, trouble bool) (broken []string) {
 	for _, n := range []string{"vm-a", "vm-b", "vm-c"} {
 		f.newDaemon(n)
 	}
 	f.writeSettings()
+	f.memory = decodeMemory
 	f.configure([]string{key}, checkRoute())
 	f.newModelEngine(&modelEngine{id: "reads-1", stage: "prefill"})
-	f.newModelEngine(&modelEngine{id: "full-1", stage: "decode", full: true})
-	e := f.newModelEngine(&modelEngine{id: "pauses-1", stage: "decode", eventTime: 50 * time.Millisecond, pauseAfter: 3, pause: silence})
+	for _, id := range []string{"full-1", "full-2"} {
+		f.newModelEngine(&modelEngine{id: id, stage: "decode", eventTime: slowEventTime, memory: decodeMemory, eventTokens: tokensOfEvent})
+	}
 	for _, d := range f.daemons {
 		f.start(d)
 	}
@@ -51,7 +56,7 @@
 			f.add("request %s, sent at %.3f s: status %d, %d events, error %v, after %.3f s", id, sentAt.Sub(f.began).Seconds(), status, events, err, time.Since(sentAt).Seconds())
 			mu.Lock()
 			defer mu.Unlock()
-			if status == statusOK && events < modelEvents && time.Since(sentAt) < 4*time.Second && !strings.Contains(e.state(id), "all events") {
+			if status == statusOK && events < modelEvents && time.Since(sentAt) < 4*time.Second {
 				cut++
 			}
 		})
@@ -71,20 +76,13 @@
 	return broken
 }
 
-// state returns what became of a request.
-func (e *modelEngine) state(id string) string {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	return e.streams[id]
-}
-
 // stream requests a stream and returns its status and the number of its whole events.
 func (d *daemon) stream(id string) (status, events int, err error) {
 	r, err := http.NewRequestWithContext(context.Background(), http.MethodPost, "http://"+d.callers+"/check/x", strings.NewReader(strings.Repeat("prompt ", 100)))
 	check(err)
 	r.Host = host
 	for k, v := range map[string]string{
-		"X-Request-Id": id, "X-Deadline-Ms": "5000", "Authorization": "Bearer " + key, "X-Model": "m", "X-Token-Count": "383,9",
+		"X-Request-Id": id, "X-Deadline-Ms": "5000", "Authorization": "Bearer " + key, "X-Model": "m", "X-Token-Count": fmt.Sprintf("%d,%d", promptTokens, modelEvents*tokensOfEvent),
 		"X-Prefix-Hash": "5c1e07a2:92," + id + ":291",
 	} {
 		r.Header.Set(k, v)
