roster: a failed call is no outage of the store while others succeed

Cause: the first failed call, here a waiting watch that the store cut, counted as an outage, and the next response began the 2.2 s for which an endpoint without a registration is kept in use. Each further failure began them anew.

Change: failed calls are an outage once no call has succeeded for WatchTimeout and a third of the TTL of a registration. WatchTimeout is the longest time between two responses in calm; in a third of the TTL an endpoint misses at most one heartbeat, and its registration lasts. What peers tell of failed calls goes through the same rule. An endpoint without a registration is kept until the store has been reachable for 2.2 s in all, so a series of outages keeps it no longer. "registration removed" logs whether the endpoint is kept.

--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -84,6 +84,9 @@
 	// minRegistrationTTL is the least time that is assumed for Settings.RegistrationTTL, which
 	// is 0 if the settings do not name the time between heartbeats.
 	minRegistrationTTL = time.Second
+	// minOutageTime is the least time beyond WatchTimeout without a response of the store that is
+	// an outage. It is longer than the pauses after failed calls.
+	minOutageTime = 600 * time.Millisecond
 	// lapsedInterval is the time between checks for endpoints that did not register
 	// again after an outage of the store.
 	lapsedInterval = 250 * time.Millisecond
@@ -336,11 +339,12 @@
 	d.config = &configuration{decode: d.Platform.DecodeConfiguration, log: d.Log, changed: d.updateBoard}
 	d.evacuations = &evacuations{log: d.Log, changed: d.updateBoard}
 	d.coldShares = &coldShares{self: s.VM, timer: d.Timer, tolerance: s.ColdTolerance}
+	registrationTTL := max(s.RegistrationTTL, minRegistrationTTL)
 	d.endpoints = &endpoints{
 		regions: s.Regions,
-		prefix:  d.Platform.EndpointPrefix, decode: d.Platform.DecodeRegistration, timer: d.Timer, log: d.Log, roster: roster.New(), changed: d.updateBoard,
+		prefix:  d.Platform.EndpointPrefix, decode: d.Platform.DecodeRegistration, timer: d.Timer, log: d.Log, roster: roster.New(outageTime(registrationTTL)), changed: d.updateBoard,
 		// An endpoint that still sends heartbeats after this time is alive, whatever it said before.
-		departureHold: max(s.RegistrationTTL, minRegistrationTTL) + roster.ReregistrationTime,
+		departureHold: registrationTTL + roster.ReregistrationTime,
 	}
 	d.members = &members{
 		self: s.VM, domain: s.FailureDomain, log: d.Log, wall: func() time.Time { return d.tally.Timer.Wall() }, slotsChanged: func() { d.admit.ReadSlots() },
@@ -368,6 +372,13 @@
 	d.copied = &copiedStore{Store: d.store, timer: d.Timer, copy: d.copy}
 }
 
+// outageTime returns the time without a response of the store from which failed calls are an
+// outage. Without an outage a daemon hears of the store at least once in WatchTimeout, and in a
+// third of the TTL of its registration an endpoint misses one heartbeat at most.
+func outageTime(registrationTTL time.Duration) time.Duration {
+	return WatchTimeout + max(registrationTTL/3, minOutageTime)
+}
+
 // observe returns a store that reports to the copy whether renewals of leases reach it.
 func (d *Daemon) observe(s lagoonhead.Store) *observedStore {
 	return &observedStore{Store: s, timer: d.Timer, copy: d.copy, prefix: d.Platform.EndpointPrefix, idle: d.attachment.idle}
--- a/entry/state.go
+++ b/entry/state.go
@@ -160,8 +160,8 @@
 
 func (p *endpoints) Removed(key string) {
 	delete(p.cold, key)
-	p.roster.Removed(p.timer.Now(), key)
-	p.log.Info("registration removed", zap.String("key", key))
+	kept := p.roster.Removed(p.timer.Now(), key)
+	p.log.Info("registration removed", zap.String("key", key), zap.Bool("kept", kept))
 }
 
 // RecordLeaving keeps a process of an endpoint out of use that has said in a response that it
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -16,20 +16,27 @@
 // Roster is the list of live endpoints, by the key of their entry in the store. It is
 // safe for concurrent use.
 type Roster struct {
+	outageTime time.Duration // see New
+
 	mu        sync.Mutex
 	endpoints map[string]lagoonhead.Endpoint
 	// unconfirmed holds the keys of endpoints whose entry has gone, perhaps only because
-	// the store was unreachable, or which are known only from a peer.
-	unconfirmed map[string]bool
-	// synced is true after the first call of Synced. Until then RemoveMissing removes
-	// nothing, since all that is known of endpoints comes from peers.
-	synced bool
-	// unreachable is true from the first failed call to the store until the next call
-	// of Synced.
-	unreachable bool
-	// settledAt is the time from which a missing entry means that its endpoint is gone.
-	settledAt time.Duration
-	version   int64 // see Version
+	// the store was unreachable, or which are known only from a peer. The value is the reachable
+	// time, see reachableTime, at which a missing entry means that the endpoint is gone.
+	unconfirmed map[string]time.Duration
+	// synced is true after the first call of Synced, and syncedAt is the newest time that such a
+	// call has named. Before it RemoveMissing removes nothing, since all that is known of
+	// endpoints comes from peers.
+	synced   bool
+	syncedAt time.Duration
+	// failing is true from a failed call to the store until the next call of Synced.
+	failing bool
+	// restored is true from a restore of the store until the next call of Synced.
+	restored bool
+	// reachable is the reachable time at syncedAt, and settled that from which a missing entry
+	// means that its endpoint is gone.
+	reachable, settled time.Duration
+	version            int64 // see Version
 
 	// now is the newest time that a call has named.
 	now time.Duration
@@ -54,10 +61,12 @@
 // seconds old.
 const departureMemory = time.Minute
 
-// New returns an empty roster.
-func New() *Roster {
+// New returns an empty roster. Failed calls to the store are an outage, in which entries of live
+// endpoints may lapse, if for at least outageTime no call has succeeded. It must be longer than
+// the usual time between two calls.
+func New(outageTime time.Duration) *Roster {
 	return &Roster{
-		endpoints: make(map[string]lagoonhead.Endpoint), unconfirmed: make(map[string]bool),
+		outageTime: outageTime, endpoints: make(map[string]lagoonhead.Endpoint), unconfirmed: make(map[string]time.Duration),
 		departures: make(map[string]departure), held: make(map[string]lagoonhead.Endpoint),
 	}
 }
@@ -138,7 +147,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.now = max(r.now, now)
-	r.unreachable = true
+	r.restored = true
 	r.restoredAt, r.heldUntil = r.now, r.now+hold
 }
 
@@ -154,25 +163,52 @@
 		e = e.WithLeaving(true)
 	}
 	r.endpoints[key] = e
-	r.unconfirmed[key] = true
+	r.unconfirmed[key] = r.settled
+	if !r.synced {
+		r.unconfirmed[key] = ReregistrationTime
+	}
 	r.version++
 }
 
 // Removed reports that an entry is gone from the store. Its endpoint is removed at once,
-// unless the store is unreachable or became reachable less than ReregistrationTime ago.
-func (r *Roster) Removed(now time.Duration, key string) {
+// unless there is an outage of the store, or one has ended less than ReregistrationTime ago. It
+// returns whether the endpoint is kept.
+func (r *Roster) Removed(now time.Duration, key string) (kept bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.now = max(r.now, now)
 	delete(r.held, key)
 	if _, ok := r.endpoints[key]; !ok {
-		return
+		return false
 	}
-	if r.unreachable || now < r.settledAt {
-		r.unconfirmed[key] = true
-		return
+	due := r.settled
+	if r.isOutage(now) {
+		due = r.reachable + ReregistrationTime
+	}
+	if known, ok := r.unconfirmed[key]; ok {
+		due = known // a series of outages keeps no endpoint for longer
+	}
+	if r.reachableTime(now) < due {
+		r.unconfirmed[key] = due
+		return true
 	}
 	r.drop(key)
+	return false
+}
+
+// isOutage reports whether entries of live endpoints may have lapsed because the store was
+// unreachable, or was restored. The caller holds the lock.
+func (r *Roster) isOutage(now time.Duration) bool {
+	return r.restored || r.failing && now-r.syncedAt >= r.outageTime
+}
+
+// reachableTime returns the time for which the store has been reachable. It stands still while calls
+// to the store fail. The caller holds the lock.
+func (r *Roster) reachableTime(now time.Duration) time.Duration {
+	if r.restored || r.failing {
+		return r.reachable
+	}
+	return r.reachable + max(0, now-r.syncedAt)
 }
 
 // Unreadable removes the endpoint of an entry whose new value cannot be decoded.
@@ -201,33 +237,40 @@
 func (r *Roster) StoreLost() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.unreachable = true
+	r.failing = true
 }
 
 // Synced reports that the entries matched those in the store at the given time.
 func (r *Roster) Synced(at time.Duration) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.unreachable || (!r.synced && len(r.unconfirmed) > 0) {
-		r.settledAt = at + ReregistrationTime
+	at = max(at, r.syncedAt)
+	if r.isOutage(at) || (!r.synced && len(r.unconfirmed) > 0) {
+		r.settled = r.reachable + ReregistrationTime
+	} else {
+		r.reachable += at - r.syncedAt
 	}
-	r.synced, r.unreachable = true, false
+	r.synced, r.syncedAt = true, at
+	r.failing, r.restored = false, false
 }
 
-// RemoveMissing removes the endpoints whose entries are still missing ReregistrationTime
-// after the store became reachable, and puts endpoints in use again whose departure was
+// RemoveMissing removes the endpoints whose entries are still missing after the store has been
+// reachable for ReregistrationTime, and puts endpoints in use again whose departure was
 // withdrawn by a restore. It returns the number of the former; Version tells of the latter.
 func (r *Roster) RemoveMissing(now time.Duration) int {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.now = max(r.now, now)
 	r.endHold()
-	if !r.synced || r.unreachable || now < r.settledAt {
+	if !r.synced || r.isOutage(now) {
 		return 0
 	}
-	n := len(r.unconfirmed)
-	for key := range r.unconfirmed {
-		r.drop(key)
+	reachable, n := r.reachableTime(now), 0
+	for key, due := range r.unconfirmed {
+		if due <= reachable {
+			r.drop(key)
+			n++
+		}
 	}
 	return n
 }
--- a/roster/roster_test.go
+++ b/roster/roster_test.go
@@ -13,6 +13,9 @@
 	"github.com/lagoonhead/lagoonhead"
 )
 
+// outageTime is the time without a successful call from which failed calls are an outage.
+const outageTime = time.Second
+
 // Guards against live endpoints that are removed because the store was unreachable, and
 // against endpoints that have left and are kept.
 func TestScripts(t *testing.T) {
@@ -35,7 +38,7 @@
 	require.NoError(t, yaml.Unmarshal(raw, &cases))
 	for _, c := range cases {
 		t.Run(c.Name, func(t *testing.T) {
-			r := New()
+			r := New(outageTime)
 			for i, s := range c.Steps {
 				now := time.Duration(s.Ms) * time.Millisecond
 				e := lagoonhead.NewEndpoint(lagoonhead.EndpointID(s.Key), lagoonhead.EndpointKindEngine, "m", "a:1", "d").
@@ -83,7 +86,7 @@
 // Guards against an endpoint that loses its software version when its entry lapses, its process says
 // that it leaves, or the store comes back from a copy.
 func TestEndpointsKeepTheirSoftwareVersion(t *testing.T) {
-	r := New()
+	r := New(outageTime)
 	e := lagoonhead.NewEndpoint("a", lagoonhead.EndpointKindEngine, "m", "a:1", "d").WithSoftware("v1")
 	check := func() {
 		t.Helper()
