mirror: a late answer of the store brings no removed entry back

Cause: a list was under way while a peer told of the removal. Merge knew that an unknown entry that is no newer than the state of its prefix was removed; Listed, Watched and Written put it back, and the next watch began behind the removal. An update of a peer's changes, asked for before a late list arrived, had the same effect: it does not tell of the removal, but its state counted.

TestALateAnswerBringsNothingBack (list, watch and read, in the same and in a new era), TestARemovalOutlastsAPeerWithoutTheStore and TestCopiesHoldNothingOlderThanTheirState failed before; the last one found the second way.

Change: one rule for all ways in. A list that is at least as new as the copy is complete and also brings what the copy lacks. Removals that are newer than the state of their prefix are remembered. Changes of a peer count as a state of the store only if the copy has followed that peer since.

--- a/mirror/copy.go
+++ b/mirror/copy.go
@@ -128,6 +128,9 @@
 	mu       sync.Mutex
 	prefixes map[string]*prefixState
 	entries  map[string]lagoonhead.Entry
+	// removed holds the revisions of removals that are newer than the states of their prefixes,
+	// by key.
+	removed  map[string]int64
 	sequence int64
 	history  []numbered // newest last
 	// followed says up to which change of a peer this copy has all that the peer has. It
@@ -144,7 +147,7 @@
 // NewCopy returns an empty copy for a process. followers are by prefix; none of the
 // prefixes may be the beginning of another one.
 func NewCopy(in lagoonhead.Incarnation, followers map[string]Follower) *Copy {
-	c := &Copy{source: in, prefixes: make(map[string]*prefixState), entries: make(map[string]lagoonhead.Entry)}
+	c := &Copy{source: in, prefixes: make(map[string]*prefixState), entries: make(map[string]lagoonhead.Entry), removed: make(map[string]int64)}
 	for p, f := range followers {
 		c.prefixes[p] = &prefixState{follower: f}
 	}
@@ -186,15 +189,21 @@
 }
 
 // Listed applies a list of the entries under a prefix, which the store had at a revision
-// and at the given time or later.
+// and at the given time or later. A list that is older than the state of the prefix, since it
+// arrives late, brings no removed entry back; any other one has all entries.
 func (c *Copy) Listed(prefix string, list []lagoonhead.Entry, revision int64, at time.Duration) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.prefixes[prefix].enter(revision, at)
+	p := c.prefixes[prefix]
+	p.enter(revision, at)
 	present := make(map[string]bool, len(list))
 	for _, e := range list {
 		present[e.Key] = true
-		c.put(e)
+		if revision >= p.revision {
+			c.replace(p, e)
+		} else {
+			c.put(e)
+		}
 	}
 	c.removeAbsent(prefix, present, revision)
 	c.endRead()
@@ -275,11 +284,24 @@
 	}
 }
 
+// put applies an entry that may be older than the state of its prefix: if it is and its key is
+// unknown, it was removed.
 func (c *Copy) put(e lagoonhead.Entry) {
 	_, p := c.prefix(e.Key)
-	if p == nil || e.Revision <= c.entries[e.Key].Revision {
+	if p == nil {
+		return
+	}
+	if _, known := c.entries[e.Key]; known || e.Revision > p.revision {
+		c.replace(p, e)
+	}
+}
+
+// replace applies an entry unless a newer revision of its key, or a removal after it, is known.
+func (c *Copy) replace(p *prefixState, e lagoonhead.Entry) {
+	if e.Revision <= max(c.entries[e.Key].Revision, c.removed[e.Key]) {
 		return
 	}
+	delete(c.removed, e.Key)
 	c.entries[e.Key] = e
 	c.record(Change{Entry: e})
 	p.changed = true
@@ -288,6 +310,7 @@
 
 func (c *Copy) remove(key string, revision int64) {
 	delete(c.entries, key)
+	c.removed[key] = revision
 	c.record(Change{Entry: lagoonhead.Entry{Key: key, Revision: revision}, Removed: true})
 	_, p := c.prefix(key)
 	p.changed = true
@@ -314,6 +337,7 @@
 func (c *Copy) sync(prefix string, revision int64, at time.Duration) {
 	p := c.prefixes[prefix]
 	p.revision = max(p.revision, revision)
+	maps.DeleteFunc(c.removed, func(key string, r int64) bool { return strings.HasPrefix(key, prefix) && r <= p.revision })
 	if !p.synced || at > p.syncedAt {
 		p.synced, p.syncedAt = true, at
 	}
@@ -382,8 +406,7 @@
 }
 
 // Merge merges an update that a peer made at the given time or later. The prefixes whose
-// state at the peer is at most maxAge old count as synced. An entry that is older than the
-// state of its prefix here and unknown was removed, so a peer that is behind brings no
+// state at the peer is at most maxAge old count as synced. A peer that is behind brings no
 // removed entry back.
 func (c *Copy) Merge(u Update, at, maxAge time.Duration) {
 	c.mu.Lock()
@@ -394,21 +417,20 @@
 		}
 	}
 	for _, v := range u.Changes {
-		_, p := c.prefix(v.Entry.Key)
-		if p == nil {
-			continue
-		}
-		if _, ok := c.entries[v.Entry.Key]; !ok && v.Entry.Revision <= p.revision {
-			continue
-		}
 		c.apply(v)
 	}
+	// Changes alone do not tell of the removal of an entry that came by another way after the peer
+	// was asked.
+	synced := u.Complete || u.Source == c.followed.source
 	if u.Complete {
 		c.mergeKeys(u)
-	} else if u.Source == c.followed.source {
+	} else if synced {
 		c.followed.sequence = max(c.followed.sequence, u.Sequence)
 	}
 	c.endChanges()
+	if !synced {
+		return
+	}
 	for _, s := range u.Prefixes {
 		if p := c.prefixes[s.Prefix]; p != nil && s.Revision > 0 {
 			c.mergeState(p, s, u.Source, at, maxAge)
--- a/mirror/copy_test.go
+++ b/mirror/copy_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"maps"
 	"os"
+	"slices"
 	"strconv"
 	"testing"
 	"time"
@@ -97,6 +98,73 @@
 	require.EqualValues(t, 5, c.Revision("p/"))
 }
 
+// Guards against an answer of the store that arrives late and brings a removed entry back, for good,
+// since the next watch begins behind the removal. A peer has told of the removal meanwhile.
+func TestALateAnswerBringsNothingBack(t *testing.T) {
+	gone := entry("p/gone", "x", 1)
+	kept := map[string]string{"p/kept": "y"}
+	for name, arrive := range map[string]func(c *Copy){
+		"list":        func(c *Copy) { c.Listed("p/", []lagoonhead.Entry{gone, entry("p/kept", "x", 2)}, 2, start) },
+		"watch":       func(c *Copy) { c.Watched("p/", []lagoonhead.Event{{Entry: gone}}, 2, start) },
+		"read":        func(c *Copy) { c.Written(gone) },
+		"earlier era": func(c *Copy) { c.Listed("p/", []lagoonhead.Entry{gone}, lagoonhead.NewRevision(0, 90), start) },
+		"another peer": func(c *Copy) {
+			old, _, _ := newCopy("old")
+			old.Listed("p/", []lagoonhead.Entry{gone}, 2, start)
+			pull(c, old, start)
+		},
+	} {
+		for _, era := range []int64{0, 1} {
+			if name == "earlier era" && era == 0 {
+				continue
+			}
+			t.Run(fmt.Sprint(name, " in era ", era), func(t *testing.T) {
+				c, p, _ := newCopy("a")
+				c.Listed("p/", []lagoonhead.Entry{gone, entry("p/kept", "x", 2)}, 2, start)
+				hub, _, _ := newCopy("hub")
+				now := lagoonhead.NewRevision(era, 4)
+				hub.Listed("p/", []lagoonhead.Entry{entry("p/kept", "y", now)}, now, start)
+				pull(c, hub, start)
+				require.Equal(t, kept, p.entries)
+				arrive(c)
+				require.Equal(t, kept, p.entries)
+				require.Equal(t, now, c.Revision("p/"))
+			})
+		}
+	}
+}
+
+// Guards against a removed entry that comes back because the peer that told of the removal does not
+// reach the store, so that its state does not count.
+func TestARemovalOutlastsAPeerWithoutTheStore(t *testing.T) {
+	c, p, _ := newCopy("a")
+	hub, _, _ := newCopy("hub")
+	list := []lagoonhead.Entry{entry("p/gone", "x", 1)}
+	c.Listed("p/", list, 1, start)
+	hub.Listed("p/", list, 1, start)
+	hub.Watched("p/", []lagoonhead.Event{{Entry: entry("p/gone", "", 3), Deleted: true}}, 3, start)
+	hub.Failed("p/", start, nil)
+	pull(c, hub, start)
+	require.Empty(t, p.entries)
+	c.Listed("p/", list, 2, start)
+	require.Empty(t, p.entries)
+	c.Watched("p/", []lagoonhead.Event{{Entry: entry("p/gone", "y", 5)}}, 5, start)
+	require.Equal(t, map[string]string{"p/gone": "y"}, p.entries, "written again")
+	require.Empty(t, c.removed)
+}
+
+// Guards against an entry that this copy has missed and never learns of: a list that is as new as the
+// copy shows it, and so does one after a restore of the store, whose revisions are given out again.
+func TestACompleteListShowsWhatWasMissed(t *testing.T) {
+	for _, revision := range []int64{4, 5, lagoonhead.NewRevision(1, 3)} {
+		c, p, _ := newCopy("a")
+		c.Listed("p/", nil, 4, start)
+		old := lagoonhead.NewRevision(lagoonhead.EraOf(revision), 2)
+		c.Listed("p/", []lagoonhead.Entry{entry("p/missed", "x", old)}, revision, start)
+		require.Equal(t, map[string]string{"p/missed": "x"}, p.entries, "list of revision %d", revision)
+	}
+}
+
 // Guards against removals that are missed when the history of the peer does not reach back.
 func TestACompleteUpdateRemoves(t *testing.T) {
 	hub, _, _ := newCopy("hub")
@@ -248,3 +316,93 @@
 		}
 	})
 }
+
+// pastStore has all states of a store whose changes are numbered from 1. Each change is of one key
+// under p/.
+type pastStore struct {
+	events []lagoonhead.Event
+	states []map[string]lagoonhead.Entry // by revision
+}
+
+func (s *pastStore) revision() int64 { return int64(len(s.events)) }
+
+func (s *pastStore) now() map[string]lagoonhead.Entry { return s.states[len(s.states)-1] }
+
+// change writes or removes a key.
+func (s *pastStore) change(key string, removed bool) {
+	e := lagoonhead.Event{Entry: entry(key, fmt.Sprint("value ", s.revision()+1), s.revision()+1), Deleted: removed}
+	state := maps.Clone(s.now())
+	if removed {
+		delete(state, key)
+	} else {
+		state[key] = e.Entry
+	}
+	s.events, s.states = append(s.events, e), append(s.states, state)
+}
+
+// Guards against copies that hold what they know to be removed, whatever the order in which answers of
+// the store and updates of peers arrive.
+func TestCopiesHoldNothingOlderThanTheirState(t *testing.T) {
+	rapid.Check(t, func(r *rapid.T) {
+		s := &pastStore{states: []map[string]lagoonhead.Entry{{}}}
+		copies := make([]*Copy, 3)
+		seen := make([]*recorder, len(copies))
+		for i := range copies {
+			copies[i], seen[i], _ = newCopy(lagoonhead.Incarnation(fmt.Sprint("vm", i)))
+		}
+		var late []func() // answers under way
+		now := start
+		for range rapid.IntRange(1, 80).Draw(r, "steps") {
+			now += 10 * time.Millisecond
+			sent := now
+			c := copies[rapid.IntRange(0, len(copies)-1).Draw(r, "copy")]
+			key := rapid.SampledFrom([]string{"p/1", "p/2", "p/3"}).Draw(r, "key")
+			switch rapid.IntRange(0, 7).Draw(r, "step") {
+			case 0:
+				s.change(key, false)
+			case 1:
+				if _, ok := s.now()[key]; ok {
+					s.change(key, true)
+				}
+			case 2:
+				list, revision := slices.Collect(maps.Values(s.now())), s.revision()
+				late = append(late, func() { c.Listed("p/", list, revision, sent) })
+			case 3:
+				if after := c.Revision("p/"); after > 0 {
+					events := s.events[after:]
+					late = append(late, func() { c.Watched("p/", events, after+int64(len(events)), sent) })
+				}
+			case 4:
+				if e, ok := s.now()[key]; ok {
+					late = append(late, func() { c.Written(e) })
+				}
+			case 5:
+				u := copies[rapid.IntRange(0, len(copies)-1).Draw(r, "from")].UpdateFor(now, c.Position(now))
+				late = append(late, func() { c.Merge(u, sent, maxAge) })
+			default:
+				if len(late) > 0 {
+					i := rapid.IntRange(0, len(late)-1).Draw(r, "answer")
+					late[i]()
+					late = slices.Delete(late, i, i+1)
+				}
+			}
+			for i, c := range copies {
+				revision := c.Revision("p/")
+				for k := range seen[i].entries {
+					e, _ := c.Get(k)
+					known, ok := s.states[revision][k]
+					require.True(r, ok || e.Revision > revision, "copy %d at revision %d has %s of revision %d, which was removed", i, revision, k, e.Revision)
+					require.GreaterOrEqual(r, e.Revision, known.Revision, "copy %d at revision %d", i, revision)
+				}
+			}
+		}
+		for i, c := range copies {
+			c.Listed("p/", slices.Collect(maps.Values(s.now())), s.revision(), now)
+			want := make(map[string]string)
+			for k, e := range s.now() {
+				want[k] = string(e.Value)
+			}
+			require.Equal(r, want, seen[i].entries)
+		}
+	})
+}
