dispatch: a silent endpoint is let go once another one has accepted the request

Plain requests got 502 or 504 in place of late answers.

Cause: the connection to a silent endpoint was closed when another endpoint seemed to have room and the retry budget gave the sends. If the other one then refused, as engines whose memory is full do, nothing was left.

Change: the attempt goes on while another endpoint is asked, and is abandoned once that has accepted the request. A move that is refused or fails leaves it as it is; if the silent endpoint sends something first, the move is withdrawn. A refused move costs one send of the retry budget, and the prompt that was prefilled for it is kept.

--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -123,8 +123,10 @@
 	// extraResponses counts the responses that endpoints sent once more for earlier requests.
 	extraResponses expvar.Int
 	// silencesMoved counts the attempts that were given up because their endpoint was silent for
-	// too long, and silencesWaited those that went on because the request could not move.
-	silencesMoved, silencesWaited expvar.Int
+	// too long and another one had accepted the request, and silencesWaited those that went on because
+	// the request could not move. movesFailed counts the moves that no other endpoint accepted, and
+	// movesWithdrawn those that ended because the silent endpoint went on.
+	silencesMoved, silencesWaited, movesFailed, movesWithdrawn expvar.Int
 	// outsideRegions counts the refusals of requests that have no endpoint in their allowed regions.
 	outsideRegions expvar.Int
 	// overloaded counts the prompts that were judged while their service was overloaded or that
@@ -156,6 +158,7 @@
 			"extraResponses": &c.extraResponses,
 			"takeUps":        &c.takeUps, "takeUpsUnknown": &c.takeUpsUnknown, "takeUpsRefused": &c.takeUpsRefused,
 			"outsideRegions": &c.outsideRegions, "silencesMoved": &c.silencesMoved, "silencesWaited": &c.silencesWaited,
+			"movesFailed": &c.movesFailed, "movesWithdrawn": &c.movesWithdrawn,
 		} {
 			c.all.Set(name, v)
 		}
--- a/dispatch/errors.go
+++ b/dispatch/errors.go
@@ -34,5 +34,11 @@
 var errStopping = fmt.Errorf("the daemon is stopping")
 
 // errSilent is the cancellation cause of an attempt at an endpoint that sent nothing for too
-// long.
-var errSilent = fmt.Errorf("the endpoint was silent for too long")
+// long, and errNotSilent that of a move to another endpoint that has become needless.
+var (
+	errSilent    = fmt.Errorf("the endpoint was silent for too long")
+	errNotSilent = fmt.Errorf("the former endpoint goes on")
+)
+
+// errServer is the error of an attempt at an endpoint that answered with a status of 500 or more.
+var errServer = fmt.Errorf("the endpoint answered with an error")
--- a/dispatch/plain.go
+++ b/dispatch/plain.go
@@ -79,49 +79,85 @@
 	return r.finalError(ctx, last)
 }
 
-// attemptOnce makes one attempt and reads the whole answer.
+// attemptOnce makes one attempt, and goes on at another endpoint that accepts the request if the
+// first one is silent for too long. It reads the whole answer.
 func (r *request) attemptOnce(ctx context.Context, e lagoonhead.Endpoint) (*fullAnswer, error) {
-	defer r.endRun(e)
-	r.sends++
-	r.vars.sends.Add(1)
-	attemptCtx, cancel := context.WithCancelCause(ctx)
-	defer cancel(nil)
-	if r.mayMove() {
-		watch := r.watchSilence(e, cancel)
-		defer r.endWatch(watch)
-		watch.restart(r.remaining()/2, lagoonhead.VersionPin{})
-	}
-	a := r.newAttempt(e)
-	a.NewConnection = r.route.RetryPolicy == catalog.RetryNever
-	w, err := r.sendAndRead(attemptCtx, a)
-	if err != nil {
-		if !lagoonhead.IsKind(err, lagoonhead.KindUnavailable) {
-			r.runs++
+	next, w, err := r.tryOnce(ctx, r.newAttempt(ctx, e, nil, nil))
+	for next != nil {
+		w.end()
+		r.goOn(next)
+		next, w, err = r.tryOnce(ctx, next)
+	}
+	return w, err
+}
+
+// tryOnce makes one attempt, or goes on with one that an endpoint has accepted. It returns the next
+// one if another endpoint has accepted the request.
+func (r *request) tryOnce(ctx context.Context, a *attempt) (next *attempt, w *fullAnswer, err error) {
+	defer a.end()
+	watch := r.watchSilence(ctx, a)
+	defer func() {
+		failed := err
+		if w != nil && w.Status >= http.StatusInternalServerError {
+			failed = errServer
+		}
+		if next = r.endWatch(watch, failed); r.runs > 0 {
 			r.countUsage()
 		}
-		r.recordFailure(ctx, e, "run", err)
-		return nil, err
+	}()
+	watch.restart(r.remaining()/2, r)
+	if a.answer == nil {
+		err = r.send(ctx, a)
+	}
+	if err == nil {
+		w, err = r.readAnswer(ctx, a, watch)
 	}
-	r.runs++
-	r.countUsage()
-	if w.Status >= http.StatusInternalServerError {
-		r.recordFailure(ctx, e, "run", failf("plain", lagoonhead.KindUnknown, "status %d", w.Status))
+	return nil, w, err
+}
+
+// readAnswer reads the answer of an attempt to its end.
+func (r *request) readAnswer(ctx context.Context, a *attempt, watch *silenceWatch) (*fullAnswer, error) {
+	defer a.answer.Body.Close()
+	w, err := r.readFull(a.ctx, a.answer)
+	if err == nil && w.Status >= http.StatusInternalServerError {
+		r.recordFailure(ctx, a.endpoint, "run", failf("plain", lagoonhead.KindUnknown, "status %d", w.Status))
 		return w, nil
 	}
+	if err == nil && !watch.heard() {
+		w.end()
+		err = fail("read", lagoonhead.KindUnknown, errSilent)
+	}
+	if err != nil {
+		r.recordFailure(ctx, a.endpoint, "run", err)
+		return nil, err
+	}
 	if w.Status < http.StatusMultipleChoices {
 		r.Parts.Finished(r.parts)
 	}
-	r.recordResult(e, steer.Good)
+	r.recordResult(a.endpoint, steer.Good)
 	return w, nil
 }
 
-func (r *request) sendAndRead(ctx context.Context, a *lagoonhead.Attempt) (*fullAnswer, error) {
-	ans, err := r.Sender.Send(ctx, a)
+// sendSingle sends the copy of a request for one move to another endpoint and returns once that has
+// accepted the request.
+func sendSingle(ctx context.Context, r *request) (*attempt, error) {
+	if err := r.checkSuspects(); err != nil {
+		return nil, err
+	}
+	e, err := r.pickRun(nil)
+	if err != nil {
+		return nil, err
+	}
+	a := r.newAttempt(ctx, e, nil, nil)
+	err = r.sendMove(ctx, a)
+	if err == nil && a.answer.Status >= http.StatusInternalServerError {
+		err = r.rejectMove(ctx, a)
+	}
 	if err != nil {
+		a.end()
 		return nil, err
 	}
-	defer ans.Body.Close()
-	return r.readFull(ctx, ans)
+	return a, nil
 }
 
 // readFull reads an answer to its end, for which it may wait for memory. One that is longer than
--- a/dispatch/request.go
+++ b/dispatch/request.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -34,8 +35,10 @@
 	parts []string
 
 	avoid []lagoonhead.EndpointID
-	sends int
-	runs  int // number of endpoints that may have run the request
+	// unwilling holds the endpoints that did not accept the request when it was to move to them.
+	unwilling []lagoonhead.EndpointID
+	sends     int
+	runs      int // number of endpoints that may have run the request
 	// prefilled is true once an engine has prefilled the prompt apart from the run.
 	prefilled bool
 	// reserved is the engine whose limit has a place for the run behind the prefill until
@@ -44,6 +47,8 @@
 	reservedUntil time.Duration
 	// takenRetries is the number of sends that were taken from the retry budget in advance.
 	takenRetries int
+	// spare is the KV cache of the prompt for a move that another endpoint refused, or nil.
+	spare        *lagoonhead.KVHandle
 	usageCounted bool
 	// unlimited is true if no workspace has a rate limit, so that the decisions of package triage
 	// divide the engines.
@@ -167,8 +172,8 @@
 	r.Usage.CountRequest(r.workspace.ID)
 }
 
-// newAttempt describes the next send to an endpoint.
-func (r *request) newAttempt(e lagoonhead.Endpoint) *lagoonhead.Attempt {
+// describeSend describes the next send to an endpoint.
+func (r *request) describeSend(e lagoonhead.Endpoint) *lagoonhead.Attempt {
 	a := &lagoonhead.Attempt{
 		Endpoint: e, ID: r.call.ID, Method: r.call.Method, Host: r.call.Host, URL: r.call.URL,
 		Header: r.call.Header, Body: r.call.Body, Urgency: r.urgency, TimeLeft: max(r.remaining(), time.Millisecond),
@@ -194,10 +199,29 @@
 	return r.takeRetry()
 }
 
-// mayMove reports whether the request may go to another endpoint if that of the attempt in
-// progress, which runs counts only once it has answered, is given up.
+// mayMove reports whether the request may go to another endpoint.
 func (r *request) mayMove() bool {
-	return r.retryable() && r.runs+1 < r.route.MaxAttempts && r.sends < maxSends
+	return r.retryable() && r.runs < r.route.MaxAttempts && r.sends < maxSends
+}
+
+// fork returns a copy of the request that another goroutine can use. It has no steps and nothing
+// that the request has reserved or begun.
+func (r *request) fork() *request {
+	n, call := *r, *r.call
+	n.call, n.sink, n.avoid, n.steps = &call, nil, slices.Clone(r.avoid), nil
+	n.reserved, n.judged, n.takenRetries, n.spare = nil, false, 0, nil
+	return &n
+}
+
+// takeReserved takes over from another copy of the request the sends that were taken from the retry
+// budget and the KV cache that is left.
+func (r *request) takeReserved(from *request) {
+	r.takenRetries += from.takenRetries
+	from.takenRetries = 0
+	if from.spare != nil {
+		r.release(r.spare)
+		r.spare, from.spare = from.spare, nil
+	}
 }
 
 // takeRetry takes one send from the retry budget of the service and reports whether the budget
--- a/dispatch/stream.go
+++ b/dispatch/stream.go
@@ -42,6 +42,7 @@
 	var handle *lagoonhead.KVHandle
 	defer func() {
 		r.release(handle)
+		r.release(r.spare)
 		r.returnReservation()
 	}()
 	for {
@@ -204,7 +205,7 @@
 	began := r.Timer.Now()
 	attemptCtx, cancel := context.WithTimeoutCause(ctx, max(prefillTimeoutFactor*max(v.Wait, r.decision.Expected), minPrefillTimeout), errSilent)
 	defer cancel()
-	a := r.newAttempt(v.Endpoint)
+	a := r.describeSend(v.Endpoint)
 	a.CacheSource = v.CacheSource
 	a.Urgency = r.decision.Urgency
 	r.beginJudged()
@@ -219,66 +220,92 @@
 	return h, nil
 }
 
-// run has the engine that beginRun chose run the request and forwards its events. If v is set, that
-// engine also prefills the prompt.
+// run has the engine that beginRun chose run the request and forwards its events. If the engine
+// falls silent, another one that accepts the request goes on. If v is set, the engine also prefills
+// the prompt.
 func (r *request) run(ctx context.Context, e lagoonhead.Endpoint, v *steer.PrefillChoice, h *lagoonhead.KVHandle) error {
-	defer r.endRun(e)
-	began := r.Timer.Now()
-	endPrefillOnce := func(took time.Duration) {
-		if v != nil {
-			r.endPrefill(*v, took)
-			v = nil
-		}
+	next, err := r.runOnce(ctx, r.newAttempt(ctx, e, v, h))
+	for next != nil {
+		r.goOn(next)
+		next, err = r.runOnce(ctx, next)
 	}
-	defer func() { endPrefillOnce(0) }()
-	r.sends++
-	r.vars.sends.Add(1)
-	attemptCtx, cancel := context.WithCancelCause(ctx)
-	defer cancel(nil)
-	pauseWatch, restartWatch := func() {}, func() {}
-	if r.mayMove() {
-		watch := r.watchSilence(e, cancel)
-		defer r.endWatch(watch)
-		pauseWatch, restartWatch = watch.pause, func() { watch.restart(r.silenceTimeout(), r.version) }
-		restartWatch()
-	}
-	a := r.newAttempt(e)
-	a.KVSource = h
-	if v != nil {
-		a.CacheSource = v.CacheSource
+	return err
+}
+
+// runOnce makes one attempt, or goes on with one that an engine has accepted. It returns the next one
+// if another engine has accepted the request.
+func (r *request) runOnce(ctx context.Context, a *attempt) (next *attempt, err error) {
+	defer a.end()
+	watch := r.watchSilence(ctx, a)
+	defer func() { next = r.endWatch(watch, err) }()
+	watch.restart(r.silenceTimeout(), r)
+	if a.answer == nil {
+		err = r.send(ctx, a)
 	}
-	a.Urgency = r.runUrgency(v, h)
-	ans, err := r.Sender.Send(attemptCtx, a)
+	if err == nil {
+		err = r.forward(ctx, a, watch)
+	}
+	return nil, err
+}
+
+// sendStream sends the copy of a request for one move to another engine, and prefills the prompt
+// first if needed. It returns once the engine has accepted the request.
+func sendStream(ctx context.Context, r *request) (*attempt, error) {
+	h := r.spare
+	r.spare = nil
+	if err := r.checkSuspects(); err != nil {
+		r.spare = h
+		return nil, err
+	}
+	v, err := r.prefill(ctx, &h)
 	if err != nil {
-		if !lagoonhead.IsKind(err, lagoonhead.KindUnavailable) {
-			r.runs++
-		}
-		r.recordFailure(ctx, e, "run", err)
-		return err
+		r.spare = h
+		return nil, err
+	}
+	e, err := r.beginRun(v, h)
+	if err != nil {
+		r.spare = h
+		return nil, err
+	}
+	a := r.newAttempt(ctx, e, v, h)
+	err = r.sendMove(ctx, a)
+	if err == nil && a.answer.Status != http.StatusOK {
+		err = r.rejectMove(ctx, a)
+	}
+	if err == nil {
+		return a, nil
 	}
-	defer ans.Body.Close()
-	r.runs++
-	if ans.Status != http.StatusOK {
-		return r.forwardNonStream(ctx, e, ans)
+	a.end()
+	if lagoonhead.IsKind(err, lagoonhead.KindUnavailable) {
+		r.spare = h
+	}
+	return nil, err
+}
+
+// forward gives the caller what the engine of an attempt sends.
+func (r *request) forward(ctx context.Context, a *attempt, watch *silenceWatch) error {
+	defer a.answer.Body.Close()
+	if a.answer.Status != http.StatusOK {
+		return r.forwardNonStream(ctx, a, watch)
 	}
 	answered := false
-	err = r.relayEvents(ans, pauseWatch, restartWatch, func() {
+	err := r.relayEvents(a.answer, watch, func() {
 		answered = true
-		r.beginVersion(ctx, e)
-		endPrefillOnce(r.Timer.Now() - began)
-		if h != nil {
+		r.beginVersion(ctx, a.endpoint)
+		a.endPrefill(r.Timer.Now() - a.began)
+		if a.handle != nil {
 			now := r.Timer.Now()
-			r.WithBoard(func(b *steer.Board) { b.AddCached(now, e, r.call.Prompt) })
+			r.WithBoard(func(b *steer.Board) { b.AddCached(now, a.endpoint, r.call.Prompt) })
 		}
 	})
 	if err != nil {
-		r.recordFailure(ctx, e, "stream", err)
+		r.recordFailure(ctx, a.endpoint, "stream", err)
 		return err
 	}
 	if answered {
 		r.Parts.Finished(r.parts)
 	}
-	r.recordResult(e, steer.Good)
+	r.recordResult(a.endpoint, steer.Good)
 	return nil
 }
 
@@ -335,8 +362,9 @@
 
 // forwardNonStream gives the caller an answer that is not a stream, unless another engine may
 // succeed.
-func (r *request) forwardNonStream(ctx context.Context, e lagoonhead.Endpoint, ans *lagoonhead.Answer) error {
-	w, err := r.readFull(ctx, ans)
+func (r *request) forwardNonStream(ctx context.Context, a *attempt, watch *silenceWatch) error {
+	e, ans := a.endpoint, a.answer
+	w, err := r.readFull(a.ctx, ans)
 	if err != nil {
 		r.recordFailure(ctx, e, "run", err)
 		return err
@@ -352,12 +380,15 @@
 	if r.started {
 		return failf("run", lagoonhead.KindUnknown, "status %d for a stream that goes on", ans.Status)
 	}
+	if !watch.heard() {
+		return fail("run", lagoonhead.KindUnknown, errSilent)
+	}
 	return r.deliver(w)
 }
 
-// relayEvents forwards whole events as they arrive. It calls onEvent with each, onFirst with the
-// first one, and onWait before it waits for the next.
-func (r *request) relayEvents(ans *lagoonhead.Answer, onEvent, onWait, onFirst func()) error {
+// relayEvents forwards whole events as they arrive, until another engine has accepted the request. It
+// calls onFirst with the first one.
+func (r *request) relayEvents(ans *lagoonhead.Answer, watch *silenceWatch, onFirst func()) error {
 	counted := countedReader{in: ans.Body, total: &r.buffered}
 	defer counted.release()
 	events := sse.NewReader(&counted, maxEventBytes)
@@ -366,6 +397,9 @@
 		if errors.Is(err, io.EOF) && n == 0 && ans.Unframed {
 			return failf("relay", lagoonhead.KindCrashed, "the connection ended before the first event")
 		}
+		if (err == nil || errors.Is(err, io.EOF)) && !watch.heard() {
+			return fail("relay", lagoonhead.KindUnknown, errSilent)
+		}
 		if errors.Is(err, io.EOF) {
 			// An engine may end a stream without an event when the caller already has all.
 			r.startAnswer(ans)
@@ -374,7 +408,6 @@
 		if err != nil {
 			return fail("relay", readErrorKind(err), err)
 		}
-		onEvent()
 		counted.release()
 		if n == 0 {
 			onFirst()
@@ -391,7 +424,7 @@
 				return fail("deliver", lagoonhead.KindUnknown, err)
 			}
 		}
-		onWait()
+		watch.restart(r.silenceTimeout(), r)
 	}
 }
 
--- a/dispatch/version_test.go
+++ b/dispatch/version_test.go
@@ -160,12 +160,13 @@
 	r, err := d.newRequest(&Call{ID: "r", Method: http.MethodPost, Host: "h", URL: u}, &recordingSink{})
 	require.NoError(t, err)
 	e := lagoonhead.NewEndpoint("a", lagoonhead.EndpointKindEngine, scriptService, "a:1", "x").WithSoftware("v1")
-	w := r.watchSilence(e, func(error) {})
-	defer r.endWatch(w)
-	w.restart(time.Hour, r.version)
+	a := r.newAttempt(t.Context(), e, nil, nil)
+	w := r.watchSilence(t.Context(), a)
+	defer r.endWatch(w, nil)
+	w.restart(time.Hour, r)
 	require.True(t, w.takeMove(), "before the first event it may go to any version")
 	r.beginVersion(t.Context(), e)
-	w.restart(time.Hour, r.version)
+	w.restart(time.Hour, r)
 	require.False(t, w.takeMove())
 }
 
