--- a/dispatch/stream.go
+++ b/dispatch/stream.go
@@ -250,21 +250,23 @@
 
 // sendStream sends the copy of a request for one move to another engine, and prefills the prompt
 // first if needed. It returns once the engine has accepted the request.
-func sendStream(ctx context.Context, r *request) (*attempt, error) {
+func sendStream(ctx context.Context, r *request) (_ *attempt, err error) {
 	h := r.spare
 	r.spare = nil
+	defer func() {
+		if lagoonhead.IsKind(err, lagoonhead.KindUnavailable) { // no engine has fetched the KV cache
+			r.spare = h
+		}
+	}()
 	if err := r.checkSuspects(); err != nil {
-		r.spare = h
 		return nil, err
 	}
 	v, err := r.prefill(ctx, &h)
 	if err != nil {
-		r.spare = h
 		return nil, err
 	}
 	e, err := r.beginRun(v, h)
 	if err != nil {
-		r.spare = h
 		return nil, err
 	}
 	a := r.newAttempt(ctx, e, v, h)
@@ -272,14 +274,11 @@
 	if err == nil && a.answer.Status != http.StatusOK {
 		err = r.rejectMove(ctx, a)
 	}
-	if err == nil {
-		return a, nil
-	}
-	a.end()
-	if lagoonhead.IsKind(err, lagoonhead.KindUnavailable) {
-		r.spare = h
+	if err != nil {
+		a.end()
+		return nil, err
 	}
-	return nil, err
+	return a, nil
 }
 
 // forward gives the caller what the engine of an attempt sends.
