entry: a hub that has lost the store is no outage of it

A VM whose hub has lost the store reads the store itself after 2.2 s. That was the time from which failed calls, here those of the hub, were an outage, so an endpoint whose removal the VM read then stayed in use for 2.2 s more: 4.4 s in all, where 3 s are allowed.

Change: the time is at least that after which such a VM has read the store itself, 2.8 s. TestAHubWithoutTheStoreIsNoOutage failed before.

--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -84,9 +84,9 @@
 	// minRegistrationTTL is the least time that is assumed for Settings.RegistrationTTL, which
 	// is 0 if the settings do not name the time between heartbeats.
 	minRegistrationTTL = time.Second
-	// minOutageTime is the least time beyond WatchTimeout without a response of the store that is
-	// an outage. It is longer than the pauses after failed calls.
-	minOutageTime = 600 * time.Millisecond
+	// ownReadTime is the time within which a daemon whose hubs have lost the store reads the store
+	// itself. It includes the pauses after failed calls.
+	ownReadTime = 600 * time.Millisecond
 	// lapsedInterval is the time between checks for endpoints that did not register
 	// again after an outage of the store.
 	lapsedInterval = 250 * time.Millisecond
@@ -373,10 +373,11 @@
 }
 
 // outageTime returns the time without a response of the store from which failed calls are an
-// outage. Without an outage a daemon hears of the store at least once in WatchTimeout, and in a
-// third of the TTL of its registration an endpoint misses one heartbeat at most.
+// outage. Without an outage a daemon that watches the store hears of it at least once in
+// WatchTimeout, and one whose hubs have lost the store once in maxUpdateAge and the time of its own
+// read. In a third of the TTL of its registration an endpoint misses one heartbeat at most.
 func outageTime(registrationTTL time.Duration) time.Duration {
-	return WatchTimeout + max(registrationTTL/3, minOutageTime)
+	return max(WatchTimeout+registrationTTL/3, maxUpdateAge+ownReadTime)
 }
 
 // observe returns a store that reports to the copy whether renewals of leases reach it.
--- a/entry/outage_test.go
+++ b/entry/outage_test.go
@@ -64,6 +64,26 @@
 	requireUsed(t, v, true, false)
 }
 
+// Guards against an endpoint that has left and is kept by an attached VM, because its hub has lost the
+// store and it had to read the store itself, which was there all the while.
+func TestAHubWithoutTheStoreIsNoOutage(t *testing.T) {
+	hub, v := newEvacuatedVM(t), newEvacuatedVM(t)
+	pull := func() {
+		now := v.clock.Now()
+		v.copy.Merge(hub.copy.UpdateFor(now, v.copy.Position(now)), now, maxUpdateAge)
+	}
+	pull()
+	hub.copy.Failed("endpoints/", hub.clock.Now(), errors.New("turned away"))
+	for range 6 {
+		v.clock.Advance(maxUpdateAge / 6)
+		hub.clock.Advance(maxUpdateAge / 6)
+		pull()
+	}
+	v.clock.Advance(200 * time.Millisecond)
+	v.list("endpoints/", 2, lagoonhead.Entry{Key: "endpoints/a", Revision: 1})
+	requireUsed(t, v, true, false)
+}
+
 // Guards against live endpoints that are dropped after an outage of the store, or after a second one
 // that begins before they have registered again.
 func TestEndpointsOutlastOutages(t *testing.T) {
