--- a/entry/outage_test.go
+++ b/entry/outage_test.go
@@ -43,14 +43,10 @@
 // which was no outage there.
 func TestACutWatchOfAHubIsNoOutage(t *testing.T) {
 	hub, v := newEvacuatedVM(t), newEvacuatedVM(t)
-	pull := func() {
-		now := v.clock.Now()
-		v.copy.Merge(hub.copy.UpdateFor(now, v.copy.Position(now)), now, maxUpdateAge)
-	}
 	advance := func(d time.Duration) {
 		v.clock.Advance(d)
 		hub.clock.Advance(d)
-		pull()
+		v.pull(hub)
 	}
 	advance(100 * time.Millisecond)
 	for range 5 {
@@ -68,16 +64,12 @@
 // store and it had to read the store itself, which was there all the while.
 func TestAHubWithoutTheStoreIsNoOutage(t *testing.T) {
 	hub, v := newEvacuatedVM(t), newEvacuatedVM(t)
-	pull := func() {
-		now := v.clock.Now()
-		v.copy.Merge(hub.copy.UpdateFor(now, v.copy.Position(now)), now, maxUpdateAge)
-	}
-	pull()
+	v.pull(hub)
 	hub.copy.Failed("endpoints/", hub.clock.Now(), errors.New("turned away"))
 	for range 6 {
 		v.clock.Advance(maxUpdateAge / 6)
 		hub.clock.Advance(maxUpdateAge / 6)
-		pull()
+		v.pull(hub)
 	}
 	v.clock.Advance(200 * time.Millisecond)
 	v.list("endpoints/", 2, lagoonhead.Entry{Key: "endpoints/a", Revision: 1})
@@ -112,14 +104,18 @@
 		for _, d := range []evacuatedVM{hub, v} {
 			d.clock.Advance(time.Second)
 		}
-		now := v.clock.Now()
-		v.copy.Merge(hub.copy.UpdateFor(now, v.copy.Position(now)), now, maxUpdateAge)
-		hub.copy.Failed("endpoints/", now, errors.New("down"))
+		v.pull(hub)
+		hub.copy.Failed("endpoints/", hub.clock.Now(), errors.New("down"))
 	}
 	hub.list("endpoints/", 2, lagoonhead.Entry{Key: "endpoints/a", Revision: 1})
+	v.pull(hub)
+	requireUsed(t, v, true, true)
+}
+
+// pull merges what the copy of a hub has.
+func (v evacuatedVM) pull(hub evacuatedVM) {
 	now := v.clock.Now()
 	v.copy.Merge(hub.copy.UpdateFor(now, v.copy.Position(now)), now, maxUpdateAge)
-	requireUsed(t, v, true, true)
 }
 
 // requireUsed requires that the endpoints a and b of a VM are in use or not.
