mirror, dispatch: the log names the origin of a change and the view at a send

The log told neither which process a change came from nor its revision, so it could not tell apart a removal that was numbered too low, a list read by pages and a view that is old.

Lines on registrations now have "origin" (peer, revision, state); lines on requests have "view" (age, revision and source of the registrations at the last send), and a step where the connection came 100 ms or more after the choice.

--- a/dispatch/dispatcher_test.go
+++ b/dispatch/dispatcher_test.go
@@ -14,6 +14,8 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/stretchr/testify/require"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zaptest/observer"
 	"go.yaml.in/yaml/v3"
 
 	"github.com/lagoonhead/lagoonhead"
@@ -414,3 +416,31 @@
 		require.Equal(t, 2, s.runs)
 	}
 }
+
+// Guards against a log that does not tell how old the registrations were from which an endpoint was
+// chosen, or that the request was sent long after the choice.
+func TestTheLogTellsTheViewAtASend(t *testing.T) {
+	core, lines := observer.New(zap.InfoLevel)
+	sender := &connectingSender{scriptedSender: scriptedSender{t: t, script: []scriptedSend{{Status: http.StatusOK, Body: "x"}}}}
+	d := scriptedDispatcher(sender)
+	sender.clock, d.Log = d.Timer.(*timer.Manual), zap.New(core)
+	d.View = func() EndpointView { return EndpointView{Age: time.Second, Revision: 7, Peer: "vm-2/x"} }
+	u, err := url.Parse("http://h/plain/x")
+	require.NoError(t, err)
+	require.NoError(t, d.Serve(t.Context(), &Call{ID: "r", Method: http.MethodPost, Host: "h", URL: u}, &recordingSink{}))
+	line := lines.All()[0].ContextMap()
+	require.Equal(t, map[string]any{"age": time.Second, "revision": int64(7), "peer": "vm-2/x"}, line["view"])
+	require.Regexp(t, "connected to [abc] after 300ms", line["steps"])
+}
+
+// connectingSender has a connection after 300 ms.
+type connectingSender struct {
+	scriptedSender
+	clock *timer.Manual
+}
+
+func (s *connectingSender) Send(ctx context.Context, a *lagoonhead.Attempt) (*lagoonhead.Answer, error) {
+	s.clock.Advance(300 * time.Millisecond)
+	a.OnConnected()
+	return s.scriptedSender.Send(ctx, a)
+}
--- a/dispatch/request.go
+++ b/dispatch/request.go
@@ -70,6 +70,8 @@
 	// version is the software version of the stream, which it may not leave. It is set before the
 	// caller gets the first event, or is that at which a stream that is taken up began.
 	version lagoonhead.VersionPin
+	// view is that of the daemon at the time of the last send.
+	view EndpointView
 	// steps describes each decision on the request, with its time since the arrival.
 	steps []string
 }
@@ -174,10 +176,14 @@
 
 // describeSend describes the next send to an endpoint.
 func (r *request) describeSend(e lagoonhead.Endpoint) *lagoonhead.Attempt {
+	chosen := r.Timer.Now()
+	if r.View != nil {
+		r.view = r.View()
+	}
 	a := &lagoonhead.Attempt{
 		Endpoint: e, ID: r.call.ID, Method: r.call.Method, Host: r.call.Host, URL: r.call.URL,
 		Header: r.call.Header, Body: r.call.Body, Urgency: r.urgency, TimeLeft: max(r.remaining(), time.Millisecond),
-		LastEventID: r.call.LastEventID, OnStatus: func(s lagoonhead.EndpointStatus) { r.recordStatus(e, s) },
+		LastEventID: r.call.LastEventID, OnConnected: func() { r.recordConnected(e, chosen) }, OnStatus: func(s lagoonhead.EndpointStatus) { r.recordStatus(e, s) },
 		OnExtra: func(id lagoonhead.RequestID, status int) { r.recordExtra(e, id, status) },
 	}
 	if r.workspace != nil {
@@ -310,6 +316,17 @@
 	}
 }
 
+// slowConnection is the time from the choice of an endpoint from which the wait for a connection to it
+// is logged.
+const slowConnection = 100 * time.Millisecond
+
+// recordConnected records how long after its choice an endpoint gets the request.
+func (r *request) recordConnected(e lagoonhead.Endpoint, chosen time.Duration) {
+	if waited := r.Timer.Now() - chosen; waited >= slowConnection {
+		r.addStep("connected to %s after %s", e.ID(), waited.Round(time.Millisecond))
+	}
+}
+
 // recordExtra records a response that an endpoint sent once more for an earlier request.
 func (r *request) recordExtra(e lagoonhead.Endpoint, id lagoonhead.RequestID, status int) {
 	r.vars.extraResponses.Add(1)
--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -421,6 +421,12 @@
 	d.logCold(now, cold)
 }
 
+// endpointView returns how current the registrations of endpoints are.
+func (d *Daemon) endpointView() dispatch.EndpointView {
+	v := d.copy.View(d.Timer.Now(), d.Platform.EndpointPrefix)
+	return dispatch.EndpointView{Age: v.Age, Revision: v.Revision, Peer: string(v.Peer)}
+}
+
 // transferPerToken returns the time in which an engine of the service gets the KV cache of one token
 // from another one, or 0 if it is not known.
 func (d *Daemon) transferPerToken(service string) time.Duration {
@@ -464,7 +470,7 @@
 	d.dispatcher = &dispatch.Dispatcher{
 		Catalogs: d.config, Admitter: d.admit, Suspects: suspect.NotifyingTable{Table: d.suspects, SendHeartbeat: d.exchanger.ExchangeNow}, Parts: d.parts,
 		Departures: d.endpoints, Versions: d.versions, Sender: d.Platform.Sender,
-		Usage: d.tally, RetryBudget: newRetries(s, d.members, d.Timer), Timer: d.Timer, Log: d.Log, Domain: s.FailureDomain, Answers: d.answers,
+		Usage: d.tally, RetryBudget: newRetries(s, d.members, d.Timer), View: d.endpointView, Timer: d.Timer, Log: d.Log, Domain: s.FailureDomain, Answers: d.answers,
 	}
 	d.dispatcher.WithBoard(func(b *steer.Board) {
 		b.LimitShare, b.ColdShare, b.TransferPerToken = d.members.limitShare, d.coldShares.share, d.transferPerToken
--- a/entry/evacuation.go
+++ b/entry/evacuation.go
@@ -38,7 +38,7 @@
 func (o *operatorKeys) Restored(era int64, at time.Duration) { o.config.Restored(era, at) }
 
 // Put keeps a configuration, or adds an evacuation.
-func (o *operatorKeys) Put(e lagoonhead.Entry) {
+func (o *operatorKeys) Put(e lagoonhead.Entry, _ mirror.Origin) {
 	if e.Key == o.configurationKey {
 		o.pending = &e
 		return
@@ -49,7 +49,7 @@
 }
 
 // Removed ends an evacuation.
-func (o *operatorKeys) Removed(key string) {
+func (o *operatorKeys) Removed(key string, _ mirror.Origin) {
 	if d, ok := o.domain(key); ok {
 		o.evacuations.set(d, false)
 	}
@@ -68,7 +68,7 @@
 func (o *operatorKeys) Applied() {
 	o.evacuations.notify()
 	if o.pending != nil {
-		o.config.Put(*o.pending)
+		o.config.Put(*o.pending, mirror.Origin{})
 		o.pending = nil
 	}
 }
--- a/entry/members.go
+++ b/entry/members.go
@@ -170,7 +170,7 @@
 
 // Put adds a VM, or reports a change of the slot table, of the refused prompt parts or of the
 // services with several software versions.
-func (m *members) Put(e lagoonhead.Entry) {
+func (m *members) Put(e lagoonhead.Entry, _ mirror.Origin) {
 	switch e.Key {
 	case slotsKey:
 		m.slotsChanged()
@@ -201,7 +201,7 @@
 
 // Removed removes a VM, or reports that the key of the refused prompt parts or of the services
 // with several software versions is gone.
-func (m *members) Removed(key string) {
+func (m *members) Removed(key string, _ mirror.Origin) {
 	switch key {
 	case refusedPartsKey:
 		m.refusedPartsLost()
--- a/entry/members_test.go
+++ b/entry/members_test.go
@@ -22,7 +22,7 @@
 	for i := range n {
 		value, err := json.Marshal(presence{FailureDomain: "a", PeerAddress: fmt.Sprint("10.0.0.", i, ":1")})
 		require.NoError(t, err)
-		m.Put(lagoonhead.Entry{Key: fmt.Sprintf("%svm%02d", memberPrefix, i), Value: value})
+		m.Put(lagoonhead.Entry{Key: fmt.Sprintf("%svm%02d", memberPrefix, i), Value: value}, mirror.Origin{})
 	}
 	m.Applied()
 	return m
@@ -108,9 +108,9 @@
 func TestTheSlotTableIsNoMember(t *testing.T) {
 	changed := 0
 	m := &members{self: "a", log: zap.NewNop(), slotsChanged: func() { changed++ }, vms: make(map[string]lagoonhead.VM)}
-	m.Put(lagoonhead.Entry{Key: slotsKey, Value: []byte("{}")})
-	m.Put(lagoonhead.Entry{Key: fleetPrefix + "duty/usage/0", Value: []byte("{}")})
-	m.Removed(fleetPrefix + "duty/usage/0")
+	m.Put(lagoonhead.Entry{Key: slotsKey, Value: []byte("{}")}, mirror.Origin{})
+	m.Put(lagoonhead.Entry{Key: fleetPrefix + "duty/usage/0", Value: []byte("{}")}, mirror.Origin{})
+	m.Removed(fleetPrefix+"duty/usage/0", mirror.Origin{})
 	m.Applied()
 	require.Equal(t, 1, changed)
 	require.Nil(t, m.layout())
--- a/entry/mixedversions_test.go
+++ b/entry/mixedversions_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/lagoonhead/lagoonhead"
 	"github.com/lagoonhead/lagoonhead/catalog"
+	"github.com/lagoonhead/lagoonhead/mirror"
 	"github.com/lagoonhead/lagoonhead/origin"
 	"github.com/lagoonhead/lagoonhead/peer"
 	"github.com/lagoonhead/lagoonhead/steer"
@@ -105,7 +106,7 @@
 	d.Settings.VM = "a"
 	d.buildState()
 	d.buildWork()
-	d.members.Put(lagoonhead.Entry{Key: memberPrefix + "a", Value: []byte(`{"failureDomain":"a","peerAddress":"10.0.0.1:1"}`)})
+	d.members.Put(lagoonhead.Entry{Key: memberPrefix + "a", Value: []byte(`{"failureDomain":"a","peerAddress":"10.0.0.1:1"}`)}, mirror.Origin{})
 	d.members.Applied()
 	pass := func(dt time.Duration) {
 		for range dt / awakeInterval {
@@ -161,7 +162,7 @@
 	require.Equal(t, 1, placeable(), "the VMs are not known")
 	require.False(t, d.knowsVersions())
 
-	d.members.Put(lagoonhead.Entry{Key: memberPrefix + "a", Value: []byte(`{"failureDomain":"a","peerAddress":"10.0.0.1:1"}`)})
+	d.members.Put(lagoonhead.Entry{Key: memberPrefix + "a", Value: []byte(`{"failureDomain":"a","peerAddress":"10.0.0.1:1"}`)}, mirror.Origin{})
 	d.members.Applied()
 	clock := d.Timer.(*timer.Manual)
 	require.Eventually(t, func() bool {
--- a/entry/placement_test.go
+++ b/entry/placement_test.go
@@ -13,6 +13,7 @@
 	"github.com/lagoonhead/lagoonhead"
 	"github.com/lagoonhead/lagoonhead/catalog"
 	"github.com/lagoonhead/lagoonhead/metrics"
+	"github.com/lagoonhead/lagoonhead/mirror"
 	"github.com/lagoonhead/lagoonhead/operator"
 	"github.com/lagoonhead/lagoonhead/timer"
 )
@@ -61,7 +62,7 @@
 	require.True(t, out.GetDecision().GetRefused(), "no endpoint is known yet")
 	require.Positive(t, out.GetDecision().GetRetryAfterMs())
 	for key, domain := range map[string]string{"p": "x", "d": "x", "e": "z"} {
-		d.endpoints.Put(lagoonhead.Entry{Key: key, Value: []byte(domain)})
+		d.endpoints.Put(lagoonhead.Entry{Key: key, Value: []byte(domain)}, mirror.Origin{})
 	}
 	d.endpoints.Applied()
 	d.evacuations.set("z", true)
--- a/entry/ready_test.go
+++ b/entry/ready_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/lagoonhead/lagoonhead"
 	"github.com/lagoonhead/lagoonhead/catalog"
+	"github.com/lagoonhead/lagoonhead/mirror"
 	"github.com/lagoonhead/lagoonhead/timer"
 )
 
@@ -29,11 +30,11 @@
 	d.buildWork()
 	d.config.current.Store(catalog.New(catalog.Spec{Version: 1}))
 	require.Error(t, d.ready())
-	d.endpoints.Put(lagoonhead.Entry{Key: "endpoints/e"})
+	d.endpoints.Put(lagoonhead.Entry{Key: "endpoints/e"}, mirror.Origin{})
 	require.Error(t, d.ready(), "the endpoint is not passed to placing yet")
 	d.endpoints.Applied()
 	require.NoError(t, d.ready())
-	d.endpoints.Removed("endpoints/e")
+	d.endpoints.Removed("endpoints/e", mirror.Origin{})
 	d.endpoints.Applied()
 	require.Error(t, d.ready())
 }
--- a/entry/state.go
+++ b/entry/state.go
@@ -56,7 +56,7 @@
 }
 
 // Put puts a configuration in force if it is newer.
-func (c *configuration) Put(e lagoonhead.Entry) {
+func (c *configuration) Put(e lagoonhead.Entry, _ mirror.Origin) {
 	cat, err := c.decode(e.Value)
 	if err != nil {
 		c.log.Error("configuration cannot be read", zap.Int64("storeRevision", lagoonhead.NumberOf(e.Revision)), zap.Error(err))
@@ -76,7 +76,7 @@
 
 // Removed does nothing: operators never delete the configuration, so the last one stays in
 // force.
-func (c *configuration) Removed(string) {}
+func (c *configuration) Removed(string, mirror.Origin) {}
 
 // Applied does nothing; Put puts a configuration in force at once.
 func (c *configuration) Applied() {}
@@ -119,7 +119,7 @@
 // of the store has them as they were.
 func (p *endpoints) Restored(_ int64, at time.Duration) { p.roster.Restored(at, p.departureHold) }
 
-func (p *endpoints) Put(e lagoonhead.Entry) {
+func (p *endpoints) Put(e lagoonhead.Entry, o mirror.Origin) {
 	v, err := p.decode(e.Key, e.Value)
 	if err != nil {
 		p.roster.Unreadable(e.Key)
@@ -131,7 +131,13 @@
 	p.roster.Put(e.Key, v)
 	p.log.Info("endpoint registered", zap.String("endpoint", string(v.ID())), zap.String("service", v.Serves()), zap.String("software", v.Software()),
 		zap.String("role", string(v.Role())), zap.Bool("leaving", v.Leaving()), zap.String("supply", string(v.Supply())),
-		zap.String("failureDomain", string(v.FailureDomain())), zap.String("address", v.Address()))
+		zap.String("failureDomain", string(v.FailureDomain())), zap.String("address", v.Address()), originField(o))
+}
+
+// originField returns the log field of the origin of a change.
+func originField(o mirror.Origin) zap.Field {
+	return zap.Dict("origin", zap.String("peer", string(o.Peer)), zap.Int64("revision", lagoonhead.NumberOf(o.Revision)),
+		zap.Int64("state", lagoonhead.NumberOf(o.State)))
 }
 
 // coldEntry is the entry of an endpoint that said that it stays cold, until until.
@@ -158,10 +164,10 @@
 	return until
 }
 
-func (p *endpoints) Removed(key string) {
+func (p *endpoints) Removed(key string, o mirror.Origin) {
 	delete(p.cold, key)
 	kept := p.roster.Removed(p.timer.Now(), key)
-	p.log.Info("registration removed", zap.String("key", key), zap.Bool("kept", kept))
+	p.log.Info("registration removed", zap.String("key", key), zap.Bool("kept", kept), originField(o))
 }
 
 // RecordLeaving keeps a process of an endpoint out of use that has said in a response that it
--- a/entry/wire_test.go
+++ b/entry/wire_test.go
@@ -16,12 +16,12 @@
 // quietFollower ignores all changes.
 type quietFollower struct{}
 
-func (quietFollower) Put(lagoonhead.Entry)           {}
-func (quietFollower) Removed(string)                 {}
-func (quietFollower) Applied()                       {}
-func (quietFollower) Synced(time.Duration)           {}
-func (quietFollower) Restored(int64, time.Duration)  {}
-func (quietFollower) StoreLost(time.Duration, error) {}
+func (quietFollower) Put(lagoonhead.Entry, mirror.Origin) {}
+func (quietFollower) Removed(string, mirror.Origin)       {}
+func (quietFollower) Applied()                            {}
+func (quietFollower) Synced(time.Duration)                {}
+func (quietFollower) Restored(int64, time.Duration)       {}
+func (quietFollower) StoreLost(time.Duration, error)      {}
 
 func newTestCopy(in lagoonhead.Incarnation) *mirror.Copy {
 	return mirror.NewCopy(in, map[string]mirror.Follower{"p/": quietFollower{}, "q/": quietFollower{}})
--- a/forward.go
+++ b/forward.go
@@ -52,6 +52,9 @@
 	// NewConnection makes the sender use a new connection instead of an idle one, so
 	// that a failure before the request is written is recognized with certainty.
 	NewConnection bool
+	// OnConnected, if set, is called right before the request is written, once there is a connection to
+	// the endpoint.
+	OnConnected func()
 	// OnStatus, if set, is called for each response of the endpoint, before the method of
 	// Sender returns.
 	OnStatus func(s EndpointStatus)
--- a/httppool/conn.go
+++ b/httppool/conn.go
@@ -459,6 +459,8 @@
 	// OnExtra, if set, is called for each response that is discarded because it belongs to an
 	// earlier request on the connection. Its body has been read.
 	OnExtra func(res *http.Response)
+	// OnConnected, if set, is called before the request is written, once there is a connection for it.
+	OnConnected func()
 
 	conn          *conn
 	writtenBefore int64
@@ -468,6 +470,9 @@
 
 func (x *Exchange) begin(c *conn) {
 	x.conn, x.writtenBefore, x.reused = c, c.written.Load(), len(c.ids) > 0
+	if x.OnConnected != nil {
+		x.OnConnected()
+	}
 }
 
 // Written reports whether a byte of the request can have been sent.
--- a/mirror/copy.go
+++ b/mirror/copy.go
@@ -26,9 +26,9 @@
 	// that were reported before.
 	Restored(era int64, at time.Duration)
 	// Put reports an entry that is new or changed.
-	Put(e lagoonhead.Entry)
+	Put(e lagoonhead.Entry, o Origin)
 	// Removed reports that an entry is gone.
-	Removed(key string)
+	Removed(key string, o Origin)
 	// Applied reports the end of a series of Put and Removed calls.
 	Applied()
 	// Synced reports that the entries reported so far matched the store at the given
@@ -39,6 +39,25 @@
 	StoreLost(at time.Duration, err error)
 }
 
+// Origin says where a copy has a change from.
+type Origin struct {
+	// Peer is the process whose update brought the change, or empty if an answer of the store did.
+	Peer lagoonhead.Incarnation
+	// Revision numbers the change. State is the revision of the prefix at this copy before it.
+	Revision, State int64
+}
+
+// View says how current the entries under a prefix are.
+type View struct {
+	// Peer is the process whose update the entries last matched, or empty if that was an answer of
+	// the store.
+	Peer lagoonhead.Incarnation
+	// Revision is 0 before the first list.
+	Revision int64
+	// Age is the time since the entries matched those of the store. It is negative if they never did.
+	Age time.Duration
+}
+
 // Change is a new state of one key. Entry.Value is empty when the key was removed.
 type Change struct {
 	Entry   lagoonhead.Entry
@@ -91,11 +110,14 @@
 	changed  bool // since the last call of Applied
 	revision int64
 	// era is the newest era of the store that the entries have come from, once known is set.
-	era      int64
-	known    bool
-	synced   bool
-	syncedAt time.Duration
-	lost     bool
+	era   int64
+	known bool
+	// syncedAt is the newest time at which the entries matched those of the store once synced is set,
+	// and syncedFrom the peer that told so, or empty if the store did.
+	synced     bool
+	syncedAt   time.Duration
+	syncedFrom lagoonhead.Incarnation
+	lost       bool
 	// mergedAt is the time of the last merge of an update from a peer that reached the
 	// store, and mergedFrom that peer.
 	merged     bool
@@ -107,6 +129,15 @@
 // the store rejects only the daemon whose call has failed.
 func (p *prefixState) isKeptUp(at time.Duration) bool { return p.merged && at-p.mergedAt <= peerGrace }
 
+// age returns the time since the entries matched those of the store. It is negative if they never
+// did.
+func (p *prefixState) age(now time.Duration) time.Duration {
+	if !p.synced {
+		return -time.Millisecond
+	}
+	return now - p.syncedAt
+}
+
 // enter reports a restore of the store if a revision is of a newer era than those before.
 func (p *prefixState) enter(revision int64, at time.Duration) {
 	era := lagoonhead.EraOf(revision)
@@ -133,6 +164,8 @@
 	removed  map[string]int64
 	sequence int64
 	history  []numbered // newest last
+	// merging is the peer whose update is being merged, or empty.
+	merging lagoonhead.Incarnation
 	// followed says up to which change of a peer this copy has all that the peer has. It
 	// is zero if the copy may have entries that the peer's next changes do not remove.
 	followed cursor
@@ -180,6 +213,14 @@
 	return now - p.syncedAt, p.synced
 }
 
+// View returns how current the entries under a prefix are.
+func (c *Copy) View(now time.Duration, prefix string) View {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	p := c.prefixes[prefix]
+	return View{Peer: p.syncedFrom, Revision: p.revision, Age: p.age(now)}
+}
+
 // Get returns the entry of a key and whether it is present.
 func (c *Copy) Get(key string) (lagoonhead.Entry, bool) {
 	c.mu.Lock()
@@ -305,7 +346,11 @@
 	c.entries[e.Key] = e
 	c.record(Change{Entry: e})
 	p.changed = true
-	p.follower.Put(e)
+	p.follower.Put(e, c.origin(p, e.Revision))
+}
+
+func (c *Copy) origin(p *prefixState, revision int64) Origin {
+	return Origin{Peer: c.merging, Revision: revision, State: p.revision}
 }
 
 func (c *Copy) remove(key string, revision int64) {
@@ -314,7 +359,7 @@
 	c.record(Change{Entry: lagoonhead.Entry{Key: key, Revision: revision}, Removed: true})
 	_, p := c.prefix(key)
 	p.changed = true
-	p.follower.Removed(key)
+	p.follower.Removed(key, c.origin(p, revision))
 }
 
 // removeAbsent removes the entries under a prefix that are not present at a revision.
@@ -339,7 +384,7 @@
 	p.revision = max(p.revision, revision)
 	maps.DeleteFunc(c.removed, func(key string, r int64) bool { return strings.HasPrefix(key, prefix) && r <= p.revision })
 	if !p.synced || at > p.syncedAt {
-		p.synced, p.syncedAt = true, at
+		p.synced, p.syncedAt, p.syncedFrom = true, at, c.merging
 	}
 	p.lost = false
 	p.follower.Synced(p.syncedAt)
@@ -357,11 +402,7 @@
 	list := make([]PrefixState, 0, len(c.prefixes))
 	for _, p := range slices.Sorted(maps.Keys(c.prefixes)) {
 		s := c.prefixes[p]
-		age := now - s.syncedAt
-		if !s.synced {
-			age = -time.Millisecond
-		}
-		list = append(list, PrefixState{Prefix: p, Revision: s.revision, Age: age, Lost: s.lost})
+		list = append(list, PrefixState{Prefix: p, Revision: s.revision, Age: s.age(now), Lost: s.lost})
 	}
 	return list
 }
@@ -411,6 +452,8 @@
 func (c *Copy) Merge(u Update, at, maxAge time.Duration) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.merging = u.Source
+	defer func() { c.merging = "" }()
 	for _, s := range u.Prefixes {
 		if p := c.prefixes[s.Prefix]; p != nil && s.Revision > 0 {
 			p.enter(s.Revision, at)
--- a/mirror/copy_test.go
+++ b/mirror/copy_test.go
@@ -86,6 +86,24 @@
 	require.Equal(t, map[string]string{"q/1": "x"}, q.entries)
 }
 
+// Guards against a log that does not tell whether a change came from the store or from a peer, or how
+// current the entries were when they were used.
+func TestChangesNameTheirOrigin(t *testing.T) {
+	hub, seen, _ := newCopy("hub")
+	require.Equal(t, View{Age: -time.Millisecond}, hub.View(start, "p/"))
+	hub.Listed("p/", []lagoonhead.Entry{entry("p/1", "x", 1)}, 2, start)
+	require.Equal(t, Origin{Revision: 1}, seen.origins["p/1"])
+	c, seen, _ := newCopy("a")
+	pull(c, hub, start)
+	require.Equal(t, Origin{Peer: "hub", Revision: 1}, seen.origins["p/1"])
+	hub.Watched("p/", []lagoonhead.Event{{Entry: lagoonhead.Entry{Key: "p/1", Revision: 3}, Deleted: true}}, 4, start+time.Second)
+	pull(c, hub, start+time.Second)
+	require.Equal(t, Origin{Peer: "hub", Revision: 3, State: 2}, seen.origins["p/1"])
+	require.Equal(t, View{Peer: "hub", Revision: 4, Age: time.Second}, c.View(start+2*time.Second, "p/"))
+	c.Listed("p/", nil, 4, start+2*time.Second)
+	require.Equal(t, View{Revision: 4}, c.View(start+2*time.Second, "p/"))
+}
+
 // Guards against a peer that is behind: it must bring back neither a removed entry nor an
 // old value, and must not remove an entry that it does not know yet.
 func TestAPeerThatIsBehindChangesNothing(t *testing.T) {
--- a/mirror/mirror_test.go
+++ b/mirror/mirror_test.go
@@ -18,6 +18,8 @@
 type recorder struct {
 	mu      sync.Mutex
 	entries map[string]string
+	// origins holds the origin of the last change of each key.
+	origins map[string]Origin
 	syncs   int
 	losses  int
 	// restores counts the calls of Restored, and beforeRestore holds the entries at the last.
@@ -32,15 +34,17 @@
 	r.beforeRestore = maps.Clone(r.entries)
 }
 
-func (r *recorder) Put(e lagoonhead.Entry) {
+func (r *recorder) Put(e lagoonhead.Entry, o Origin) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.origins[e.Key] = o
 	r.entries[e.Key] = string(e.Value)
 }
 
-func (r *recorder) Removed(key string) {
+func (r *recorder) Removed(key string, o Origin) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.origins[key] = o
 	delete(r.entries, key)
 }
 
@@ -58,7 +62,9 @@
 	r.losses++
 }
 
-func newRecorder() *recorder { return &recorder{entries: make(map[string]string)} }
+func newRecorder() *recorder {
+	return &recorder{entries: make(map[string]string), origins: make(map[string]Origin)}
+}
 
 // has returns a function that reports whether the entries are those wanted.
 func (r *recorder) has(want map[string]string) func() bool {
