mirror: three tests of removals that an attached VM never hears of, failing

- A peer that has heard of a removal before the rest of its state: the removal is then known by a missing key in its complete update and numbered with that older state, and the hub does not pass it on to VMs that have the state.
- A list by pages during which an entry is removed.

--- a/mirror/copy_test.go
+++ b/mirror/copy_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"flag"
 	"fmt"
 	"maps"
@@ -24,12 +25,14 @@
 	maxAge = 2 * time.Second
 )
 
-// TestMain sets a fixed seed for the property tests unless the command line sets one, so that
-// runs in CI are reproducible.
+// TestMain sets a fixed seed and a number of checks for the property tests unless the command line sets
+// them, so that runs in CI are reproducible.
 func TestMain(m *testing.M) {
 	flag.Parse()
-	if f := flag.Lookup("rapid.seed"); f.Value.String() == f.DefValue {
-		_ = f.Value.Set("1")
+	for name, value := range map[string]string{"rapid.seed": "1", "rapid.checks": "2000"} {
+		if f := flag.Lookup(name); f.Value.String() == f.DefValue {
+			_ = f.Value.Set(value)
+		}
 	}
 	os.Exit(m.Run())
 }
@@ -250,6 +253,47 @@
 	require.Equal(t, 2, p.losses)
 }
 
+// Guards against an attached VM that never hears of a removal, since its hub has it from a peer that had
+// heard of it before the rest of its state.
+func TestARemovalHeardFromAPeerAheadOfItsStateIsPassedOn(t *testing.T) {
+	gone := entry("p/gone", "x", 1)
+	reader, _, _ := newCopy("reader")
+	lost, _, _ := newCopy("lost")
+	ahead, _, _ := newCopy("ahead")
+	hub, _, _ := newCopy("hub")
+	attached, seen, _ := newCopy("attached")
+	for _, c := range []*Copy{reader, lost, ahead} {
+		c.Listed("p/", []lagoonhead.Entry{gone}, 3, start)
+	}
+	hub.Listed("p/", []lagoonhead.Entry{gone}, 4, start)
+	pull(attached, hub, start)
+	reader.Watched("p/", []lagoonhead.Event{{Entry: lagoonhead.Entry{Key: gone.Key, Revision: 5}, Deleted: true}}, 5, start)
+	pull(lost, reader, start)
+	lost.Failed("p/", start, nil)
+	pull(ahead, lost, start)
+	require.EqualValues(t, 3, ahead.Revision("p/"))
+	pull(hub, ahead, start)
+	pull(hub, reader, start)
+	pull(attached, hub, start)
+	require.EqualValues(t, 5, attached.Revision("p/"))
+	require.Empty(t, seen.entries)
+}
+
+// Guards against an attached VM that never hears of a removal that was made while its hub read a list by
+// pages, whose revision is that of the first one.
+func TestARemovalBetweenPagesIsPassedOn(t *testing.T) {
+	gone := entry("p/gone", "x", 1)
+	hub, _, _ := newCopy("hub")
+	attached, seen, _ := newCopy("attached")
+	hub.Listed("p/", []lagoonhead.Entry{gone}, 4, start)
+	pull(attached, hub, start)
+	hub.Listed("p/", nil, 4, start)
+	hub.Watched("p/", []lagoonhead.Event{{Entry: lagoonhead.Entry{Key: gone.Key, Revision: 5}, Deleted: true}}, 5, start)
+	pull(attached, hub, start)
+	require.EqualValues(t, 5, attached.Revision("p/"))
+	require.Empty(t, seen.entries)
+}
+
 // Guards against an outage that is reported because one of several peers has lost the store:
 // each report keeps endpoints whose entries are gone for a while longer, so that one that
 // has left would get work for as long as the peers' reports alternate.
@@ -358,46 +402,82 @@
 	s.events, s.states = append(s.events, e), append(s.states, state)
 }
 
-// Guards against copies that hold what they know to be removed, whatever the order in which answers of
-// the store and updates of peers arrive.
+// list returns a list that is read by pages of one entry, and the revision of the first page. The store
+// changes between two pages.
+func (s *pastStore) list(r *rapid.T) (list []lagoonhead.Entry, revision int64) {
+	revision = s.revision()
+	for _, k := range pastKeys {
+		if e, ok := s.now()[k]; ok {
+			list = append(list, e)
+		}
+		if rapid.IntRange(0, 3).Draw(r, "page") == 0 {
+			s.drawChange(r)
+		}
+	}
+	return list, revision
+}
+
+// pastKeys are the keys of a pastStore, in order.
+var pastKeys = []string{"p/1", "p/2", "p/3"}
+
+// drawChange writes or removes a key.
+func (s *pastStore) drawChange(r *rapid.T) {
+	key := rapid.SampledFrom(pastKeys).Draw(r, "key")
+	_, ok := s.now()[key]
+	s.change(key, ok && rapid.Bool().Draw(r, "removed"))
+}
+
+// Guards against copies that hold what they know to be removed, or an old value of what they know to have
+// changed, whatever the order in which answers of the store and updates of peers arrive, and although peers
+// lose the store.
 func TestCopiesHoldNothingOlderThanTheirState(t *testing.T) {
 	rapid.Check(t, func(r *rapid.T) {
 		s := &pastStore{states: []map[string]lagoonhead.Entry{{}}}
-		copies := make([]*Copy, 3)
+		copies := make([]*Copy, 6) // the first half are hubs, each of which an attached one follows
+		hubs := len(copies) / 2
 		seen := make([]*recorder, len(copies))
 		for i := range copies {
 			copies[i], seen[i], _ = newCopy(lagoonhead.Incarnation(fmt.Sprint("vm", i)))
 		}
 		var late []func() // answers under way
+		arrive := func(answer func()) {
+			if rapid.IntRange(0, 3).Draw(r, "late") == 0 {
+				late = append(late, answer)
+				return
+			}
+			answer()
+		}
 		now := start
-		for range rapid.IntRange(1, 80).Draw(r, "steps") {
+		for range rapid.IntRange(1, 200).Draw(r, "steps") {
 			now += 10 * time.Millisecond
 			sent := now
-			c := copies[rapid.IntRange(0, len(copies)-1).Draw(r, "copy")]
-			key := rapid.SampledFrom([]string{"p/1", "p/2", "p/3"}).Draw(r, "key")
-			switch rapid.IntRange(0, 7).Draw(r, "step") {
-			case 0:
-				s.change(key, false)
-			case 1:
-				if _, ok := s.now()[key]; ok {
-					s.change(key, true)
-				}
-			case 2:
-				list, revision := slices.Collect(maps.Values(s.now())), s.revision()
-				late = append(late, func() { c.Listed("p/", list, revision, sent) })
-			case 3:
+			i := rapid.IntRange(0, hubs-1).Draw(r, "copy")
+			c := copies[i]
+			switch rapid.SampledFrom([]string{"change", "list", "watch", "watch", "read", "lose", "pull", "pull", "follow", "follow", "arrive"}).Draw(r, "step") {
+			case "change":
+				s.drawChange(r)
+			case "list":
+				list, revision := s.list(r)
+				arrive(func() { c.Listed("p/", list, revision, sent) })
+			case "watch":
 				if after := c.Revision("p/"); after > 0 {
 					events := s.events[after:]
-					late = append(late, func() { c.Watched("p/", events, after+int64(len(events)), sent) })
+					arrive(func() { c.Watched("p/", events, after+int64(len(events)), sent) })
 				}
-			case 4:
-				if e, ok := s.now()[key]; ok {
-					late = append(late, func() { c.Written(e) })
+			case "read":
+				if e, ok := s.now()[rapid.SampledFrom(pastKeys).Draw(r, "key")]; ok {
+					arrive(func() { c.Written(e) })
 				}
-			case 5:
-				u := copies[rapid.IntRange(0, len(copies)-1).Draw(r, "from")].UpdateFor(now, c.Position(now))
-				late = append(late, func() { c.Merge(u, sent, maxAge) })
-			default:
+			case "pull":
+				u := copies[rapid.IntRange(0, hubs-1).Draw(r, "from")].UpdateFor(now, c.Position(now))
+				arrive(func() { c.Merge(u, sent, maxAge) })
+			case "follow":
+				a := copies[hubs+i]
+				u := c.UpdateFor(now, a.Position(now))
+				arrive(func() { a.Merge(u, sent, maxAge) })
+			case "lose":
+				c.Failed("p/", now, errors.New("turned away"))
+			case "arrive":
 				if len(late) > 0 {
 					i := rapid.IntRange(0, len(late)-1).Draw(r, "answer")
 					late[i]()
