mirror: a complete update has the removals that are newer than its state

Cause: a VM that merges the update of a peer which has lost the store takes its changes and not its state. Its own complete update then lacks the removed key, and says no more of the state than before. The next hub numbered the removal with that state. VMs that already had the state were not told, since changes are passed on by number, and were counted as up to date with the next state.

Why this works: the copy remembers just these removals with their numbers. Its complete updates now tell them.

--- a/mirror/copy.go
+++ b/mirror/copy.go
@@ -435,6 +435,13 @@
 			u.Changes = append(u.Changes, v)
 		}
 	}
+	// That a key is absent says only that it was gone by the revision of the prefix, and these removals
+	// are newer.
+	for _, k := range slices.Sorted(maps.Keys(c.removed)) {
+		if v := (Change{Entry: lagoonhead.Entry{Key: k, Revision: c.removed[k]}, Removed: true}); lacks(v) {
+			u.Changes = append(u.Changes, v)
+		}
+	}
 	return u
 }
 
