mirror: removals are passed on whatever their number

What callers saw: as before; the endpoint stays in use at the VMs of a hub that has read a list while its registration was removed.

Cause: the revision of a list is that of its first page. A registration that is removed while later pages are read is absent from the list, and its removal was numbered with that revision. VMs that were at this revision already, with the registration, were not told, and the watch behind the list reports the removal of a key that the hub does not have any more. Lists have several pages where there are many endpoints.

Why this works: the number of a removal that was found by an absent key is a lower bound and cannot prove that a VM has heard of it. A removal of an entry that the VM does not have, or has newer, changes nothing.

--- a/mirror/copy.go
+++ b/mirror/copy.go
@@ -422,7 +422,9 @@
 	}
 	if p.Source == c.source && p.Sequence <= c.sequence && p.Sequence >= c.oldestSequence() {
 		for _, v := range c.history {
-			if v.sequence > p.Sequence && lacks(v.Change) {
+			// The number of a removal that was found by an absent key may be too low: a list is as old as its
+			// first page.
+			if v.sequence > p.Sequence && (v.Removed || lacks(v.Change)) {
 				u.Changes = append(u.Changes, v.Change)
 			}
 		}
