mirror: a copy that is ahead of a peer does not follow its changes

Cause: a copy follows the changes of a peer once the peer has all its keys. It may have a newer entry of a key. If the peer goes from the older entry to a state behind the removal of the newer one (a list), it never sees that entry and has no removal to tell.

Why this works: a copy with an entry that is newer than the peer's state asks for complete updates, whose keys show the removal.

--- a/mirror/copy.go
+++ b/mirror/copy.go
@@ -502,9 +502,13 @@
 			c.removeAbsent(s.Prefix, present, s.Revision)
 		}
 	}
+	states := make(map[string]int64, len(u.Prefixes))
+	for _, s := range u.Prefixes {
+		states[s.Prefix] = s.Revision
+	}
 	c.followed = cursor{u.Source, u.Sequence}
-	for k := range c.entries {
-		if !present[k] {
+	for k, e := range c.entries {
+		if prefix, _ := c.prefix(k); !present[k] || e.Revision > states[prefix] {
 			// The peer may never see this entry, so it may never report its removal.
 			c.followed = cursor{}
 		}
--- a/mirror/copy_test.go
+++ b/mirror/copy_test.go
@@ -294,6 +294,23 @@
 	require.Empty(t, seen.entries)
 }
 
+// Guards against a VM that never hears of a removal since it follows a hub that was behind it: the hub goes
+// from the entry before to the state after the removal, and does not see the entry.
+func TestARemovalThatAHubBehindNeverSawIsHeard(t *testing.T) {
+	hub, _, _ := newCopy("hub")
+	c, seen, _ := newCopy("a")
+	hub.Listed("p/", []lagoonhead.Entry{entry("p/gone", "x", 1)}, 2, start)
+	c.Listed("p/", []lagoonhead.Entry{entry("p/gone", "y", 4)}, 4, start)
+	pull(c, hub, start)
+	hub.Watched("p/", []lagoonhead.Event{{Entry: lagoonhead.Entry{Key: "p/gone", Revision: 3}, Deleted: true}}, 3, start)
+	pull(c, hub, start)
+	require.Equal(t, map[string]string{"p/gone": "y"}, seen.entries)
+	hub.Listed("p/", nil, 5, start)
+	pull(c, hub, start)
+	require.EqualValues(t, 5, c.Revision("p/"))
+	require.Empty(t, seen.entries)
+}
+
 // Guards against an outage that is reported because one of several peers has lost the store:
 // each report keeps endpoints whose entries are gone for a while longer, so that one that
 // has left would get work for as long as the peers' reports alternate.
