--- a/mirror/copy_test.go
+++ b/mirror/copy_test.go
@@ -257,26 +257,45 @@
 // heard of it before the rest of its state.
 func TestARemovalHeardFromAPeerAheadOfItsStateIsPassedOn(t *testing.T) {
 	gone := entry("p/gone", "x", 1)
-	reader, _, _ := newCopy("reader")
-	lost, _, _ := newCopy("lost")
-	ahead, _, _ := newCopy("ahead")
-	hub, _, _ := newCopy("hub")
-	attached, seen, _ := newCopy("attached")
-	for _, c := range []*Copy{reader, lost, ahead} {
-		c.Listed("p/", []lagoonhead.Entry{gone}, 3, start)
+	for name, tell := range map[string]func(to, reader, other *Copy, remove func()){
+		"by a peer that has lost the store": func(to, reader, other *Copy, remove func()) {
+			remove()
+			pull(other, reader, start)
+			other.Failed("p/", start, nil)
+			pull(to, other, start)
+		},
+		"by changes that arrive after the update of another peer": func(to, reader, other *Copy, remove func()) {
+			pull(to, reader, start)
+			p := to.Position(start)
+			remove()
+			changes := reader.UpdateFor(start, p)
+			require.False(t, changes.Complete)
+			pull(to, other, start)
+			to.Merge(changes, start, maxAge)
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			reader, _, _ := newCopy("reader")
+			other, _, _ := newCopy("other")
+			ahead, _, _ := newCopy("ahead")
+			hub, _, _ := newCopy("hub")
+			attached, seen, _ := newCopy("attached")
+			for _, c := range []*Copy{reader, other, ahead} {
+				c.Listed("p/", []lagoonhead.Entry{gone}, 3, start)
+			}
+			hub.Listed("p/", []lagoonhead.Entry{gone}, 4, start)
+			pull(attached, hub, start)
+			tell(ahead, reader, other, func() {
+				reader.Watched("p/", []lagoonhead.Event{{Entry: lagoonhead.Entry{Key: gone.Key, Revision: 5}, Deleted: true}}, 5, start)
+			})
+			require.EqualValues(t, 3, ahead.Revision("p/"))
+			pull(hub, ahead, start)
+			pull(hub, reader, start)
+			pull(attached, hub, start)
+			require.EqualValues(t, 5, attached.Revision("p/"))
+			require.Empty(t, seen.entries)
+		})
 	}
-	hub.Listed("p/", []lagoonhead.Entry{gone}, 4, start)
-	pull(attached, hub, start)
-	reader.Watched("p/", []lagoonhead.Event{{Entry: lagoonhead.Entry{Key: gone.Key, Revision: 5}, Deleted: true}}, 5, start)
-	pull(lost, reader, start)
-	lost.Failed("p/", start, nil)
-	pull(ahead, lost, start)
-	require.EqualValues(t, 3, ahead.Revision("p/"))
-	pull(hub, ahead, start)
-	pull(hub, reader, start)
-	pull(attached, hub, start)
-	require.EqualValues(t, 5, attached.Revision("p/"))
-	require.Empty(t, seen.entries)
 }
 
 // Guards against an attached VM that never hears of a removal that was made while its hub read a list by
