--- a/cmd/lagoonheadd/fleet_test.go
+++ b/cmd/lagoonheadd/fleet_test.go
@@ -42,8 +42,10 @@
 	// listeners holds the addresses of the peer listeners of all daemons, followed by those
 	// of the operator listeners.
 	listeners []string
-	// extra is YAML that is appended to the settings of daemons.
-	extra string
+	// extra is YAML that is appended to the settings of daemons, and limits to their limits.
+	extra, limits string
+	// program is the program of the daemons; empty means the test binary.
+	program string
 	// resumeKey is the path of the key file for resuming streams, which all daemons share.
 	resumeKey string
 }
@@ -99,12 +101,17 @@
 platform: {store: %[5]q, ordering: %[5]q, usage: %[5]q, vms: %[6]q}
 resume: {keyFile: %[7]q}
 drain: {lag: 200ms, max: 1m}
-limits: {idleTimeout: %[8]s}
+limits: {idleTimeout: %[8]s%[9]s}
 usage: {window: 2s}
-%[9]s
+%[10]s
 `, vmName(i), failureDomain(i), f.listeners[i], f.listeners[n+i], "http://"+f.network.platform[i].address(),
-		f.network.vmLists[i].URL, f.resumeKey, idleTimeout, f.extra))
-	return startProcess(t, "daemon", vmName(i), "-settings", file)
+		f.network.vmLists[i].URL, f.resumeKey, idleTimeout, f.limits, f.extra))
+	p := newProcess("daemon", vmName(i), "-settings", file)
+	if f.program != "" {
+		p.cmd.Path = f.program
+	}
+	p.startListening(t)
+	return p
 }
 
 // operatorURL returns the base URL of a daemon's operator listener.
--- a/cmd/lagoonheadd/memory_test.go
+++ b/cmd/lagoonheadd/memory_test.go
@@ -137,6 +137,17 @@
 	})
 }
 
+// requireBounded requires that the process lives and has kept its limits so far.
+func (u *usage) requireBounded(t *testing.T, memoryMB int) {
+	t.Helper()
+	require.Positive(t, u.sample(), "the process has ended")
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	t.Logf("resident and unread %d MiB, of these unread at most %d MiB, %d descriptors", u.bytes>>20, u.unread>>20, u.descriptors)
+	require.LessOrEqual(t, u.bytes, int64(memoryMB<<20), "resident and unread bytes")
+	require.LessOrEqual(t, u.descriptors, descriptorLimit)
+}
+
 // memoryFleet is a daemon with small limits and its endpoints, which keep no request in memory.
 type memoryFleet struct {
 	*platformFleet
@@ -203,7 +214,7 @@
 }
 
 // chunk returns a chunk of a chunked body.
-func chunk(n int) string { return fmt.Sprintf("%x\r\n%s\r\n", n, strings.Repeat("x", n)) }
+func chunk(text string) string { return fmt.Sprintf("%x\r\n%s\r\n", len(text), text) }
 
 // load is a kind of client load: what each client sends on its connection, which it keeps open.
 type load struct {
@@ -229,47 +240,66 @@
 	return repeat(w, text, n)
 }
 
-func clientLoads() []load {
+// writeChunks writes a header section, and a body in chunks of a size without the chunk that ends it.
+func writeChunks(w io.Writer, head, body string, size int) error {
+	if _, err := io.WriteString(w, head); err != nil {
+		return err
+	}
+	for ; len(body) > 0; body = body[min(size, len(body)):] {
+		if _, err := io.WriteString(w, chunk(body[:min(size, len(body))])); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// bodyLoads returns the loads of requests with the head that head returns. Bodies of legal size begin and
+// end with the given texts.
+func bodyLoads(head func(id string, more ...string) string, begin, end string) []load {
+	body := begin + strings.Repeat("x", largestBody-len(begin)-len(end)) + end
 	block := strings.Repeat("x", 32<<10)
 	blocks := largestBody / len(block)
 	length := func(n int) string { return fmt.Sprintf("Content-Length: %d", n) }
 	const chunked = "Transfer-Encoding: chunked"
-	// A connection whose request was refused would otherwise stay open as an idle one.
-	const closing = "Connection: close"
 	return []load{
 		{name: "whole bodies", send: func(w io.Writer, id string) error {
-			return writeAll(w, head("/book/x", id, length(largestBody)), block, blocks)
+			return writeAll(w, head(id, length(largestBody)), body, 1)
 		}},
 		{name: "bodies that stop short", send: func(w io.Writer, id string) error {
-			if err := writeAll(w, head("/book/x", id, length(largestBody)), block, blocks-1); err != nil {
-				return err
-			}
-			_, err := io.WriteString(w, block[:len(block)-1])
-			return err
+			return writeAll(w, head(id, length(largestBody)), body[:largestBody-1], 1)
 		}},
 		{name: "large chunks", send: func(w io.Writer, id string) error {
-			return writeAll(w, head("/book/x", id, chunked), chunk(largestBody/4), 4)
+			return writeChunks(w, head(id, chunked), body, largestBody/4)
 		}},
 		{name: "small chunks that stop short", send: func(w io.Writer, id string) error {
 			b := bufio.NewWriterSize(w, 4<<10) // many chunks a packet, so that the client needs less time
-			if err := writeAll(b, head("/book/x", id, chunked), chunk(16), largestBody/16-1); err != nil {
+			if err := writeChunks(b, head(id, chunked), body[:largestBody-16], 16); err != nil {
 				return err
 			}
 			return b.Flush()
 		}},
 		{name: "announced bodies far over the limit", send: func(w io.Writer, id string) error {
-			return writeAll(w, head("/book/x", id, length(64*largestBody)), block, 64*blocks)
+			return writeAll(w, head(id, length(64*largestBody)), body, 64)
 		}},
 		{name: "bodies far over the limit without a length", send: func(w io.Writer, id string) error {
-			return writeAll(w, head("/book/x", id, chunked), chunk(len(block)), 64*blocks)
+			return writeAll(w, head(id, chunked), chunk(block), 64*blocks)
 		}},
+	}
+}
+
+// clientLoads returns the loads of the platform's interface.
+func clientLoads() []load {
+	book := func(id string, more ...string) string { return head("/book/x", id, more...) }
+	// A connection whose request was refused would otherwise stay open as an idle one.
+	empty := []string{"Content-Length: 0", "Connection: close"}
+	return append(bodyLoads(book, "", ""), []load{
 		{name: "unread answers", slowReader: true, send: func(w io.Writer, id string) error {
-			return writeAll(w, head("/book/large", id, length(0), closing), "", 0)
+			return writeAll(w, head("/book/large", id, empty...), "", 0)
 		}},
 		{name: "unread streams", slowReader: true, send: func(w io.Writer, id string) error {
-			return writeAll(w, head("/read/x", id, length(0), closing), "", 0)
+			return writeAll(w, head("/read/x", id, empty...), "", 0)
 		}},
-	}
+	}...)
 }
 
 // play sends the load on the connections of a crowd and returns once each client has sent all, or
@@ -346,12 +376,7 @@
 					return f.usage.sample() < before+crowd/4 && f.streams.Load() == 0
 				})
 			}
-			require.Positive(t, f.usage.sample(), "the process has ended")
-			f.usage.mu.Lock()
-			defer f.usage.mu.Unlock()
-			t.Logf("resident and unread %d MiB, of these unread at most %d MiB, %d descriptors", f.usage.bytes>>20, f.usage.unread>>20, f.usage.descriptors)
-			require.LessOrEqual(t, f.usage.bytes, int64(memoryLimitMB<<20), "resident and unread bytes")
-			require.LessOrEqual(t, f.usage.descriptors, descriptorLimit)
+			f.usage.requireBounded(t, memoryLimitMB)
 		})
 	}
 }
--- a/cmd/lagoonheadd/process_test.go
+++ b/cmd/lagoonheadd/process_test.go
@@ -127,6 +127,13 @@
 func startProcess(t *testing.T, mode, name string, args ...string) *process {
 	t.Helper()
 	p := newProcess(mode, name, args...)
+	p.startListening(t)
+	return p
+}
+
+// startListening starts the process and waits until it listens.
+func (p *process) startListening(t *testing.T) {
+	t.Helper()
 	out, err := p.cmd.StdoutPipe()
 	require.NoError(t, err)
 	p.start(t)
@@ -142,9 +149,8 @@
 	select {
 	case p.address = <-address:
 	case <-time.After(startTimeout):
-		require.FailNow(t, "process did not start", "%s: %s", name, p.output)
+		require.FailNow(t, "process did not start", "%s: %s", p.name, p.output)
 	}
-	return p
 }
 
 func (p *process) signal(t *testing.T, s os.Signal) {
