httplimit: the limits on callers' connections have a package of their own

Moved from entry, so that the project's own interface can use them too. Names are exported; nothing else changes, and the tests have moved with their code.

--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -25,6 +25,7 @@
 	"github.com/lagoonhead/lagoonhead/catalog"
 	"github.com/lagoonhead/lagoonhead/dispatch"
 	"github.com/lagoonhead/lagoonhead/httpdrain"
+	"github.com/lagoonhead/lagoonhead/httplimit"
 	"github.com/lagoonhead/lagoonhead/lease"
 	"github.com/lagoonhead/lagoonhead/metrics"
 	"github.com/lagoonhead/lagoonhead/mirror"
@@ -59,10 +60,9 @@
 	slotCount, homesPerWorkspace = 12, 4
 	// memoryShare is the fraction of MemoryBytes that is set as Go's soft memory limit.
 	memoryShare = 0.75
-	// bodyShare is the fraction of MemoryBytes that callers' bodies may take together, and
-	// connectionShare that which bounds the number of their connections. What remains is for the
-	// daemon itself, for answers and for garbage.
-	bodyShare, connectionShare = 0.25, 0.3
+	// bodyShare is the fraction of MemoryBytes that callers' bodies may take together. What remains is
+	// for their connections, the daemon itself, answers and garbage.
+	bodyShare = 0.25
 	// answerShare is the fraction that buffered answers may take together, and minAnswerBytes the
 	// least that they may. It takes the largest answer, 8 MiB, beside the reserve for small ones.
 	answerShare, minAnswerBytes = 0.125, 12 << 20
@@ -190,7 +190,7 @@
 	dispatcher  *dispatch.Dispatcher
 	heartbeats  *heartbeats
 	roleChanges roleChanges
-	connections *connections // of callers
+	connections *httplimit.Connections // of callers
 	// bodies bounds the memory of callers' bodies, answers that of buffered answers.
 	bodies, answers *bodybudget.Budget
 	guard           overload.Guard
@@ -234,13 +234,13 @@
 
 // buildCallerLimits creates what bounds the connections of callers and the memory that callers take.
 func (d *Daemon) buildCallerLimits() {
-	d.connections = newConnections(d.Settings, d.guard.RefusesConnection, d.Platform.Refusal)
-	d.vars.Set("connections", d.connections.vars())
+	d.connections = httplimit.New(httplimit.Limits{Descriptors: d.Settings.MaxDescriptors, MemoryBytes: d.Settings.MemoryBytes}, d.guard.RefusesConnection, d.Platform.Refusal)
+	d.vars.Set("connections", d.connections.Vars())
 	// A body of unknown length is counted twice while its parts are joined.
 	d.bodies = bodybudget.New(max(int64(bodyShare*float64(d.Settings.MemoryBytes)), 3*defaultBodyLimit), d.Timer, d.Log)
 	d.answers = bodybudget.NewForAnswers(max(int64(answerShare*float64(d.Settings.MemoryBytes)), minAnswerBytes), d.Timer, d.Log)
 	d.vars.Set("bufferedAnswers", d.answers.Vars())
-	d.bodies.Crowded = d.connections.crowded
+	d.bodies.Crowded = d.connections.Crowded
 	d.vars.Set("bodies", d.bodies.Vars())
 }
 
@@ -522,7 +522,7 @@
 			return nil
 		},
 		func(ctx context.Context) error {
-			timer.Every(ctx, d.Timer, refusedLogInterval, func(time.Duration) { d.connections.logRefused(d.Log) })
+			timer.Every(ctx, d.Timer, httplimit.LogInterval, func(time.Duration) { d.connections.LogRefused(d.Log) })
 			return nil
 		},
 	)
@@ -591,8 +591,8 @@
 		listener = accepting
 		if v.server == s.callers {
 			d.vars.Set("acceptFailed", &accepting.failed)
-			d.connections.bound(socket, d.Log)
-			s.callerListener = &httpdrain.Listener{Listener: d.connections.limit(listener), Socket: socket, Log: d.Log, Pending: d.connections.refuser.Waiting}
+			d.connections.Bound(socket, d.Log)
+			s.callerListener = &httpdrain.Listener{Listener: d.connections.Listen(listener), Socket: socket, Log: d.Log, Pending: d.connections.Waiting}
 			d.vars.Set("closed", s.callerListener.Vars())
 			s.callers.ConnState = s.callerListener.StateChanged
 			listener = s.callerListener
@@ -612,7 +612,7 @@
 
 // closesConnections reports whether callers are told to close their connections after the
 // answer.
-func (d *Daemon) closesConnections() bool { return d.leaving.Load() || d.connections.crowded() }
+func (d *Daemon) closesConnections() bool { return d.leaving.Load() || d.connections.Crowded() }
 
 func (s *servers) close() {
 	for _, v := range s.all {
--- a/entry/connections.go
+++ b/httplimit/connections.go
@@ -1,4 +1,4 @@
-package entry
+package httplimit
 
 import (
 	"expvar"
@@ -46,13 +46,23 @@
 	connectionBytes = 24 << 10
 	// minConnections is the least bound of the number of connections for the sake of memory.
 	minConnections = 64
-	// refusedLogInterval is the time between two log lines on connections that are not served.
-	refusedLogInterval = time.Second
+	// connectionShare is the fraction of the memory that bounds the number of connections.
+	connectionShare = 0.3
+	// LogInterval is the time between two calls of LogRefused.
+	LogInterval = time.Second
 )
 
-// connections limits the connections of callers by the descriptors of the process. Requests on
+// Limits are those of a process.
+type Limits struct {
+	// Descriptors is the number of its file descriptors; 0 means that it is not known.
+	Descriptors int
+	// MemoryBytes is the memory that it may take; 0 means that there is no limit.
+	MemoryBytes int64
+}
+
+// Connections limits the connections of callers by the descriptors of the process. Requests on
 // connections that are not served are refused.
-type connections struct {
+type Connections struct {
 	// crowdedFrom and most are 0 if there is no limit.
 	crowdedFrom, most int64
 	// receiveBytes is the size of a connection's receive buffer, or 0 for that of the kernel.
@@ -74,11 +84,12 @@
 // refusedCounts are counts of connections that were not served.
 type refusedCounts struct{ behind, crowded, dropped, unread int64 }
 
-// newConnections returns the limit of a process with the descriptors and the memory of the settings.
-// response returns the response to a request that is refused with an error.
-func newConnections(v Settings, overloaded func() bool, response func(r *http.Request, err error) *http.Response) *connections {
-	sockets := float64(max(0, v.MaxDescriptors-fileDescriptors))
-	c := &connections{crowdedFrom: int64(crowdedShare * sockets), most: int64(maxCallerShare * sockets), overloaded: overloaded}
+// New returns the limit of a process. overloaded reports whether a new connection is not served because
+// the processor is overloaded, and response returns the response to a request that is refused with an
+// error.
+func New(v Limits, overloaded func() bool, response func(r *http.Request, err error) *http.Response) *Connections {
+	sockets := float64(max(0, v.Descriptors-fileDescriptors))
+	c := &Connections{crowdedFrom: int64(crowdedShare * sockets), most: int64(maxCallerShare * sockets), overloaded: overloaded}
 	c.boundByMemory(connectionShare * float64(v.MemoryBytes))
 	reserved := int64(maxWaitingShare * sockets)
 	c.refuser.MaxWaiting = func() int64 {
@@ -95,7 +106,7 @@
 
 // boundByMemory derives the number of connections and their receive buffers from the bytes for them.
 // The buffers of half of the connections are taken for full.
-func (c *connections) boundByMemory(bytes float64) {
+func (c *Connections) boundByMemory(bytes float64) {
 	if bytes <= 0 {
 		return
 	}
@@ -110,8 +121,8 @@
 	}
 }
 
-// bound sets the buffers of the connections that a listening socket will accept, which inherit them.
-func (c *connections) bound(socket syscall.Conn, log *zap.Logger) {
+// Bound sets the buffers of the connections that a listening socket will accept, which inherit them.
+func (c *Connections) Bound(socket syscall.Conn, log *zap.Logger) {
 	if socket == nil || c.receiveBytes == 0 {
 		return
 	}
@@ -129,8 +140,8 @@
 	}
 }
 
-// vars returns the number of open connections, and of those that were not served.
-func (c *connections) vars() *expvar.Map {
+// Vars returns the number of open connections, and of those that were not served.
+func (c *Connections) Vars() *expvar.Map {
 	m := new(expvar.Map)
 	m.Set("refusals", c.refuser.Vars())
 	m.Set("open", expvar.Func(func() any { return c.open.Load() }))
@@ -140,9 +151,9 @@
 	return m
 }
 
-// logRefused logs how many connections were not served since its last call. A line for each would
+// LogRefused logs how many connections were not served since its last call. A line for each would
 // cost more than the refusal.
-func (c *connections) logRefused(log *zap.Logger) {
+func (c *Connections) LogRefused(log *zap.Logger) {
 	now := refusedCounts{c.refusedBehind.Value(), c.refusedCrowded.Value(), c.refuser.Dropped(), c.unread.Value()}
 	if now != c.logged {
 		log.Warn("connections of callers refused", zap.Int64("behind", now.behind-c.logged.behind), zap.Int64("crowded", now.crowded-c.logged.crowded),
@@ -151,16 +162,19 @@
 	c.logged = now
 }
 
-// crowded reports whether callers' connections are to be closed after the answer.
-func (c *connections) crowded() bool { return c.most > 0 && c.open.Load() > c.crowdedFrom }
+// Crowded reports whether callers' connections are to be closed after the answer.
+func (c *Connections) Crowded() bool { return c.most > 0 && c.open.Load() > c.crowdedFrom }
+
+// Waiting returns the number of connections whose requests are being refused.
+func (c *Connections) Waiting() int64 { return c.refuser.Waiting() }
 
-// limit returns a listener that refuses the request on a new connection while there are too many
+// Listen returns a listener that refuses the request on a new connection while there are too many
 // connections or the processor is overloaded.
-func (c *connections) limit(l net.Listener) net.Listener { return &limitedListener{l, c} }
+func (c *Connections) Listen(l net.Listener) net.Listener { return &limitedListener{l, c} }
 
 type limitedListener struct {
 	net.Listener
-	connections *connections
+	connections *Connections
 }
 
 func (l *limitedListener) Accept() (net.Conn, error) {
--- a/entry/connections_test.go
+++ b/httplimit/connections_test.go
@@ -1,4 +1,4 @@
-package entry
+package httplimit
 
 import (
 	"bufio"
@@ -24,14 +24,14 @@
 	const requests = 300
 	var asked atomic.Int64
 	overloaded := func() bool { return asked.Add(1)%3 != 0 } // two of three connections are not served
-	c := newConnections(Settings{}, overloaded, func(r *http.Request, err error) *http.Response {
+	c := New(Limits{}, overloaded, func(r *http.Request, err error) *http.Response {
 		require.True(t, lagoonhead.IsKind(err, lagoonhead.KindUnavailable))
 		return &http.Response{StatusCode: http.StatusServiceUnavailable, Header: http.Header{"Name": r.Header["Name"]}}
 	})
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
 	s := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { w.Header()["Name"] = r.Header["Name"] })}
-	go func() { _ = s.Serve(c.limit(l)) }() // ends with the close below
+	go func() { _ = s.Serve(c.Listen(l)) }() // ends with the close below
 	defer s.Close()
 	var w sync.WaitGroup
 	var served, refused atomic.Int64
@@ -55,8 +55,8 @@
 	require.EqualValues(t, requests/3, served.Load())
 	require.EqualValues(t, requests*2/3, refused.Load())
 	core, logs := observer.New(zap.InfoLevel)
-	c.logRefused(zap.New(core))
-	c.logRefused(zap.New(core))
+	c.LogRefused(zap.New(core))
+	c.LogRefused(zap.New(core))
 	require.Equal(t, 1, logs.Len(), "one line for all, and none when there was nothing new")
 	require.EqualValues(t, requests*2/3, logs.All()[0].ContextMap()["behind"])
 }
--- a/entry/drain_test.go
+++ b/httplimit/drain_test.go
@@ -1,4 +1,4 @@
-package entry
+package httplimit
 
 import (
 	"context"
@@ -19,12 +19,12 @@
 
 // Guards against connections that are being refused when the process ends, and are reset then.
 func TestFinishWaitsForRefusals(t *testing.T) {
-	c := newConnections(Settings{MaxDescriptors: 4100}, func() bool { return true }, func(*http.Request, error) *http.Response {
+	c := New(Limits{Descriptors: 4100}, func() bool { return true }, func(*http.Request, error) *http.Response {
 		return &http.Response{StatusCode: http.StatusServiceUnavailable}
 	})
 	socket, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
-	l := &httpdrain.Listener{Listener: c.limit(socket), Socket: socket.(syscall.Conn), Log: zap.NewNop(), Pending: c.refuser.Waiting}
+	l := &httpdrain.Listener{Listener: c.Listen(socket), Socket: socket.(syscall.Conn), Log: zap.NewNop(), Pending: c.Waiting}
 	s := &http.Server{ConnState: l.StateChanged, Handler: http.NotFoundHandler()}
 	go func() { _ = s.Serve(l) }() // ends with the close below
 	defer s.Close()
--- a/entry/writeprogress.go
+++ b/httplimit/writeprogress.go
@@ -1,4 +1,4 @@
-package entry
+package httplimit
 
 import (
 	"net"
--- a/entry/writeprogress_test.go
+++ b/httplimit/writeprogress_test.go
@@ -1,4 +1,4 @@
-package entry
+package httplimit
 
 import (
 	"io"
@@ -11,7 +11,7 @@
 )
 
 // newWriter returns the two ends of a connection with small buffers, and the writer of the first.
-func newWriter(t *testing.T, c *connections) (writer, reader net.Conn) {
+func newWriter(t *testing.T, c *Connections) (writer, reader net.Conn) {
 	t.Helper()
 	inner, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
@@ -20,15 +20,15 @@
 	require.NoError(t, err)
 	t.Cleanup(func() { reader.Close() })
 	require.NoError(t, reader.(*net.TCPConn).SetReadBuffer(4<<10))
-	writer, err = c.limit(inner).Accept()
+	writer, err = c.Listen(inner).Accept()
 	require.NoError(t, err)
 	t.Cleanup(func() { writer.Close() })
 	require.NoError(t, writer.(*limitedConn).Conn.(*net.TCPConn).SetWriteBuffer(64<<10))
 	return writer, reader
 }
 
-func unlimited() *connections {
-	return newConnections(Settings{}, func() bool { return false }, nil)
+func unlimited() *Connections {
+	return New(Limits{}, func() bool { return false }, nil)
 }
 
 // Guards against answers that are held for ever for a caller that does not read.
@@ -82,7 +82,7 @@
 func TestConnectionsAreBoundedByMemory(t *testing.T) {
 	for _, v := range []struct{ megabytes, descriptors, least int }{{144, 3075, 1000}, {284, 3075, 1500}, {64, 3075, 400}, {8, 0, minConnections}} {
 		bytes := int64(v.megabytes) << 20
-		c := newConnections(Settings{MemoryBytes: bytes, MaxDescriptors: v.descriptors}, nil, nil)
+		c := New(Limits{MemoryBytes: bytes, Descriptors: v.descriptors}, nil, nil)
 		require.GreaterOrEqual(t, c.most, int64(v.least))
 		require.GreaterOrEqual(t, c.receiveBytes, minReceiveBytes)
 		require.Less(t, c.crowdedFrom, c.most)
