httplimit: connections that are not accepted yet have a bound

What callers saw: a daemon beside many connections passed its memory while it stood still or was busy (lead: 3,000 connections, 184 MB: 130 to 300 MB lay on sockets that nobody had accepted), and the platform ends such a process.

Cause: the bound on connections counts those that were accepted. The queue of the listener took up to the kernel's 4,096 more, each with a full receive buffer. Class: what a client can make the process hold is counted only behind a door that the process has to open itself.

Change: the queue is as long as its receive buffers fit into a tenth of the memory, at least 64: 588 connections at 184 MB, 908 at 284 MB. Beyond that the kernel leaves the opening packet unanswered, and the client sends it again.

--- a/httplimit/connections.go
+++ b/httplimit/connections.go
@@ -39,6 +39,10 @@
 	// receiveShare is the part of the memory for connections that is for receive buffers, if all of
 	// them are full.
 	receiveShare = 0.5
+	// queueShare is the fraction of the memory for the receive buffers of connections that are not
+	// accepted yet, and minQueue the least number of these connections. Their unread bytes count as
+	// memory of the process like those of others, and while it stands still nothing else bounds them.
+	queueShare, minQueue = 0.1, 64
 	// sendFactor is the size of the send buffer in multiples of the receive buffer.
 	sendFactor = 4
 	// connectionBytes is what the process keeps for a connection with a request: two goroutines, two
@@ -67,6 +71,8 @@
 	crowdedFrom, most int64
 	// receiveBytes is the size of a connection's receive buffer, or 0 for that of the kernel.
 	receiveBytes int
+	// queue is the number of connections that may wait to be accepted, or 0 for that of the kernel.
+	queue int
 	// overloaded reports whether a new connection is not served because the processor is
 	// overloaded.
 	overloaded func() bool
@@ -91,6 +97,9 @@
 	sockets := float64(max(0, v.Descriptors-fileDescriptors))
 	c := &Connections{crowdedFrom: int64(crowdedShare * sockets), most: int64(maxCallerShare * sockets), overloaded: overloaded}
 	c.boundByMemory(connectionShare * float64(v.MemoryBytes))
+	if c.receiveBytes > 0 {
+		c.queue = max(minQueue, int(queueShare*float64(v.MemoryBytes)/float64(c.receiveBytes)))
+	}
 	reserved := int64(maxWaitingShare * sockets)
 	c.refuser.MaxWaiting = func() int64 {
 		if c.most == 0 {
@@ -121,7 +130,8 @@
 	}
 }
 
-// Bound sets the buffers of the connections that a listening socket will accept, which inherit them.
+// Bound sets the buffers of the connections that a listening socket will accept, which inherit them, and
+// the number of those that may wait to be accepted.
 func (c *Connections) Bound(socket syscall.Conn, log *zap.Logger) {
 	if socket == nil || c.receiveBytes == 0 {
 		return
@@ -129,10 +139,7 @@
 	raw, err := socket.SyscallConn()
 	if err == nil {
 		var failure error
-		err = raw.Control(func(fd uintptr) {
-			failure = errors.CombineErrors(unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_RCVBUF, c.receiveBytes),
-				unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_SNDBUF, sendFactor*c.receiveBytes))
-		})
+		err = raw.Control(func(fd uintptr) { failure = c.boundSocket(int(fd)) })
 		err = errors.CombineErrors(err, failure)
 	}
 	if err != nil {
@@ -140,6 +147,13 @@
 	}
 }
 
+func (c *Connections) boundSocket(fd int) error {
+	return errors.CombineErrors(unix.SetsockoptInt(fd, unix.SOL_SOCKET, unix.SO_RCVBUF, c.receiveBytes), errors.CombineErrors(
+		unix.SetsockoptInt(fd, unix.SOL_SOCKET, unix.SO_SNDBUF, sendFactor*c.receiveBytes),
+		unix.Listen(fd, c.queue), // the socket listens already; this changes the length of its queue
+	))
+}
+
 // Vars returns the number of open connections, and of those that were not served.
 func (c *Connections) Vars() *expvar.Map {
 	m := new(expvar.Map)
--- a/httplimit/writeprogress_test.go
+++ b/httplimit/writeprogress_test.go
@@ -88,6 +88,7 @@
 		require.Less(t, c.crowdedFrom, c.most)
 		if v.megabytes > 8 {
 			require.LessOrEqual(t, c.most*int64(connectionBytes+c.receiveBytes/2), bytes*2/5)
+			require.LessOrEqual(t, int64(c.queue*c.receiveBytes), bytes/10)
 		}
 	}
 }
