caller: the project's own interface bounds bodies and connections

What callers saw: 400 connections with bodies of 1 MiB took lagoonheadd -settings to 230 to 1,086 MiB; such a process ends when the machine has less.

Cause: the budget of bodies and the limit on connections were built into the platform's interface only. caller read each body whole with io.ReadAll and knew no sum. Class: a bound that belongs to the process was put into one of its doors.

Change: bodybudget and httplimit serve both interfaces. limits.memory is new; its default is the machine's memory, of which no legal client meets a quarter in bodies. A completion also counts its two copies of the body (Body.Reserve), before they are made. The hash of a call of a service copied the body twice, which it does not any more.

--- a/bodybudget/budget.go
+++ b/bodybudget/budget.go
@@ -198,6 +198,15 @@
 	return v.parts[0]
 }
 
+// Reserve counts n more bytes until End, for what is derived from a body that has arrived. An error means
+// that nothing more is counted.
+func (v *Body) Reserve(ctx context.Context, n int64) error {
+	if v.entry == nil {
+		return nil
+	}
+	return v.grow(ctx, n)
+}
+
 // End gives the bytes back. Further calls do nothing.
 func (v *Body) End() {
 	if v == nil || v.entry == nil {
--- a/caller/completion.go
+++ b/caller/completion.go
@@ -19,6 +19,10 @@
 	"github.com/lagoonhead/lagoonhead/relay"
 )
 
+// completionCopies is the number of copies of the body of a completion: the rendered prompt, and the body
+// for the engine.
+const completionCopies = 2
+
 // completion serves POST /v1/chat/completions.
 func (x *exchange) completion() error {
 	s := x.server
@@ -26,7 +30,7 @@
 	if err := x.loadAndAuthenticate(); err != nil {
 		return err
 	}
-	raw, err := x.readBody()
+	raw, err := x.readBody(completionCopies)
 	if err != nil {
 		return err
 	}
--- a/caller/exchange.go
+++ b/caller/exchange.go
@@ -17,6 +17,7 @@
 	"go.uber.org/zap"
 
 	"github.com/lagoonhead/lagoonhead"
+	"github.com/lagoonhead/lagoonhead/bodybudget"
 )
 
 // exchange is one request of a caller with its response.
@@ -35,8 +36,9 @@
 	// runState says whether an endpoint can have run the request. It is set to runUnknown
 	// before any byte of the request may be sent.
 	runState runState
-	// bodyRead is true once the body is being read.
+	// bodyRead is true once the body is being read, and body holds it once it has arrived.
 	bodyRead bool
+	body     *bodybudget.Body
 	// streaming is true once the relay writes a streamed response.
 	streaming bool
 	// notes are the parts of the reason in the decision record of the request.
@@ -59,6 +61,7 @@
 		defer s.tracker.leave()
 		x := s.newExchange(w, r)
 		defer x.finish()
+		defer func() { x.body.End() }()
 		err := x.checkRequest(method)
 		if err == nil {
 			err = f(x)
@@ -76,7 +79,7 @@
 	ctx := propagator.Extract(r.Context(), propagation.HeaderCarrier(r.Header))
 	x := &exchange{
 		server: s, id: lagoonhead.RequestID(uuid.NewString()), arrived: s.Timer.Now(),
-		auth: r.Header.Values(headerAuth), runState: runNo, writer: &responseWriter{ResponseWriter: w, closing: s.tracker.draining},
+		auth: r.Header.Values(headerAuth), runState: runNo, writer: &responseWriter{ResponseWriter: w, closing: s.closesConnections},
 	}
 	r.Header.Del(headerAuth)
 	ctx, x.span = s.Tracer.Start(ctx, "caller.request", trace.WithSpanKind(trace.SpanKindServer))
--- a/caller/read.go
+++ b/caller/read.go
@@ -1,62 +1,53 @@
 package caller
 
 import (
-	"io"
 	"math"
 	"net/http"
 	"strconv"
-	"sync/atomic"
 	"time"
 
-	"context"
-
-	"github.com/cockroachdb/errors"
-
 	"github.com/lagoonhead/lagoonhead"
+	"github.com/lagoonhead/lagoonhead/bodybudget"
 )
 
-// pastTime is a read deadline in the past, which aborts a blocked read at once.
-var pastTime = time.Unix(1, 0)
-
-// readBody reads the whole body. It fails when that takes longer than
+// readBody reads the whole body, whose memory is counted until the end of the exchange. copies is the
+// number of its copies that serving the request takes besides. It fails when reading takes longer than
 // Limits.BodyTimeout.
-func (x *exchange) readBody() ([]byte, error) {
-	l := x.server.Limits
+func (x *exchange) readBody(copies int64) ([]byte, error) {
+	l, ctx := x.server.Limits, x.httpRequest.Context()
 	if x.httpRequest.ContentLength > l.MaxBodyBytes {
 		return nil, tooLarge(l.MaxBodyBytes)
 	}
 	x.bodyRead = true
-	stop := x.limitReadTime(l.BodyTimeout)
-	defer stop()
-	b, err := io.ReadAll(http.MaxBytesReader(x.writer, x.httpRequest.Body, l.MaxBodyBytes))
-	var sizeErr *http.MaxBytesError
-	if errors.As(err, &sizeErr) {
-		return nil, tooLarge(l.MaxBodyBytes)
-	}
+	body, err := x.server.Bodies.Read(ctx, bodybudget.Source{
+		Reader: x.httpRequest.Body, Length: x.httpRequest.ContentLength, Limit: l.MaxBodyBytes, Group: string(x.workspace), Timeout: l.BodyTimeout,
+		SetDeadline: http.NewResponseController(x.writer).SetReadDeadline,
+	})
 	if err != nil {
-		return nil, invalid("truncated_body", "the body ended early or did not arrive in time")
+		x.writer.Header().Set("Connection", "close") // a part of the body is unread
+		return nil, bodyError(err, l.MaxBodyBytes)
+	}
+	x.body = body
+	if err := body.Reserve(ctx, copies*int64(len(body.Bytes()))); err != nil {
+		return nil, bodyError(err, l.MaxBodyBytes)
 	}
-	return b, nil
+	return body.Bytes(), nil
 }
 
-func tooLarge(n int64) error {
-	return refusal(http.StatusRequestEntityTooLarge, lagoonhead.KindInvalid, "body_too_large", "the body has more than %d bytes", n)
+// bodyError returns the error of a request whose body was not read, or of which no copies can be made.
+func bodyError(err error, maxBodyBytes int64) error {
+	switch {
+	case bodybudget.IsTooLarge(err):
+		return tooLarge(maxBodyBytes)
+	case lagoonhead.IsKind(err, lagoonhead.KindUnavailable):
+		return fault("caller.readBody", lagoonhead.KindUnavailable, err)
+	default:
+		return invalid("truncated_body", "the body ended early or did not arrive in time")
+	}
 }
 
-// limitReadTime aborts reads from the caller's connection after d, unless stop is
-// called before.
-func (x *exchange) limitReadTime(d time.Duration) (stop func()) {
-	ctx, cancel := context.WithCancel(x.httpRequest.Context())
-	var decided atomic.Bool // set by expiry or by stop, whichever comes first
-	go func() {
-		if x.server.Timer.Sleep(ctx, d) == nil && decided.CompareAndSwap(false, true) {
-			_ = http.NewResponseController(x.writer).SetReadDeadline(pastTime)
-		}
-	}()
-	return func() {
-		decided.Store(true)
-		cancel()
-	}
+func tooLarge(n int64) error {
+	return refusal(http.StatusRequestEntityTooLarge, lagoonhead.KindInvalid, "body_too_large", "the body has more than %d bytes", n)
 }
 
 // newRequest returns the request as admission and placement see it; serves is the name
--- a/caller/respond.go
+++ b/caller/respond.go
@@ -41,6 +41,13 @@
 // has no retry time.
 const minRetryAfter = time.Second
 
+// Refusal returns the response, without a body, to a request that is refused with an error before it is
+// read.
+func Refusal(_ *http.Request, err error) *http.Response {
+	h := http.Header{headerRun: {string(runNo)}, headerRetryAfter: {retryAfter(err)}, "Cache-Control": {"no-store"}, "Content-Length": {"0"}}
+	return &http.Response{StatusCode: errorResponseFor(err).status, Header: h}
+}
+
 type errorObject struct {
 	Error errorBody `json:"error"`
 }
--- a/caller/server.go
+++ b/caller/server.go
@@ -15,7 +15,9 @@
 	"go.uber.org/zap"
 
 	"github.com/lagoonhead/lagoonhead"
+	"github.com/lagoonhead/lagoonhead/bodybudget"
 	"github.com/lagoonhead/lagoonhead/httpdrain"
+	"github.com/lagoonhead/lagoonhead/httplimit"
 	"github.com/lagoonhead/lagoonhead/relay"
 	"github.com/lagoonhead/lagoonhead/service"
 	"github.com/lagoonhead/lagoonhead/timer"
@@ -107,6 +109,10 @@
 	Relay       *relay.Relay
 	Sealer      *relay.Sealer
 	Timer       timer.Timer
+	// Bodies bounds the memory of request bodies. Optional.
+	Bodies *bodybudget.Budget
+	// Connections bounds the connections that Listener accepts. Optional.
+	Connections *httplimit.Connections
 	// Budget bounds retries. It is shared with the client of services. Optional.
 	Budget *service.Budget
 	// Log receives log lines. Optional.
@@ -140,6 +146,10 @@
 	}
 	s.listener.Listener, s.listener.Log = s.Listener, s.Log
 	s.listener.Socket, _ = s.Listener.(syscall.Conn)
+	if s.Connections != nil {
+		s.Connections.Bound(s.listener.Socket, s.Log)
+		s.listener.Listener, s.listener.Pending = s.Connections.Listen(s.Listener), s.Connections.Waiting
+	}
 	s.acceptEnded, s.drained = make(chan struct{}), make(chan struct{})
 	s.endDrain = sync.OnceFunc(func() { close(s.drained) })
 	// It never fails for this level.
@@ -154,6 +164,11 @@
 	}
 }
 
+// closesConnections reports whether callers are told to close their connections after the response.
+func (s *Server) closesConnections() bool {
+	return s.tracker.draining() || s.Connections != nil && s.Connections.Crowded()
+}
+
 // Handler returns the handler for all routes.
 func (s *Server) Handler() http.Handler {
 	s.once.Do(s.setUp)
--- a/caller/services.go
+++ b/caller/services.go
@@ -62,7 +62,7 @@
 	if err != nil {
 		return err
 	}
-	body, err := x.readBody()
+	body, err := x.readBody(0)
 	if err != nil {
 		return err
 	}
@@ -119,10 +119,10 @@
 func callHash(name string, c lagoonhead.ServiceCall) [32]byte {
 	h := sha256.New()
 	var n [8]byte
-	for _, part := range []string{name, c.Method, c.Path, c.RawQuery, c.Header.Get(contentType), string(c.Body)} {
+	for _, part := range [][]byte{[]byte(name), []byte(c.Method), []byte(c.Path), []byte(c.RawQuery), []byte(c.Header.Get(contentType)), c.Body} {
 		binary.BigEndian.PutUint64(n[:], uint64(len(part)))
 		h.Write(n[:])
-		h.Write([]byte(part))
+		h.Write(part)
 	}
 	return [32]byte(h.Sum(nil))
 }
--- a/daemon/build.go
+++ b/daemon/build.go
@@ -173,7 +173,9 @@
 	budget := new(service.Budget)
 	services := &service.Client{Budget: budget, Suspects: b.suspects}
 	b.vars.Set("services", services.Vars())
+	bodies, connections := b.buildCallerLimits()
 	b.caller = &caller.Server{
+		Bodies: bodies, Connections: connections,
 		Directories: b.config, Gate: b.config, Admitter: b.admit, Placer: b.classes,
 		Engines: streamer, Suspects: b.suspects, Parts: b.parts, Usage: b.usage, Decisions: b.decisions,
 		Services: services, Claims: claims, Budget: budget, Relay: streamRelay, Sealer: sealer,
--- a/settings/load.go
+++ b/settings/load.go
@@ -176,6 +176,9 @@
 	size := bodySize(l.MaxBodyBytes)
 	m.Value("maxBody", &size)
 	l.MaxBodyBytes = int64(size)
+	memory := memorySize(l.MemoryBytes)
+	m.Value("memory", &memory)
+	l.MemoryBytes = int64(memory)
 	l.MaxWait = m.Duration("maxWait", l.MaxWait, 0, maxShortTime)
 	l.MaxInFlight = int(m.Int("maxInFlight", int64(l.MaxInFlight), 1, 1_000_000))
 	l.HeaderTimeout = m.Duration("headerTimeout", l.HeaderTimeout, 100*time.Millisecond, time.Minute)
@@ -194,27 +197,52 @@
 var sizeUnits = []struct {
 	name  string
 	bytes int64
-}{{"KiB", 1 << 10}, {"MiB", 1 << 20}, {"B", 1}}
+}{{"KiB", 1 << 10}, {"MiB", 1 << 20}, {"GiB", 1 << 30}, {"B", 1}}
 
 // maxBodyBytes is the upper bound of Limits.MaxBodyBytes.
 const maxBodyBytes = 64 << 20
 
 // UnmarshalText implements encoding.TextUnmarshaler.
 func (s *bodySize) UnmarshalText(b []byte) error {
+	n, err := parseSize(b, 1, maxBodyBytes)
+	*s = bodySize(n)
+	return err
+}
+
+// parseSize parses a size with a unit.
+func parseSize(b []byte, least, most int64) (int64, error) {
 	for _, u := range sizeUnits {
 		n, ok := bytes.CutSuffix(b, []byte(u.name))
 		if !ok {
 			continue
 		}
 		v, err := strconv.ParseInt(string(n), 10, 64)
-		if err != nil || v < 1 || v > maxBodyBytes/u.bytes {
-			return fmt.Errorf("%q is out of range", b)
+		if err != nil || v < 1 || v > most/u.bytes || v*u.bytes < least {
+			return 0, fmt.Errorf("%q is out of range", b)
 		}
-		*s = bodySize(v * u.bytes)
-		return nil
+		return v * u.bytes, nil
 	}
-	return fmt.Errorf("%q is not a size with a unit", b)
+	return 0, fmt.Errorf("%q is not a size with a unit", b)
 }
 
 // Accepted implements strict.Value.
 func (s *bodySize) Accepted() string { return `a size from 1B to 64MiB with a unit (B, KiB, MiB)` }
+
+// memorySize is the memory of a process in bytes, written with one of sizeUnits.
+type memorySize int64
+
+// minMemoryBytes and maxMemoryBytes are the bounds of Limits.MemoryBytes. Below the former a daemon does
+// not run.
+const minMemoryBytes, maxMemoryBytes = 64 << 20, 1 << 40
+
+// UnmarshalText implements encoding.TextUnmarshaler.
+func (s *memorySize) UnmarshalText(b []byte) error {
+	n, err := parseSize(b, minMemoryBytes, maxMemoryBytes)
+	*s = memorySize(n)
+	return err
+}
+
+// Accepted implements strict.Value.
+func (s *memorySize) Accepted() string {
+	return `a size from 64MiB to 1024GiB with a unit (B, KiB, MiB, GiB)`
+}
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -117,6 +117,8 @@
 type Limits struct {
 	// MaxBodyBytes is the maximum size of a request body.
 	MaxBodyBytes int64
+	// MemoryBytes is the memory that the daemon may take, in bytes. 0 means that of the machine.
+	MemoryBytes int64
 	// MaxWait is the maximum time that a request waits for tokens of its workspace's
 	// rate limit.
 	MaxWait time.Duration
--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -21,7 +21,7 @@
 	require.Equal(t, Trace{Exporter: ExportOTLP, Endpoint: "http://10.0.9.4:4318", SampleRatio: 0.05}, s.Trace)
 	require.Equal(t, Drain{Delay: 25 * time.Second, InFlightTimeout: time.Hour}, s.Drain)
 	require.Equal(t, Limits{
-		MaxBodyBytes: 2 << 20, MaxWait: 5 * time.Second, MaxInFlight: 100,
+		MaxBodyBytes: 2 << 20, MemoryBytes: 2 << 30, MaxWait: 5 * time.Second, MaxInFlight: 100,
 		HeaderTimeout: 2 * time.Second, IdleTimeout: 4 * time.Second,
 	}, s.Limits)
 	_, err = Load("testdata/absent.yaml")
