--- a/caller/memory_test.go
+++ b/caller/memory_test.go
@@ -52,7 +52,7 @@
 
 // Guards against a refusal before a request is read that a caller takes for one that may have run.
 func TestRefusalsOfConnectionsSayNotRun(t *testing.T) {
-	res := Refusal(nil, overload.Refusal("connection", "the connection is not served")) //nolint:bodyclose // it has none
+	res := Refusal(nil, overload.Refusal("connection", "the connection is not served"))
 	require.Equal(t, http.StatusServiceUnavailable, res.StatusCode)
 	require.Equal(t, string(runNo), res.Header.Get(headerRun))
 	require.Equal(t, "1", res.Header.Get(headerRetryAfter))
