--- a/entry/outage_test.go
+++ b/entry/outage_test.go
@@ -112,6 +112,25 @@
 	requireUsed(t, v, true, true)
 }
 
+// Guards against an endpoint that has left and is kept by a VM that the store turns away, although its hub,
+// which reads the store, has had no outage: the VM heard of the removal 2.9 s after its last state.
+func TestATurnedAwayVMIsNoOutage(t *testing.T) {
+	hub, v := newEvacuatedVM(t), newEvacuatedVM(t)
+	v.pull(hub)
+	advance := func(d time.Duration) {
+		hub.clock.Advance(d)
+		v.clock.Advance(d)
+	}
+	advance(maxUpdateAge)
+	v.copy.Failed("endpoints/", v.clock.Now(), errors.New("turned away"))
+	advance(200 * time.Millisecond)
+	hub.list("endpoints/", 2, lagoonhead.Entry{Key: "endpoints/a", Revision: 1})
+	requireUsed(t, hub, true, false)
+	advance(500 * time.Millisecond)
+	v.pull(hub)
+	requireUsed(t, v, true, false)
+}
+
 // pull merges what the copy of a hub has.
 func (v evacuatedVM) pull(hub evacuatedVM) {
 	now := v.clock.Now()
