httplimit, dispatch: one copy of the shares of the memory and of the view

Found in the read-through: the shares of the memory and Go's limits stood in entry and in daemon, and the view of the registrations in dispatch and in mirror. Both interfaces use httplimit.Limits now. A daemon without a known memory has no bound on bodies; the platform's settings always name it. Nothing else changes.

--- a/cmd/lagoonheadd/main.go
+++ b/cmd/lagoonheadd/main.go
@@ -122,7 +122,7 @@
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
 	go logReloads(hangups, loadAgain, log)
-	daemon.SetMemoryLimit(s)
+	daemon.Limits(s).BoundRuntime()
 	d := &daemon.Daemon{
 		Settings: s, Timer: &timer.System{}, Log: log,
 		OnStarted: func(address string) { fmt.Fprintln(out, "listening on", address) },
--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -19,6 +19,7 @@
 	"github.com/lagoonhead/lagoonhead/bodybudget"
 	"github.com/lagoonhead/lagoonhead/catalog"
 	"github.com/lagoonhead/lagoonhead/metrics"
+	"github.com/lagoonhead/lagoonhead/mirror"
 	"github.com/lagoonhead/lagoonhead/steer"
 	"github.com/lagoonhead/lagoonhead/timer"
 	"github.com/lagoonhead/lagoonhead/triage"
@@ -77,16 +78,6 @@
 	Take(service string) bool
 }
 
-// EndpointView says how current the registrations are from which endpoints are chosen.
-type EndpointView struct {
-	// Age is the time since they matched those of the store. It is negative if they never did.
-	Age time.Duration
-	// Revision is that of the store which they match.
-	Revision int64
-	// Peer is the process that told so, or empty if the store did.
-	Peer string
-}
-
 // Dispatcher serves calls. The exported fields must be set before the first one.
 type Dispatcher struct {
 	Catalogs    Catalogs
@@ -103,7 +94,7 @@
 	Timer    timer.Timer
 	Log      *zap.Logger
 	// View returns how current the registrations of endpoints are. It may be nil.
-	View func() EndpointView
+	View func() mirror.View
 	// Domain is the failure domain of this daemon.
 	Domain lagoonhead.FailureDomain
 	// Answers bounds the memory of answers that are buffered. It may be nil, which means
@@ -342,7 +333,7 @@
 		zap.String("fingerprint", strconv.FormatUint(r.demand.Fingerprint(), 16)), zap.Strings("steps", r.steps),
 	}
 	if r.sends > 0 {
-		f = append(f, zap.Dict("view", zap.Duration("age", r.view.Age), zap.Int64("revision", lagoonhead.NumberOf(r.view.Revision)), zap.String("peer", r.view.Peer)))
+		f = append(f, zap.Dict("view", zap.Duration("age", r.view.Age), zap.Int64("revision", lagoonhead.NumberOf(r.view.Revision)), zap.String("peer", string(r.view.Peer))))
 	}
 	if software, ok := r.version.Version(); ok {
 		f = append(f, zap.String("software", software))
--- a/dispatch/dispatcher_test.go
+++ b/dispatch/dispatcher_test.go
@@ -20,6 +20,7 @@
 
 	"github.com/lagoonhead/lagoonhead"
 	"github.com/lagoonhead/lagoonhead/catalog"
+	"github.com/lagoonhead/lagoonhead/mirror"
 	"github.com/lagoonhead/lagoonhead/steer"
 	"github.com/lagoonhead/lagoonhead/timer"
 )
@@ -424,7 +425,7 @@
 	sender := &connectingSender{scriptedSender: scriptedSender{t: t, script: []scriptedSend{{Status: http.StatusOK, Body: "x"}}}}
 	d := scriptedDispatcher(sender)
 	sender.clock, d.Log = d.Timer.(*timer.Manual), zap.New(core)
-	d.View = func() EndpointView { return EndpointView{Age: time.Second, Revision: 7, Peer: "vm-2/x"} }
+	d.View = func() mirror.View { return mirror.View{Age: time.Second, Revision: 7, Peer: "vm-2/x"} }
 	u, err := url.Parse("http://h/plain/x")
 	require.NoError(t, err)
 	require.NoError(t, d.Serve(t.Context(), &Call{ID: "r", Method: http.MethodPost, Host: "h", URL: u}, &recordingSink{}))
--- a/dispatch/request.go
+++ b/dispatch/request.go
@@ -11,6 +11,7 @@
 
 	"github.com/lagoonhead/lagoonhead"
 	"github.com/lagoonhead/lagoonhead/catalog"
+	"github.com/lagoonhead/lagoonhead/mirror"
 	"github.com/lagoonhead/lagoonhead/steer"
 	"github.com/lagoonhead/lagoonhead/triage"
 )
@@ -71,7 +72,7 @@
 	// caller gets the first event, or is that at which a stream that is taken up began.
 	version lagoonhead.VersionPin
 	// view is that of the daemon at the time of the last send.
-	view EndpointView
+	view mirror.View
 	// steps describes each decision on the request, with its time since the arrival.
 	steps []string
 }
--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -58,17 +58,9 @@
 	// those that share the quota of a workspace: if one VM is lost, most of the quota is
 	// left, and a request needs tokens of few VMs.
 	slotCount, homesPerWorkspace = 12, 4
-	// memoryShare is the fraction of MemoryBytes that is set as Go's soft memory limit.
-	memoryShare = 0.75
-	// bodyShare is the fraction of MemoryBytes that callers' bodies may take together. What remains is
-	// for their connections, the daemon itself, answers and garbage.
-	bodyShare = 0.25
 	// answerShare is the fraction that buffered answers may take together, and minAnswerBytes the
 	// least that they may. It takes the largest answer, 8 MiB, beside the reserve for small ones.
 	answerShare, minAnswerBytes = 0.125, 12 << 20
-	// gcPercent is the garbage collection target (GOGC). A value below the default of
-	// 100 saves memory for CPU time, which is plentiful on the VMs that run this daemon.
-	gcPercent = 50
 	// defaultBodyLimit is the maximum size of a request body, in bytes, until the
 	// configuration sets one.
 	defaultBodyLimit = 4 << 20
@@ -204,8 +196,7 @@
 // probes, keeps accepting connections until the load balancer has noticed, and finishes
 // its requests.
 func (d *Daemon) Run(ctx context.Context) error {
-	debug.SetMemoryLimit(int64(memoryShare * float64(d.Settings.MemoryBytes)))
-	debug.SetGCPercent(gcPercent)
+	d.limits().BoundRuntime()
 	d.prepare()
 	if d.LogVars != nil {
 		d.vars.Set("log", d.LogVars)
@@ -232,12 +223,18 @@
 	d.buildWork()
 }
 
+// limits returns the limits of the process.
+func (d *Daemon) limits() httplimit.Limits {
+	return httplimit.Limits{Descriptors: d.Settings.MaxDescriptors, MemoryBytes: d.Settings.MemoryBytes}
+}
+
 // buildCallerLimits creates what bounds the connections of callers and the memory that callers take.
 func (d *Daemon) buildCallerLimits() {
-	d.connections = httplimit.New(httplimit.Limits{Descriptors: d.Settings.MaxDescriptors, MemoryBytes: d.Settings.MemoryBytes}, d.guard.RefusesConnection, d.Platform.Refusal)
+	limits := d.limits()
+	d.connections = httplimit.New(limits, d.guard.RefusesConnection, d.Platform.Refusal)
 	d.vars.Set("connections", d.connections.Vars())
 	// A body of unknown length is counted twice while its parts are joined.
-	d.bodies = bodybudget.New(max(int64(bodyShare*float64(d.Settings.MemoryBytes)), 3*defaultBodyLimit), d.Timer, d.Log)
+	d.bodies = bodybudget.New(limits.BodyBytes(3*defaultBodyLimit), d.Timer, d.Log)
 	d.answers = bodybudget.NewForAnswers(max(int64(answerShare*float64(d.Settings.MemoryBytes)), minAnswerBytes), d.Timer, d.Log)
 	d.vars.Set("bufferedAnswers", d.answers.Vars())
 	d.bodies.Crowded = d.connections.Crowded
@@ -422,9 +419,8 @@
 }
 
 // endpointView returns how current the registrations of endpoints are.
-func (d *Daemon) endpointView() dispatch.EndpointView {
-	v := d.copy.View(d.Timer.Now(), d.Platform.EndpointPrefix)
-	return dispatch.EndpointView{Age: v.Age, Revision: v.Revision, Peer: string(v.Peer)}
+func (d *Daemon) endpointView() mirror.View {
+	return d.copy.View(d.Timer.Now(), d.Platform.EndpointPrefix)
 }
 
 // transferPerToken returns the time in which an engine of the service gets the KV cache of one token
--- a/httplimit/connections.go
+++ b/httplimit/connections.go
@@ -4,6 +4,7 @@
 	"expvar"
 	"net"
 	"net/http"
+	"runtime/debug"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -50,8 +51,15 @@
 	connectionBytes = 24 << 10
 	// minConnections is the least bound of the number of connections for the sake of memory.
 	minConnections = 64
-	// connectionShare is the fraction of the memory that bounds the number of connections.
-	connectionShare = 0.3
+	// connectionShare is the fraction of the memory that bounds the number of connections, and bodyShare
+	// that which clients' bodies may take together. What remains is for the daemon itself, for answers and
+	// for garbage.
+	connectionShare, bodyShare = 0.3, 0.25
+	// runtimeShare is the fraction of the memory that is set as Go's soft memory limit.
+	runtimeShare = 0.75
+	// gcPercent is the garbage collection target (GOGC). A value below the default of 100 saves memory
+	// for CPU time, which is plentiful on the VMs that run this daemon.
+	gcPercent = 50
 	// LogInterval is the time between two calls of LogRefused.
 	LogInterval = time.Second
 )
@@ -64,6 +72,23 @@
 	MemoryBytes int64
 }
 
+// BoundRuntime makes the Go runtime of the process keep to the memory.
+func (l Limits) BoundRuntime() {
+	if l.MemoryBytes > 0 {
+		debug.SetMemoryLimit(int64(runtimeShare * float64(l.MemoryBytes)))
+		debug.SetGCPercent(gcPercent)
+	}
+}
+
+// BodyBytes returns the number of bytes that the bodies of clients may take together, at least the given
+// one, or 0 if there is no limit.
+func (l Limits) BodyBytes(least int64) int64 {
+	if l.MemoryBytes <= 0 {
+		return 0
+	}
+	return max(int64(bodyShare*float64(l.MemoryBytes)), least)
+}
+
 // Connections limits the connections of callers by the descriptors of the process. Requests on
 // connections that are not served are refused.
 type Connections struct {
--- a/mirror/copy.go
+++ b/mirror/copy.go
@@ -349,6 +349,7 @@
 	p.follower.Put(e, c.origin(p, e.Revision))
 }
 
+// origin returns the origin of a change of a prefix.
 func (c *Copy) origin(p *prefixState, revision int64) Origin {
 	return Origin{Peer: c.merging, Revision: revision, State: p.revision}
 }
