--- a/mirror/copy_test.go
+++ b/mirror/copy_test.go
@@ -505,7 +505,7 @@
 					arrive(func() { c.Written(e) })
 				}
 			case "pull":
-				u := copies[(i+rapid.IntRange(1, hubs-1).Draw(r, "from"))%hubs].UpdateFor(now, c.Position(now))
+				u := copies[rapid.IntRange(0, hubs-1).Draw(r, "from")].UpdateFor(now, c.Position(now))
 				arrive(func() { c.Merge(u, sent, maxAge) })
 			case "follow":
 				a := copies[hubs+i]
