--- a/caller/read.go
+++ b/caller/read.go
@@ -25,6 +25,8 @@
 	})
 	if err != nil {
 		x.writer.Header().Set("Connection", "close") // a part of the body is unread
+		// A caller that is still sending gets the refusal only if the rest is read.
+		x.bodyRead = !bodybudget.IsTooLarge(err) && !lagoonhead.IsKind(err, lagoonhead.KindUnavailable)
 		return nil, bodyError(err, l.MaxBodyBytes)
 	}
 	x.body = body
